--- /dev/null
+++ b/src/base/hash.ts
@@ -0,0 +1,21 @@
+import { createHash } from "node:crypto";
+
+const hashPrefixBytes = 6;
+
+/** SHA-256 of a text as lower-case hex. */
+export function hashText(text: string): string {
+    return createHash("sha256").update(text).digest("hex");
+}
+
+/** A uniform 48-bit integer from a text, equal on every machine; for rendezvous hashing. */
+export function hashToNumber(text: string): number {
+    return createHash("sha256").update(text).digest().readUIntBE(0, hashPrefixBytes);
+}
+
+/** The members ordered by rendezvous weight for a key (highest random weight; Thaler and Ravishankar, 1998). */
+export function orderByRendezvous<T>(key: string, members: readonly T[], getName: (member: T) => string): readonly T[] {
+    return members
+        .map(member => ({ member, name: getName(member), weight: hashToNumber(`${key}\n${getName(member)}`) }))
+        .sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
+        .map(entry => entry.member);
+}
--- /dev/null
+++ b/src/control/schemas.ts
@@ -0,0 +1,88 @@
+import { z } from "zod";
+
+/** See {@link import("../fleet/entities.js").Refusal}. */
+export const refusalSchema = z.object({
+    reason: z.enum([
+        "queue-full",
+        "account-queue-full",
+        "deadline",
+        "no-target",
+        "draining",
+        "duplicate",
+        "key-unknown",
+        "key-required",
+        "retry-budget",
+        "target-failed",
+        "stopping",
+    ]),
+    execution: z.enum(["not-run", "unknown", "ran"]),
+    retryAfterMs: z.number().nonnegative().optional(),
+    detail: z.string(),
+});
+
+/** See {@link import("../fleet/entities.js").ServiceCounter}. */
+export const serviceCounterSchema = z.object({
+    service: z.string(),
+    clientAccount: z.string(),
+    charged: z.number().nonnegative(),
+    refunded: z.number().nonnegative(),
+    lift: z.number().nonnegative(),
+});
+
+/** See {@link import("../fleet/entities.js").AgentReport}. */
+export const agentReportSchema = z.object({
+    identity: z.object({
+        agentId: z.string(),
+        incarnation: z.number(),
+        targetName: z.string(),
+        dataCentre: z.string(),
+        services: z.array(z.string()).readonly(),
+    }),
+    sequence: z.number().int(),
+    phase: z.enum(["serving", "draining", "out", "leaving"]),
+    window: z.number(),
+    running: z.number(),
+    queued: z.number(),
+    cold: z.boolean(),
+    serviceTimeMs: z.number(),
+    documentOffset: z.number(),
+    counters: z.array(serviceCounterSchema).readonly(),
+    cachedPrefixes: z.array(z.string()).readonly(),
+});
+
+/** One daemon as the log's roster stream knows it. */
+export const rosterEntrySchema = z.object({
+    daemonId: z.string(),
+    role: z.enum(["router", "agent"]),
+    incarnation: z.number().int(),
+    /** Where its control API listens: host and port. */
+    address: z.string(),
+    dataCentre: z.string(),
+    vmId: z.string(),
+    targetName: z.string().optional(),
+    services: z.array(z.string()).readonly(),
+});
+
+/** One daemon as the roster knows it. */
+export type RosterEntry = z.infer<typeof rosterEntrySchema>;
+
+/** What `lynxarch status` shows of one daemon. */
+export const daemonStatusSchema = z.object({
+    daemonId: z.string(),
+    role: z.enum(["router", "agent"]),
+    incarnation: z.number().int(),
+    version: z.string(),
+    environment: z.string(),
+    dataCentre: z.string(),
+    address: z.string(),
+    documentOffset: z.number().int(),
+    phase: z.string(),
+    waiting: z.number().int(),
+    running: z.number().int(),
+    window: z.number().optional(),
+    cold: z.boolean().optional(),
+    uptimeMs: z.number(),
+});
+
+/** What `lynxarch status` shows of one daemon. */
+export type DaemonStatus = z.infer<typeof daemonStatusSchema>;
--- /dev/null
+++ b/src/fleet/agentMessages.ts
@@ -0,0 +1,48 @@
+import type { EnvironmentDocument } from "../document/schema.js";
+import type { Refusal, ServiceCounter, WorkRequest } from "./entities.js";
+
+/** How a run at the target ended. */
+export type RunOutcome = "completed" | "failed" | "cancelled" | "refused-by-target";
+
+/** What the shell of an agent tells its core. */
+export type AgentMessage =
+    /** A router sent a request; deadline already turned into this process's clock. */
+    | { readonly type: "workOffered"; readonly request: WorkRequest; readonly routerId: string }
+    /** A router asks for a request back. Answered by withdrawn or withdrawRefused. */
+    | { readonly type: "withdrawRequested"; readonly requestId: string }
+    /** The router's connection closed, or the caller left. */
+    | { readonly type: "workCancelled"; readonly requestId: string }
+    /** The target sent the first token or response head. */
+    | { readonly type: "firstOutput"; readonly requestId: string }
+    /** The target generated more; `tokens` since the last progress. */
+    | { readonly type: "progressed"; readonly requestId: string; readonly tokens: number }
+    | {
+          readonly type: "runEnded";
+          readonly requestId: string;
+          readonly outcome: RunOutcome;
+          /** Final counts if the target told them, else what was seen. */
+          readonly promptTokens: number;
+          readonly generatedTokens: number;
+      }
+    /** The target's own report, which lags. */
+    | { readonly type: "targetReported"; readonly cold: boolean; readonly running: number; readonly waiting: number }
+    /** The target was unreachable or lost its state. */
+    | { readonly type: "targetLost" }
+    /** A router's exchange brought what other agents have charged. */
+    | { readonly type: "claimsReceived"; readonly routerId: string; readonly claims: readonly ServiceCounter[] }
+    | { readonly type: "documentAccepted"; readonly offset: number; readonly document: EnvironmentDocument }
+    /** This process was told to stop, or its VM is leaving: start nothing new but what is already started. */
+    | { readonly type: "leaving" };
+
+/** What an agent's core asks of its shell. */
+export type AgentEffect =
+    /** Give the request to the target now. */
+    | { readonly type: "startWork"; readonly requestId: string }
+    /** Turn the request away; it was never started here and never will be. */
+    | { readonly type: "refuseWork"; readonly requestId: string; readonly refusal: Refusal }
+    /** Hand back a queued request (asked for, or because the agent leaves); never started, never will be. */
+    | { readonly type: "workWithdrawn"; readonly requestId: string }
+    /** A withdraw came too late: the request has started or ended here. */
+    | { readonly type: "withdrawRefused"; readonly requestId: string }
+    /** Stop the run at the target. */
+    | { readonly type: "cancelRun"; readonly requestId: string };
