--- a/src/events/fleetEvent.ts
+++ b/src/events/fleetEvent.ts
@@ -65,7 +65,7 @@
 
 /** Drops every event. */
 export class NoopEventRecorder implements EventRecorder {
-    public record(unusedEvent: FleetEventInput): void {
+    public record(): void {
         // For benchmarks and tests that look at effects only.
     }
 }
