--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -134,4 +134,6 @@
     /** Offset of the newest accepted change; -1 before the first. Never falls. */
     readonly offset: number;
     readonly document: EnvironmentDocument;
+    /** Last offset that the holder had applied, if told: nothing after `offset` up to here was accepted. */
+    readonly upTo?: number;
 }
