--- a/src/control/schemas.ts
+++ b/src/control/schemas.ts
@@ -1,5 +1,7 @@
 import { z } from "zod";
 
+export { rosterEntrySchema, type RosterEntry } from "../fleet/rosterEntry.js";
+
 /** See {@link import("../fleet/entities.js").Refusal}. */
 export const refusalSchema = z.object({
     reason: z.enum([
@@ -50,22 +52,6 @@
     cachedPrefixes: z.array(z.string()).readonly(),
 });
 
-/** One daemon as the log's roster stream knows it. */
-export const rosterEntrySchema = z.object({
-    daemonId: z.string(),
-    role: z.enum(["router", "agent"]),
-    incarnation: z.number().int(),
-    /** Where its control API listens: host and port. */
-    address: z.string(),
-    dataCentre: z.string(),
-    vmId: z.string(),
-    targetName: z.string().optional(),
-    services: z.array(z.string()).readonly(),
-});
-
-/** One daemon as the roster knows it. */
-export type RosterEntry = z.infer<typeof rosterEntrySchema>;
-
 /** What `lynxarch status` shows of one daemon. */
 export const daemonStatusSchema = z.object({
     daemonId: z.string(),
--- /dev/null
+++ b/test/fleet/rosterState.test.ts
@@ -0,0 +1,125 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { computeRosterTimes, RosterState, type RosterMember } from "../../src/fleet/rosterState.js";
+import { Streams } from "../fakes/platform/streams.js";
+
+const retentionMs = 4_000;
+
+function buildRegister(daemonId: string, incarnation: number, knownUpTo: number, registration?: number): unknown {
+    const entry = {
+        daemonId,
+        role: "agent",
+        incarnation,
+        address: "127.0.0.1:1",
+        dataCentre: "gt-a",
+        vmId: daemonId,
+        services: ["chat"],
+    };
+    return { type: "register", id: "r", entry, knownUpTo, registration };
+}
+
+function buildLeave(daemonId: string, incarnation: number, registration?: number): unknown {
+    const reason = registration === undefined ? "stopped" : "evicted";
+    return { type: "leave", id: "l", daemonId, incarnation, reason, by: "x", registration };
+}
+
+function applyAll(state: RosterState, values: readonly unknown[], fromOffset = 0): string {
+    const records = values.map((value, index) => ({ offset: fromOffset + index, appendedAtMs: 0, value }));
+    state.applyPage({ records, firstOffset: fromOffset });
+    return formatMembers(state.members.values());
+}
+
+function formatMembers(members: Iterable<RosterMember>): string {
+    return [...members]
+        .map(member => `${member.entry.daemonId}/${member.entry.incarnation}@${member.registration}`)
+        .sort()
+        .join(" ");
+}
+
+describe("RosterState", () => {
+    it("keeps a stopped daemon out when its delayed registration arrives", () => {
+        // A daemon's first registration is held up on its way; it tries again, runs and stops in order. Then the first
+        // one lands. Were it taken, keys would go to a home that nobody runs, and their callers would get no answer.
+        const state = new RosterState(computeRosterTimes(retentionMs));
+        expect(applyAll(state, [buildRegister("a", 1, -1), buildLeave("a", 1), buildRegister("a", 1, -1)])).toBe("");
+        expect(applyAll(state, [buildRegister("a", 2, 2)], 3)).toBe("a/2@3");
+        expect(applyAll(state, [buildRegister("a", 1, 3), buildLeave("a", 1)], 4)).toBe("a/2@3");
+    });
+
+    it("lets an eviction pass that is older than the registration", () => {
+        const state = new RosterState(computeRosterTimes(retentionMs));
+        const evicted = [buildRegister("a", 1, -1), buildLeave("a", 1, 0), buildRegister("a", 1, 1)];
+        expect(applyAll(state, [...evicted, buildLeave("a", 1, 0)])).toBe("a/1@2");
+        expect(state.spans.map(({ fromOffset, untilOffset }) => [fromOffset, untilOffset])).toEqual([
+            [0, 1],
+            [2, undefined],
+        ]);
+        expect(state.listMembersAt(1)).toEqual([]);
+        expect([state.hasServedBefore("chat", 0), state.hasServedBefore("chat", 1)]).toEqual([false, true]);
+    });
+
+    it("keeps the members over an outage that outlasts their lifetime", () => {
+        // The log is down for an hour. The first daemon to come back renews; the others are alive and follow within
+        // seconds. Dropping them at that record would move every key to another home.
+        const state = new RosterState(computeRosterTimes(retentionMs));
+        applyAll(state, [buildRegister("a", 1, -1), buildRegister("b", 1, 0)]);
+        const renewal = { offset: 2, appendedAtMs: 3_600_000, value: buildRegister("a", 1, 1, 0) };
+        state.applyPage({ records: [renewal], firstOffset: 0 });
+        expect(formatMembers(state.members.values())).toBe("a/1@0 b/1@1");
+    });
+
+    it("has the same members for a reader without state as for one that saw everything", () => {
+        const step = fc.record({
+            daemon: fc.integer({ min: 0, max: 3 }),
+            kind: fc.constantFrom("restart", "stop", "wait", "wait", "wait", "crash", "crash", "evict"),
+            waitMs: fc.integer({ min: 0, max: 300 }),
+        });
+        const renewAfterMs = 30;
+        fc.assert(
+            fc.property(fc.array(step, { minLength: 60, maxLength: 120, size: "max" }), steps => {
+                let nowMs = 0;
+                const streams = new Streams(() => nowMs, retentionMs);
+                const full = new RosterState(computeRosterTimes(retentionMs));
+                const running = new Map<string, { incarnation: number; renewedAtMs: number }>();
+                const readAll = (state: RosterState): void => {
+                    state.applyPage(streams.read("roster", state.nextOffset, 1_000));
+                };
+                const register = (name: string, incarnation: number): void => {
+                    const member = full.members.get(name);
+                    const registration = member?.entry.incarnation === incarnation ? member.registration : undefined;
+                    streams.append("roster", buildRegister(name, incarnation, full.nextOffset - 1, registration));
+                    running.set(name, { incarnation, renewedAtMs: nowMs });
+                    readAll(full);
+                };
+                steps.forEach(({ daemon, kind, waitMs }, index) => {
+                    nowMs += waitMs;
+                    const name = `d${daemon}`;
+                    for (const [other, { incarnation, renewedAtMs }] of running) {
+                        if (nowMs - renewedAtMs >= renewAfterMs) {
+                            register(other, incarnation);
+                        }
+                    }
+                    const own = running.get(name);
+                    if (kind === "restart") {
+                        register(name, index + 1);
+                    } else if (kind === "crash") {
+                        running.delete(name);
+                    } else if (kind === "stop" && own !== undefined) {
+                        running.delete(name);
+                        streams.append("roster", buildLeave(name, own.incarnation));
+                    } else if (kind === "evict" && full.members.has(name)) {
+                        const { entry, registration } = full.members.get(name)!;
+                        running.delete(name);
+                        streams.append("roster", buildLeave(name, entry.incarnation, registration));
+                    }
+                    // One daemon that never fails keeps the log alive, as a fleet does.
+                    register("steady", 1);
+                    const fresh = new RosterState(computeRosterTimes(retentionMs));
+                    readAll(fresh);
+                    expect(formatMembers(fresh.members.values())).toBe(formatMembers(full.members.values()));
+                });
+            }),
+            { seed: 11, numRuns: 60 },
+        );
+    });
+});
