--- /dev/null
+++ b/src/control/controlApi.ts
@@ -0,0 +1,52 @@
+import { initTRPC, TRPCError } from "@trpc/server";
+import { z } from "zod";
+import { documentSchema } from "../document/schema.js";
+import type { AgentControlHost, ControlHost } from "./host.js";
+import { serviceCounterSchema } from "./schemas.js";
+
+const trpc = initTRPC.context<ControlHost>().create({
+    // A stack would tell a stranger about the machine's paths.
+    errorFormatter: ({ shape }) => ({ ...shape, data: { ...shape.data, stack: undefined } }),
+});
+
+const acceptedDocumentSchema = z.object({ offset: z.number().int(), document: documentSchema });
+
+const exchangeRequestSchema = z.object({
+    routerId: z.string().max(128),
+    incarnation: z.number(),
+    documentOffset: z.number().int(),
+    acknowledgedSequence: z.number().int().optional(),
+    claims: z.array(serviceCounterSchema).max(100_000),
+    document: acceptedDocumentSchema.optional(),
+});
+
+function getAgent(host: ControlHost): AgentControlHost {
+    if (host.agent === undefined) {
+        throw new TRPCError({ code: "NOT_FOUND", message: "this daemon is no agent" });
+    }
+    return host.agent;
+}
+
+/** The control API of every daemon; agents answer `exchange` and `withdraw` besides. */
+export const controlRouter = trpc.router({
+    status: trpc.procedure.query(({ ctx }) => ctx.getStatus()),
+    events: trpc.procedure
+        .input(z.object({ sinceSequence: z.number().int() }))
+        .query(({ ctx, input }) => ctx.listEvents(input.sinceSequence)),
+    shares: trpc.procedure.query(({ ctx }) => ctx.listShares()),
+    document: trpc.procedure.query(({ ctx }) => ctx.getDocument()),
+    roster: trpc.procedure.query(({ ctx }) => ctx.listRoster()),
+    exchange: trpc.procedure.input(exchangeRequestSchema).mutation(({ ctx, input }) =>
+        getAgent(ctx).handleExchange({
+            ...input,
+            acknowledgedSequence: input.acknowledgedSequence,
+            document: input.document,
+        }),
+    ),
+    withdraw: trpc.procedure
+        .input(z.object({ requestId: z.string().max(128) }))
+        .mutation(({ ctx, input }) => getAgent(ctx).withdrawWork(input.requestId)),
+});
+
+/** Type of the control API, for clients. */
+export type ControlRouter = typeof controlRouter;
--- /dev/null
+++ b/src/control/server.ts
@@ -0,0 +1,74 @@
+import { serve, type ServerType } from "@hono/node-server";
+import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
+import { Hono } from "hono";
+import { ResultAsync } from "neverthrow";
+import type { Disposable } from "../base/lifecycle.js";
+import { controlRouter } from "./controlApi.js";
+import { ControlError } from "./errors.js";
+import type { ControlHost } from "./host.js";
+import { isSameSecret, toAuthorization } from "./secret.js";
+
+const maxControlBodyBytes = 4 * 1024 * 1024;
+
+/** Whether the daemon lives, and whether the balancer may send it callers. */
+export interface HealthSource {
+    isReady(): boolean;
+}
+
+/** Builds the app that every daemon serves on its own address: health, and the control API behind the secret. */
+export function createControlApp(host: ControlHost, health: HealthSource, secret: string): Hono {
+    const app = new Hono();
+    app.get("/healthz", context => context.json({ status: "alive" }));
+    app.get("/readyz", context =>
+        health.isReady() ? context.json({ status: "ready" }) : context.json({ status: "not-ready" }, 503),
+    );
+    const expected = toAuthorization(secret);
+    app.use("/trpc/*", async (context, next) => {
+        if (!isSameSecret(context.req.header("authorization") ?? "", expected)) {
+            return context.json({ title: "the shared secret is missing or wrong" }, 401);
+        }
+        if (Number(context.req.header("content-length") ?? "0") > maxControlBodyBytes) {
+            return context.json({ title: "too large" }, 413);
+        }
+        await next();
+        return undefined;
+    });
+    app.all("/trpc/*", context =>
+        fetchRequestHandler({
+            endpoint: "/trpc",
+            req: context.req.raw,
+            router: controlRouter,
+            createContext: () => host,
+        }),
+    );
+    return app;
+}
+
+/** Listens with an app. Errors: the address is taken or not ours. */
+export function listenOn(app: Hono, host: string, port: number): ResultAsync<HttpListener, ControlError> {
+    const listening = new Promise<HttpListener>((resolve, reject) => {
+        const server = serve({ fetch: app.fetch, hostname: host, port }, () => resolve(new HttpListener(server)));
+        server.once("error", reject);
+    });
+    return ResultAsync.fromPromise(
+        listening,
+        cause => new ControlError(`cannot listen on ${host}:${port}: ${String(cause)}`, false, cause),
+    );
+}
+
+/** A listening HTTP server. */
+export class HttpListener implements Disposable {
+    public constructor(private readonly server: ServerType) {}
+
+    /** Takes no new connection; those that serve a request go on. */
+    public stopAccepting(): void {
+        this.server.close();
+    }
+
+    public dispose(): void {
+        this.server.close();
+        if ("closeAllConnections" in this.server) {
+            this.server.closeAllConnections();
+        }
+    }
+}
