--- /dev/null
+++ b/src/agent/agentService.ts
@@ -0,0 +1,192 @@
+import type { Clock } from "../base/clock.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { Logger } from "../base/log.js";
+import type { Metrics } from "../base/metrics.js";
+import type { WorkEnvelope } from "../control/frames.js";
+import type { AgentControlHost, ExchangeReply, ExchangeRequest } from "../control/host.js";
+import type { AcceptedDocument } from "../document/schema.js";
+import type { AgentEffect, AgentMessage } from "../fleet/agentMessages.js";
+import type { ClientShare } from "../fleet/clientShare.js";
+import type { Core } from "../fleet/core.js";
+import { CoreRunner, type Scheduler } from "../fleet/coreRunner.js";
+import type { AgentReport, Refusal, WorkRequest } from "../fleet/entities.js";
+import type { AnswerFollower } from "./answerFollower.js";
+import { HeldWork } from "./heldWork.js";
+import type { TargetClient } from "./targetClient.js";
+import { TargetRun } from "./targetRun.js";
+
+/** The agent's core as the shell sees it. */
+export interface AgentCoreApi extends Core<AgentMessage, AgentEffect> {
+    /** What routers are told; counters that an acknowledged report already carried are left out. */
+    createReport(acknowledgedSequence: number | undefined): AgentReport;
+    listShares(): readonly ClientShare[];
+}
+
+/** Where the agent keeps its document and hands on newer ones. */
+export interface DocumentPeer {
+    readonly current: AcceptedDocument | undefined;
+    acceptFromPeer(document: AcceptedDocument): void;
+}
+
+/** Decides at the last moment whether a request may be given to the target. */
+export interface StartGuard {
+    /** Undefined: start. A refusal: it has not run and must not. */
+    checkStart(envelope: WorkEnvelope): Refusal | undefined;
+}
+
+/** What the service is built from. */
+export interface AgentServiceParts {
+    readonly core: AgentCoreApi;
+    readonly target: TargetClient;
+    readonly documents: DocumentPeer;
+    readonly guard: StartGuard;
+    readonly clock: Clock;
+    readonly scheduler: Scheduler;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+/** The shell around an agent's core: holds requests, runs them at the target, and speaks for the core. */
+export class AgentService implements AgentControlHost, Disposable {
+    private readonly runner: CoreRunner<AgentMessage, AgentEffect>;
+    private readonly held = new Map<string, HeldWork>();
+    private readonly runs = new Map<string, TargetRun>();
+    /** Answers of {@link withdrawWork}, which the core gives while its message is handled. */
+    private lastWithdrawn: string | undefined;
+
+    public constructor(private readonly parts: AgentServiceParts) {
+        this.runner = new CoreRunner(parts.core, parts.clock, parts.scheduler, effect => this.applyEffect(effect));
+    }
+
+    /** Number of requests held, waiting or running. */
+    public get open(): number {
+        return this.held.size;
+    }
+
+    /** Number of runs at the target. */
+    public get running(): number {
+        return this.runs.size;
+    }
+
+    /** Passes the core a message that is not about one held request. */
+    public send(message: AgentMessage): void {
+        this.runner.send(message);
+    }
+
+    /** Takes a request; its answer goes to `follower`. Returns the held request, for followers that join later. */
+    public offerWork(envelope: WorkEnvelope, body: Buffer, follower: AnswerFollower): HeldWork {
+        const held = new HeldWork(envelope, body);
+        held.add(follower);
+        this.held.set(envelope.requestId, held);
+        void held.write({ type: "queued" });
+        this.runner.send({
+            type: "workOffered",
+            request: toWorkRequest(envelope, body.length, this.parts.clock.nowMs()),
+            routerId: envelope.routerId,
+        });
+        return held;
+    }
+
+    /** A follower's connection closed. The request is cancelled when nobody follows it any more. */
+    public removeFollower(requestId: string, follower: AnswerFollower): void {
+        const held = this.held.get(requestId);
+        if (held !== undefined && !held.remove(follower)) {
+            this.runner.send({ type: "workCancelled", requestId });
+        }
+    }
+
+    public withdrawWork(requestId: string): boolean {
+        this.lastWithdrawn = undefined;
+        this.runner.send({ type: "withdrawRequested", requestId });
+        return this.lastWithdrawn === requestId;
+    }
+
+    public handleExchange(request: ExchangeRequest): ExchangeReply {
+        if (request.document !== undefined) {
+            this.parts.documents.acceptFromPeer(request.document);
+        }
+        this.runner.send({ type: "claimsReceived", routerId: request.routerId, claims: request.claims });
+        const current = this.parts.documents.current;
+        const newer = current !== undefined && current.offset > request.documentOffset;
+        return {
+            report: this.parts.core.createReport(request.acknowledgedSequence),
+            document: newer ? current : undefined,
+        };
+    }
+
+    public dispose(): void {
+        this.runner.dispose();
+        for (const held of this.held.values()) {
+            held.cancellation.cancel();
+        }
+    }
+
+    private applyEffect(effect: AgentEffect): void {
+        switch (effect.type) {
+            case "startWork":
+                this.startWork(effect.requestId);
+                return;
+            case "refuseWork":
+                this.release(effect.requestId, held => held.close({ type: "refused", refusal: effect.refusal }));
+                return;
+            case "workWithdrawn":
+                this.lastWithdrawn = effect.requestId;
+                this.release(effect.requestId, held => held.close({ type: "withdrawn" }));
+                return;
+            case "withdrawRefused":
+                return;
+            case "cancelRun":
+                this.held.get(effect.requestId)?.cancellation.cancel();
+                return;
+        }
+    }
+
+    private startWork(requestId: string): void {
+        const held = this.held.get(requestId);
+        if (held === undefined) {
+            return;
+        }
+        const refusal = this.parts.guard.checkStart(held.envelope);
+        if (refusal !== undefined) {
+            this.send({ type: "runEnded", requestId, outcome: "cancelled", promptTokens: 0, generatedTokens: 0 });
+            this.release(requestId, found => found.close({ type: "refused", refusal }));
+            return;
+        }
+        const run = new TargetRun(held, this.parts.target, message => this.runner.send(message));
+        this.runs.set(requestId, run);
+        void run.run().then(ending => {
+            this.runs.delete(requestId);
+            this.runner.send(ending.message);
+            const report = this.parts.core.createReport(undefined);
+            const frame = ending.frame.type === "end" ? { ...ending.frame, report } : ending.frame;
+            this.release(requestId, found => found.close(frame));
+            this.parts.metrics.increment("runs", { outcome: ending.message.outcome });
+        });
+    }
+
+    private release(requestId: string, close: (held: HeldWork) => Promise<void>): void {
+        const held = this.held.get(requestId);
+        if (held === undefined) {
+            return;
+        }
+        this.held.delete(requestId);
+        void close(held);
+    }
+}
+
+function toWorkRequest(envelope: WorkEnvelope, bodyBytes: number, nowMs: number): WorkRequest {
+    return {
+        id: envelope.requestId,
+        clientAccount: envelope.clientAccount,
+        service: envelope.service,
+        kind: envelope.kind,
+        idempotent: envelope.idempotent,
+        idempotencyKey: envelope.idempotencyKey,
+        arrivedAtMs: nowMs,
+        deadlineAtMs: nowMs + envelope.remainingMs,
+        promptTokens: envelope.promptTokens,
+        maxTokens: envelope.maxTokens,
+        prefixHash: envelope.prefixHash,
+        bodyBytes,
+    };
+}
--- /dev/null
+++ b/src/agent/targetClient.ts
@@ -0,0 +1,54 @@
+import type { ResultAsync } from "neverthrow";
+import type { CancellationToken } from "../base/cancellation.js";
+import { LynxarchError } from "../base/errors.js";
+import type { WorkEnvelope } from "../control/frames.js";
+import type { Execution } from "../fleet/entities.js";
+
+/** A run at the target did not end as it should. */
+export class TargetError extends LynxarchError {
+    public readonly code = "target-failed";
+
+    public constructor(
+        message: string,
+        /** Whether the target may have run the request. */
+        public readonly execution: Execution,
+        /** The target was alive and turned the request away, as one in cold start does. */
+        public readonly refused: boolean,
+        cause?: unknown,
+    ) {
+        super(message, cause);
+    }
+}
+
+/** Takes a run's output; a slow taker slows the target's stream down, memory does not grow. */
+export interface RunSink {
+    writeHead(status: number, headers: Readonly<Record<string, string>>): Promise<void>;
+    /** `tokens` is how many generated tokens the chunk carries, as far as can be seen. */
+    writeChunk(data: string, tokens: number): Promise<void>;
+}
+
+/** What a run used, in the target's own count if it told. */
+export interface RunUsage {
+    readonly promptTokens: number;
+    readonly generatedTokens: number;
+}
+
+/** A target's load report; it lags. */
+export interface TargetLoad {
+    readonly running: number;
+    readonly waiting: number;
+    readonly cold: boolean;
+}
+
+/** Speaks to a target. */
+export interface TargetClient {
+    /** Runs a request to its end. Errors: TargetError; `not-run` only when the target cannot have begun it. */
+    run(
+        envelope: WorkEnvelope,
+        body: Buffer,
+        sink: RunSink,
+        token: CancellationToken,
+    ): ResultAsync<RunUsage, TargetError>;
+    /** Errors: unreachable. Undefined when the target publishes no report. */
+    fetchLoad(token: CancellationToken): ResultAsync<TargetLoad | undefined, TargetError>;
+}
--- /dev/null
+++ b/src/agent/targetConnection.ts
@@ -0,0 +1,74 @@
+import { Agent, request, type Dispatcher } from "undici";
+import { toAbortSignal, type CancellationToken } from "../base/cancellation.js";
+import type { Disposable } from "../base/lifecycle.js";
+import { TargetError, type TargetLoad } from "./targetClient.js";
+
+const connectTimeoutMs = 2_000;
+const loadTimeoutMs = 2_000;
+/** Statuses by which a live target says that it did not take the request. */
+const refusedStatuses = new Set([429, 503]);
+/** Codes of connections that were never made: the target cannot have begun the request. */
+const unreachedCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** HTTP to one target; owns the connections. */
+export class TargetConnection implements Disposable {
+    private readonly connections = new Agent({
+        connect: { timeout: connectTimeoutMs },
+        // A long route rebuild may be silent for minutes; the request's own deadline ends it.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        // A connection that the target closes while a request is put on it would be retried by nobody: see toTargetError.
+        pipelining: 1,
+    });
+
+    public constructor(private readonly baseUrl: string) {}
+
+    /** Sends one request; throws what undici throws. */
+    public async send(
+        path: string,
+        options: { method: string; headers?: Record<string, string>; body?: Buffer | string },
+        token: CancellationToken,
+    ): Promise<Dispatcher.ResponseData> {
+        return await request(new URL(path, this.baseUrl), {
+            method: options.method as Dispatcher.HttpMethod,
+            headers: options.headers,
+            body: options.body,
+            dispatcher: this.connections,
+            signal: toAbortSignal(token),
+        });
+    }
+
+    /** Reads `/load`; undefined where the target has none. */
+    public async fetchLoad(token: CancellationToken): Promise<TargetLoad | undefined> {
+        const signal = AbortSignal.any([toAbortSignal(token), AbortSignal.timeout(loadTimeoutMs)]);
+        const response = await request(new URL("/load", this.baseUrl), { dispatcher: this.connections, signal });
+        if (response.statusCode !== 200) {
+            await response.body.dump();
+            return undefined;
+        }
+        const load = (await response.body.json()) as Partial<TargetLoad>;
+        if (typeof load.running !== "number") {
+            return undefined;
+        }
+        return { running: load.running, waiting: load.waiting ?? 0, cold: load.cold ?? false };
+    }
+
+    public dispose(): void {
+        void this.connections.destroy();
+    }
+}
+
+/** Whether a status means that the target is alive and did not take the request. */
+export function isRefusal(status: number): boolean {
+    return refusedStatuses.has(status);
+}
+
+/** Turns what a connection throws into this layer's error. */
+export function toTargetError(cause: unknown, hasOutput: boolean): TargetError {
+    if (cause instanceof TargetError) {
+        return cause;
+    }
+    const { code, message } = cause as { code?: string; message?: string };
+    const unreached = !hasOutput && code !== undefined && unreachedCodes.has(code);
+    return new TargetError(message ?? String(cause), unreached ? "not-run" : "unknown", false, cause);
+}
