--- a/test/fakes/engine/engineModel.ts
+++ b/test/fakes/engine/engineModel.ts
@@ -21,7 +21,7 @@
     readonly checksFencing: boolean;
 }
 
-/** Faults that a test or the fault harness switches on. */
+/** Faults: `cold` loses all runs, `break` only their connections, `refuse` answers 503, `hang` generates nothing. */
 export type EngineFault = "ok" | "cold" | "break" | "refuse" | "hang" | "slow";
 
 /** An order as the engine took or refused it. */
@@ -166,7 +166,7 @@
             this.applyCold("turned cold");
         }
         if (fault === "break") {
-            this.listOpen().forEach(run => this.close(run, "broken"));
+            this.listOpen().forEach(run => run.closeConnections());
         }
         if (fault === "cold" || fault === "break") {
             this.fault = "ok";
--- a/test/fakes/engine/engineRun.ts
+++ b/test/fakes/engine/engineRun.ts
@@ -16,7 +16,8 @@
 
 const defaultTokens = 12;
 const charactersPerToken = 4;
-const prefixCharacters = 256;
+const prefixCharacters = 2_048;
+const prefixHashDigits = 16;
 
 /** Text of all messages, in order. */
 export function formatPrompt(request: ChatRequest): string {
@@ -46,6 +47,8 @@
     public state: RunState = "waiting";
     public prefillTicks = 0;
     public readers = 0;
+    /** Rises when the engine drops its connections; the run itself goes on. */
+    public connectionEpoch = 0;
     public endedAtMs: number | undefined;
 
     public constructor(
@@ -57,7 +60,8 @@
         const prompt = formatPrompt(request);
         this.promptTokens = Math.ceil(prompt.length / charactersPerToken);
         this.promptDigest = hashText(prompt);
-        this.prefixHash = hashText(prompt.slice(0, prefixCharacters));
+        const beginning = JSON.stringify(request.messages).slice(0, prefixCharacters);
+        this.prefixHash = hashText(beginning).slice(0, prefixHashDigits);
         const limit = request.max_completion_tokens ?? request.max_tokens ?? undefined;
         this.answer = buildAnswerTokens(prompt, limit);
     }
@@ -105,6 +109,12 @@
         this.emitter.fire();
     }
 
+    /** Breaks the connections of all readers; the run goes on and can be resumed. */
+    public closeConnections(): void {
+        this.connectionEpoch++;
+        this.emitter.fire();
+    }
+
     /** Wakes the readers after a tick. */
     public fireAdvanced(): void {
         this.emitter.fire();
--- a/test/fakes/engine/engineServer.ts
+++ b/test/fakes/engine/engineServer.ts
@@ -80,6 +80,7 @@
 function sendStream(context: EngineContext, model: EngineModel, run: EngineRun, from: number): Response {
     context.header("x-stream-id", run.id);
     run.readers++;
+    const epoch = run.connectionEpoch;
     return streamSSE(context, async stream => {
         let next = from;
         let left = false;
@@ -91,12 +92,12 @@
             for (; next < run.chunks.length && !left; next++) {
                 await stream.writeSSE({ data: run.chunks[next] ?? "" });
             }
-            if (left || !run.isOpen) {
+            if (left || !run.isOpen || run.connectionEpoch !== epoch) {
                 break;
             }
             await waitForAdvance(run);
         }
-        if (run.state === "broken") {
+        if (run.state === "broken" || run.connectionEpoch !== epoch) {
             context.env.outgoing.destroy();
         }
         model.releaseReader(run);
