--- /dev/null
+++ b/test/endToEnd/callers.test.ts
@@ -0,0 +1,187 @@
+import { spawnSync } from "node:child_process";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { buildExpectedAnswer, createOpenAi, getKey, issueKey, sendCall } from "../fakes/callers.js";
+import { Fleet } from "../fakes/fleet.js";
+import { modelService } from "../fakes/fleetDocument.js";
+import { rootFolder, waitUntil } from "../fakes/processes.js";
+import { countRunsByKey, fetchPlainRuns } from "../fakes/targetRuns.js";
+
+const daemonFile = "src/daemon/main.ts";
+const startTimeoutMs = 60_000;
+const fleet = new Fleet({
+    dataCentres: 2,
+    targetsPerDataCentre: 2,
+    routers: 2,
+    daemonFile,
+    serviceArgs: ["--delay-ms", "300"],
+});
+
+function getUrl(index: number): string {
+    return fleet.getRouter(index).callersUrl ?? "";
+}
+
+/** Masks ids, which differ in each run. */
+function formatMasked(text: string): string {
+    return text.replace(/[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}/g, "ID");
+}
+
+interface RawCall {
+    readonly path?: string;
+    readonly key?: string;
+    readonly body?: string;
+}
+
+/** What a caller sees of an answer that is an error. */
+async function sendRaw({ path = "/v1/chat/completions", key = getKey("club"), body }: RawCall): Promise<object> {
+    const response = await fetch(`${getUrl(0)}${path}`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${key}`, "content-type": "application/json" },
+        body: body ?? JSON.stringify({ model: modelService, messages: [{ role: "user", content: "hello" }] }),
+    });
+    return {
+        status: response.status,
+        type: response.headers.get("content-type"),
+        body: JSON.parse(formatMasked(await response.text())) as unknown,
+    };
+}
+
+beforeAll(() => fleet.start(), startTimeoutMs);
+afterAll(() => fleet.close());
+
+describe("an unmodified OpenAI client", () => {
+    it("streams an answer and its usage", async () => {
+        const prompt = "Where is bus 7? [tokens:5]";
+        const stream = await createOpenAi(getUrl(0), "club").chat.completions.create({
+            model: modelService,
+            messages: [{ role: "user", content: prompt }],
+            stream: true,
+            stream_options: { include_usage: true },
+        });
+        const texts: string[] = [];
+        let usage: unknown;
+        for await (const chunk of stream) {
+            texts.push(chunk.choices[0]?.delta.content ?? "");
+            usage = chunk.usage ?? usage;
+        }
+        expect(texts.join("")).toBe(buildExpectedAnswer(prompt));
+        expect(usage).toMatchInlineSnapshot();
+    });
+
+    it("gets a whole answer without streaming, and the list of models", async () => {
+        const client = createOpenAi(getUrl(1), "department");
+        const prompt = "Plan the route.";
+        const answer = await client.chat.completions.create({
+            model: modelService,
+            messages: [{ role: "user", content: prompt }],
+            max_tokens: 3,
+        });
+        expect(answer.choices[0]?.message.content).toBe(buildExpectedAnswer(prompt, 3));
+        const models = await client.models.list();
+        expect({
+            usage: answer.usage,
+            finish: answer.choices[0]?.finish_reason,
+            models: models.data,
+        }).toMatchInlineSnapshot();
+    });
+});
+
+describe("errors that callers see", () => {
+    it("names malformed JSON", async () => {
+        expect(await sendRaw({ body: '{"model":' })).toMatchInlineSnapshot();
+    });
+
+    it("names a wrong key", async () => {
+        expect(await sendRaw({ key: "wrong" })).toMatchInlineSnapshot();
+    });
+
+    it("names an unknown model", async () => {
+        const body = JSON.stringify({ model: "no-such", messages: [{ role: "user", content: "x" }] });
+        expect(await sendRaw({ body })).toMatchInlineSnapshot();
+    });
+
+    it("names an oversized body", async () => {
+        const content = "x".repeat(fleet.document.limits.maxBodyBytes + 1);
+        const body = JSON.stringify({ model: modelService, messages: [{ role: "user", content }] });
+        expect(await sendRaw({ body })).toMatchInlineSnapshot();
+    });
+
+    it("names a missing idempotency key of a call that must not repeat", async () => {
+        expect(await sendRaw({ path: "/services/bookings/seats" })).toMatchInlineSnapshot();
+    });
+
+    it("names an unknown setting, prints no stack and exits with 2", () => {
+        const file = join(fleet.folder, "bad.json");
+        writeFileSync(file, JSON.stringify({ role: "agent", daemonId: "a", colour: "red" }));
+        const args = ["--import", "tsx", daemonFile, "--check-settings", file];
+        const run = spawnSync(process.execPath, args, { cwd: rootFolder, encoding: "utf8" });
+        const output = run.stderr.replaceAll(file, "FILE");
+        expect({ code: run.status, output }).toMatchInlineSnapshot();
+    });
+});
+
+describe("a call that must not run twice", () => {
+    // A parent's confirmation runs for a while; the phone gives up waiting and sends it again with the same key, and the
+    // balancer hands the repeat to another router. A second run would book a second seat. Both must get the first's answer.
+    it("is joined by a repeat through another router while it runs, and replayed after it has ended", async () => {
+        const key = await issueKey(getUrl(0), "club");
+        const first = sendCall(getUrl(0), "club", key);
+        await waitUntil("the call runs", async () => ((await countRunsByKey(fleet)).get(key) ? true : undefined));
+        const during = await sendCall(getUrl(1), "club", key);
+        const original = await first;
+        const after = await sendCall(getUrl(1), "club", key);
+        expect(original.status).toBe(200);
+        expect([during.text, after.text]).toEqual([original.text, original.text]);
+        expect((await countRunsByKey(fleet)).get(key)).toBe(1);
+    });
+
+    // The same, but with a key that the caller made up, and then another body under that key.
+    it("holds for a key of the caller's own, and refuses another body under it", async () => {
+        const key = "seat-12A-of-bus-7";
+        const first = await sendCall(getUrl(0), "club", key);
+        const repeat = await sendCall(getUrl(1), "club", key);
+        const other = await sendCall(getUrl(1), "club", key, '{"seat":"13B"}');
+        expect([first.status, repeat.text === first.text]).toEqual([200, true]);
+        expect([other.status, other.body.execution]).toMatchInlineSnapshot();
+        expect((await countRunsByKey(fleet)).get(key)).toBe(1);
+    });
+
+    // The call has ended, then its home agent dies and comes back without memory. A repeat cannot be answered from
+    // memory; running it would double the booking. The caller is told that nobody knows.
+    it("is answered as unknown and not run again after its home has restarted", async () => {
+        const keys = [await issueKey(getUrl(0), "club"), "own-key-before-restart"];
+        const homes = new Set<string>();
+        for (const key of keys) {
+            homes.add(String((await sendCall(getUrl(0), "club", key)).body.target));
+        }
+        for (const home of homes) {
+            const agent = fleet.getDaemon(`agent-${home}`);
+            agent.process.send("SIGKILL");
+            await agent.process.exited;
+            fleet.startAgain(agent);
+            await fleet.waitReady(agent);
+        }
+        const repeats = [];
+        for (const key of keys) {
+            const repeat = await waitUntil("the home is reached again", async () => {
+                const answer = await sendCall(getUrl(1), "club", key);
+                return answer.status === 503 ? undefined : answer;
+            });
+            repeats.push([repeat.status, repeat.body.execution]);
+        }
+        expect(repeats).toEqual([
+            [409, "unknown"],
+            [409, "unknown"],
+        ]);
+        const counts = await countRunsByKey(fleet);
+        expect(keys.map(key => counts.get(key))).toEqual([1, 1]);
+    });
+
+    it("runs at the plain service only with the account's name and without its key", async () => {
+        const runs = await Promise.all(
+            fleet.targets.filter(target => target.kind === "plain").map(target => fetchPlainRuns(fleet, target.name)),
+        );
+        expect(runs.flatMap(run => run.runs).every(run => run.path === "/seats")).toBe(true);
+    });
+});
--- a/test/fakes/fleet.ts
+++ b/test/fakes/fleet.ts
@@ -55,6 +55,7 @@
     public readonly routers: FleetDaemon[] = [];
     public readonly agents: FleetDaemon[] = [];
     public readonly standIns = new Map<string, StandIn>();
+    private readonly addresses = new Map<string, string>();
     private readonly clients = new Map<string, ControlClient>();
     private readonly source = new CancellationTokenSource();
     private platformStandIn: StandIn | undefined;
@@ -86,6 +87,7 @@
     public async start(): Promise<void> {
         await this.startStandIns();
         await this.applyFirstDocument();
+        await this.chooseAddresses();
         await this.addAgents();
         await this.addRouters();
         await Promise.all(this.daemons.map(daemon => this.waitReady(daemon)));
@@ -234,8 +236,8 @@
     private async applyFirstDocument(): Promise<void> {
         const vms = [
             ...this.targets.map(target => ({ id: `vm-${target.name}`, dataCentre: target.dataCentre, state: "live" })),
-            ...[...Array(this.options.routers).keys()].map(index => ({
-                id: `vm-router-${index + 1}`,
+            ...this.listRouterNames().map((name, index) => ({
+                id: `vm-${name}`,
                 dataCentre: this.getRouterDataCentre(index),
                 state: "live",
             })),
@@ -251,7 +253,6 @@
     private async addAgents(): Promise<void> {
         for (const target of this.targets) {
             const name = `agent-${target.name}`;
-            const address = `127.0.0.1:${await findFreePort()}`;
             const settings = {
                 role: "agent",
                 target: {
@@ -259,29 +260,51 @@
                     url: await this.connectWay(name, target.name, this.getStandIn(target.name).port),
                 },
                 platform: { url: await this.connectWay(name, "platform", this.platform.port) },
+                peers: await this.connectPeers(name),
             };
+            const address = this.getAddress(name);
             this.addDaemon({ name, role: "agent", dataCentre: target.dataCentre, address, target }, settings);
         }
     }
 
     private async addRouters(): Promise<void> {
-        const addresses: string[] = [];
-        for (let index = 0; index < this.options.routers; index++) {
-            addresses.push(`127.0.0.1:${await findFreePort()}`);
-        }
-        for (const [index, address] of addresses.entries()) {
-            const name = `router-${index + 1}`;
+        for (const [index, name] of this.listRouterNames().entries()) {
             const callersPort = await findFreePort();
             const settings = {
                 role: "router",
                 callers: { host: "127.0.0.1", port: callersPort },
                 platform: { url: await this.connectRouterToPlatform(name) },
-                peers: addresses.filter(peer => peer !== address),
+                peers: await this.connectPeers(name),
             };
             const dataCentre = this.getRouterDataCentre(index);
             const callersUrl = `http://127.0.0.1:${callersPort}`;
-            this.addDaemon({ name, role: "router", dataCentre, address, callersUrl }, settings);
+            this.addDaemon({ name, role: "router", dataCentre, address: this.getAddress(name), callersUrl }, settings);
+        }
+    }
+
+    private listRouterNames(): readonly string[] {
+        return [...Array(this.options.routers).keys()].map(index => `router-${index + 1}`);
+    }
+
+    /** Gives each daemon its control address before any is started, as they name one another in their settings. */
+    private async chooseAddresses(): Promise<void> {
+        for (const name of [...this.targets.map(target => `agent-${target.name}`), ...this.listRouterNames()]) {
+            this.addresses.set(name, `127.0.0.1:${await findFreePort()}`);
+        }
+    }
+
+    private getAddress(name: string): string {
+        return this.addresses.get(name) ?? "";
+    }
+
+    /** The routers, as peers that a daemon asks for the document when the platform is down at its start. */
+    private async connectPeers(name: string): Promise<readonly string[]> {
+        const peers: string[] = [];
+        for (const router of this.listRouterNames().filter(candidate => candidate !== name)) {
+            const port = Number(this.getAddress(router).split(":")[1]);
+            peers.push((await this.connectWay(name, router, port)).replace("http://", ""));
         }
+        return peers;
     }
 
     private addDaemon(
