--- a/src/fleet/entities.ts
+++ b/src/fleet/entities.ts
@@ -27,7 +27,7 @@
 
 /** Where a daemon of role agent stands and what it serves. */
 export interface AgentIdentity {
-    /** Stable over restarts: the target's name. */
+    /** Stable over restarts: the daemon's id. */
     readonly agentId: string;
     /** New at each start of the process; larger means later. */
     readonly incarnation: number;
--- a/src/router/agentDirectory.ts
+++ b/src/router/agentDirectory.ts
@@ -8,7 +8,7 @@
     readonly client: ControlClient;
 }
 
-/** Agents of the roster by their id (the target's name), each with one control client. */
+/** Agents of the roster by their id, each with one control client. */
 export class AgentDirectory implements Disposable {
     private readonly agents = new Map<string, DirectoryEntry>();
 
@@ -20,9 +20,7 @@
     /** Takes a new roster; returns the ids of agents that it no longer names. */
     public update(roster: readonly RosterEntry[]): readonly string[] {
         const named = new Map(
-            roster.flatMap(entry =>
-                entry.role === "agent" && entry.targetName !== undefined ? [[entry.targetName, entry] as const] : [],
-            ),
+            roster.flatMap(entry => (entry.role === "agent" ? [[entry.daemonId, entry] as const] : [])),
         );
         const removed = [...this.agents.keys()].filter(agentId => !named.has(agentId));
         removed.forEach(agentId => this.remove(agentId));
--- /dev/null
+++ b/src/router/routerService.ts
@@ -0,0 +1,162 @@
+import { CancellationTokenSource } from "../base/cancellation.js";
+import type { Clock } from "../base/clock.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { Logger } from "../base/log.js";
+import type { Metrics } from "../base/metrics.js";
+import type { WorkFrame } from "../control/frames.js";
+import type { ClientShare } from "../fleet/clientShare.js";
+import type { Core } from "../fleet/core.js";
+import { CoreRunner, type Scheduler } from "../fleet/coreRunner.js";
+import type { Refusal, ServiceCounter } from "../fleet/entities.js";
+import type { RouterEffect, RouterMessage } from "../fleet/routerMessages.js";
+import type { AgentDirectory } from "./agentDirectory.js";
+import type { OpenRequest } from "./openRequest.js";
+import { toProblem } from "./problem.js";
+import { Try } from "./try.js";
+import type { BrokenTry, WorkSender } from "./workSender.js";
+import { createAttemptId } from "./workSender.js";
+
+/** Claims for one agent, and the version up to which they are complete. */
+export interface VersionedClaims {
+    readonly version: number;
+    readonly claims: readonly ServiceCounter[];
+}
+
+/** The router's core as the shell sees it. */
+export interface RouterCoreApi extends Core<RouterMessage, RouterEffect> {
+    createClaims(agentId: string, sinceVersion?: number): VersionedClaims;
+    listShares(): readonly ClientShare[];
+    countWaiting(): number;
+    countRunning(): number;
+}
+
+/** What the service is built from. */
+export interface RouterServiceParts {
+    readonly core: RouterCoreApi;
+    readonly directory: AgentDirectory;
+    readonly sender: WorkSender;
+    readonly clock: Clock;
+    readonly scheduler: Scheduler;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+/** The shell around a router's core: holds callers' requests, sends them, passes their answers on. */
+export class RouterService implements Disposable {
+    private readonly runner: CoreRunner<RouterMessage, RouterEffect>;
+    private readonly open = new Map<string, OpenRequest>();
+    private readonly tries = new Map<string, Try>();
+    private readonly lifetime = new CancellationTokenSource();
+
+    public constructor(private readonly parts: RouterServiceParts) {
+        this.runner = new CoreRunner(parts.core, parts.clock, parts.scheduler, effect => this.applyEffect(effect));
+    }
+
+    /** Number of requests without a final answer. */
+    public get openCount(): number {
+        return this.open.size;
+    }
+
+    /** Passes the core a message that is not about one request. */
+    public send(message: RouterMessage): void {
+        this.runner.send(message);
+    }
+
+    /** Takes a caller's request; its answer object gets the rest. */
+    public submit(request: OpenRequest): void {
+        this.open.set(request.work.id, request);
+        this.runner.send({ type: "submitted", request: request.work, homeAgentId: request.homeAgentId });
+    }
+
+    /** The caller left: its work is cancelled wherever it is. */
+    public cancel(requestId: string): void {
+        if (this.open.has(requestId)) {
+            this.runner.send({ type: "cancelled", requestId });
+            this.open.delete(requestId);
+        }
+    }
+
+    public dispose(): void {
+        this.lifetime.cancel();
+        this.runner.dispose();
+        for (const attempt of this.tries.values()) {
+            attempt.cancel();
+        }
+    }
+
+    private applyEffect(effect: RouterEffect): void {
+        switch (effect.type) {
+            case "sendWork":
+                this.sendWork(effect.requestId, effect.agentId, effect.attempt);
+                return;
+            case "withdrawWork":
+                this.withdrawWork(effect.requestId, effect.agentId);
+                return;
+            case "cancelWork":
+                this.tries.get(effect.requestId)?.cancel();
+                return;
+            case "refuse":
+                this.refuse(effect.requestId, effect.refusal);
+                return;
+        }
+    }
+
+    private sendWork(requestId: string, agentId: string, attempt: number): void {
+        const open = this.open.get(requestId);
+        const address = this.parts.directory.get(agentId)?.entry.address;
+        if (open === undefined || address === undefined) {
+            const detail = "the agent is not in the roster";
+            this.send({ type: "workFailed", requestId, agentId, attempt, execution: "not-run", detail });
+            return;
+        }
+        open.answer.clear();
+        const sending = new Try(open, agentId, attempt, message => this.runner.send(message));
+        this.tries.set(requestId, sending);
+        void this.parts.sender
+            .send(open, attempt, address, frame => this.takeFrame(sending, frame), sending.token)
+            .then(broken => this.handleTryEnd(sending, broken));
+    }
+
+    private async takeFrame(sending: Try, frame: WorkFrame): Promise<void> {
+        if (frame.type === "end" && frame.report !== undefined) {
+            this.runner.send({ type: "agentReported", report: frame.report });
+        }
+        await sending.take(frame);
+    }
+
+    private handleTryEnd(sending: Try, broken: BrokenTry | undefined): void {
+        const { requestId } = sending;
+        if (this.tries.get(requestId) === sending) {
+            this.tries.delete(requestId);
+        }
+        if (broken !== undefined) {
+            sending.fail(broken);
+        }
+        if (sending.isAnswered) {
+            this.open.delete(requestId);
+        }
+    }
+
+    private withdrawWork(requestId: string, agentId: string): void {
+        const sending = this.tries.get(requestId);
+        const client = this.parts.directory.get(agentId)?.client;
+        if (sending === undefined || client === undefined) {
+            return;
+        }
+        // The outcome is read from the answer's own stream, which ends in a withdrawn frame or has said `started`: were
+        // it taken from this reply too, the two could arrive in either order and contradict each other.
+        void client
+            .withdrawWork(createAttemptId(requestId, sending.attempt), this.lifetime.token)
+            .mapErr(error => this.parts.logger.write("debug", "a withdraw got no answer", { detail: error.message }));
+    }
+
+    private refuse(requestId: string, refusal: Refusal): void {
+        const open = this.open.get(requestId);
+        this.tries.get(requestId)?.cancel();
+        if (open !== undefined) {
+            this.open.delete(requestId);
+            open.answer.fail(toProblem(refusal));
+        }
+        this.parts.metrics.increment("refusals", { reason: refusal.reason });
+    }
+}
