Add the router core and the decisions it rests on

Ruled out: - moving a withdrawn request to an agent named in advance: by the time it is given back the room may be taken; placement is asked anew instead. - retrying on answers matched by request id alone: a late answer to the first attempt would make a request look free that a second agent holds. Answers carry the attempt, and a non-idempotent request never returns to an agent that held it. - a fixed share of the waiting room per account: it stands empty without that account. A dynamic threshold leaves free space by itself. - a time-out of running work at agentLost: the answer may still be streaming; the connection's own end decides.

Change: src/decisions (admission, drain rate, backlog, placement, subset, retry policy, budget, backoff, heap), src/fleet/router (tables, one file per system, RouterCore). routerMessages.ts gains, additively, homeAgentId on "submitted" and an optional attempt on answers.

--- /dev/null
+++ b/src/decisions/backlog.ts
@@ -0,0 +1,187 @@
+/**
+ * The router's own backlog: one first-in-first-out queue per lane, and a weighted round over the lanes that can go on.
+ *
+ * Load patterns: a flood by one account, and many waiting requests when a target comes back. In one common queue the
+ * request at the head whose account has no free place holds up all others (head-of-line blocking), and the account that
+ * sends most gets most. Here a lane that can't go on leaves the round until something changes for it, and a long backlog is
+ * worked off in portions in which each lane gets turns by its weight (stride scheduling; Waldspurger and Weihl, 1995).
+ * Adding, taking and removing cost at most the logarithm of the number of lanes, and nothing per waiting request.
+ */
+
+import { MinHeap } from "./minHeap.js";
+
+/** Queues of request ids by lane. */
+export class Backlog {
+    private readonly lanes = new Map<string, LaneQueue>();
+    private readonly laneOfRequest = new Map<string, LaneQueue>();
+    private readonly ready = new MinHeap<LaneQueue>(isBefore);
+    /** Pass of the lane that went last: a lane that returns starts here and so has no saved-up turns. */
+    private currentPass = 0;
+
+    /** Requests that wait here. */
+    public get size(): number {
+        return this.laneOfRequest.size;
+    }
+
+    /** Appends a request to its lane and lets the lane take part in the round. */
+    public add(laneKey: string, weight: number, requestId: string): void {
+        const lane = this.getLane(laneKey, weight);
+        lane.tail.push(requestId);
+        this.addToLane(lane, requestId);
+    }
+
+    /** Puts a request at its lane's head: it waited before and came back. */
+    public addFirst(laneKey: string, weight: number, requestId: string): void {
+        const lane = this.getLane(laneKey, weight);
+        lane.head.push(requestId);
+        this.addToLane(lane, requestId);
+    }
+
+    /** Takes a request out, wherever it stands. */
+    public remove(requestId: string): void {
+        const lane = this.laneOfRequest.get(requestId);
+        if (lane === undefined) {
+            return;
+        }
+        this.laneOfRequest.delete(requestId);
+        lane.live -= 1;
+        if (lane.live === 0) {
+            lane.head.length = 0;
+            lane.tail.length = 0;
+            lane.tailStart = 0;
+        }
+    }
+
+    /** Requests that wait in a lane. */
+    public count(laneKey: string): number {
+        return this.lanes.get(laneKey)?.live ?? 0;
+    }
+
+    /** The requests that wait in a lane, the next one first. */
+    public list(laneKey: string): readonly string[] {
+        const lane = this.lanes.get(laneKey);
+        if (lane === undefined) {
+            return [];
+        }
+        const ids = [...lane.head.toReversed(), ...lane.tail.slice(lane.tailStart)];
+        return [...new Set(ids)].filter(id => this.laneOfRequest.get(id) === lane);
+    }
+
+    /** Something changed for a lane: it takes part in the round again. */
+    public handleLaneChanged(laneKey: string): void {
+        const lane = this.lanes.get(laneKey);
+        if (lane !== undefined) {
+            this.addReady(lane);
+        }
+    }
+
+    /** Something changed for all lanes. */
+    public handleAllChanged(): void {
+        for (const lane of this.lanes.values()) {
+            this.addReady(lane);
+        }
+    }
+
+    /** The request whose turn it is, left in place; undefined when no lane can go on. */
+    public findNext(): { readonly laneKey: string; readonly requestId: string } | undefined {
+        for (let lane = this.ready.first; lane !== undefined; lane = this.ready.first) {
+            const requestId = this.findHead(lane);
+            if (requestId !== undefined) {
+                return { laneKey: lane.key, requestId };
+            }
+            this.takeReady();
+        }
+        return undefined;
+    }
+
+    /** The lane of {@link findNext} used its turn: its head is taken out and its next turn comes by weight. */
+    public takeNext(): void {
+        const lane = this.takeReady();
+        const requestId = lane === undefined ? undefined : this.findHead(lane);
+        if (lane === undefined || requestId === undefined) {
+            return;
+        }
+        this.remove(requestId);
+        this.currentPass = Math.max(this.currentPass, lane.pass);
+        lane.pass += 1 / lane.weight;
+        this.addReady(lane);
+    }
+
+    /** The lane of {@link findNext} can't go on until something changes for it. */
+    public stopNext(): void {
+        this.takeReady();
+    }
+
+    private getLane(key: string, weight: number): LaneQueue {
+        let lane = this.lanes.get(key);
+        if (lane === undefined) {
+            lane = { key, weight, pass: 0, isReady: false, live: 0, head: [], tail: [], tailStart: 0 };
+            this.lanes.set(key, lane);
+        }
+        lane.weight = weight;
+        return lane;
+    }
+
+    private addToLane(lane: LaneQueue, requestId: string): void {
+        lane.live += 1;
+        this.laneOfRequest.set(requestId, lane);
+        this.addReady(lane);
+    }
+
+    /** The oldest live request; drops entries that were removed on the way. */
+    private findHead(lane: LaneQueue): string | undefined {
+        for (let id = lane.head.at(-1); id !== undefined; id = lane.head.at(-1)) {
+            if (this.laneOfRequest.get(id) === lane) {
+                return id;
+            }
+            lane.head.pop();
+        }
+        for (let id = lane.tail[lane.tailStart]; id !== undefined; id = lane.tail[lane.tailStart]) {
+            if (this.laneOfRequest.get(id) === lane) {
+                return id;
+            }
+            lane.tailStart += 1;
+            if (lane.tailStart > compactFrom && lane.tailStart * 2 > lane.tail.length) {
+                lane.tail = lane.tail.slice(lane.tailStart);
+                lane.tailStart = 0;
+            }
+        }
+        return undefined;
+    }
+
+    private addReady(lane: LaneQueue): void {
+        if (lane.isReady || lane.live === 0) {
+            return;
+        }
+        lane.isReady = true;
+        lane.pass = Math.max(lane.pass, this.currentPass);
+        this.ready.add(lane);
+    }
+
+    private takeReady(): LaneQueue | undefined {
+        const lane = this.ready.takeFirst();
+        if (lane !== undefined) {
+            lane.isReady = false;
+        }
+        return lane;
+    }
+}
+
+interface LaneQueue {
+    readonly key: string;
+    weight: number;
+    pass: number;
+    isReady: boolean;
+    live: number;
+    /** Requests that came back; the last one is the lane's head. */
+    readonly head: string[];
+    tail: string[];
+    tailStart: number;
+}
+
+/** Entries of a consumed array that are worth copying the rest for. */
+const compactFrom = 64;
+
+function isBefore(first: LaneQueue, second: LaneQueue): boolean {
+    return first.pass < second.pass || (first.pass === second.pass && first.key < second.key);
+}
--- /dev/null
+++ b/src/decisions/placement.ts
@@ -0,0 +1,121 @@
+/**
+ * Placement: which agent a request is offered to first.
+ *
+ * Load patterns: hot prefixes (a district roster shared by many route rebuilds), a slow or cold target, load reports that
+ * are seconds old. Without affinity every target computes every roster anew; with affinity alone the target that holds
+ * the hot roster gets a queue while others idle; by load alone all routers run to the one target that looked idle in the
+ * last report.
+ *
+ * Every candidate gets a score in milliseconds: expected wait, slowdown by a fuller batch, and distance; two candidates
+ * per (account, prefix), picked by rendezvous hashing, get an advantage, as do targets known to hold the prefix. The
+ * advantage is the computing time that the cached prefix saves, and at most `maxAffinityMs`: so affinity never makes a
+ * request wait more than that beyond an idle target. Two candidates and not one, so that a hot prefix has somewhere to go
+ * before it leaves the cache altogether. Near-equal scores are decided by chance, so that routers with equal, stale views
+ * don't all run to one target.
+ */
+import { hashToNumber } from "../base/hash.js";
+import type { Random } from "../base/random.js";
+
+/** An agent that could take the request. */
+export interface PlacementCandidate {
+    readonly agentId: string;
+    /** {@link computeNameHash} of the agent's id. */
+    readonly nameHash: number;
+    readonly dataCentre: string;
+    /** Requests the target may run at once. */
+    readonly window: number;
+    /** Requests running or queued there, with those sent since the last report. */
+    readonly load: number;
+    /** Smoothed time of one request; milliseconds; 0 when not known. */
+    readonly serviceTimeMs: number;
+    /** Whether the target is known to hold the request's prefix; false also when hints are missing. */
+    readonly holdsPrefix: boolean;
+}
+
+/** What placement needs of a request. */
+export interface PlacementRequest {
+    /** {@link computeAffinityHash} of account and prefix; undefined without a prefix. */
+    readonly affinityHash: number | undefined;
+    readonly promptTokens: number;
+    readonly dataCentre: string;
+}
+
+/** Greatest wait that affinity may cost beyond an idle target; a quarter of a second is what a caller hardly notices. */
+export const maxAffinityMs = 250;
+/** Prefill speed of current engines, a few thousand tokens a second; rough, as it only scales a capped advantage. */
+const prefillMsPerToken = 0.2;
+/** A rendezvous candidate without a cache hint probably holds the prefix, but evictions and late events are common. */
+const rendezvousShare = 0.5;
+const rendezvousCandidates = 2;
+/** Cost of leaving the data centre; they lie within a millisecond of one another. */
+const distanceMs = 1;
+/** A request in a full batch runs about this share of its time longer than alone; engine benchmarks vary from 0.2 to 1. */
+const batchSlowdown = 0.25;
+/** Scores nearer than this can't be told apart, as reports are older than that. */
+const tieBandMs = 0.5;
+const unknownServiceTimeMs = 100;
+
+/** A 32-bit hash of an agent's id, computed once per agent. */
+export function computeNameHash(agentId: string): number {
+    return hashToNumber(agentId) >>> 0;
+}
+
+/** A 32-bit hash of (account, prefix): prefixes of two accounts never share a placement, so that no cache tells on another. */
+export function computeAffinityHash(clientAccount: string, prefixHash: string): number {
+    return hashToNumber(`${clientAccount}\n${prefixHash}`) >>> 0;
+}
+
+/** The best candidate; undefined without candidates. Linear in the candidates, independent of what waits. */
+export function choosePlacement<T extends PlacementCandidate>(
+    candidates: readonly T[],
+    request: PlacementRequest,
+    random: Random,
+): T | undefined {
+    const affine = listRendezvous(candidates, request.affinityHash);
+    const advantageMs = Math.min(maxAffinityMs, request.promptTokens * prefillMsPerToken);
+    const scored = candidates.map(candidate => {
+        const share = candidate.holdsPrefix ? 1 : affine.includes(candidate) ? rendezvousShare : 0;
+        return { candidate, score: computeBaseScore(candidate, request.dataCentre) - share * advantageMs };
+    });
+    const limit = Math.min(...scored.map(entry => entry.score)) + tieBandMs;
+    const best = scored.filter(entry => entry.score <= limit);
+    return best[Math.floor(random.next() * best.length)]?.candidate;
+}
+
+/** Expected wait of one more request at a target; milliseconds. */
+export function estimateWaitMs(window: number, load: number, serviceTimeMs: number): number {
+    const ahead = Math.max(0, load + 1 - window);
+    return (ahead * (serviceTimeMs || unknownServiceTimeMs)) / Math.max(1, window);
+}
+
+function computeBaseScore(candidate: PlacementCandidate, dataCentre: string): number {
+    const serviceTimeMs = candidate.serviceTimeMs || unknownServiceTimeMs;
+    const fill = Math.min(1, candidate.load / Math.max(1, candidate.window));
+    return (
+        estimateWaitMs(candidate.window, candidate.load, candidate.serviceTimeMs) +
+        batchSlowdown * fill * serviceTimeMs +
+        (candidate.dataCentre === dataCentre ? 0 : distanceMs)
+    );
+}
+
+function listRendezvous<T extends PlacementCandidate>(
+    candidates: readonly T[],
+    affinityHash: number | undefined,
+): readonly T[] {
+    if (affinityHash === undefined) {
+        return [];
+    }
+    return candidates
+        .map(candidate => ({ candidate, weight: computeWeight(affinityHash, candidate.nameHash) }))
+        .sort((a, b) => b.weight - a.weight)
+        .slice(0, rendezvousCandidates)
+        .map(entry => entry.candidate);
+}
+
+/** Finalizer of MurmurHash3 (Appleby, public domain) over both hashes. */
+function computeWeight(first: number, second: number): number {
+    let mixed = (first ^ Math.imul(second, 0x9e3779b1)) >>> 0;
+    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+    return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/src/decisions/retryBudget.ts
@@ -0,0 +1,84 @@
+/**
+ * Retry budget: retries as a share of first tries over the last ten seconds, per account and over the router.
+ *
+ * Load pattern: an outage that makes much fail at once. Without it every failure is tried up to four times, which turns a
+ * fault into four times the load just when there is least capacity (a retry storm), and one account's failing calls
+ * use up everyone's retries.
+ * Thresholds: the ratio comes from the document; ten seconds span several failure detections; a floor of three retries
+ * (ten over the router) lets a quiet account retry at all.
+ */
+const bucketMs = 1_000;
+const bucketCount = 10;
+const minRetriesPerAccount = 3;
+const minRetriesPerRouter = 10;
+
+/** Counts tries and retries; grants a retry while within the ratio. */
+export class RetryBudget {
+    private readonly all = new TryWindow();
+    private readonly byAccount = new Map<string, TryWindow>();
+
+    /** Counts a first try. */
+    public recordFirstTry(clientAccount: string, nowMs: number): void {
+        this.all.add(nowMs, "first");
+        this.getWindow(clientAccount).add(nowMs, "first");
+    }
+
+    /** Takes one retry out of the budget; false when there is none left. */
+    public takeRetry(clientAccount: string, ratio: number, nowMs: number): boolean {
+        const own = this.getWindow(clientAccount);
+        if (!own.hasRoom(nowMs, ratio, minRetriesPerAccount) || !this.all.hasRoom(nowMs, ratio, minRetriesPerRouter)) {
+            return false;
+        }
+        own.add(nowMs, "retry");
+        this.all.add(nowMs, "retry");
+        return true;
+    }
+
+    private getWindow(clientAccount: string): TryWindow {
+        let window = this.byAccount.get(clientAccount);
+        if (window === undefined) {
+            window = new TryWindow();
+            this.byAccount.set(clientAccount, window);
+        }
+        return window;
+    }
+}
+
+/** Sliding counts in one-second buckets. */
+class TryWindow {
+    private readonly firsts = new Array<number>(bucketCount).fill(0);
+    private readonly retries = new Array<number>(bucketCount).fill(0);
+    private newestBucket = 0;
+    private firstTotal = 0;
+    private retryTotal = 0;
+
+    public add(nowMs: number, kind: "first" | "retry"): void {
+        this.advance(nowMs);
+        const slot = this.newestBucket % bucketCount;
+        if (kind === "first") {
+            this.firsts[slot] = (this.firsts[slot] ?? 0) + 1;
+            this.firstTotal += 1;
+        } else {
+            this.retries[slot] = (this.retries[slot] ?? 0) + 1;
+            this.retryTotal += 1;
+        }
+    }
+
+    public hasRoom(nowMs: number, ratio: number, minRetries: number): boolean {
+        this.advance(nowMs);
+        return this.retryTotal < Math.max(minRetries, ratio * this.firstTotal);
+    }
+
+    private advance(nowMs: number): void {
+        const bucket = Math.max(this.newestBucket, Math.floor(nowMs / bucketMs));
+        const steps = Math.min(bucketCount, bucket - this.newestBucket);
+        for (let step = 1; step <= steps; step++) {
+            const slot = (bucket - steps + step) % bucketCount;
+            this.firstTotal -= this.firsts[slot] ?? 0;
+            this.retryTotal -= this.retries[slot] ?? 0;
+            this.firsts[slot] = 0;
+            this.retries[slot] = 0;
+        }
+        this.newestBucket = bucket;
+    }
+}
--- /dev/null
+++ b/src/fleet/router/admitSystem.ts
@@ -0,0 +1,121 @@
+import { checkAdmission } from "../../decisions/admission.js";
+import { computeAffinityHash } from "../../decisions/placement.js";
+import type { WorkRequest } from "../entities.js";
+import type { CostGuess } from "./classify.js";
+import type { RouterState } from "./state.js";
+import type { Lane, RequestEntry } from "./tables.js";
+
+/** When to come back to a service that has no agent; milliseconds. */
+export const noTargetRetryAfterMs = 2_000;
+
+/** Lets requests in or turns them away at once. */
+export class AdmitSystem {
+    public constructor(
+        private readonly state: RouterState,
+        private readonly costs: CostGuess,
+    ) {}
+
+    /** Takes a caller's request. A repeat of an id that is still open is ignored. */
+    public handleSubmitted(request: WorkRequest, homeAgentId: string | undefined, nowMs: number): void {
+        if (this.state.requests.has(request.id)) {
+            return;
+        }
+        const entry = createEntry(request, this.getLane(request, homeAgentId));
+        this.state.recordRequest("request-accepted", entry);
+        const refusal = this.check(entry, nowMs);
+        if (refusal !== undefined) {
+            this.state.refuse(entry, refusal, nowMs);
+            return;
+        }
+        this.state.budget.recordFirstTry(request.clientAccount, nowMs);
+        this.state.timers.add({ atMs: request.deadlineAtMs, key: request.id, kind: "deadline" });
+        this.state.addToBacklog(entry, "last", nowMs);
+        this.state.recordRequest("request-queued", entry);
+    }
+
+    private check(entry: RequestEntry, nowMs: number): ReturnType<RouterState["createRefusal"]> | undefined {
+        const { state } = this;
+        if (state.isStopping) {
+            return state.createRefusal("stopping", "not-run", minStoppingRetryMs, "this router is stopping");
+        }
+        if (!entry.request.idempotent && entry.request.idempotencyKey !== undefined) {
+            const home = entry.lane.homeAgentId;
+            if (home === undefined || state.agents.get(home)?.isAccepting !== true) {
+                return state.createRefusal("no-target", "not-run", noTargetRetryAfterMs, "the key's home is away");
+            }
+        }
+        return this.checkBounds(entry, nowMs);
+    }
+
+    private checkBounds(entry: RequestEntry, nowMs: number): ReturnType<RouterState["createRefusal"]> | undefined {
+        const { state } = this;
+        const { document } = state;
+        if (document === undefined) {
+            return state.createRefusal("no-target", "not-run", noTargetRetryAfterMs, "no document is in force yet");
+        }
+        const account = document.clientAccounts[entry.request.clientAccount];
+        const count = state.requests.countAccount(entry.request.clientAccount);
+        const laneKey = entry.lane.key;
+        const isBacklogged = state.backlog.count(laneKey) > 0;
+        const result = checkAdmission(
+            {
+                waitingTotal: state.requests.total.waiting,
+                waitingOfAccount: count.waiting,
+                openOfAccount: count.waiting + count.running,
+                relativeWeight: state.getRelativeWeight(entry.request.clientAccount),
+                expectedWaitMs: isBacklogged
+                    ? state.getDrainRate(laneKey).estimateWaitMs(state.requests.countLane(laneKey) + 1, nowMs)
+                    : undefined,
+                remainingMs: entry.request.deadlineAtMs - nowMs,
+            },
+            {
+                maxWaitingTotal: document.limits.maxWaitingTotal,
+                maxWaiting: account?.maxWaiting ?? document.limits.maxWaitingPerAccount,
+                maxOpen: account?.maxOpen ?? document.limits.maxOpenPerAccount,
+            },
+        );
+        return result.match(
+            () => undefined,
+            refusal => state.createRefusal(refusal.reason, "not-run", refusal.retryAfterMs, details[refusal.reason]),
+        );
+    }
+
+    private getLane(request: WorkRequest, homeAgentId: string | undefined): Lane {
+        const { document } = this.state;
+        const workClass = document === undefined ? "short" : this.costs.estimateClass(request, document);
+        const key = [request.service, request.clientAccount, workClass, homeAgentId ?? ""].join("\n");
+        let lane = this.state.lanes.get(key);
+        if (lane === undefined) {
+            const { clientAccount, service } = request;
+            lane = { key, clientAccount, service, workClass, homeAgentId };
+            this.state.lanes.set(key, lane);
+        }
+        return lane;
+    }
+}
+
+/** Enough for the balancer to notice that this router has left. */
+const minStoppingRetryMs = 1_000;
+
+const details = {
+    "queue-full": "too many requests wait",
+    "account-queue-full": "too many requests of this account are open",
+    deadline: "the deadline can't be met",
+};
+
+function createEntry(request: WorkRequest, lane: Lane): RequestEntry {
+    const { clientAccount, prefixHash } = request;
+    return {
+        request,
+        lane,
+        stage: "waiting",
+        agentId: undefined,
+        attempt: 0,
+        failures: 0,
+        sentAtMs: 0,
+        triedAgentIds: [],
+        withdrawFor: undefined,
+        execution: "not-run",
+        affinityHash: prefixHash === undefined ? undefined : computeAffinityHash(clientAccount, prefixHash),
+    };
+}
--- /dev/null
+++ b/src/fleet/router/expireSystem.ts
@@ -0,0 +1,101 @@
+import { minRetryAfterMs } from "../../decisions/admission.js";
+import { noTargetRetryAfterMs } from "./admitSystem.js";
+import type { RetrySystem } from "./retrySystem.js";
+import type { RouterState } from "./state.js";
+import type { WithdrawSystem } from "./withdrawSystem.js";
+
+/** Acts on timers: deadlines, delays before retries, unanswered withdraws, services without any agent. */
+export class ExpireSystem {
+    /** Services without an accepting agent, with the time since when. */
+    private readonly withoutAgentSinceMs = new Map<string, number>();
+
+    public constructor(
+        private readonly state: RouterState,
+        private readonly withdrawSystem: WithdrawSystem,
+        private readonly retrySystem: RetrySystem,
+    ) {}
+
+    /** Handles every timer that is due. */
+    public run(nowMs: number): void {
+        for (let timer = this.state.timers.takeDue(nowMs); timer !== undefined;) {
+            switch (timer.kind) {
+                case "deadline":
+                    this.handleDeadline(timer.key, nowMs);
+                    break;
+                case "answer-grace":
+                    this.handleNoAnswer(timer.key, nowMs);
+                    break;
+                case "withdraw-repeat":
+                    this.withdrawSystem.handleRepeat(timer.key, nowMs);
+                    break;
+                case "backoff":
+                    this.retrySystem.handleBackoffOver(timer.key, nowMs);
+                    break;
+                case "no-target":
+                    this.handleNoTarget(timer.key, nowMs);
+                    break;
+            }
+            timer = this.state.timers.takeDue(nowMs);
+        }
+    }
+
+    /** Looks whether a service has an agent; called when a request came in or an agent changed. */
+    public checkService(service: string, nowMs: number): void {
+        const { state } = this;
+        if (state.agents.listForService(service).some(agent => agent.isAccepting)) {
+            this.withoutAgentSinceMs.delete(service);
+        } else if (!this.withoutAgentSinceMs.has(service)) {
+            this.withoutAgentSinceMs.set(service, nowMs);
+            state.timers.add({ atMs: nowMs + state.options.noTargetWaitMs, key: service, kind: "no-target" });
+        } else {
+            this.handleNoTarget(service, nowMs);
+        }
+    }
+
+    private handleDeadline(requestId: string, nowMs: number): void {
+        const { state } = this;
+        const entry = state.requests.get(requestId);
+        if (entry === undefined || entry.stage === "started") {
+            return;
+        }
+        if (entry.stage === "waiting" || entry.stage === "delayed") {
+            const detail = "the deadline passed before the request could start";
+            state.refuse(entry, state.createRefusal("deadline", entry.execution, minRetryAfterMs, detail), nowMs);
+            return;
+        }
+        this.withdrawSystem.withdraw(entry, "deadline", nowMs);
+        state.timers.add({ atMs: nowMs + state.options.answerGraceMs, key: requestId, kind: "answer-grace" });
+    }
+
+    /** The agent neither gave the request back nor said that it started: nobody here can tell whether it ran. */
+    private handleNoAnswer(requestId: string, nowMs: number): void {
+        const { state } = this;
+        const entry = state.requests.get(requestId);
+        if (entry?.stage !== "withdrawing" || entry.agentId === undefined) {
+            return;
+        }
+        state.addEffect({ type: "cancelWork", requestId, agentId: entry.agentId });
+        state.refuse(entry, state.createRefusal("deadline", "unknown", undefined, "the agent does not answer"), nowMs);
+    }
+
+    private handleNoTarget(service: string, nowMs: number): void {
+        const { state } = this;
+        const sinceMs = this.withoutAgentSinceMs.get(service);
+        if (sinceMs === undefined || nowMs - sinceMs < state.options.noTargetWaitMs) {
+            return;
+        }
+        for (const lane of state.lanes.values()) {
+            for (const requestId of lane.service === service ? state.backlog.list(lane.key) : []) {
+                const entry = state.requests.get(requestId);
+                if (entry !== undefined) {
+                    const detail = "no target serves this now";
+                    state.refuse(
+                        entry,
+                        state.createRefusal("no-target", entry.execution, noTargetRetryAfterMs, detail),
+                        nowMs,
+                    );
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/router/offerSystem.ts
@@ -0,0 +1,124 @@
+import { choosePlacement, type PlacementCandidate } from "../../decisions/placement.js";
+import { noTargetRetryAfterMs } from "./admitSystem.js";
+import type { RouterState } from "./state.js";
+import type { AgentEntry, RequestEntry } from "./tables.js";
+
+/**
+ * Sends waiting requests to agents, up to the offer depth per (lane, agent), so that every backlog is seen by every agent
+ * that could serve it and the agent can start whose turn it is.
+ */
+export class OfferSystem {
+    /** Whether the last run stopped before everything was sent. */
+    public hasMore = false;
+
+    public constructor(private readonly state: RouterState) {}
+
+    /** Works through the lanes that can go on, by weight. */
+    public run(nowMs: number): void {
+        let sends = 0;
+        for (let next = this.findNext(); next !== undefined; next = this.findNext()) {
+            if (sends >= this.state.options.maxSendsPerTick) {
+                this.hasMore = true;
+                return;
+            }
+            sends += this.handleNext(next, nowMs);
+        }
+        this.hasMore = false;
+    }
+
+    private findNext(): RequestEntry | undefined {
+        const next = this.state.backlog.findNext();
+        return next === undefined ? undefined : this.state.requests.get(next.requestId);
+    }
+
+    /** Sends one request, refuses it, or lets its lane wait for a change; returns how many were sent. */
+    private handleNext(entry: RequestEntry, nowMs: number): number {
+        const { state } = this;
+        const agents = this.listAllowed(entry);
+        if (agents.length === 0 && this.isHopeless(entry)) {
+            const detail = entry.lane.homeAgentId === undefined ? "no agent is left to try" : "the key's home is away";
+            state.refuse(entry, state.createRefusal("no-target", entry.execution, noTargetRetryAfterMs, detail), nowMs);
+            return 0;
+        }
+        const chosen = this.choose(entry, agents);
+        if (chosen === undefined) {
+            state.backlog.stopNext();
+            return 0;
+        }
+        state.backlog.takeNext();
+        state.updateDrainRate(entry.lane.key, nowMs);
+        this.send(entry, chosen, nowMs);
+        return 1;
+    }
+
+    private listAllowed(entry: RequestEntry): readonly AgentEntry[] {
+        const { homeAgentId } = entry.lane;
+        const agents = this.state.agents
+            .listForService(entry.request.service)
+            .filter(agent => agent.isAccepting && (homeAgentId === undefined || agent.agentId === homeAgentId));
+        const untried = agents.filter(agent => !entry.triedAgentIds.includes(agent.agentId));
+        // An agent that held a non-idempotent request never gets it again: a late answer to the first sending could
+        // otherwise be taken for one to the second, and the request be run twice.
+        return untried.length > 0 || !entry.request.idempotent ? untried : agents;
+    }
+
+    /** Whether waiting can't help: the home is away, or a non-idempotent request has no agent left that never held it. */
+    private isHopeless(entry: RequestEntry): boolean {
+        return entry.lane.homeAgentId !== undefined || (!entry.request.idempotent && entry.triedAgentIds.length > 0);
+    }
+
+    private choose(entry: RequestEntry, agents: readonly AgentEntry[]): AgentEntry | undefined {
+        const { state } = this;
+        const { prefixHash } = entry.request;
+        const candidates: AgentCandidate[] = [];
+        for (const agent of agents) {
+            if (state.offers.count(agent.agentId, entry.lane.key) < state.options.offerDepth) {
+                candidates.push(createCandidate(agent, prefixHash));
+            }
+        }
+        const request = {
+            affinityHash: entry.affinityHash,
+            promptTokens: entry.request.promptTokens,
+            dataCentre: state.dataCentre,
+        };
+        return choosePlacement(candidates, request, state.random)?.agent;
+    }
+
+    private send(entry: RequestEntry, agent: AgentEntry, nowMs: number): void {
+        const { state } = this;
+        const { agentId } = agent;
+        const sent: RequestEntry = {
+            ...entry,
+            stage: "offered",
+            agentId,
+            attempt: entry.attempt + 1,
+            sentAtMs: nowMs,
+            triedAgentIds: entry.triedAgentIds.includes(agentId)
+                ? entry.triedAgentIds
+                : [...entry.triedAgentIds, agentId],
+        };
+        state.requests.set(sent);
+        state.offers.add(agentId, entry.lane.key, entry.request.id);
+        state.agents.set({ ...agent, sentSinceReport: agent.sentSinceReport + 1 });
+        state.addEffect({ type: "sendWork", requestId: entry.request.id, agentId, attempt: sent.attempt });
+        state.recordRequest("request-sent", sent, { value: sent.attempt });
+    }
+}
+
+interface AgentCandidate extends PlacementCandidate {
+    readonly agent: AgentEntry;
+}
+
+function createCandidate(agent: AgentEntry, prefixHash: string | undefined): AgentCandidate {
+    const { report } = agent;
+    return {
+        agent,
+        agentId: agent.agentId,
+        nameHash: agent.nameHash,
+        dataCentre: report.identity.dataCentre,
+        window: report.window,
+        load: report.running + report.queued + agent.sentSinceReport,
+        serviceTimeMs: report.serviceTimeMs,
+        holdsPrefix: prefixHash !== undefined && agent.cachedPrefixes.has(prefixHash),
+    };
+}
--- /dev/null
+++ b/test/fleet/routerCore.test.ts
@@ -0,0 +1,256 @@
+import { describe, expect, it } from "vitest";
+import type { RouterEffect } from "../../src/fleet/routerMessages.js";
+import type { RouterCore } from "../../src/fleet/router/routerCore.js";
+import { createDocument, createReport, createRequest, createRouter } from "./routerFixtures.js";
+
+const printEffect = (effect: RouterEffect): string =>
+    effect.type === "refuse"
+        ? `refuse ${effect.requestId} ${effect.refusal.reason} ${effect.refusal.execution}`
+        : `${effect.type} ${effect.requestId} ${effect.agentId}`;
+const printAll = (effects: readonly RouterEffect[]): readonly string[] => effects.map(printEffect);
+const submit = (core: RouterCore, id: string, nowMs: number, changes = {}, homeAgentId?: string): readonly string[] =>
+    printAll(core.handle({ type: "submitted", request: createRequest(id, changes), homeAgentId }, nowMs));
+
+describe("offering", () => {
+    it("offers an account's backlog to every agent up to the offer depth and keeps the rest", () => {
+        const core = createRouter(["t1", "t2", "t3"]);
+        const sent = Array.from({ length: 10 }, (...[, index]) => submit(core, `r${index}`, 0)).flat();
+        expect(sent.map(line => line.split(" ")[2]).sort()).toMatchInlineSnapshot(`
+          [
+            "t1",
+            "t1",
+            "t2",
+            "t2",
+            "t3",
+            "t3",
+          ]
+        `);
+        expect([core.countWaiting(), core.countRunning()]).toEqual([10, 0]);
+        const firstAgentId = sent[0]?.split(" ")[2] ?? "";
+        const next = core.handle({ type: "workStarted", requestId: "r0", agentId: firstAgentId }, 1);
+        expect([firstAgentId, ...printAll(next)]).toMatchInlineSnapshot(`
+          [
+            "t2",
+            "sendWork r6 t2",
+          ]
+        `);
+    });
+
+    it("moves what waits at a busy agent to one that reports room", () => {
+        const core = createRouter(["t1"]);
+        expect(submit(core, "r1", 0)).toMatchInlineSnapshot(`
+          [
+            "sendWork r1 t1",
+          ]
+        `);
+        core.handle({ type: "agentReported", report: createReport("t1", 2, { running: 4, queued: 1 }) }, 50);
+        const asked = core.handle({ type: "agentReported", report: createReport("t2", 1) }, 100);
+        expect(printAll(asked)).toMatchInlineSnapshot(`
+          [
+            "withdrawWork r1 t1",
+          ]
+        `);
+        const moved = core.handle({ type: "workWithdrawn", requestId: "r1", agentId: "t1" }, 101);
+        expect(printAll(moved)).toMatchInlineSnapshot(`
+          [
+            "sendWork r1 t2",
+          ]
+        `);
+    });
+
+    it("does not send anew when the withdraw came too late", () => {
+        const core = createRouter(["t1"]);
+        submit(core, "r1", 0);
+        core.handle({ type: "agentReported", report: createReport("t1", 2, { running: 4, queued: 1 }) }, 50);
+        core.handle({ type: "agentReported", report: createReport("t2", 1) }, 100);
+        expect(core.handle({ type: "workStarted", requestId: "r1", agentId: "t1" }, 101)).toEqual([]);
+        expect(core.handle({ type: "workWithdrawn", requestId: "r1", agentId: "t2" }, 102)).toEqual([]);
+        expect(core.countRunning()).toBe(1);
+    });
+});
+
+describe("leaving agents", () => {
+    it("takes queued work back and sends nothing new once the document says that a data centre is out", () => {
+        const core = createRouter(["t1", "t3"], {}, createDocument());
+        submit(core, "r1", 0);
+        submit(core, "r2", 0);
+        const out = createDocument({
+            dataCentres: { a: { region: "r", state: "in" }, b: { region: "r", state: "out" } },
+        });
+        const asked = core.handle({ type: "documentAccepted", offset: 1, document: out }, 10);
+        expect(printAll(asked)).toMatchInlineSnapshot(`
+          [
+            "withdrawWork r2 t3",
+          ]
+        `);
+        expect(submit(core, "r3", 20)).toMatchInlineSnapshot(`
+          [
+            "sendWork r3 t1",
+          ]
+        `);
+        // An older document that arrives late must not bring the data centre back.
+        core.handle({ type: "documentAccepted", offset: 0, document: createDocument() }, 21);
+        expect(submit(core, "r4", 22)).toMatchInlineSnapshot(`[]`);
+    });
+
+    it("refuses at once, truthfully, when no agent serves for longer than the bound", () => {
+        const core = createRouter(["t1"]);
+        core.handle({ type: "agentReported", report: createReport("t1", 2, { phase: "draining" }) }, 0);
+        expect(submit(core, "r1", 100)).toEqual([]);
+        expect(core.nextTickAtMs()).toBe(2_000);
+        expect(printAll(core.tick(2_000))).toMatchInlineSnapshot(`
+          [
+            "refuse r1 no-target not-run",
+          ]
+        `);
+        expect(submit(core, "r2", 2_001)).toMatchInlineSnapshot(`
+          [
+            "refuse r2 no-target not-run",
+          ]
+        `);
+    });
+});
+
+describe("requests bound to a home", () => {
+    const keyed = { idempotent: false, idempotencyKey: "key-1" };
+
+    it("go to the home only and are refused at once when it is away", () => {
+        const core = createRouter(["t1", "t2"]);
+        expect(submit(core, "r1", 0, keyed, "t2")).toMatchInlineSnapshot(`
+          [
+            "sendWork r1 t2",
+          ]
+        `);
+        expect(submit(core, "r2", 0, keyed, "t9")).toMatchInlineSnapshot(`
+          [
+            "refuse r2 no-target not-run",
+          ]
+        `);
+        expect(submit(core, "r3", 0, keyed)).toMatchInlineSnapshot(`
+          [
+            "refuse r3 no-target not-run",
+          ]
+        `);
+    });
+
+    it("end as unknown when the connection is lost after sending", () => {
+        // The caller sees 503 with execution "unknown". The router sent the request to the key's home, then the connection
+        // broke; whether the home ran it can't be known here, so that it must be sent nowhere else.
+        const core = createRouter(["t1", "t2"]);
+        submit(core, "r1", 0, keyed, "t2");
+        const ended = core.handle(
+            { type: "workFailed", requestId: "r1", agentId: "t2", execution: "unknown", detail: "reset" },
+            10,
+        );
+        expect(printAll(ended)).toMatchInlineSnapshot(`
+          [
+            "refuse r1 target-failed unknown",
+          ]
+        `);
+        submit(core, "r2", 20, keyed, "t2");
+        expect(printAll(core.handle({ type: "agentLost", agentId: "t2" }, 30))).toMatchInlineSnapshot(`
+          [
+            "cancelWork r2 t2",
+            "refuse r2 target-failed unknown",
+          ]
+        `);
+    });
+
+    it("pass a refusal of the home on", () => {
+        const core = createRouter(["t1", "t2"]);
+        submit(core, "r1", 0, keyed, "t2");
+        const refusal = { reason: "key-unknown", execution: "unknown", retryAfterMs: undefined, detail: "x" } as const;
+        const ended = core.handle({ type: "workRefused", requestId: "r1", agentId: "t2", refusal }, 10);
+        expect(printAll(ended)).toMatchInlineSnapshot(`
+          [
+            "refuse r1 key-unknown unknown",
+          ]
+        `);
+    });
+});
+
+describe("deadlines", () => {
+    it("ends a request that the agent gives back as not run, and one without any answer as unknown", () => {
+        const core = createRouter(["t1"]);
+        submit(core, "r1", 0, { deadlineAtMs: 1_000 });
+        submit(core, "r2", 0, { deadlineAtMs: 1_000 });
+        expect(printAll(core.tick(1_000))).toMatchInlineSnapshot(`
+          [
+            "withdrawWork r1 t1",
+            "withdrawWork r2 t1",
+          ]
+        `);
+        const given = core.handle({ type: "workWithdrawn", requestId: "r1", agentId: "t1" }, 1_001);
+        expect(printAll(given)).toMatchInlineSnapshot(`
+          [
+            "refuse r1 deadline not-run",
+          ]
+        `);
+        expect(printAll(core.tick(3_000))).toMatchInlineSnapshot(`
+          [
+            "withdrawWork r2 t1",
+            "cancelWork r2 t1",
+            "refuse r2 deadline unknown",
+          ]
+        `);
+        expect(core.countWaiting()).toBe(0);
+    });
+
+    it("does not say not-run after an attempt that may have run", () => {
+        const core = createRouter(["t1"]);
+        submit(core, "r1", 0, { deadlineAtMs: 1_000 });
+        core.handle({ type: "agentLost", agentId: "t1" }, 999.9);
+        const ended = printAll([...core.tick(1_000), ...core.tick(3_000)]);
+        expect(ended).toMatchInlineSnapshot(`
+          [
+            "refuse r1 deadline unknown",
+          ]
+        `);
+    });
+});
+
+describe("claims", () => {
+    const counter = (charged: number, lift = 0) => ({
+        service: "model",
+        clientAccount: "club1",
+        charged,
+        refunded: 0,
+        lift,
+    });
+
+    it("gives an agent the sums of all others, keeps dead incarnations and never falls", () => {
+        const core = createRouter(["t1", "t2", "t3"]);
+        core.handle({ type: "agentReported", report: createReport("t1", 2, { counters: [counter(10)] }) }, 1);
+        core.handle({ type: "agentReported", report: createReport("t2", 2, { counters: [counter(5, 3)] }) }, 2);
+        const first = core.createClaims("t1");
+        expect(first.claims).toMatchInlineSnapshot(`
+          [
+            {
+              "charged": 5,
+              "clientAccount": "club1",
+              "lift": 3,
+              "refunded": 0,
+              "service": "model",
+            },
+          ]
+        `);
+        // Only t1's own counters changed since: there is nothing to tell t1, but t2 must hear of it.
+        core.handle({ type: "agentReported", report: createReport("t1", 3, { counters: [counter(12)] }) }, 3);
+        expect(core.createClaims("t1", first.version).claims).toEqual([]);
+        expect(core.createClaims("t2", first.version).claims.map(claim => claim.charged)).toEqual([12]);
+        // A restarted t1 begins at zero; what it gave before now counts as given by others.
+        const identity = { ...createReport("t1", 1).identity, incarnation: 2 };
+        core.handle({ type: "agentReported", report: createReport("t1", 1, { identity }) }, 4);
+        expect(core.createClaims("t1", first.version).claims.map(claim => claim.charged)).toEqual([17]);
+        expect(core.listShares()[1]).toMatchInlineSnapshot(`
+          {
+            "clientAccount": "club1",
+            "normalizedService": 20,
+            "running": 0,
+            "service": "model",
+            "waiting": 0,
+            "weight": 1,
+          }
+        `);
+    });
+});
