Build the agent's core and the fairness decisions

Ruled out: a Map in insertion order for the queues (finding its first key walks over removed ones); answering "withdrawn" for ids that may have been forgotten or belong to an earlier incarnation (the request could run twice). Change: fair queue, service ledger, catch-up cap, cost estimate, window, circuit, short reserve, admission; the agent's tables and systems; withdrawRequested may name the incarnation the request was sent to (additive). Figures: none measured yet.

--- /dev/null
+++ b/src/decisions/concurrencyWindow.ts
@@ -0,0 +1,150 @@
+import { FirstOutputBaseline } from "./firstOutputBaseline.js";
+
+/** A "not cold" report counts only this long after the last sign of cold, as reports lag; milliseconds. */
+export const reportLagMs = 2_000;
+/** "Not cold" reports in a row that end a cold start. */
+export const warmReportsNeeded = 2;
+/** Without reports, completed requests per slot of the cold limit that end a cold start. */
+export const warmSuccessesPerSlot = 2;
+
+const reportsStaleAfterMs = 10_000;
+const slowDecrease = 0.8;
+const slowDecreaseEveryMs = 1_000;
+
+/** What a target bears, from the environment's document. */
+export interface WindowLimits {
+    readonly maxConcurrent: number;
+    readonly coldLimit: number;
+}
+
+/** What the window did, for the time line. */
+export type WindowChange = "cold" | "warm" | "grown" | "slowed" | "limits";
+
+/**
+ * How many requests one target may run at once.
+ *
+ * Load patterns: a cold start, a target that turns cold without warning, and a slow one. A cold engine that gets a
+ * full load falls over, loses what it runs, and starts cold anew: the fleet would knock it down for ever. The window
+ * starts at the cold limit and leaves it only on evidence younger than the last sign of cold: two reports at least
+ * {@link reportLagMs} after it (engines publish about once a second, so older ones may describe the time before), or,
+ * from targets that publish none, two completed requests for each cold slot. It then grows by one for each first
+ * output, which doubles it in each round as TCP's slow start does, and only while it is at least half used.
+ *
+ * Signs of cold: a report, a refusal by the target, a lost connection, and a first output so late that the baseline of
+ * the same class is left far behind (see {@link FirstOutputBaseline}). A first output that is merely slow
+ * takes a fifth off the window, once a second at most, since queueing inside the engine only adds to the delay.
+ */
+export class ConcurrencyWindow {
+    private readonly baselines = { short: new FirstOutputBaseline(), long: new FirstOutputBaseline() };
+    private currentLimit = 0;
+    private cold = true;
+    private limits: WindowLimits = { maxConcurrent: 0, coldLimit: 0 };
+    private coldSinceMs: number | undefined;
+    private warmReports = 0;
+    private successesSinceCold = 0;
+    private lastReportAtMs: number | undefined;
+    private lastDecreaseAtMs = Number.NEGATIVE_INFINITY;
+
+    /** Requests that may run at once now. */
+    public get limit(): number {
+        return this.currentLimit;
+    }
+
+    public get isCold(): boolean {
+        return this.cold;
+    }
+
+    /** Takes new limits from the document; true when the limit changed. */
+    public setLimits(limits: WindowLimits, nowMs: number): boolean {
+        this.coldSinceMs ??= nowMs;
+        this.limits = limits;
+        const before = this.currentLimit;
+        const least = Math.min(limits.coldLimit, limits.maxConcurrent);
+        this.currentLimit = this.cold ? least : Math.min(Math.max(before, least), limits.maxConcurrent);
+        return this.currentLimit !== before;
+    }
+
+    /** The target's own report. */
+    public observeReport(cold: boolean, nowMs: number): WindowChange | undefined {
+        this.lastReportAtMs = nowMs;
+        if (cold) {
+            return this.observeColdSign(nowMs);
+        }
+        if (!this.cold || this.coldSinceMs === undefined || nowMs - this.coldSinceMs < reportLagMs) {
+            return undefined;
+        }
+        this.warmReports += 1;
+        if (this.warmReports < warmReportsNeeded) {
+            return undefined;
+        }
+        this.cold = false;
+        return "warm";
+    }
+
+    /** Any sign of a cold start: falls to the cold limit at once. */
+    public observeColdSign(nowMs: number): WindowChange | undefined {
+        const changed = !this.cold || this.currentLimit > this.limits.coldLimit;
+        this.cold = true;
+        this.coldSinceMs = nowMs;
+        this.warmReports = 0;
+        this.successesSinceCold = 0;
+        this.currentLimit = Math.min(this.limits.coldLimit, this.limits.maxConcurrent);
+        return changed ? "cold" : undefined;
+    }
+
+    /** A request's first token or response head; `running` counts it. */
+    public observeFirstOutput(
+        workClass: "short" | "long",
+        delayMs: number,
+        running: number,
+        nowMs: number,
+    ): WindowChange | undefined {
+        // What a cold target takes is no measure of what is usual.
+        if (this.cold) {
+            return undefined;
+        }
+        const baseline = this.baselines[workClass];
+        const judgement = baseline.compare(delayMs);
+        baseline.observe(delayMs);
+        if (judgement === "cold") {
+            return this.observeColdSign(nowMs);
+        }
+        if (judgement === "slow") {
+            return this.applyDecrease(nowMs);
+        }
+        if (running * 2 < this.currentLimit || this.currentLimit >= this.limits.maxConcurrent) {
+            return undefined;
+        }
+        this.currentLimit += 1;
+        return "grown";
+    }
+
+    /** A request that completed whole. */
+    public observeSuccess(nowMs: number): WindowChange | undefined {
+        if (!this.cold) {
+            return undefined;
+        }
+        this.successesSinceCold += 1;
+        const hasReports = this.lastReportAtMs !== undefined && nowMs - this.lastReportAtMs < reportsStaleAfterMs;
+        if (hasReports || this.successesSinceCold < warmSuccessesPerSlot * this.limits.coldLimit) {
+            return undefined;
+        }
+        this.cold = false;
+        return "warm";
+    }
+
+    /** When a request that has given nothing yet counts as a sign of cold; undefined while no baseline is known. */
+    public getLateAfterMs(workClass: "short" | "long"): number | undefined {
+        return this.baselines[workClass].coldAfterMs;
+    }
+
+    private applyDecrease(nowMs: number): WindowChange | undefined {
+        if (nowMs - this.lastDecreaseAtMs < slowDecreaseEveryMs) {
+            return undefined;
+        }
+        this.lastDecreaseAtMs = nowMs;
+        const before = this.currentLimit;
+        this.currentLimit = Math.max(this.limits.coldLimit, Math.floor(before * slowDecrease));
+        return this.currentLimit < before ? "slowed" : undefined;
+    }
+}
--- /dev/null
+++ b/src/decisions/shortReserve.ts
@@ -0,0 +1,59 @@
+/** Without a short request for this long the reserve lapses; milliseconds. */
+export const shortSeenWithinMs = 5_000;
+/** Largest share of the window that is kept from long work. */
+export const largestReserveShare = 0.25;
+
+const smoothing = 0.1;
+
+/**
+ * Keeps a few of a target's slots from long work.
+ *
+ * Load pattern: long among short. Some route rebuilds of a minute each fill every slot, and a question that takes a
+ * second waits for a minute. The reserve is the number of slots that short work keeps busy (Little's law: arrivals per
+ * time, times the time each takes), at least one and at most a quarter of the window.
+ *
+ * It is the one exception to work conservation: a reserved slot may stand free while only long work waits. It lapses
+ * five seconds after the last short request, so without short traffic nothing is held back, and a window of one slot
+ * has no reserve, so that long work is never shut out.
+ */
+export class ShortReserve {
+    private lastSeenAtMs: number | undefined;
+    private gapMs: number | undefined;
+    private durationMs: number | undefined;
+
+    /** A short request arrived. */
+    public observeArrival(nowMs: number): void {
+        if (this.lastSeenAtMs !== undefined) {
+            const gapMs = Math.min(shortSeenWithinMs, nowMs - this.lastSeenAtMs);
+            this.gapMs = this.gapMs === undefined ? gapMs : this.gapMs + smoothing * (gapMs - this.gapMs);
+        }
+        this.lastSeenAtMs = nowMs;
+    }
+
+    /** A short request ended after running for `durationMs`. */
+    public observeDuration(durationMs: number): void {
+        this.durationMs =
+            this.durationMs === undefined ? durationMs : this.durationMs + smoothing * (durationMs - this.durationMs);
+    }
+
+    /** When the reserve lapses if no short request comes; undefined when there is none. */
+    public getLapseAtMs(nowMs: number): number | undefined {
+        return this.isActive(nowMs) && this.lastSeenAtMs !== undefined
+            ? this.lastSeenAtMs + shortSeenWithinMs
+            : undefined;
+    }
+
+    /** Slots of the window that long work may not take now. */
+    public getReserved(window: number, nowMs: number): number {
+        if (window < 2 || !this.isActive(nowMs)) {
+            return 0;
+        }
+        const busy = Math.ceil((this.durationMs ?? 0) / Math.max(1, this.gapMs ?? shortSeenWithinMs));
+        const most = Math.max(1, Math.floor(window * largestReserveShare));
+        return Math.min(most, Math.max(1, busy));
+    }
+
+    private isActive(nowMs: number): boolean {
+        return this.lastSeenAtMs !== undefined && nowMs - this.lastSeenAtMs < shortSeenWithinMs;
+    }
+}
--- /dev/null
+++ b/src/fleet/agent/admitSystem.ts
@@ -0,0 +1,109 @@
+import { checkAdmission, type AdmissionDecision } from "../../decisions/expectedWait.js";
+import type { Refusal, WorkRequest } from "../entities.js";
+import type { AgentContext } from "./agentContext.js";
+import type { QueuedWork, ServiceRow } from "./tables.js";
+
+/** Long work is whatever the document says; without a word on the service everything is short. */
+const noLongWork = Number.POSITIVE_INFINITY;
+
+/** Lets an offered request wait, or turns it away at once. */
+export function receiveOffer(context: AgentContext, request: WorkRequest, routerId: string, nowMs: number): void {
+    const { tables } = context;
+    // A second offer of a request that is here: the first one's answer serves both, and it must not run twice.
+    if (tables.running.has(request.id) || tables.getQueued(request.id) !== undefined) {
+        return;
+    }
+    const refusal = checkKnown(context, request) ?? checkPhase(context, request);
+    if (refusal !== undefined) {
+        context.refuseRequest(request, refusal);
+        return;
+    }
+    const row = context.getRow(request.service);
+    const work = createQueuedWork(context, request, routerId, nowMs);
+    const decision = checkRoom(context, row, work, nowMs);
+    if (!decision.admitted) {
+        context.refuseRequest(request, {
+            reason: decision.reason,
+            execution: "not-run",
+            retryAfterMs: decision.retryAfterMs,
+            detail: `The target cannot take the request in time (${decision.reason}).`,
+        });
+        return;
+    }
+    addToQueue(context, row, work, nowMs);
+}
+
+/**
+ * An offer that its own withdrawal has overtaken must not start: the router was told "withdrawn" and has moved the
+ * request on, so it would run twice. One refusal is enough, as each offer is sent once; a router that offers
+ * the request here again does so by choice.
+ */
+function checkKnown(context: AgentContext, request: WorkRequest): Refusal | undefined {
+    if (context.withdrawn.has(request.id)) {
+        context.withdrawn.remove(request.id);
+        return createRefusal("duplicate", "not-run", "The request was withdrawn before it arrived.");
+    }
+    if (!request.idempotent && context.started.has(request.id)) {
+        return createRefusal("duplicate", "unknown", "The request has been started here before.");
+    }
+    return undefined;
+}
+
+function checkPhase(context: AgentContext, request: WorkRequest): Refusal | undefined {
+    if (context.phase === "leaving") {
+        return createRefusal("stopping", "not-run", "The agent is stopping.");
+    }
+    if (context.phase !== "serving") {
+        return createRefusal("draining", "not-run", `The target takes no new work (${context.phase}).`);
+    }
+    if (!context.identity.services.includes(request.service)) {
+        return createRefusal("no-target", "not-run", "The target does not serve this service.");
+    }
+    return undefined;
+}
+
+function createRefusal(reason: Refusal["reason"], execution: Refusal["execution"], detail: string): Refusal {
+    return { reason, execution, retryAfterMs: undefined, detail };
+}
+
+function createQueuedWork(context: AgentContext, request: WorkRequest, routerId: string, nowMs: number): QueuedWork {
+    const longFromCost = context.document?.services[request.service]?.longFromCost ?? noLongWork;
+    const { cost, workClass, hintClass } = context.estimator.estimate(request, longFromCost);
+    const { id, clientAccount } = request;
+    return { id, clientAccount, cost, workClass, hintClass, request, routerId, queuedAtMs: nowMs };
+}
+
+function checkRoom(context: AgentContext, row: ServiceRow, work: QueuedWork, nowMs: number): AdmissionDecision {
+    const { tables, window, options } = context;
+    const accountWeight = context.getWeight(work.clientAccount);
+    const queuedOfAccount = row.queue.countWaiting(work.clientAccount);
+    const situation = {
+        freeSlots: window.limit - tables.running.size,
+        window: window.limit,
+        msPerCost: row.msPerCost,
+        waitingCost: row.queue.waitingCost,
+        accountWaitingCost: row.queue.getAccountCost(work.clientAccount),
+        accountWeight,
+        backloggedWeight: row.queue.backloggedWeight + (queuedOfAccount === 0 ? accountWeight : 0),
+        pausedForMs: Math.max(0, (context.circuit.probeAtMs ?? nowMs) - nowMs),
+    };
+    const counts = { queuedTotal: tables.countQueued(), queuedOfAccount };
+    return checkAdmission(situation, counts, options, work.request.deadlineAtMs - nowMs);
+}
+
+function addToQueue(context: AgentContext, row: ServiceRow, work: QueuedWork, nowMs: number): void {
+    const { clientAccount, request } = work;
+    const { ledger, queue } = row;
+    const hasWork = queue.countWaiting(clientAccount) + context.tables.countRunning(row.service, clientAccount) > 0;
+    if (!hasWork && ledger.isIdle(clientAccount, nowMs)) {
+        const floor = queue.getLeastService() ?? ledger.getReturnFloor(nowMs);
+        ledger.applyLift(clientAccount, floor, context.nextSequence);
+    }
+    ledger.recordActivity(clientAccount, nowMs);
+    queue.add(work, ledger.getNormalizedService(clientAccount), context.getWeight(clientAccount));
+    context.deadlines.set(work.id, request.deadlineAtMs);
+    if (work.workClass === "short") {
+        context.reserve.observeArrival(nowMs);
+    }
+    context.recordRequest("request-queued", request, { reason: work.workClass, value: work.cost });
+}
--- /dev/null
+++ b/src/fleet/agent/agentContext.ts
@@ -0,0 +1,133 @@
+import { CircuitBreaker } from "../../decisions/circuitBreaker.js";
+import { CatchUpCap } from "../../decisions/catchUpCap.js";
+import { ConcurrencyWindow } from "../../decisions/concurrencyWindow.js";
+import { CostEstimator } from "../../decisions/costEstimate.js";
+import { FairQueue } from "../../decisions/fairQueue.js";
+import { IdMemory } from "../../decisions/idMemory.js";
+import { IndexedHeap } from "../../decisions/indexedHeap.js";
+import { ServiceLedger } from "../../decisions/serviceLedger.js";
+import { ShortReserve } from "../../decisions/shortReserve.js";
+import type { Random } from "../../base/random.js";
+import type { EnvironmentDocument } from "../../document/schema.js";
+import type { EventRecorder, FleetEventInput } from "../../events/fleetEvent.js";
+import type { AgentEffect } from "../agentMessages.js";
+import type { AgentIdentity, AgentPhase, Refusal, WorkRequest } from "../entities.js";
+import { startedIdsKeptForMs, withdrawnIdsKeptForMs, type AgentOptions } from "./agentOptions.js";
+import { AgentTables, type QueuedWork, type ServiceRow } from "./tables.js";
+
+/** What the systems of an agent's core share: its tables, its decisions, and the effects of this step. */
+export class AgentContext {
+    public readonly tables = new AgentTables();
+    public readonly window = new ConcurrencyWindow();
+    public readonly circuit: CircuitBreaker;
+    public readonly reserve = new ShortReserve();
+    public readonly estimator = new CostEstimator();
+    /** Queued requests by deadline. */
+    public readonly deadlines = new IndexedHeap<string>();
+    public readonly started: IdMemory;
+    public readonly withdrawn: IdMemory;
+    /** Newest last. */
+    public readonly cachedPrefixes = new Map<string, true>();
+    public document: EnvironmentDocument | undefined;
+    public documentOffset = -1;
+    /** Nothing starts before the first document: the target's limits are not known until then. */
+    public phase: AgentPhase = "draining";
+    /** Number of the next report. */
+    public nextSequence = 1;
+    public startCount = 0;
+    /** When calls of plain services were last charged for their time. */
+    public elapsedChargedAtMs = Number.NEGATIVE_INFINITY;
+    /** Smoothed time of one request; milliseconds. */
+    public serviceTimeMs = 0;
+    private effects: AgentEffect[] = [];
+
+    public constructor(
+        public readonly identity: AgentIdentity,
+        public readonly options: AgentOptions,
+        private readonly recorder: EventRecorder,
+        random: Random,
+    ) {
+        this.circuit = new CircuitBreaker(random);
+        this.started = new IdMemory({ keepForMs: startedIdsKeptForMs, maxIds: options.maxStartedIds });
+        this.withdrawn = new IdMemory({ keepForMs: withdrawnIdsKeptForMs, maxIds: options.maxWithdrawnIds });
+    }
+
+    /** Adds an effect to this step's. */
+    public addEffect(effect: AgentEffect): void {
+        this.effects.push(effect);
+    }
+
+    /** Takes the effects of this step. */
+    public takeEffects(): readonly AgentEffect[] {
+        const taken = this.effects;
+        this.effects = [];
+        return taken;
+    }
+
+    /** Records an event of this agent's target. */
+    public record(event: FleetEventInput): void {
+        const { targetName, dataCentre } = this.identity;
+        this.recorder.record({ target: targetName, dataCentre, ...event });
+    }
+
+    /** Records an event of a request. */
+    public recordRequest(kind: FleetEventInput["kind"], request: WorkRequest, more: Partial<FleetEventInput>): void {
+        const { id: requestId, clientAccount, service } = request;
+        this.record({ kind, requestId, clientAccount, service, ...more });
+    }
+
+    public getWeight(clientAccount: string): number {
+        return this.document?.clientAccounts[clientAccount]?.weight ?? 1;
+    }
+
+    public getRow(service: string): ServiceRow {
+        const known = this.tables.services.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const row: ServiceRow = {
+            service,
+            queue: new FairQueue<QueuedWork>(),
+            ledger: new ServiceLedger(),
+            cap: new CatchUpCap(),
+            running: 0,
+            lastStart: 0,
+            msPerCost: undefined,
+        };
+        this.tables.services.set(service, row);
+        return row;
+    }
+
+    /** Tells the queue an account's present normalized service. */
+    public updateQueue(row: ServiceRow, clientAccount: string): void {
+        row.queue.updateAccount(clientAccount, row.ledger.getNormalizedService(clientAccount));
+    }
+
+    /** Takes a request out of the queue for good. */
+    public removeQueued(work: QueuedWork, nowMs: number): void {
+        const row = this.getRow(work.request.service);
+        row.queue.remove(work.id);
+        this.deadlines.remove(work.id);
+        row.ledger.recordActivity(work.clientAccount, nowMs);
+    }
+
+    /** Turns a request away that never started here. */
+    public refuseRequest(request: WorkRequest, refusal: Refusal): void {
+        this.recordRequest("request-refused", request, { reason: refusal.reason, execution: refusal.execution });
+        this.addEffect({ type: "refuseWork", requestId: request.id, refusal });
+    }
+
+    /** Hands a queued request back. */
+    public withdrawQueued(work: QueuedWork, reason: string, nowMs: number): void {
+        this.removeQueued(work, nowMs);
+        this.recordRequest("request-withdrawn", work.request, { reason, execution: "not-run" });
+        this.addEffect({ type: "workWithdrawn", requestId: work.id });
+    }
+
+    /** Records the window after a change. */
+    public recordWindow(reason: string | undefined): void {
+        if (reason !== undefined) {
+            this.record({ kind: "window-changed", reason, value: this.window.limit });
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/agent/agentCore.ts
@@ -0,0 +1,140 @@
+import type { Random } from "../../base/random.js";
+import type { EventRecorder } from "../../events/fleetEvent.js";
+import type { AgentEffect, AgentMessage } from "../agentMessages.js";
+import type { ClientShare } from "../clientShare.js";
+import type { Core } from "../core.js";
+import type { AgentIdentity, AgentReport, ServiceCounter } from "../entities.js";
+import { receiveOffer } from "./admitSystem.js";
+import { AgentContext } from "./agentContext.js";
+import type { AgentOptions } from "./agentOptions.js";
+import { chargeElapsed, chargeProgress } from "./chargeSystem.js";
+import { receiveClaims } from "./claimSystem.js";
+import { refuseExpired } from "./expireSystem.js";
+import { receiveDocument, receiveLeaving } from "./phaseSystem.js";
+import { checkLateOutputs, getLateCheckAtMs, receiveColdSign, receiveEnd, receiveFirstOutput } from "./runSystem.js";
+import { isLongHeldBack, startWork } from "./startSystem.js";
+import { receiveCancel, receiveWithdraw } from "./withdrawSystem.js";
+
+export { defaultAgentOptions, type AgentOptions } from "./agentOptions.js";
+
+/**
+ * The deterministic core of role agent: the only authority on what starts at its target, and when.
+ *
+ * Each message changes the tables; then the systems run in a fixed order: expired requests leave, late first outputs
+ * are judged, and what may start is started.
+ */
+export class AgentCore implements Core<AgentMessage, AgentEffect> {
+    private readonly context: AgentContext;
+    private lastNowMs = 0;
+
+    public constructor(identity: AgentIdentity, options: AgentOptions, recorder: EventRecorder, random: Random) {
+        this.context = new AgentContext(identity, options, recorder, random);
+        for (const service of identity.services) {
+            this.context.getRow(service);
+        }
+    }
+
+    public handle(message: AgentMessage, nowMs: number): readonly AgentEffect[] {
+        this.applyMessage(message, nowMs);
+        return this.tick(nowMs);
+    }
+
+    public tick(nowMs: number): readonly AgentEffect[] {
+        this.lastNowMs = nowMs;
+        refuseExpired(this.context, nowMs);
+        checkLateOutputs(this.context, nowMs);
+        startWork(this.context, nowMs);
+        return this.context.takeEffects();
+    }
+
+    public nextTickAtMs(): number | undefined {
+        const { context, lastNowMs } = this;
+        const hasQueued = context.deadlines.size > 0;
+        return getEarliest([
+            context.deadlines.getLeast()?.priority,
+            getLateCheckAtMs(context),
+            hasQueued ? context.circuit.probeAtMs : undefined,
+            hasQueued && isLongHeldBack(context, lastNowMs) ? context.reserve.getLapseAtMs(lastNowMs) : undefined,
+        ]);
+    }
+
+    /** The report for a peer that has acknowledged up to a sequence; with all counters when it has acknowledged none. */
+    public createReport(acknowledgedSequence: number | undefined): AgentReport {
+        const { context } = this;
+        const sequence = context.nextSequence;
+        context.nextSequence += 1;
+        return {
+            identity: context.identity,
+            sequence,
+            phase: context.phase,
+            window: context.circuit.isOpen ? Math.min(1, context.window.limit) : context.window.limit,
+            running: context.tables.running.size,
+            queued: context.tables.countQueued(),
+            cold: context.window.isCold,
+            serviceTimeMs: context.serviceTimeMs,
+            documentOffset: context.documentOffset,
+            counters: this.listCounters(acknowledgedSequence),
+            cachedPrefixes: [...context.cachedPrefixes.keys()].reverse(),
+        };
+    }
+
+    /** The accounts' shares as this agent knows them. */
+    public listShares(): readonly ClientShare[] {
+        const { context } = this;
+        return [...context.tables.services.values()].flatMap(({ service, ledger, queue }) =>
+            ledger.listAccounts().map(clientAccount => ({
+                clientAccount,
+                service,
+                weight: context.getWeight(clientAccount),
+                normalizedService: ledger.getNormalizedService(clientAccount),
+                waiting: queue.countWaiting(clientAccount),
+                running: context.tables.countRunning(service, clientAccount),
+            })),
+        );
+    }
+
+    private listCounters(acknowledgedSequence: number | undefined): readonly ServiceCounter[] {
+        return [...this.context.tables.services.values()].flatMap(({ service, ledger }) =>
+            ledger.listChangedSince(acknowledgedSequence).map(counter => ({ service, ...counter })),
+        );
+    }
+
+    private applyMessage(message: AgentMessage, nowMs: number): void {
+        const { context } = this;
+        switch (message.type) {
+            case "workOffered":
+                return receiveOffer(context, message.request, message.routerId, nowMs);
+            case "withdrawRequested":
+                return receiveWithdraw(context, message.requestId, message.incarnation, nowMs);
+            case "workCancelled":
+                return receiveCancel(context, message.requestId, nowMs);
+            case "firstOutput":
+                return receiveFirstOutput(context, message.requestId, nowMs);
+            case "progressed":
+                return chargeProgress(context, message.requestId, message.tokens);
+            case "runEnded":
+                chargeElapsed(context, nowMs);
+                return receiveEnd(context, message.requestId, message, nowMs);
+            case "targetReported":
+                return context.recordWindow(context.window.observeReport(message.cold, nowMs));
+            case "targetLost":
+                return receiveColdSign(context, "target lost", nowMs);
+            case "claimsReceived":
+                return receiveClaims(context, message.claims, nowMs);
+            case "documentAccepted":
+                return receiveDocument(context, message.offset, message.document, nowMs);
+            case "leaving":
+                return receiveLeaving(context, nowMs);
+        }
+    }
+}
+
+function getEarliest(times: readonly (number | undefined)[]): number | undefined {
+    let earliest: number | undefined;
+    for (const time of times) {
+        if (time !== undefined && (earliest === undefined || time < earliest)) {
+            earliest = time;
+        }
+    }
+    return earliest;
+}
--- /dev/null
+++ b/src/fleet/agent/runSystem.ts
@@ -0,0 +1,107 @@
+import type { AgentContext } from "./agentContext.js";
+import { chargeFinal, type FinalCount } from "./chargeSystem.js";
+import type { RunningWork } from "./tables.js";
+
+/** Notes the first output of a run: the window's and the circuit's measure of the target. */
+export function receiveFirstOutput(context: AgentContext, requestId: string, nowMs: number): void {
+    const work = context.tables.running.get(requestId);
+    if (work === undefined || work.firstOutputAtMs !== undefined) {
+        return;
+    }
+    const isMeasure = context.tables.isAwaitingOutput(requestId);
+    context.tables.setRunning({ ...work, firstOutputAtMs: nowMs });
+    context.circuit.observeFirstOutput();
+    if (!isMeasure) {
+        return;
+    }
+    const delayMs = nowMs - work.startedAtMs;
+    const running = context.tables.running.size;
+    context.recordWindow(context.window.observeFirstOutput(work.workClass, delayMs, running, nowMs));
+}
+
+/** Frees the slot of a run that ended and settles its cost. */
+export function receiveEnd(context: AgentContext, requestId: string, final: FinalCount, nowMs: number): void {
+    const work = context.tables.running.get(requestId);
+    if (work === undefined) {
+        return;
+    }
+    // A short answer may end before its first output was told of; it is a measure all the same.
+    if (final.outcome === "completed") {
+        receiveFirstOutput(context, requestId, nowMs);
+    }
+    const cost = chargeFinal(context, work, final, nowMs);
+    context.tables.removeRunning(work);
+    context.getRow(work.request.service).ledger.recordActivity(work.request.clientAccount, nowMs);
+    context.recordRequest("request-ended", work.request, {
+        reason: final.outcome,
+        execution: final.outcome === "refused-by-target" ? "not-run" : "ran",
+        value: cost,
+    });
+    observeOutcome(context, work, final, nowMs);
+}
+
+/** Stops a run whose caller has left, unless stopping it could leave a non-idempotent call half done. */
+export function cancelRunning(context: AgentContext, work: RunningWork): void {
+    const mustFinish = !work.request.idempotent && work.request.idempotencyKey !== undefined;
+    if (work.cancelRequested || mustFinish) {
+        return;
+    }
+    context.tables.setRunning({ ...work, cancelRequested: true });
+    context.recordRequest("request-cancelled", work.request, {});
+    context.addEffect({ type: "cancelRun", requestId: work.request.id });
+}
+
+/** Takes a first output that is overdue as a sign of cold, without waiting for it. */
+export function checkLateOutputs(context: AgentContext, nowMs: number): void {
+    const lateAtMs = getLateCheckAtMs(context);
+    if (lateAtMs !== undefined && nowMs >= lateAtMs) {
+        receiveColdSign(context, "late first output", nowMs);
+    }
+}
+
+/** When the next first output will be overdue; undefined when none is awaited or the target is cold already. */
+export function getLateCheckAtMs(context: AgentContext): number | undefined {
+    const { window, tables } = context;
+    if (window.isCold) {
+        return undefined;
+    }
+    let earliest: number | undefined;
+    for (const workClass of ["short", "long"] as const) {
+        const work = tables.getAwaitingOutput(workClass);
+        const lateAfterMs = window.getLateAfterMs(workClass);
+        if (work === undefined || lateAfterMs === undefined) {
+            continue;
+        }
+        const lateAtMs = work.startedAtMs + lateAfterMs;
+        earliest = earliest === undefined ? lateAtMs : Math.min(earliest, lateAtMs);
+    }
+    return earliest;
+}
+
+/** The target shows that it is cold, or was lost. */
+export function receiveColdSign(context: AgentContext, reason: string, nowMs: number): void {
+    if (context.window.observeColdSign(nowMs) !== undefined) {
+        context.recordWindow(`cold: ${reason}`);
+    }
+    context.cachedPrefixes.clear();
+    context.tables.clearAwaitingOutput();
+}
+
+function observeOutcome(context: AgentContext, work: RunningWork, final: FinalCount, nowMs: number): void {
+    const { id } = work.request;
+    if (final.outcome === "completed") {
+        context.circuit.observeSuccess();
+        context.recordWindow(context.window.observeSuccess(nowMs));
+        return;
+    }
+    if (final.outcome === "cancelled") {
+        context.circuit.observeNeutralEnd(id);
+        return;
+    }
+    if (final.outcome === "refused-by-target") {
+        receiveColdSign(context, "refused by target", nowMs);
+    }
+    if (context.circuit.observeFailure(id, nowMs)) {
+        context.record({ kind: "window-changed", reason: "circuit open", value: 0 });
+    }
+}
--- a/src/fleet/agentMessages.ts
+++ b/src/fleet/agentMessages.ts
@@ -9,7 +9,12 @@
     /** A router sent a request; deadline already turned into this process's clock. */
     | { readonly type: "workOffered"; readonly request: WorkRequest; readonly routerId: string }
     /** A router asks for a request back. Answered by withdrawn or withdrawRefused. */
-    | { readonly type: "withdrawRequested"; readonly requestId: string }
+    | {
+          readonly type: "withdrawRequested";
+          readonly requestId: string;
+          /** Incarnation the request was sent to, if the router knows; another one cannot say that it never started. */
+          readonly incarnation?: number;
+      }
     /** The router's connection closed, or the caller left. */
     | { readonly type: "workCancelled"; readonly requestId: string }
     /** The target sent the first token or response head. */
