Close a server-side request forgery, free engine slots of callers who left, resend claims after a restart

Change: origin and path are put together, ambiguous paths get 400, DELETE /streams/ID on a failed or cancelled run, claims from version 0 once the agent's incarnation changes, services in a report from the document.

--- a/src/agent/modelTargetClient.ts
+++ b/src/agent/modelTargetClient.ts
@@ -1,7 +1,7 @@
 import { createParser } from "eventsource-parser";
 import { ResultAsync } from "neverthrow";
 import type { Dispatcher } from "undici";
-import type { CancellationToken } from "../base/cancellation.js";
+import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import type { WorkEnvelope } from "../control/frames.js";
 import { TargetError, type RunSink, type RunUsage, type TargetClient, type TargetLoad } from "./targetClient.js";
 import { isRefusal, toTargetError, type TargetConnection } from "./targetConnection.js";
@@ -26,7 +26,22 @@
         token: CancellationToken,
     ): ResultAsync<RunUsage, TargetError> {
         const stream = new ModelStream(this.connection, envelope.requestId, sink, token);
-        return ResultAsync.fromPromise(stream.run(body), cause => toTargetError(cause, stream.hasOutput));
+        return ResultAsync.fromPromise(stream.run(body), cause => {
+            this.cancelStream(envelope.requestId);
+            return toTargetError(cause, stream.hasOutput);
+        });
+    }
+
+    /**
+     * Tells the engine that nobody wants the stream. An engine that can resume keeps a run whose connection is gone:
+     * its slot would stay taken by an answer that has no reader.
+     */
+    private cancelStream(requestId: string): void {
+        const token = new CancellationTokenSource().token;
+        void this.connection
+            .send(`/streams/${encodeURIComponent(requestId)}`, { method: "DELETE" }, token)
+            .then(response => response.body.dump())
+            .catch(() => undefined);
     }
 
     public fetchLoad(token: CancellationToken): ResultAsync<TargetLoad | undefined, TargetError> {
--- a/src/agent/targetConnection.ts
+++ b/src/agent/targetConnection.ts
@@ -1,4 +1,4 @@
-import { Agent, request, type Dispatcher } from "undici";
+import { Agent, type Dispatcher } from "undici";
 import { toAbortSignal, type CancellationToken } from "../base/cancellation.js";
 import type { Disposable } from "../base/lifecycle.js";
 import { TargetError, type TargetLoad } from "./targetClient.js";
@@ -21,7 +21,14 @@
         pipelining: 1,
     });
 
-    public constructor(private readonly baseUrl: string) {}
+    private readonly origin: string;
+    private readonly basePath: string;
+
+    public constructor(baseUrl: string) {
+        const url = new URL(baseUrl);
+        this.origin = url.origin;
+        this.basePath = url.pathname.replace(/\/$/, "");
+    }
 
     /** Sends one request; throws what undici throws. */
     public async send(
@@ -29,11 +36,14 @@
         options: { method: string; headers?: Record<string, string>; body?: Buffer | string },
         token: CancellationToken,
     ): Promise<Dispatcher.ResponseData> {
-        return await request(new URL(path, this.baseUrl), {
+        // The path is a caller's. Resolved as a URL, `//other.host/` would name another host, and a caller could reach
+        // whatever the agent can; put together as origin and path it cannot leave the target.
+        return await this.connections.request({
+            origin: this.origin,
+            path: this.basePath + path,
             method: options.method as Dispatcher.HttpMethod,
             headers: options.headers,
             body: options.body,
-            dispatcher: this.connections,
             signal: toAbortSignal(token),
         });
     }
@@ -41,7 +51,8 @@
     /** Reads `/load`; undefined where the target has none. */
     public async fetchLoad(token: CancellationToken): Promise<TargetLoad | undefined> {
         const signal = AbortSignal.any([toAbortSignal(token), AbortSignal.timeout(loadTimeoutMs)]);
-        const response = await request(new URL("/load", this.baseUrl), { dispatcher: this.connections, signal });
+        const path = `${this.basePath}/load`;
+        const response = await this.connections.request({ origin: this.origin, path, method: "GET", signal });
         if (response.statusCode !== 200) {
             await response.body.dump();
             return undefined;
--- a/src/fleet/agent/agentContext.ts
+++ b/src/fleet/agent/agentContext.ts
@@ -76,6 +76,11 @@
         this.record({ kind, requestId, clientAccount, service, ...more });
     }
 
+    /** What the target serves: by the document once there is one. */
+    public listServices(): readonly string[] {
+        return this.document?.targets[this.identity.targetName]?.services ?? this.identity.services;
+    }
+
     public getWeight(clientAccount: string): number {
         return this.document?.clientAccounts[clientAccount]?.weight ?? 1;
     }
--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -64,7 +64,7 @@
         const sequence = context.nextSequence;
         context.nextSequence += 1;
         return {
-            identity: context.identity,
+            identity: { ...context.identity, services: context.listServices() },
             sequence,
             phase: context.phase,
             window: context.circuit.isOpen ? Math.min(1, context.window.limit) : context.window.limit,
--- a/src/router/callerRequests.ts
+++ b/src/router/callerRequests.ts
@@ -11,7 +11,7 @@
 import { AssembledChatAnswer, StreamedChatAnswer } from "./chatAnswer.js";
 import { parseModelRequest } from "./modelRequest.js";
 import { PlainAnswer } from "./plainAnswer.js";
-import { checkSafety, createPlainCall, maxHeaderBytes } from "./plainCall.js";
+import { checkSafety, createPlainCall, isPlainPath, maxHeaderBytes } from "./plainCall.js";
 import { toProblem, type Problem } from "./problem.js";
 import type { RouterService } from "./routerService.js";
 
@@ -105,6 +105,9 @@
         await this.handle(request, (admitted, body, connection) =>
             findService(admitted, name, "plain").andThen(service => {
                 const method = request.incoming.method ?? "GET";
+                if (!isPlainPath(path)) {
+                    return err(callerProblems.createBadRequest("path: must be in its shortest form"));
+                }
                 const call = createPlainCall(method, path, request.incoming.headers, admitted.clientAccount);
                 if (call === undefined) {
                     return err(callerProblems.createHeadersTooLarge(maxHeaderBytes));
--- a/src/router/exchange.ts
+++ b/src/router/exchange.ts
@@ -5,8 +5,9 @@
 import type { ExchangeReply } from "../control/host.js";
 import type { AcceptedDocument } from "../document/schema.js";
 import type { Scheduler } from "../fleet/coreRunner.js";
-import type { AgentReport, ServiceCounter } from "../fleet/entities.js";
+import type { AgentReport } from "../fleet/entities.js";
 import type { AgentDirectory } from "./agentDirectory.js";
+import type { VersionedClaims } from "./routerService.js";
 
 /** An agent that has not answered for this long gets no new work and loses what can be known not to run there. */
 const agentLeaseMs = 3_000;
@@ -15,7 +16,7 @@
 
 /** What the exchange needs of the router. */
 export interface ExchangeHost {
-    createClaims(agentId: string): readonly ServiceCounter[];
+    createClaims(agentId: string, sinceVersion: number): VersionedClaims;
     handleReport(report: AgentReport): void;
     handleLost(agentId: string): void;
     readonly document: AcceptedDocument | undefined;
@@ -26,6 +27,10 @@
     lastAnswerAtMs: number;
     acknowledgedSequence: number | undefined;
     documentOffset: number;
+    /** Claims up to this version have arrived there. */
+    claimsVersion: number;
+    /** Incarnation that answered last; what an earlier one has acknowledged is lost. */
+    reporter: number | undefined;
     lost: boolean;
     timer: Disposable | undefined;
     readonly incarnation: number;
@@ -75,6 +80,8 @@
             lastAnswerAtMs: this.clock.nowMs(),
             acknowledgedSequence: undefined,
             documentOffset: -1,
+            claimsVersion: 0,
+            reporter: undefined,
             lost: false,
             timer: undefined,
             incarnation: this.directory.get(agentId)?.entry.incarnation ?? 0,
@@ -90,13 +97,14 @@
         }
         const { document } = this.host;
         const isPeerBehind = document !== undefined && document.offset > peer.documentOffset;
+        const { version, claims } = this.host.createClaims(agentId, peer.claimsVersion);
         const reply = await client.sendExchange(
             {
                 routerId: this.routerId,
                 incarnation: this.incarnation,
                 documentOffset: document?.offset ?? -1,
                 acknowledgedSequence: peer.acknowledgedSequence,
-                claims: this.host.createClaims(agentId),
+                claims,
                 // Not on the first call: the agent's own offset is not known yet, and most agents have the document.
                 document: isPeerBehind && peer.acknowledgedSequence !== undefined ? document : undefined,
             },
@@ -106,16 +114,21 @@
             return;
         }
         reply.match(
-            answer => this.handleReply(peer, answer),
+            answer => this.handleReply(peer, answer, version),
             () => this.handleSilence(agentId, peer),
         );
         const delayMs = this.periodMs * (1 + jitter * (this.random.next() - 0.5));
         peer.timer = this.scheduler.run(() => void this.run(agentId, peer), delayMs);
     }
 
-    private handleReply(peer: Peer, reply: ExchangeReply): void {
+    private handleReply(peer: Peer, reply: ExchangeReply, claimsVersion: number): void {
         peer.lastAnswerAtMs = this.clock.nowMs();
         peer.lost = false;
+        const { incarnation } = reply.report.identity;
+        // A restarted agent knows nothing: everything is sent anew from the next exchange on.
+        const isSame = peer.reporter === undefined || peer.reporter === incarnation;
+        peer.reporter = incarnation;
+        peer.claimsVersion = isSame ? claimsVersion : 0;
         peer.acknowledgedSequence = reply.report.sequence;
         peer.documentOffset = reply.report.documentOffset;
         if (reply.document !== undefined) {
--- a/src/router/plainCall.ts
+++ b/src/router/plainCall.ts
@@ -32,6 +32,19 @@
     /** It may run only once; with a key it can be asked for again, without one it is tried once. */
     | "once";
 
+/** Whether a path means the same to the router, which judges it, and to the target, which serves it. */
+export function isPlainPath(path: string): boolean {
+    // `/a/../seat` is judged as `/a/...` here and served as `/seat` there: a call that may not be repeated would pass for
+    // one that may. Such paths are refused; no client library sends them, as they resolve dot segments themselves.
+    const [pathname] = path.split("?", 1);
+    const segments = pathname.split("/").map(segment => segment.replace(/%2e/gi, "."));
+    return pathname.startsWith("/") && !/[\\]|^\/\/|%2f|%5c/i.test(pathname) && !segments.some(isDotSegment);
+}
+
+function isDotSegment(segment: string): boolean {
+    return segment === "." || segment === "..";
+}
+
 /** The call as it goes to the target. Undefined when its headers are too large. */
 export function createPlainCall(
     method: string,
