Add the fault harness, not yet run

Cause: the ten promises must be shown over real processes with faults. Ruled out: one long run with all faults (a breach could not be told from its cause); one scenario has one fleet.

--- /dev/null
+++ b/scripts/prove.ts
@@ -0,0 +1,142 @@
+import { parseArgs } from "node:util";
+import { SeededRandom } from "../src/base/random.js";
+import type { FleetOptions } from "../test/fakes/fleet.js";
+import { capacityScenarios } from "./prove/capacityScenarios.js";
+import { checkRun, fetchTargetEvidence } from "./prove/checks.js";
+import { daemonScenarios } from "./prove/daemonScenarios.js";
+import { networkScenarios } from "./prove/networkScenarios.js";
+import { pairScenarios } from "./prove/pairScenarios.js";
+import { platformScenarios } from "./prove/platformScenarios.js";
+import { points, type Breach } from "./prove/point.js";
+import { ProofRun } from "./prove/proofRun.js";
+import type { Scenario } from "./prove/scenario.js";
+
+const scenarios: readonly Scenario[] = [
+    ...daemonScenarios,
+    ...networkScenarios,
+    ...platformScenarios,
+    ...capacityScenarios,
+    ...pairScenarios,
+];
+
+const usualOptions: FleetOptions = {
+    dataCentres: 3,
+    targetsPerDataCentre: 2,
+    routers: 2,
+    daemonFile: "dist/daemon/main.js",
+    cuttable: true,
+    engineArgs: ["--cold-ms", "1000", "--token-ms", "10"],
+    serviceArgs: ["--delay-ms", "100"],
+};
+const usualLoad = {
+    chats: { department: 6, middle: 3, club: 2 },
+    calls: { department: 2, club: 2 },
+} as const;
+const healedMs = 3_000;
+const longestScenarioMs = 150_000;
+const evidenceShown = 5;
+
+/** What one scenario showed. */
+interface ScenarioResult {
+    readonly scenario: Scenario;
+    readonly faults: number;
+    readonly breaches: readonly Breach[];
+    /** Set when the run could not be brought to its end: it proves nothing. */
+    readonly failure: string | undefined;
+}
+
+const { values } = parseArgs({
+    options: {
+        list: { type: "boolean", default: false },
+        seed: { type: "string", default: "1" },
+        only: { type: "string" },
+    },
+});
+
+async function runScenario(scenario: Scenario, seed: number): Promise<ScenarioResult> {
+    const run = new ProofRun({ ...usualOptions, ...scenario.options }, new SeededRandom(seed));
+    const timeout = new Promise<never>((...[, reject]) => {
+        setTimeout(() => reject(new Error(`not ended within ${longestScenarioMs} ms`)), longestScenarioMs).unref();
+    });
+    try {
+        await Promise.race([runFaults(scenario, run), timeout]);
+        const breaches = checkRun(run, await fetchTargetEvidence(run));
+        return { scenario, faults: run.faults.length, breaches, failure: undefined };
+    } catch (error) {
+        return { scenario, faults: run.faults.length, breaches: run.breaches, failure: String(error) };
+    } finally {
+        await run.fleet.close();
+    }
+}
+
+async function runFaults(scenario: Scenario, run: ProofRun): Promise<void> {
+    await run.fleet.start();
+    run.observer.start();
+    if (scenario.hasWorkload !== false) {
+        run.workload.start(usualLoad);
+    }
+    await scenario.run(run);
+    run.recordHealed();
+    await run.sleep(healedMs);
+    await run.workload.stop();
+    await run.observer.stop();
+    const { chats, calls } = run.workload;
+    const whole = chats.filter(chat => chat.whole).length;
+    const answered = calls.filter(call => call.status === 200).length;
+    console.log(
+        `  ${scenario.name}: ${run.faults.length} faults, chats ${whole} whole of ${chats.length}, calls ${answered} answered of ${calls.length}`,
+    );
+}
+
+function printResult(result: ScenarioResult): void {
+    const { scenario, breaches, failure } = result;
+    if (failure !== undefined) {
+        console.log(`  ${scenario.name}: NOT RUN to its end: ${failure}`);
+    }
+    for (const breach of breaches.slice(0, evidenceShown)) {
+        console.log(`  ${scenario.name}: point ${breach.point}: ${breach.evidence}`);
+    }
+    if (breaches.length > evidenceShown) {
+        console.log(`  ${scenario.name}: and ${breaches.length - evidenceShown} more breaches`);
+    }
+}
+
+/** One line for each point of the brief; returns whether all that ran held. */
+function printPoints(results: readonly ScenarioResult[]): boolean {
+    let allHeld = true;
+    for (const [index, name] of points.entries()) {
+        const number = index + 1;
+        const counted = results.filter(result => result.scenario.points.some(point => point === number));
+        const ended = counted.filter(result => result.failure === undefined);
+        const breaches = results.flatMap(result => result.breaches).filter(breach => breach.point === number);
+        const faults = ended.reduce((sum, result) => sum + result.faults, 0);
+        const failed = counted.length - ended.length;
+        const verdict = breaches.length > 0 ? "BREACHED" : ended.length === 0 ? "not run" : "held";
+        const rest = failed > 0 ? `, ${failed} not run to their end` : "";
+        console.log(`${verdict.padEnd(8)} ${number}. ${name}: ${ended.length} runs, ${faults} faults${rest}`);
+        allHeld &&= breaches.length === 0 && failed === 0;
+    }
+    return allHeld;
+}
+
+async function main(): Promise<number> {
+    if (values.list) {
+        scenarios.forEach(scenario => console.log(`${scenario.name.padEnd(24)} ${scenario.summary}`));
+        return 0;
+    }
+    const chosen = scenarios.filter(scenario => values.only === undefined || scenario.name === values.only);
+    if (chosen.length === 0) {
+        console.error(`no scenario is named ${values.only}; see --list`);
+        return 2;
+    }
+    const results: ScenarioResult[] = [];
+    for (const scenario of chosen) {
+        const result = await runScenario(scenario, Number(values.seed));
+        printResult(result);
+        results.push(result);
+    }
+    console.log(`seed ${values.seed}`);
+    return printPoints(results) ? 0 : 1;
+}
+
+process.exit(await main());
--- /dev/null
+++ b/scripts/prove/checks.ts
@@ -0,0 +1,191 @@
+import { hashText } from "../../src/base/hash.js";
+import { testAccounts } from "../../test/fakes/fleetDocument.js";
+import { countRunsByKey, fetchEngineRuns, type EngineRuns } from "../../test/fakes/targetRuns.js";
+import type { FleetEvent } from "../../src/events/fleetEvent.js";
+import type { Breach, PointNumber } from "./point.js";
+import type { ProofRun } from "./proofRun.js";
+import type { SeenCall } from "./workload.js";
+
+const closureBoundMs = 3_000;
+const documentBoundMs = 5_000;
+
+/** What the stand-ins know at the end of a run. */
+export interface TargetEvidence {
+    readonly engines: ReadonlyMap<string, EngineRuns>;
+    readonly runsByKey: ReadonlyMap<string, number>;
+    /** Events of all stand-ins. */
+    readonly events: readonly FleetEvent[];
+}
+
+/** Reads from the stand-ins what ran. */
+export async function fetchTargetEvidence(run: ProofRun): Promise<TargetEvidence> {
+    const engines = new Map<string, EngineRuns>();
+    const events: FleetEvent[] = [];
+    for (const target of run.fleet.targets) {
+        const isModel = target.kind === "model";
+        if (isModel) {
+            engines.set(target.name, await fetchEngineRuns(run.fleet, target.name));
+        }
+        const path = isModel ? "/events" : "/__events";
+        const response = await fetch(`${run.fleet.getStandIn(target.name).url}${path}`);
+        events.push(...((await response.json()) as { events: FleetEvent[] }).events);
+    }
+    return { engines, runsByKey: await countRunsByKey(run.fleet), events };
+}
+
+/** All checks that need nothing but the stand-ins' counts and the callers' answers. */
+export function checkRun(run: ProofRun, evidence: TargetEvidence): readonly Breach[] {
+    return [
+        ...run.breaches,
+        ...checkStarvation(run),
+        ...checkColdLimit(evidence),
+        ...checkClosures(run, evidence),
+        ...checkAnswers(run),
+        ...checkNotRun(run, evidence),
+        ...checkAtMostOnce(evidence),
+        ...checkCuts(run),
+        ...checkOffsets(run),
+    ];
+}
+
+function createBreach(point: PointNumber, evidence: string): Breach {
+    return { point, evidence };
+}
+
+/** Every account that kept sending gets a whole answer after the faults have been healed. */
+function checkStarvation(run: ProofRun): readonly Breach[] {
+    const { healedAtMs } = run;
+    if (healedAtMs === undefined) {
+        return [];
+    }
+    return testAccounts
+        .map(account => account.name)
+        .filter(name => {
+            const sent = run.workload.chats.filter(chat => chat.account === name && chat.startedAtMs >= healedAtMs);
+            return sent.length > 0 && !sent.some(chat => chat.whole);
+        })
+        .map(name => createBreach(2, `${name} got no whole answer after the faults were healed`));
+}
+
+function checkColdLimit(evidence: TargetEvidence): readonly Breach[] {
+    return [...evidence.engines].flatMap(([target, runs]) =>
+        runs.maxOpenWhileCold > runs.coldLimit
+            ? [
+                  createBreach(
+                      3,
+                      `${target} had ${runs.maxOpenWhileCold} at once while cold, its limit is ${runs.coldLimit}`,
+                  ),
+              ]
+            : [],
+    );
+}
+
+/** No run begins at a target from its bound after it was taken out until it is let in again. */
+function checkClosures(run: ProofRun, evidence: TargetEvidence): readonly Breach[] {
+    return run.closures.flatMap(closure => {
+        const late = evidence.events.filter(
+            event =>
+                event.kind === "target-run" &&
+                closure.targets.includes(event.target ?? "") &&
+                event.time.wallMs > closure.fromMs + closureBoundMs &&
+                event.time.wallMs < closure.toMs,
+        );
+        return late.map(event =>
+            createBreach(
+                closure.point,
+                `${event.target} began ${event.requestId} ${event.time.wallMs - closure.fromMs} ms after it was taken out`,
+            ),
+        );
+    });
+}
+
+/** Nobody gets a short answer that looks whole, or another's. */
+function checkAnswers(run: ProofRun): readonly Breach[] {
+    const chats = run.workload.chats
+        .filter(chat => chat.failure === "silent")
+        .map(chat => createBreach(5, `"${chat.prompt}" (${chat.requestId}) got a wrong answer that looks whole`));
+    const calls = run.workload.calls
+        .filter(call => call.status === 200)
+        .filter(call => call.body.key !== call.key || call.body.bodyDigest !== hashText(call.sentBody))
+        .map(call => createBreach(5, `key ${call.key} got another's answer: ${call.text}`));
+    return [...chats, ...calls, ...checkReplays(run.workload.calls)];
+}
+
+/** All whole answers to one key are the same. */
+function checkReplays(calls: readonly SeenCall[]): readonly Breach[] {
+    const answers = new Map<string, string>();
+    return calls
+        .filter(call => call.status === 200)
+        .flatMap(call => {
+            const first = answers.get(call.key) ?? call.text;
+            answers.set(call.key, first);
+            return first === call.text
+                ? []
+                : [createBreach(5, `key ${call.key} got two answers: ${first} ${call.text}`)];
+        });
+}
+
+function checkNotRun(run: ProofRun, evidence: TargetEvidence): readonly Breach[] {
+    const ran = new Set([...evidence.engines.values()].flatMap(engine => engine.runs.map(seen => seen.promptDigest)));
+    const chats = run.workload.chats
+        .filter(chat => chat.execution === "not-run" && ran.has(hashText(chat.prompt)))
+        .map(chat => createBreach(6, `"${chat.prompt}" (${chat.requestId}) was told not-run and did run`));
+    return [...chats, ...checkNotRunCalls(run.workload.calls, evidence)];
+}
+
+/** A caller told "not-run" may send the call anew under a new key: it must not have run before that answer either. */
+function checkNotRunCalls(calls: readonly SeenCall[], evidence: TargetEvidence): readonly Breach[] {
+    const startedAtMs = new Map<string, number>();
+    for (const event of evidence.events.filter(candidate => candidate.kind === "target-run")) {
+        if (event.digest !== undefined) {
+            startedAtMs.set(event.digest, Math.min(event.time.wallMs, startedAtMs.get(event.digest) ?? Infinity));
+        }
+    }
+    return calls
+        .filter(call => call.body.execution === "not-run")
+        .filter(call => (startedAtMs.get(hashText(call.key)) ?? Infinity) < call.endedAtMs)
+        .map(call => createBreach(6, `key ${call.key} was told not-run and had run: ${call.text}`));
+}
+
+function checkAtMostOnce(evidence: TargetEvidence): readonly Breach[] {
+    return [...evidence.runsByKey]
+        .filter(([, count]) => count > 1)
+        .map(([key, count]) => createBreach(7, `key ${key} ran ${count} times`));
+}
+
+/** In runs whose only fault is a planned stop no answer breaks off and no call is lost. */
+function checkCuts(run: ProofRun): readonly Breach[] {
+    if (!run.expectNoCuts) {
+        return [];
+    }
+    const chats = run.workload.chats
+        .filter(chat => chat.failure === "cut" || chat.failure === "error")
+        .map(chat => createBreach(9, `"${chat.prompt}" (${chat.requestId}) was ${chat.failure} by a planned stop`));
+    const calls = run.workload.calls
+        .filter(call => call.body.execution === "unknown" || call.body.execution === "ran")
+        .map(call => createBreach(9, `key ${call.key} was lost by a planned stop: ${call.text}`));
+    return [...chats, ...calls];
+}
+
+/** The offset in force never falls within one process, and follows each change within its bound. */
+function checkOffsets(run: ProofRun): readonly Breach[] {
+    const highest = new Map<string, number>();
+    return run.observer.offsets.flatMap(seen => {
+        const process = `${seen.daemon} ${seen.incarnation}`;
+        const before = highest.get(process) ?? -1;
+        highest.set(process, Math.max(before, seen.offset));
+        return seen.offset < before
+            ? [createBreach(10, `${process} fell from offset ${before} to ${seen.offset}`)]
+            : [];
+    });
+}
+
+/** How long each change took until every daemon that answers had it in force; breaches beyond the bound. */
+export async function checkChangeInForce(run: ProofRun, offset: number, sinceMs: number): Promise<number> {
+    await run.fleet.waitForOffset(offset, documentBoundMs * 4).catch(() => undefined);
+    const tookMs = Date.now() - sinceMs;
+    if (tookMs > documentBoundMs) {
+        run.recordBreach(10, `offset ${offset} was in force everywhere only after ${tookMs} ms`);
+    }
+    return tookMs;
+}
--- /dev/null
+++ b/scripts/prove/proofRun.ts
@@ -0,0 +1,111 @@
+import type { Random } from "../../src/base/random.js";
+import { Fleet, type FleetDaemon, type FleetOptions } from "../../test/fakes/fleet.js";
+import { Observer } from "./observer.js";
+import type { Breach, PointNumber } from "./point.js";
+import { Workload } from "./workload.js";
+
+/** A document change that was appended as the only one of its basis, or that won a race. */
+export interface AppliedChange {
+    readonly offset: number;
+    readonly atMs: number;
+}
+
+/** A time in which a data centre or target must start nothing new, once its bound has passed. */
+export interface Closure {
+    readonly point: 4 | 8;
+    readonly targets: readonly string[];
+    readonly fromMs: number;
+    toMs: number;
+}
+
+/** One fleet under faults: what a scenario works with, and what the checks read. */
+export class ProofRun {
+    public readonly fleet: Fleet;
+    public readonly workload: Workload;
+    public readonly observer: Observer;
+    public readonly faults: string[] = [];
+    public readonly changes: AppliedChange[] = [];
+    public readonly closures: Closure[] = [];
+    public readonly breaches: Breach[] = [];
+    /** Requests that were open when a planned stop began, and no other fault was on, must all end whole. */
+    public expectNoCuts = false;
+    /** Accounts that must get an answer after the last fault has been healed. */
+    public healedAtMs: number | undefined;
+
+    public constructor(
+        options: FleetOptions,
+        public readonly random: Random,
+    ) {
+        this.fleet = new Fleet(options);
+        this.workload = new Workload(this.fleet, random);
+        this.observer = new Observer(this.fleet);
+    }
+
+    /** Notes a fault; the report counts them. */
+    public recordFault(what: string): void {
+        this.faults.push(what);
+    }
+
+    /** Notes a breach that the scenario itself has seen. */
+    public recordBreach(point: PointNumber, evidence: string): void {
+        this.breaches.push({ point, evidence });
+    }
+
+    /** Picks one of several by the run's seed. */
+    public pick<T>(members: readonly T[]): T {
+        return members[Math.floor(this.random.next() * members.length)];
+    }
+
+    /** Lets the fault last. The length is part of the scenario and decides no verdict. */
+    public sleep(ms: number): Promise<void> {
+        return new Promise(resolve => setTimeout(resolve, ms));
+    }
+
+    /** Kills a daemon without warning. */
+    public async stopHard(daemon: FleetDaemon): Promise<void> {
+        this.recordFault(`kill -9 ${daemon.name}`);
+        daemon.process.send("SIGKILL");
+        await daemon.process.exited;
+    }
+
+    /** Starts a daemon again and waits until it is ready. */
+    public async startAgain(daemon: FleetDaemon): Promise<void> {
+        this.fleet.startAgain(daemon);
+        await this.fleet.waitReady(daemon);
+    }
+
+    /** Stops a daemon's process for a while, as a VM that is paused. */
+    public async stopForWhile(daemon: FleetDaemon, ms: number): Promise<void> {
+        this.recordFault(`SIGSTOP ${daemon.name} for ${ms} ms`);
+        daemon.process.send("SIGSTOP");
+        await this.sleep(ms);
+        daemon.process.send("SIGCONT");
+    }
+
+    /** Cuts or freezes the ways whose names match for a while. */
+    public async closeWays(pattern: string, ms: number, mode: "cut" | "frozen" = "cut"): Promise<void> {
+        const count = await this.fleet.setRoutes(pattern, mode);
+        if (count === 0) {
+            throw new Error(`no way matches ${pattern}`);
+        }
+        this.recordFault(`${mode} ${pattern} for ${ms} ms`);
+        await this.sleep(ms);
+        await this.fleet.setRoutes(pattern, "open");
+    }
+
+    /** Appends a change by a JSON Patch on the newest accepted document, and notes it for the checks. */
+    public async applyPatch(patch: readonly object[]): Promise<AppliedChange> {
+        const basis = this.changes.at(-1)?.offset ?? 0;
+        const atMs = Date.now();
+        const id = `change-${this.changes.length}-${this.random.next()}`;
+        const offset = await this.fleet.applyChange(id, basis, patch);
+        const change = { offset, atMs };
+        this.changes.push(change);
+        return change;
+    }
+
+    /** Marks that no fault is on any more; every account must be served from here on. */
+    public recordHealed(): void {
+        this.healedAtMs = Date.now();
+    }
+}
--- a/test/fakes/fleet.ts
+++ b/test/fakes/fleet.ts
@@ -1,10 +1,10 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { CancellationTokenSource } from "../../src/base/cancellation.js";
 import { createControlClient, type ControlClient } from "../../src/control/client.js";
 import type { DaemonStatus } from "../../src/control/schemas.js";
-import type { EnvironmentDocument } from "../../src/document/schema.js";
+import type { AcceptedDocument, EnvironmentDocument } from "../../src/document/schema.js";
 import type { FleetEvent } from "../../src/events/fleetEvent.js";
 import { buildFleetDocument, listFleetTargets, type FleetDocumentOptions, type FleetTarget } from "./fleetDocument.js";
 import { findFreePort, ProcessGroup, waitUntil, type ManagedProcess, type StandIn } from "./processes.js";
@@ -126,6 +126,19 @@
         daemon.process = this.startDaemon(daemon.name, daemon.settingsFile);
     }
 
+    /** Starts a second process for the same target at another address, as a VM's replacement. */
+    public async addReplacement(daemon: FleetDaemon): Promise<FleetDaemon> {
+        const address = `127.0.0.1:${await findFreePort()}`;
+        const settings = JSON.parse(readFileSync(daemon.settingsFile, "utf8")) as object;
+        const settingsFile = join(this.folder, `${daemon.name}-replacement.json`);
+        const listen = { host: "127.0.0.1", port: Number(address.split(":")[1]) };
+        writeFileSync(settingsFile, JSON.stringify({ ...settings, listen }));
+        const name = `${daemon.name}-replacement`;
+        const replacement = { ...daemon, name, address, settingsFile, process: this.startDaemon(name, settingsFile) };
+        this.agents.push(replacement);
+        return replacement;
+    }
+
     /** Waits until the daemon tells the balancer that it takes callers, or routers that it takes work. */
     public async waitReady(daemon: FleetDaemon): Promise<void> {
         const ready = async (): Promise<true | undefined> => {
@@ -155,10 +168,15 @@
         return (await this.getClient(daemon).fetchStatus(this.source.token)).unwrapOr(undefined);
     }
 
-    /** All events that the daemon still keeps; undefined when it does not answer. */
-    public async fetchEvents(daemon: FleetDaemon): Promise<readonly FleetEvent[] | undefined> {
+    /** The document that the daemon has in force. */
+    public async fetchDocument(daemon: FleetDaemon): Promise<AcceptedDocument | undefined> {
+        return (await this.getClient(daemon).fetchDocument(this.source.token)).unwrapOr(undefined);
+    }
+
+    /** Events of the daemon's present process after a sequence number; undefined when it does not answer. */
+    public async fetchEvents(daemon: FleetDaemon, after = -1): Promise<readonly FleetEvent[] | undefined> {
         const events: FleetEvent[] = [];
-        for (let since = -1; ;) {
+        for (let since = after; ;) {
             const page = await this.getClient(daemon).fetchEvents(since, this.source.token);
             if (page.isErr()) {
                 return undefined;
