Hold the router core to its promises under generated faults

Cause: a property test over lost, repeated and reordered messages found two ways in which a caller waits for ever: a retry after the deadline's timer had gone off, and a request that came back to the backlog of a service that had had no agent for longer than the bound.

Ruled out: a periodic look at everything that waits (costs an idle router time and grows with the backlog).

Change: a request that comes back after its deadline ends at once; the offer system itself refuses what no agent may take for longer than the bound, so it makes no difference when a request enters the backlog. "duplicate" with "not-run" (an offer that its own withdrawal overtook) is retried and no longer final. Both counterexamples are kept as tests.

--- a/src/fleet/router/expireSystem.ts
+++ b/src/fleet/router/expireSystem.ts
@@ -1,14 +1,10 @@
 import { minRetryAfterMs } from "../../decisions/admission.js";
-import { noTargetRetryAfterMs } from "./admitSystem.js";
 import type { RetrySystem } from "./retrySystem.js";
 import type { RouterState } from "./state.js";
 import type { WithdrawSystem } from "./withdrawSystem.js";
 
 /** Acts on timers: deadlines, delays before retries, unanswered withdraws, services without any agent. */
 export class ExpireSystem {
-    /** Services without an accepting agent, with the time since when. */
-    private readonly withoutAgentSinceMs = new Map<string, number>();
-
     public constructor(
         private readonly state: RouterState,
         private readonly withdrawSystem: WithdrawSystem,
@@ -32,7 +28,7 @@
                     this.retrySystem.handleBackoffOver(timer.key, nowMs);
                     break;
                 case "no-target":
-                    this.handleNoTarget(timer.key, nowMs);
+                    this.state.backlog.handleAllChanged();
                     break;
             }
             timer = this.state.timers.takeDue(nowMs);
@@ -43,12 +39,10 @@
     public checkService(service: string, nowMs: number): void {
         const { state } = this;
         if (state.agents.listForService(service).some(agent => agent.isAccepting)) {
-            this.withoutAgentSinceMs.delete(service);
-        } else if (!this.withoutAgentSinceMs.has(service)) {
-            this.withoutAgentSinceMs.set(service, nowMs);
+            state.withoutAgentSinceMs.delete(service);
+        } else if (!state.withoutAgentSinceMs.has(service)) {
+            state.withoutAgentSinceMs.set(service, nowMs);
             state.timers.add({ atMs: nowMs + state.options.noTargetWaitMs, key: service, kind: "no-target" });
-        } else {
-            this.handleNoTarget(service, nowMs);
         }
     }
 
@@ -77,25 +71,4 @@
         state.addEffect({ type: "cancelWork", requestId, agentId: entry.agentId });
         state.refuse(entry, state.createRefusal("deadline", "unknown", undefined, "the agent does not answer"), nowMs);
     }
-
-    private handleNoTarget(service: string, nowMs: number): void {
-        const { state } = this;
-        const sinceMs = this.withoutAgentSinceMs.get(service);
-        if (sinceMs === undefined || nowMs - sinceMs < state.options.noTargetWaitMs) {
-            return;
-        }
-        for (const lane of state.lanes.values()) {
-            for (const requestId of lane.service === service ? state.backlog.list(lane.key) : []) {
-                const entry = state.requests.get(requestId);
-                if (entry !== undefined) {
-                    const detail = "no target serves this now";
-                    state.refuse(
-                        entry,
-                        state.createRefusal("no-target", entry.execution, noTargetRetryAfterMs, detail),
-                        nowMs,
-                    );
-                }
-            }
-        }
-    }
 }
--- a/src/fleet/router/offerSystem.ts
+++ b/src/fleet/router/offerSystem.ts
@@ -35,9 +35,11 @@
     private handleNext(entry: RequestEntry, nowMs: number): number {
         const { state } = this;
         const agents = this.listAllowed(entry);
-        if (agents.length === 0 && this.isHopeless(entry)) {
-            const detail = entry.lane.homeAgentId === undefined ? "no agent is left to try" : "the key's home is away";
-            state.refuse(entry, state.createRefusal("no-target", entry.execution, noTargetRetryAfterMs, detail), nowMs);
+        const refusalDetail = agents.length === 0 ? this.describeHopeless(entry, nowMs) : undefined;
+        if (refusalDetail !== undefined) {
+            const { execution } = entry;
+            const refusal = state.createRefusal("no-target", execution, noTargetRetryAfterMs, refusalDetail);
+            state.refuse(entry, refusal, nowMs);
             return 0;
         }
         const chosen = this.choose(entry, agents);
@@ -62,9 +64,15 @@
         return untried.length > 0 || !entry.request.idempotent ? untried : agents;
     }
 
-    /** Whether waiting can't help: the home is away, or a non-idempotent request has no agent left that never held it. */
-    private isHopeless(entry: RequestEntry): boolean {
-        return entry.lane.homeAgentId !== undefined || (!entry.request.idempotent && entry.triedAgentIds.length > 0);
+    /** Why waiting can't help a request that no agent may take now; undefined when it may. */
+    private describeHopeless(entry: RequestEntry, nowMs: number): string | undefined {
+        if (entry.lane.homeAgentId !== undefined) {
+            return "the key's home is away";
+        }
+        if (!entry.request.idempotent && entry.triedAgentIds.length > 0) {
+            return "no agent is left to try";
+        }
+        return this.state.isWithoutAgent(entry.request.service, nowMs) ? "no target serves this now" : undefined;
     }
 
     private choose(entry: RequestEntry, agents: readonly AgentEntry[]): AgentEntry | undefined {
--- a/src/fleet/router/retrySystem.ts
+++ b/src/fleet/router/retrySystem.ts
@@ -34,8 +34,7 @@
         const { state } = this;
         state.recordRequest("request-withdrawn", entry, { value: entry.attempt });
         if (entry.withdrawFor === "deadline") {
-            const detail = "the deadline passed before the request could start";
-            state.refuse(entry, state.createRefusal("deadline", entry.execution, minRetryAfterMs, detail), nowMs);
+            this.refuseLate(entry, nowMs);
         } else if (entry.lane.homeAgentId !== undefined) {
             const detail = "the key's home gave the request back";
             state.refuse(entry, state.createRefusal("draining", entry.execution, minRetryAfterMs, detail), nowMs);
@@ -65,7 +64,18 @@
         }
     }
 
+    /** The deadline's timer has gone off already, so that nothing else would end the request. */
+    private refuseLate(entry: RequestEntry, nowMs: number): void {
+        const detail = "the deadline passed before the request could start";
+        const refusal = this.state.createRefusal("deadline", entry.execution, minRetryAfterMs, detail);
+        this.state.refuse(entry, refusal, nowMs);
+    }
+
     private addBack(entry: RequestEntry, nowMs: number): void {
+        if (nowMs >= entry.request.deadlineAtMs) {
+            this.refuseLate(entry, nowMs);
+            return;
+        }
         this.state.removeFromStage(entry, nowMs);
         this.state.addToBacklog(entry, "first", nowMs);
     }
@@ -73,9 +83,9 @@
     private handleFailure(entry: RequestEntry, execution: Execution, refusal: Refusal, nowMs: number): void {
         const { state } = this;
         const failures = entry.failures + 1;
-        const { idempotent, clientAccount } = entry.request;
+        const { idempotent, clientAccount, deadlineAtMs } = entry.request;
         const boundToHome = entry.lane.homeAgentId !== undefined;
-        if (!canRetry({ idempotent, execution, attempt: failures, boundToHome })) {
+        if (nowMs >= deadlineAtMs || !canRetry({ idempotent, execution, attempt: failures, boundToHome })) {
             state.refuse(entry, refusal, nowMs);
             return;
         }
@@ -100,7 +110,7 @@
 }
 
 /** Refusals that another agent would give too, or that only this one may give. */
-const finalReasons: ReadonlySet<string> = new Set(["deadline", "duplicate", "key-unknown", "key-required"]);
+const finalReasons: ReadonlySet<string> = new Set(["deadline", "key-unknown", "key-required"]);
 /** Refusals of an agent that takes nothing new. */
 const awayReasons: ReadonlySet<string> = new Set(["draining", "stopping"]);
 
--- a/src/fleet/router/state.ts
+++ b/src/fleet/router/state.ts
@@ -20,6 +20,8 @@
     public readonly claims = new ClaimTable();
     public readonly budget = new RetryBudget();
     public readonly lanes = new Map<string, Lane>();
+    /** Services without an agent that takes new work, with the time since when. */
+    public readonly withoutAgentSinceMs = new Map<string, number>();
     public readonly timers = new TimerQueue(timer => timer.kind === "no-target" || this.requests.has(timer.key));
     public document: EnvironmentDocument | undefined;
     public documentOffset = -1;
@@ -93,6 +95,12 @@
         return rate;
     }
 
+    /** Whether a service has had no agent for so long that its requests are refused. */
+    public isWithoutAgent(service: string, nowMs: number): boolean {
+        const sinceMs = this.withoutAgentSinceMs.get(service);
+        return sinceMs !== undefined && nowMs - sinceMs >= this.options.noTargetWaitMs;
+    }
+
     /** Puts a request into the backlog: behind the others, or at the head when it waited before. */
     public addToBacklog(entry: RequestEntry, position: "last" | "first", nowMs: number): void {
         const weight = this.getWeight(entry.lane.clientAccount);
--- a/test/fleet/routerCore.test.ts
+++ b/test/fleet/routerCore.test.ts
@@ -209,6 +209,40 @@
     });
 });
 
+describe("counterexamples found by the property test", () => {
+    it("ends a request whose attempt fails after its deadline", () => {
+        // The deadline passed while the agent was asked to give the request back. Then the connection broke. The retry
+        // had no deadline timer any more, so the caller waited for ever.
+        const core = createRouter(["t1"]);
+        submit(core, "r1", 0, { deadlineAtMs: 1_000 });
+        core.tick(1_000);
+        const ended = core.handle(
+            { type: "workFailed", requestId: "r1", agentId: "t1", execution: "unknown", detail: "reset" },
+            1_001,
+        );
+        expect(printAll(ended)).toMatchInlineSnapshot(`
+          [
+            "refuse r1 target-failed unknown",
+          ]
+        `);
+    });
+
+    it("ends a request that returns to the backlog when its service has had no agent for long", () => {
+        // The agent drained, and the look at what waits came while the request was still there. It was given back later,
+        // and nothing looked at it again.
+        const core = createRouter(["t1"]);
+        submit(core, "r1", 0);
+        core.handle({ type: "agentReported", report: createReport("t1", 2, { phase: "draining" }) }, 10);
+        core.tick(2_010);
+        const ended = core.handle({ type: "workWithdrawn", requestId: "r1", agentId: "t1" }, 3_000);
+        expect(printAll(ended)).toMatchInlineSnapshot(`
+          [
+            "refuse r1 no-target not-run",
+          ]
+        `);
+    });
+});
+
 describe("claims", () => {
     const counter = (charged: number, lift = 0) => ({
         service: "model",
