Run the whole path as separate processes, and say not-run of a keyed call only on its home's word

Cause: end-to-end test 'of a home agent in the middle of a call' got unknown, not-run, unknown: while the home was down a router answered a repeat with its own not-run, though the first use of the key had run. Ruled out: the home itself (it answered unknown before and after). Change: a keyed request starts as unknown in the router, and only the home's word replaces it; an early home answers 503 with Retry-After instead of 409. Also: daemons, membership, keyed work with shared and replayed answers, VM watcher, hybrid time on work and exchange.

--- a/src/agent/agentService.ts
+++ b/src/agent/agentService.ts
@@ -5,13 +5,15 @@
 import type { WorkEnvelope } from "../control/frames.js";
 import type { AgentControlHost, ExchangeReply, ExchangeRequest } from "../control/host.js";
 import type { AcceptedDocument } from "../document/schema.js";
+import type { EventRing } from "../events/eventRing.js";
 import type { AgentEffect, AgentMessage } from "../fleet/agentMessages.js";
 import type { ClientShare } from "../fleet/clientShare.js";
 import type { Core } from "../fleet/core.js";
 import { CoreRunner, type Scheduler } from "../fleet/coreRunner.js";
-import type { AgentReport, Refusal, WorkRequest } from "../fleet/entities.js";
+import type { AgentReport, WorkRequest } from "../fleet/entities.js";
 import type { AnswerFollower } from "./answerFollower.js";
 import { HeldWork } from "./heldWork.js";
+import type { StartGuard, WorkHolder } from "./workHolder.js";
 import type { TargetClient } from "./targetClient.js";
 import { TargetRun } from "./targetRun.js";
 
@@ -25,13 +27,7 @@
 /** Where the agent keeps its document and hands on newer ones. */
 export interface DocumentPeer {
     readonly current: AcceptedDocument | undefined;
-    acceptFromPeer(document: AcceptedDocument): void;
-}
-
-/** Decides at the last moment whether a request may be given to the target. */
-export interface StartGuard {
-    /** Undefined: start. A refusal: it has not run and must not. */
-    checkStart(envelope: WorkEnvelope): Refusal | undefined;
+    applyPeerDocument(document: AcceptedDocument): void;
 }
 
 /** What the service is built from. */
@@ -39,7 +35,7 @@
     readonly core: AgentCoreApi;
     readonly target: TargetClient;
     readonly documents: DocumentPeer;
-    readonly guard: StartGuard;
+    readonly events: EventRing;
     readonly clock: Clock;
     readonly scheduler: Scheduler;
     readonly logger: Logger;
@@ -47,10 +43,12 @@
 }
 
 /** The shell around an agent's core: holds requests, runs them at the target, and speaks for the core. */
-export class AgentService implements AgentControlHost, Disposable {
+export class AgentService implements AgentControlHost, WorkHolder, Disposable {
     private readonly runner: CoreRunner<AgentMessage, AgentEffect>;
     private readonly held = new Map<string, HeldWork>();
     private readonly runs = new Map<string, TargetRun>();
+    /** Asked right before a request is given to the target. */
+    public guard: StartGuard = { checkStart: () => undefined };
     /** Answers of {@link withdrawWork}, which the core gives while its message is handled. */
     private lastWithdrawn: string | undefined;
 
@@ -73,10 +71,19 @@
         this.runner.send(message);
     }
 
-    /** Takes a request; its answer goes to `follower`. Returns the held request, for followers that join later. */
-    public offerWork(envelope: WorkEnvelope, body: Buffer, follower: AnswerFollower): HeldWork {
+    /** Holds a request; its answer goes to `follower`. The core does not know of it before {@link offerWork}. */
+    public createHeldWork(envelope: WorkEnvelope, body: Buffer, follower: AnswerFollower): HeldWork {
+        if (envelope.time !== undefined) {
+            this.parts.events.merge(envelope.time);
+        }
         const held = new HeldWork(envelope, body);
         held.add(follower);
+        return held;
+    }
+
+    /** Offers a held request to the core. */
+    public offerWork(held: HeldWork): void {
+        const { envelope, body } = held;
         this.held.set(envelope.requestId, held);
         void held.write({ type: "queued" });
         this.runner.send({
@@ -84,7 +91,11 @@
             request: toWorkRequest(envelope, body.length, this.parts.clock.nowMs()),
             routerId: envelope.routerId,
         });
-        return held;
+    }
+
+    /** A held request, for followers that join it. */
+    public get(requestId: string): HeldWork | undefined {
+        return this.held.get(requestId);
     }
 
     /** A follower's connection closed. The request is cancelled when nobody follows it any more. */
@@ -102,13 +113,15 @@
     }
 
     public handleExchange(request: ExchangeRequest): ExchangeReply {
+        this.parts.events.merge(request.time);
         if (request.document !== undefined) {
-            this.parts.documents.acceptFromPeer(request.document);
+            this.parts.documents.applyPeerDocument(request.document);
         }
         this.runner.send({ type: "claimsReceived", routerId: request.routerId, claims: request.claims });
         const current = this.parts.documents.current;
         const newer = current !== undefined && current.offset > request.documentOffset;
         return {
+            time: this.parts.events.now(),
             report: this.parts.core.createReport(request.acknowledgedSequence),
             document: newer ? current : undefined,
         };
@@ -146,7 +159,7 @@
         if (held === undefined) {
             return;
         }
-        const refusal = this.parts.guard.checkStart(held.envelope);
+        const refusal = this.guard.checkStart(held.envelope);
         if (refusal !== undefined) {
             this.send({ type: "runEnded", requestId, outcome: "cancelled", promptTokens: 0, generatedTokens: 0 });
             this.release(requestId, found => found.close({ type: "refused", refusal }));
@@ -158,7 +171,8 @@
             this.runs.delete(requestId);
             this.runner.send(ending.message);
             const report = this.parts.core.createReport(undefined);
-            const frame = ending.frame.type === "end" ? { ...ending.frame, report } : ending.frame;
+            const frame =
+                ending.frame.type === "end" ? { ...ending.frame, report, time: this.parts.events.now() } : ending.frame;
             this.release(requestId, found => found.close(frame));
             this.parts.metrics.increment("runs", { outcome: ending.message.outcome });
         });
--- a/src/agent/heldWork.ts
+++ b/src/agent/heldWork.ts
@@ -1,4 +1,5 @@
 import { CancellationTokenSource } from "../base/cancellation.js";
+import { Emitter } from "../base/event.js";
 import type { WorkEnvelope, WorkFrame } from "../control/frames.js";
 import type { AnswerFollower } from "./answerFollower.js";
 
@@ -6,6 +7,13 @@
 export class HeldWork {
     public readonly cancellation = new CancellationTokenSource();
     private readonly followers: AnswerFollower[] = [];
+    private readonly closeEmitter = new Emitter<WorkFrame>();
+    private readonly writeEmitter = new Emitter<WorkFrame>();
+
+    /** A frame is on its way to the followers. */
+    public readonly onDidWrite = this.writeEmitter.onDidFire;
+    /** The last frame, before the followers get it. */
+    public readonly onWillClose = this.closeEmitter.onDidFire;
 
     public constructor(
         public readonly envelope: WorkEnvelope,
@@ -26,15 +34,19 @@
     }
 
     public async write(frame: WorkFrame): Promise<void> {
+        this.writeEmitter.fire(frame);
         await Promise.all(this.followers.map(follower => follower.write(frame)));
     }
 
     /** Writes the last frame and closes all followers. */
     public async close(frame: WorkFrame): Promise<void> {
+        this.closeEmitter.fire(frame);
         await this.write(frame);
         for (const follower of this.followers.splice(0)) {
             follower.close();
         }
         this.cancellation.dispose();
+        this.closeEmitter.dispose();
+        this.writeEmitter.dispose();
     }
 }
--- /dev/null
+++ b/src/agent/loadWatcher.ts
@@ -0,0 +1,49 @@
+import { CancellationTokenSource } from "../base/cancellation.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { AgentMessage } from "../fleet/agentMessages.js";
+import type { Scheduler } from "../fleet/coreRunner.js";
+import type { TargetClient } from "./targetClient.js";
+
+/** Reads the target's load report on a period and passes it to the core. The report lags: it is a hint. */
+export class LoadWatcher implements Disposable {
+    private readonly cancellation = new CancellationTokenSource();
+    private timer: Disposable | undefined;
+    private failed = false;
+
+    public constructor(
+        private readonly target: TargetClient,
+        private readonly periodMs: number,
+        private readonly scheduler: Scheduler,
+        private readonly sendMessage: (message: AgentMessage) => void,
+    ) {
+        this.timer = scheduler.run(() => void this.run(), 0);
+    }
+
+    public dispose(): void {
+        this.cancellation.cancel();
+        this.timer?.dispose();
+    }
+
+    private async run(): Promise<void> {
+        const load = await this.target.fetchLoad(this.cancellation.token);
+        if (this.cancellation.token.isCancelled) {
+            return;
+        }
+        load.match(
+            report => {
+                this.failed = false;
+                if (report !== undefined) {
+                    this.sendMessage({ type: "targetReported", ...report });
+                }
+            },
+            () => {
+                // Once per outage: a target that comes back after it was gone has lost its state and starts cold.
+                if (!this.failed) {
+                    this.failed = true;
+                    this.sendMessage({ type: "targetLost" });
+                }
+            },
+        );
+        this.timer = this.scheduler.run(() => void this.run(), this.periodMs);
+    }
+}
--- a/src/control/controlApi.ts
+++ b/src/control/controlApi.ts
@@ -1,6 +1,7 @@
 import { initTRPC, TRPCError } from "@trpc/server";
 import { z } from "zod";
 import { documentSchema } from "../document/schema.js";
+import { hybridTimeSchema } from "../events/hybridTimeSchema.js";
 import type { AgentControlHost, ControlHost } from "./host.js";
 import { serviceCounterSchema } from "./schemas.js";
 
@@ -14,6 +15,7 @@
 const exchangeRequestSchema = z.object({
     routerId: z.string().max(128),
     incarnation: z.number(),
+    time: hybridTimeSchema,
     documentOffset: z.number().int(),
     acknowledgedSequence: z.number().int().optional(),
     claims: z.array(serviceCounterSchema).max(100_000),
--- a/src/control/frames.ts
+++ b/src/control/frames.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { hybridTimeSchema } from "../events/hybridTimeSchema.js";
 import { agentReportSchema, refusalSchema } from "./schemas.js";
 
 /**
@@ -22,6 +23,7 @@
         count: z.number().int().nonnegative(),
         cost: z.number().nonnegative(),
         report: agentReportSchema.optional(),
+        time: hybridTimeSchema.optional(),
     }),
     /** The run failed; chunks already sent stand, and no end follows. */
     z.object({ type: z.literal("failed"), execution: z.enum(["not-run", "unknown", "ran"]), detail: z.string() }),
@@ -35,6 +37,7 @@
     requestId: z.string(),
     routerId: z.string(),
     attempt: z.number().int().positive(),
+    time: hybridTimeSchema.optional(),
     clientAccount: z.string(),
     service: z.string(),
     kind: z.enum(["model", "plain"]),
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -1,5 +1,5 @@
 import type { AcceptedDocument } from "../document/schema.js";
-import type { FleetEvent } from "../events/fleetEvent.js";
+import type { FleetEvent, HybridTime } from "../events/fleetEvent.js";
 import type { ClientShare } from "../fleet/clientShare.js";
 import type { AgentReport, ServiceCounter } from "../fleet/entities.js";
 import type { DaemonStatus, RosterEntry } from "./schemas.js";
@@ -8,6 +8,8 @@
 export interface ExchangeRequest {
     readonly routerId: string;
     readonly incarnation: number;
+    /** Hybrid clock reading at the send, so that the time line keeps causal order. */
+    readonly time: HybridTime;
     /** Offset of the document the router has in force. */
     readonly documentOffset: number;
     /** Sequence of the newest report the router has taken; counters it covers need not be sent again. */
@@ -20,6 +22,7 @@
 
 /** What the agent answers. */
 export interface ExchangeReply {
+    readonly time: HybridTime;
     readonly report: AgentReport;
     /** The agent's document, when the router's is older. */
     readonly document?: AcceptedDocument | undefined;
--- /dev/null
+++ b/src/daemon/agentDaemon.ts
@@ -0,0 +1,214 @@
+import { err, ok, type Result } from "neverthrow";
+import { AgentService } from "../agent/agentService.js";
+import type { AnswerFollower } from "../agent/answerFollower.js";
+import { KeyedWork } from "../agent/keyedWork.js";
+import { ModelTargetClient } from "../agent/modelTargetClient.js";
+import { PlainTargetClient } from "../agent/plainTargetClient.js";
+import type { TargetClient } from "../agent/targetClient.js";
+import { TargetConnection } from "../agent/targetConnection.js";
+import { TargetSwitch } from "../agent/targetSwitch.js";
+import { LoadWatcher } from "../agent/loadWatcher.js";
+import { addWorkRoute } from "../agent/workServer.js";
+import type { CancellationToken } from "../base/cancellation.js";
+import { DisposableStore } from "../base/lifecycle.js";
+import type { ControlError } from "../control/errors.js";
+import type { WorkEnvelope } from "../control/frames.js";
+import type { ControlHost } from "../control/host.js";
+import type { DaemonStatus } from "../control/schemas.js";
+import { createControlApp, listenOn, type HttpListener } from "../control/server.js";
+import type { AcceptedDocument } from "../document/schema.js";
+import { AgentCore, defaultAgentOptions } from "../fleet/agent/agentCore.js";
+import { HomeAuthority } from "../fleet/keys/homeAuthority.js";
+import { defaultKeyTableLimits, KeyTable } from "../fleet/keys/keyTable.js";
+import { defaultKeyTiming } from "../fleet/keys/keyTiming.js";
+import { sleepOnTimer } from "../platform/sleep.js";
+import type { CommonParts } from "./commonParts.js";
+import type { Daemon } from "./daemon.js";
+import { Membership } from "./membership.js";
+import { createKeyHistory } from "./keyHistory.js";
+import type { AgentSettings } from "./settings.js";
+
+const defaultMaxBodyBytes = 16 * 1024 * 1024;
+const stopPollMs = 50;
+
+/** Starts a daemon of role agent. Errors: its address is taken. */
+export async function startAgent(parts: CommonParts, settings: AgentSettings): Promise<Result<Daemon, ControlError>> {
+    const daemon = new AgentDaemon(parts, settings);
+    const listener = await daemon.listen();
+    if (listener.isErr()) {
+        daemon.dispose();
+        return err(listener.error);
+    }
+    daemon.start();
+    return ok(daemon);
+}
+
+class AgentDaemon implements Daemon, ControlHost {
+    private readonly store = new DisposableStore();
+    private readonly core: AgentCore;
+    private readonly service: AgentService;
+    private readonly keyed: KeyedWork;
+    private readonly authority: HomeAuthority;
+    private readonly membership: Membership;
+    private listener: HttpListener | undefined;
+
+    public constructor(
+        private readonly parts: CommonParts,
+        private readonly settings: AgentSettings,
+    ) {
+        const { clock, scheduler, logger, metrics, events, incarnation, random } = parts;
+        const { daemonId, dataCentre } = settings;
+        const identity = {
+            agentId: daemonId,
+            incarnation,
+            targetName: settings.target.name,
+            dataCentre,
+            services: [],
+        };
+        this.core = new AgentCore(identity, defaultAgentOptions, events, random);
+        const target = this.createTarget();
+        const documents = createDocumentPeer(parts);
+        this.service = this.store.add(
+            new AgentService({ core: this.core, target, documents, events, clock, scheduler, logger, metrics }),
+        );
+        this.authority = new HomeAuthority({ agentId: daemonId, incarnation }, parts.secret, defaultKeyTiming);
+        const table = new KeyTable(this.authority, defaultKeyTableLimits);
+        this.keyed = this.store.add(new KeyedWork({ table, holder: this.service, clock, scheduler, recorder: events }));
+        this.service.guard = this.keyed;
+        this.store.add(
+            new LoadWatcher(target, settings.loadPeriodMs, scheduler, message => this.service.send(message)),
+        );
+        this.membership = this.store.add(new Membership(parts, () => this.listServices()));
+    }
+
+    public readonly agent = {
+        handleExchange: (request: Parameters<AgentService["handleExchange"]>[0]) =>
+            this.service.handleExchange(request),
+        withdrawWork: (requestId: string) => this.service.withdrawWork(requestId),
+    };
+
+    public async listen(): Promise<Result<void, ControlError>> {
+        const app = createControlApp(this, { isReady: () => this.isReady() }, this.parts.secret);
+        const getMaxBodyBytes = (): number =>
+            this.parts.documents.current?.document.limits.maxBodyBytes ?? defaultMaxBodyBytes;
+        const taker = {
+            takeWork: (envelope: WorkEnvelope, body: Buffer, follower: AnswerFollower) =>
+                this.takeWork(envelope, body, follower),
+            removeFollower: (requestId: string, follower: AnswerFollower) =>
+                this.service.removeFollower(this.keyed.findHeldId(requestId), follower),
+        };
+        addWorkRoute(app, taker, this.parts.secret, getMaxBodyBytes);
+        const { host, port } = this.settings.listen;
+        return (await listenOn(app, host, port)).map(listener => {
+            this.listener = this.store.add(listener);
+        });
+    }
+
+    public start(): void {
+        const { documents, roster, vms } = this.parts;
+        this.store.add(documents.onDidAccept(accepted => this.applyDocument(accepted)));
+        this.store.add(roster.onDidRead(() => this.updateAuthority()));
+        this.store.add(
+            vms.onDidRead(list => {
+                if (list.some(vm => vm.id === this.settings.vmId && vm.state === "leaving")) {
+                    this.service.send({ type: "leaving" });
+                }
+            }),
+        );
+        this.parts.start();
+    }
+
+    public async stop(token: CancellationToken): Promise<void> {
+        this.parts.events.record({ kind: "daemon-stopping" });
+        this.service.send({ type: "leaving" });
+        while (this.service.open > 0 && !token.isCancelled) {
+            await sleepOnTimer(stopPollMs, token);
+        }
+        await this.membership.removeSelf(token);
+        this.listener?.stopAccepting();
+        this.parts.events.record({ kind: "daemon-stopped" });
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    public getStatus(): DaemonStatus {
+        const report = this.core.createReport(undefined);
+        return {
+            ...this.membership.describeSelf(),
+            phase: report.phase,
+            waiting: report.queued,
+            running: report.running,
+            window: report.window,
+            cold: report.cold,
+        };
+    }
+
+    public listEvents(sinceSequence: number): ReturnType<ControlHost["listEvents"]> {
+        return this.membership.listEvents(sinceSequence);
+    }
+
+    public listShares(): ReturnType<ControlHost["listShares"]> {
+        return this.core.listShares();
+    }
+
+    public getDocument(): AcceptedDocument | undefined {
+        return this.parts.documents.buildPeerDocument();
+    }
+
+    public listRoster(): ReturnType<ControlHost["listRoster"]> {
+        return this.parts.listRoster();
+    }
+
+    private isReady(): boolean {
+        return this.parts.documents.current !== undefined;
+    }
+
+    private takeWork(envelope: WorkEnvelope, body: Buffer, follower: AnswerFollower): void {
+        if (envelope.idempotencyKey !== undefined && !envelope.idempotent) {
+            this.keyed.takeWork(envelope, body, follower);
+        } else {
+            this.service.offerWork(this.service.createHeldWork(envelope, body, follower));
+        }
+    }
+
+    private createTarget(): TargetClient {
+        const connection = this.store.add(new TargetConnection(this.settings.target.url));
+        return new TargetSwitch(new ModelTargetClient(connection), new PlainTargetClient(connection));
+    }
+
+    private applyDocument(accepted: AcceptedDocument): void {
+        this.service.send({ type: "documentAccepted", ...accepted });
+        this.membership.update();
+    }
+
+    private listServices(): readonly string[] | undefined {
+        return this.parts.documents.current?.document.targets[this.settings.target.name]?.services;
+    }
+
+    /** Tells the keys' authority what the log has confirmed, and from when on. */
+    private updateAuthority(): void {
+        const { roster, clock } = this.parts;
+        const beganMs = roster.lastConfirmedAtMs;
+        if (beganMs === undefined) {
+            return;
+        }
+        const nowMs = clock.nowMs();
+        const wallMs = clock.nowDate().getTime();
+        const began = { nowMs: beganMs, wallMs: wallMs - (nowMs - beganMs) };
+        this.authority.update(createKeyHistory(roster.state), began, { nowMs, wallMs });
+    }
+}
+
+function createDocumentPeer(parts: CommonParts): {
+    readonly current: AcceptedDocument | undefined;
+    applyPeerDocument(document: AcceptedDocument): void;
+} {
+    return {
+        get current() {
+            return parts.documents.buildPeerDocument();
+        },
+        applyPeerDocument: document => parts.documents.applyPeerDocument(document),
+    };
+}
--- /dev/null
+++ b/src/daemon/routerDaemon.ts
@@ -0,0 +1,204 @@
+import { err, ok, type Result } from "neverthrow";
+import type { CancellationToken } from "../base/cancellation.js";
+import { DisposableStore } from "../base/lifecycle.js";
+import type { ControlError } from "../control/errors.js";
+import type { ControlHost } from "../control/host.js";
+import type { DaemonStatus } from "../control/schemas.js";
+import { createControlApp, listenOn, type HttpListener } from "../control/server.js";
+import type { AcceptedDocument } from "../document/schema.js";
+import type { AgentReport } from "../fleet/entities.js";
+import { defaultRouterOptions } from "../fleet/router/options.js";
+import { RouterCore } from "../fleet/router/routerCore.js";
+import { sleepOnTimer } from "../platform/sleep.js";
+import { AgentDirectory } from "../router/agentDirectory.js";
+import { CallerRequests } from "../router/callerRequests.js";
+import { createCallerApp } from "../router/callerServer.js";
+import { Exchange, type ExchangeHost } from "../router/exchange.js";
+import { RosterKeyDirectory } from "../router/keyDirectory.js";
+import { RouterService } from "../router/routerService.js";
+import { WorkSender } from "../router/workSender.js";
+import type { CommonParts } from "./commonParts.js";
+import type { Daemon } from "./daemon.js";
+import { Membership } from "./membership.js";
+import type { RouterSettings } from "./settings.js";
+
+const stopPollMs = 50;
+/**
+ * Time between the health check's "not ready" and the last accepted connection. A balancer looks every second or two; were
+ * the listener closed at once, callers that it still sends here would be refused.
+ */
+const balancerGraceMs = 3_000;
+
+/** Starts a daemon of role router. Errors: an address is taken. */
+export async function startRouter(parts: CommonParts, settings: RouterSettings): Promise<Result<Daemon, ControlError>> {
+    const daemon = new RouterDaemon(parts, settings);
+    const listening = await daemon.listen();
+    if (listening.isErr()) {
+        daemon.dispose();
+        return err(listening.error);
+    }
+    daemon.start();
+    return ok(daemon);
+}
+
+class RouterDaemon implements Daemon, ControlHost, ExchangeHost {
+    private readonly store = new DisposableStore();
+    private readonly core: RouterCore;
+    private readonly directory: AgentDirectory;
+    private readonly service: RouterService;
+    private readonly exchange: Exchange;
+    private readonly requests: CallerRequests;
+    private readonly membership: Membership;
+    private readonly reports = new Map<string, AgentReport>();
+    private callers: HttpListener | undefined;
+    private stopping = false;
+
+    public constructor(
+        private readonly parts: CommonParts,
+        private readonly settings: RouterSettings,
+    ) {
+        const { clock, scheduler, random, events, logger, metrics, secret, incarnation } = parts;
+        const { daemonId, dataCentre, exchangePeriodMs } = settings;
+        this.core = new RouterCore(daemonId, dataCentre, defaultRouterOptions, events, random);
+        const meter = { add: (bytes: number) => metrics.increment("control.bytes", {}, bytes) };
+        this.directory = this.store.add(new AgentDirectory(secret, meter));
+        const sender = this.store.add(new WorkSender(daemonId, secret, clock, events));
+        this.service = this.store.add(
+            new RouterService({
+                core: this.core,
+                directory: this.directory,
+                sender,
+                clock,
+                scheduler,
+                logger,
+                metrics,
+            }),
+        );
+        this.exchange = this.store.add(
+            new Exchange({
+                routerId: daemonId,
+                incarnation,
+                periodMs: exchangePeriodMs,
+                directory: this.directory,
+                host: this,
+                events,
+                clock,
+                scheduler,
+                random,
+            }),
+        );
+        const keys = new RosterKeyDirectory({
+            secret,
+            clock,
+            random,
+            listRoster: () => parts.listRoster(),
+            listReports: () => [...this.reports.values()],
+        });
+        this.requests = new CallerRequests({
+            service: this.service,
+            keys,
+            clock,
+            logger,
+            getDocument: () => parts.documents.current,
+            isStopping: () => this.stopping,
+        });
+        this.membership = this.store.add(new Membership(parts, () => []));
+    }
+
+    public async listen(): Promise<Result<void, ControlError>> {
+        const { listen, callers } = this.settings;
+        const control = createControlApp(this, this.requests, this.parts.secret);
+        const controlListener = await listenOn(control, listen.host, listen.port);
+        if (controlListener.isErr()) {
+            return err(controlListener.error);
+        }
+        this.store.add(controlListener.value);
+        return (await listenOn(createCallerApp(this.requests), callers.host, callers.port)).map(listener => {
+            this.callers = this.store.add(listener);
+        });
+    }
+
+    public start(): void {
+        const { documents, roster } = this.parts;
+        this.store.add(
+            documents.onDidAccept(accepted => {
+                this.service.send({ type: "documentAccepted", ...accepted });
+                this.membership.update();
+            }),
+        );
+        this.store.add(roster.onDidChange(() => this.updateDirectory()));
+        this.store.add(this.parts.onDidReadPeerRoster(() => this.updateDirectory()));
+        this.parts.start();
+        this.membership.update();
+    }
+
+    public async stop(token: CancellationToken): Promise<void> {
+        this.parts.events.record({ kind: "daemon-stopping" });
+        this.stopping = true;
+        await sleepOnTimer(balancerGraceMs, token);
+        this.callers?.stopAccepting();
+        this.service.send({ type: "stopping" });
+        while (this.service.openCount > 0 && !token.isCancelled) {
+            await sleepOnTimer(stopPollMs, token);
+        }
+        await this.membership.removeSelf(token);
+        this.parts.events.record({ kind: "daemon-stopped" });
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    public getStatus(): DaemonStatus {
+        return {
+            ...this.membership.describeSelf(),
+            phase: this.stopping ? "stopping" : "serving",
+            waiting: this.core.countWaiting(),
+            running: this.core.countRunning(),
+        };
+    }
+
+    public listEvents(sinceSequence: number): ReturnType<ControlHost["listEvents"]> {
+        return this.membership.listEvents(sinceSequence);
+    }
+
+    public listShares(): ReturnType<ControlHost["listShares"]> {
+        return this.core.listShares();
+    }
+
+    public getDocument(): AcceptedDocument | undefined {
+        return this.parts.documents.buildPeerDocument();
+    }
+
+    public listRoster(): ReturnType<ControlHost["listRoster"]> {
+        return this.parts.listRoster();
+    }
+
+    public get document(): AcceptedDocument | undefined {
+        return this.parts.documents.buildPeerDocument();
+    }
+
+    public applyDocument(document: AcceptedDocument): void {
+        this.parts.documents.applyPeerDocument(document);
+    }
+
+    public createClaims(agentId: string, sinceVersion: number): ReturnType<RouterCore["createClaims"]> {
+        return this.core.createClaims(agentId, sinceVersion);
+    }
+
+    public handleReport(report: AgentReport): void {
+        this.reports.set(report.identity.agentId, report);
+        this.service.send({ type: "agentReported", report });
+    }
+
+    public handleLost(agentId: string): void {
+        this.reports.delete(agentId);
+        this.service.send({ type: "agentLost", agentId });
+    }
+
+    private updateDirectory(): void {
+        const removed = this.directory.update(this.parts.listRoster());
+        removed.forEach(agentId => this.handleLost(agentId));
+        this.exchange.update();
+    }
+}
--- a/src/fleet/agent/admitSystem.ts
+++ b/src/fleet/agent/admitSystem.ts
@@ -56,7 +56,7 @@
     if (context.phase !== "serving") {
         return createRefusal("draining", "not-run", `The target takes no new work (${context.phase}).`);
     }
-    if (!context.identity.services.includes(request.service)) {
+    if (!context.listServices().includes(request.service)) {
         return createRefusal("no-target", "not-run", "The target does not serve this service.");
     }
     return undefined;
--- a/src/fleet/router/admitSystem.ts
+++ b/src/fleet/router/admitSystem.ts
@@ -36,12 +36,17 @@
     private check(entry: RequestEntry, nowMs: number): ReturnType<RouterState["createRefusal"]> | undefined {
         const { state } = this;
         if (state.isStopping) {
-            return state.createRefusal("stopping", "not-run", minStoppingRetryMs, "this router is stopping");
+            return state.createRefusal("stopping", entry.execution, minStoppingRetryMs, "this router is stopping");
         }
-        if (!entry.request.idempotent && entry.request.idempotencyKey !== undefined) {
+        if (isKeyed(entry.request)) {
             const home = entry.lane.homeAgentId;
             if (home === undefined || state.agents.get(home)?.isAccepting !== true) {
-                return state.createRefusal("no-target", "not-run", noTargetRetryAfterMs, "the key's home is away");
+                return state.createRefusal(
+                    "no-target",
+                    entry.execution,
+                    noTargetRetryAfterMs,
+                    "the key's home is away",
+                );
             }
         }
         return this.checkBounds(entry, nowMs);
@@ -51,7 +56,12 @@
         const { state } = this;
         const { document } = state;
         if (document === undefined) {
-            return state.createRefusal("no-target", "not-run", noTargetRetryAfterMs, "no document is in force yet");
+            return state.createRefusal(
+                "no-target",
+                entry.execution,
+                noTargetRetryAfterMs,
+                "no document is in force yet",
+            );
         }
         const account = document.clientAccounts[entry.request.clientAccount];
         const count = state.requests.countAccount(entry.request.clientAccount);
@@ -76,7 +86,7 @@
         );
         return result.match(
             () => undefined,
-            refusal => state.createRefusal(refusal.reason, "not-run", refusal.retryAfterMs, details[refusal.reason]),
+            ({ reason, retryAfterMs }) => state.createRefusal(reason, entry.execution, retryAfterMs, details[reason]),
         );
     }
 
@@ -115,7 +125,13 @@
         sentAtMs: 0,
         triedAgentIds: [],
         withdrawFor: undefined,
-        execution: "not-run",
+        // A request with a key may be the repeat of one that ran through another router. Only the key's home can tell; a
+        // "not-run" of this router's own would be taken for the key's, and the caller would do the call anew.
+        execution: isKeyed(request) ? "unknown" : "not-run",
         affinityHash: prefixHash === undefined ? undefined : computeAffinityHash(clientAccount, prefixHash),
     };
 }
+
+function isKeyed(request: WorkRequest): boolean {
+    return !request.idempotent && request.idempotencyKey !== undefined;
+}
--- a/src/fleet/router/retrySystem.ts
+++ b/src/fleet/router/retrySystem.ts
@@ -11,14 +11,14 @@
 
     /** The way to the agent broke or the target failed. */
     public handleFailed(entry: RequestEntry, execution: Execution, detail: string, nowMs: number): void {
-        const failed: RequestEntry = { ...entry, execution: mergeExecution(entry.execution, execution) };
+        const failed: RequestEntry = { ...entry, execution: getExecution(entry, execution) };
         const refusal = this.state.createRefusal("target-failed", failed.execution, minRetryAfterMs, detail);
         this.handleFailure(failed, execution, refusal, nowMs);
     }
 
     /** The agent turned the request away. */
     public handleRefused(entry: RequestEntry, refusal: Refusal, nowMs: number): void {
-        const refused: RequestEntry = { ...entry, execution: mergeExecution(entry.execution, refusal.execution) };
+        const refused: RequestEntry = { ...entry, execution: getExecution(entry, refusal.execution) };
         const merged: Refusal = { ...refusal, execution: refused.execution };
         if (finalReasons.has(refusal.reason)) {
             this.state.refuse(refused, merged, nowMs);
@@ -37,7 +37,7 @@
             this.refuseLate(entry, nowMs);
         } else if (entry.lane.homeAgentId !== undefined) {
             const detail = "the key's home gave the request back";
-            state.refuse(entry, state.createRefusal("draining", entry.execution, minRetryAfterMs, detail), nowMs);
+            state.refuse(entry, state.createRefusal("draining", "not-run", minRetryAfterMs, detail), nowMs);
         } else {
             this.addBack(entry, nowMs);
         }
@@ -114,6 +114,11 @@
 /** Refusals of an agent that takes nothing new. */
 const awayReasons: ReadonlySet<string> = new Set(["draining", "stopping"]);
 
+/** A key's home speaks for all attempts that were made under the key; other agents for their own attempt only. */
+function getExecution(entry: RequestEntry, execution: Execution): Execution {
+    return entry.lane.homeAgentId === undefined ? mergeExecution(entry.execution, execution) : execution;
+}
+
 /** What is known after several attempts: one that may have run makes the whole "unknown", one that ran "ran". */
 function mergeExecution(first: Execution, second: Execution): Execution {
     if (first === "ran" || second === "ran") {
--- a/src/router/exchange.ts
+++ b/src/router/exchange.ts
@@ -4,6 +4,7 @@
 import type { Random } from "../base/random.js";
 import type { ExchangeReply } from "../control/host.js";
 import type { AcceptedDocument } from "../document/schema.js";
+import type { EventRing } from "../events/eventRing.js";
 import type { Scheduler } from "../fleet/coreRunner.js";
 import type { AgentReport } from "../fleet/entities.js";
 import type { AgentDirectory } from "./agentDirectory.js";
@@ -20,7 +21,21 @@
     handleReport(report: AgentReport): void;
     handleLost(agentId: string): void;
     readonly document: AcceptedDocument | undefined;
-    acceptDocument(document: AcceptedDocument): void;
+    applyDocument(document: AcceptedDocument): void;
+}
+
+/** What the exchange is built from. */
+export interface ExchangeParts {
+    readonly routerId: string;
+    readonly incarnation: number;
+    /** Time between two exchanges with one agent; milliseconds. */
+    readonly periodMs: number;
+    readonly directory: AgentDirectory;
+    readonly host: ExchangeHost;
+    readonly events: EventRing;
+    readonly clock: Clock;
+    readonly scheduler: Scheduler;
+    readonly random: Random;
 }
 
 interface Peer {
@@ -41,26 +56,17 @@
     private readonly peers = new Map<string, Peer>();
     private readonly cancellation = new CancellationTokenSource();
 
-    public constructor(
-        private readonly routerId: string,
-        private readonly incarnation: number,
-        private readonly periodMs: number,
-        private readonly directory: AgentDirectory,
-        private readonly host: ExchangeHost,
-        private readonly clock: Clock,
-        private readonly scheduler: Scheduler,
-        private readonly random: Random,
-    ) {}
+    public constructor(private readonly parts: ExchangeParts) {}
 
     /** Starts with agents that are new in the directory, and stops with those that left it. */
     public update(): void {
         for (const [agentId, peer] of this.peers) {
-            if (this.directory.get(agentId)?.entry.incarnation !== peer.incarnation) {
+            if (this.parts.directory.get(agentId)?.entry.incarnation !== peer.incarnation) {
                 peer.timer?.dispose();
                 this.peers.delete(agentId);
             }
         }
-        for (const agentId of this.directory.list()) {
+        for (const agentId of this.parts.directory.list()) {
             if (!this.peers.has(agentId)) {
                 this.add(agentId);
             }
@@ -77,31 +83,32 @@
 
     private add(agentId: string): void {
         const peer: Peer = {
-            lastAnswerAtMs: this.clock.nowMs(),
+            lastAnswerAtMs: this.parts.clock.nowMs(),
             acknowledgedSequence: undefined,
             documentOffset: -1,
             claimsVersion: 0,
             reporter: undefined,
             lost: false,
             timer: undefined,
-            incarnation: this.directory.get(agentId)?.entry.incarnation ?? 0,
+            incarnation: this.parts.directory.get(agentId)?.entry.incarnation ?? 0,
         };
         this.peers.set(agentId, peer);
         void this.run(agentId, peer);
     }
 
     private async run(agentId: string, peer: Peer): Promise<void> {
-        const client = this.directory.get(agentId)?.client;
+        const client = this.parts.directory.get(agentId)?.client;
         if (client === undefined || this.cancellation.token.isCancelled) {
             return;
         }
-        const { document } = this.host;
+        const { document } = this.parts.host;
         const isPeerBehind = document !== undefined && document.offset > peer.documentOffset;
-        const { version, claims } = this.host.createClaims(agentId, peer.claimsVersion);
+        const { version, claims } = this.parts.host.createClaims(agentId, peer.claimsVersion);
         const reply = await client.sendExchange(
             {
-                routerId: this.routerId,
-                incarnation: this.incarnation,
+                routerId: this.parts.routerId,
+                incarnation: this.parts.incarnation,
+                time: this.parts.events.now(),
                 documentOffset: document?.offset ?? -1,
                 acknowledgedSequence: peer.acknowledgedSequence,
                 claims,
@@ -117,13 +124,14 @@
             answer => this.handleReply(peer, answer, version),
             () => this.handleSilence(agentId, peer),
         );
-        const delayMs = this.periodMs * (1 + jitter * (this.random.next() - 0.5));
-        peer.timer = this.scheduler.run(() => void this.run(agentId, peer), delayMs);
+        const delayMs = this.parts.periodMs * (1 + jitter * (this.parts.random.next() - 0.5));
+        peer.timer = this.parts.scheduler.run(() => void this.run(agentId, peer), delayMs);
     }
 
     private handleReply(peer: Peer, reply: ExchangeReply, claimsVersion: number): void {
-        peer.lastAnswerAtMs = this.clock.nowMs();
+        peer.lastAnswerAtMs = this.parts.clock.nowMs();
         peer.lost = false;
+        this.parts.events.merge(reply.time);
         const { incarnation } = reply.report.identity;
         // A restarted agent knows nothing: everything is sent anew from the next exchange on.
         const isSame = peer.reporter === undefined || peer.reporter === incarnation;
@@ -132,15 +140,15 @@
         peer.acknowledgedSequence = reply.report.sequence;
         peer.documentOffset = reply.report.documentOffset;
         if (reply.document !== undefined) {
-            this.host.acceptDocument(reply.document);
+            this.parts.host.applyDocument(reply.document);
         }
-        this.host.handleReport(reply.report);
+        this.parts.host.handleReport(reply.report);
     }
 
     private handleSilence(agentId: string, peer: Peer): void {
-        if (!peer.lost && this.clock.nowMs() - peer.lastAnswerAtMs > agentLeaseMs) {
+        if (!peer.lost && this.parts.clock.nowMs() - peer.lastAnswerAtMs > agentLeaseMs) {
             peer.lost = true;
-            this.host.handleLost(agentId);
+            this.parts.host.handleLost(agentId);
         }
     }
 }
--- a/src/router/problem.ts
+++ b/src/router/problem.ts
@@ -31,7 +31,7 @@
 
 /** Makes the problem that tells a caller of a refusal. */
 export function toProblem(refusal: Refusal): Problem {
-    const [status, title] = refusalStatuses[refusal.reason];
+    const [status, title] = findStatus(refusal);
     return {
         status,
         code: refusal.reason,
@@ -42,6 +42,13 @@
     };
 }
 
+function findStatus(refusal: Refusal): readonly [number, string] {
+    // The home has only just joined or cannot confirm itself: nothing is wrong with the key, and clients that retry on 503
+    // get through a moment later.
+    const isEarly = refusal.reason === "key-unknown" && refusal.execution === "not-run";
+    return isEarly ? [503, "The key's home is not ready"] : refusalStatuses[refusal.reason];
+}
+
 /** Headers of a problem's answer. `Retry-After` is in whole seconds (RFC 9110, section 10.2.3), so it is rounded up. */
 export function createProblemHeaders(problem: Problem, requestId: string): Record<string, string> {
     const headers: Record<string, string> = {
--- a/src/router/try.ts
+++ b/src/router/try.ts
@@ -25,6 +25,11 @@
         return this.cancellation.token;
     }
 
+    /** Whether only this agent may run the request. */
+    public get isHomeBound(): boolean {
+        return this.open.homeAgentId !== undefined;
+    }
+
     /** Whether the caller has its final answer, whole or broken. */
     public get isAnswered(): boolean {
         return this.answered;
--- a/src/router/workSender.ts
+++ b/src/router/workSender.ts
@@ -5,6 +5,7 @@
 import { envelopeHeader, workFrameSchema, workPath, type WorkEnvelope, type WorkFrame } from "../control/frames.js";
 import { LineSplitter } from "../control/lines.js";
 import { toAuthorization } from "../control/secret.js";
+import type { EventRing } from "../events/eventRing.js";
 import type { Execution } from "../fleet/entities.js";
 import type { OpenRequest } from "./openRequest.js";
 
@@ -37,6 +38,7 @@
         private readonly routerId: string,
         private readonly secret: string,
         private readonly clock: Clock,
+        private readonly events: EventRing,
     ) {}
 
     /** One try. Undefined when a last frame came; else what is known of the try. Never rejects. */
@@ -63,7 +65,7 @@
                 await response.body.dump();
                 return { execution: "not-run", detail: `the agent answered ${response.statusCode}` };
             }
-            const isWhole = await readFrames(response.body, take);
+            const isWhole = await readFrames(response.body, take, this.events);
             return isWhole ? undefined : { execution: "unknown", detail: "the agent's answer broke off" };
         } catch (cause) {
             return toBrokenTry(cause);
@@ -80,6 +82,7 @@
             requestId: createAttemptId(work.id, attempt),
             routerId: this.routerId,
             attempt,
+            time: this.events.now(),
             clientAccount: work.clientAccount,
             service: work.service,
             kind: work.kind,
@@ -104,11 +107,14 @@
     return attempt === 1 ? requestId : `${requestId}~${attempt}`;
 }
 
-async function readFrames(body: AsyncIterable<Buffer>, take: FrameTaker): Promise<boolean> {
+async function readFrames(body: AsyncIterable<Buffer>, take: FrameTaker, events: EventRing): Promise<boolean> {
     const splitter = new LineSplitter();
     for await (const bytes of body) {
         for (const line of splitter.add(bytes)) {
             const frame = workFrameSchema.parse(JSON.parse(line));
+            if (frame.type === "end" && frame.time !== undefined) {
+                events.merge(frame.time);
+            }
             await take(frame);
             if (lastFrames.has(frame.type)) {
                 return true;
