Record digests of answers at both ends and take gone daemons out of the roster

Cause: nothing in the history showed that a caller got the whole answer to its own request, and a dead agent stayed in the roster until its registration lapsed. Ruled out: evicting on silence alone (a cut is not a death).

--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -69,7 +69,7 @@
     const events = pages.flatMap(page => page ?? []).filter(event => event.requestId === requestId);
     const getOrder = (event: FleetEvent): number => event.time.wallMs;
     events.sort((a, b) => getOrder(a) - getOrder(b) || a.time.counter - b.time.counter);
-    for (const event of events.filter(candidate => candidate.kind !== "request-chunk")) {
+    for (const event of events) {
         const target = event.target === undefined ? "" : ` target ${event.target}`;
         console.log(`${event.daemon.padEnd(11)} ${event.kind}${target} ${event.reason ?? ""}`);
     }
--- a/src/agent/agentService.ts
+++ b/src/agent/agentService.ts
@@ -165,7 +165,7 @@
             this.release(requestId, found => found.close({ type: "refused", refusal }));
             return;
         }
-        const run = new TargetRun(held, this.parts.target, message => this.runner.send(message));
+        const run = new TargetRun(held, this.parts.target, message => this.runner.send(message), this.parts.events);
         this.runs.set(requestId, run);
         void run.run().then(ending => {
             this.runs.delete(requestId);
--- a/src/agent/targetRun.ts
+++ b/src/agent/targetRun.ts
@@ -1,4 +1,6 @@
+import { RunningDigest } from "../base/hash.js";
 import type { WorkFrame } from "../control/frames.js";
+import type { EventRecorder } from "../events/fleetEvent.js";
 import type { AgentMessage, RunOutcome } from "../fleet/agentMessages.js";
 import type { HeldWork } from "./heldWork.js";
 import type { RunSink, RunUsage, TargetClient, TargetError } from "./targetClient.js";
@@ -13,6 +15,7 @@
 export class TargetRun implements RunSink {
     private sequence = 0;
     private generated = 0;
+    private readonly digest = new RunningDigest();
     private hasFirstOutput = false;
     private readonly requestId: string;
 
@@ -20,6 +23,7 @@
         private readonly held: HeldWork,
         private readonly target: TargetClient,
         private readonly sendMessage: (message: AgentMessage) => void,
+        private readonly recorder: EventRecorder,
     ) {
         this.requestId = held.envelope.requestId;
     }
@@ -30,7 +34,10 @@
         const { envelope, body, cancellation } = this.held;
         const result = await this.target.run(envelope, body, this, cancellation.token);
         return result.match(
-            usage => this.createEnding("completed", usage, { type: "end", count: this.sequence, cost: 0 }),
+            usage => {
+                this.recordAnswer();
+                return this.createEnding("completed", usage, { type: "end", count: this.sequence, cost: 0 });
+            },
             error => this.createFailure(error),
         );
     }
@@ -48,9 +55,22 @@
             this.generated += tokens;
             this.sendMessage({ type: "progressed", requestId: this.requestId, tokens });
         }
+        this.digest.add(data);
         await this.held.write({ type: "chunk", sequence: this.sequence++, data });
     }
 
+    private recordAnswer(): void {
+        const { clientAccount, service } = this.held.envelope;
+        this.recorder.record({
+            kind: "answer-sent",
+            requestId: this.requestId,
+            clientAccount,
+            service,
+            value: this.sequence,
+            digest: this.digest.build(),
+        });
+    }
+
     private observeOutput(): void {
         if (!this.hasFirstOutput) {
             this.hasFirstOutput = true;
--- a/src/base/hash.ts
+++ b/src/base/hash.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { createHash, type Hash } from "node:crypto";
 
 const hashPrefixBytes = 6;
 
@@ -19,3 +19,17 @@
         .sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
         .map(entry => entry.member);
 }
+
+/** SHA-256 of texts that come one after the other; lower-case hex. */
+export class RunningDigest {
+    private readonly hash: Hash = createHash("sha256");
+
+    public add(text: string): void {
+        this.hash.update(text);
+    }
+
+    /** The digest of all that was added; nothing may be added after. */
+    public build(): string {
+        return this.hash.digest("hex");
+    }
+}
--- a/src/daemon/routerDaemon.ts
+++ b/src/daemon/routerDaemon.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import type { CancellationToken } from "../base/cancellation.js";
+import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import { DisposableStore } from "../base/lifecycle.js";
 import type { ControlError } from "../control/errors.js";
 import type { ControlHost } from "../control/host.js";
@@ -7,8 +7,10 @@
 import { createControlApp, listenOn, type HttpListener } from "../control/server.js";
 import type { AcceptedDocument } from "../document/schema.js";
 import type { AgentReport } from "../fleet/entities.js";
+import { Evictor } from "../fleet/evictor.js";
 import { defaultRouterOptions } from "../fleet/router/options.js";
 import { RouterCore } from "../fleet/router/routerCore.js";
+import type { Vm } from "../platform/vmList.js";
 import { sleepOnTimer } from "../platform/sleep.js";
 import { AgentDirectory } from "../router/agentDirectory.js";
 import { CallerRequests } from "../router/callerRequests.js";
@@ -50,6 +52,8 @@
     private readonly requests: CallerRequests;
     private readonly membership: Membership;
     private readonly reports = new Map<string, AgentReport>();
+    private readonly lifetime = this.store.add(new CancellationTokenSource());
+    private readonly evictor: Evictor;
     private callers: HttpListener | undefined;
     private stopping = false;
 
@@ -72,6 +76,7 @@
                 scheduler,
                 logger,
                 metrics,
+                events,
             }),
         );
         this.exchange = this.store.add(
@@ -102,6 +107,7 @@
             getDocument: () => parts.documents.current,
             isStopping: () => this.stopping,
         });
+        this.evictor = new Evictor(clock);
         this.membership = this.store.add(new Membership(parts, () => []));
     }
 
@@ -127,6 +133,7 @@
             }),
         );
         this.store.add(roster.onDidChange(() => this.updateDirectory()));
+        this.store.add(this.parts.vms.onDidRead(vms => this.removeGone(vms)));
         this.store.add(this.parts.onDidReadPeerRoster(() => this.updateDirectory()));
         this.parts.start();
         this.membership.update();
@@ -196,6 +203,18 @@
         this.service.send({ type: "agentLost", agentId });
     }
 
+    /** Takes agents out of the roster whose VM is gone; more than one router may do so, the first record counts. */
+    private removeGone(vms: readonly Vm[]): void {
+        const agents = this.parts.listRoster().filter(entry => entry.role === "agent");
+        const gone = this.evictor.pick(vms, agents, daemonId => !this.reports.has(daemonId));
+        for (const { daemonId } of gone) {
+            const member = this.parts.roster.members.get(daemonId);
+            if (member !== undefined) {
+                void this.membership.current?.removeMember(member, this.lifetime.token);
+            }
+        }
+    }
+
     private updateDirectory(): void {
         const removed = this.directory.update(this.parts.listRoster());
         removed.forEach(agentId => this.handleLost(agentId));
--- a/src/router/routerService.ts
+++ b/src/router/routerService.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../base/log.js";
 import type { Metrics } from "../base/metrics.js";
 import type { WorkFrame } from "../control/frames.js";
+import type { EventRecorder } from "../events/fleetEvent.js";
 import type { ClientShare } from "../fleet/clientShare.js";
 import type { Core } from "../fleet/core.js";
 import { CoreRunner, type Scheduler } from "../fleet/coreRunner.js";
@@ -39,6 +40,7 @@
     readonly scheduler: Scheduler;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    readonly events: EventRecorder;
 }
 
 /** The shell around a router's core: holds callers' requests, sends them, passes their answers on. */
@@ -111,7 +113,7 @@
             return;
         }
         open.answer.clear();
-        const sending = new Try(open, agentId, attempt, message => this.runner.send(message));
+        const sending = new Try(open, agentId, attempt, message => this.runner.send(message), this.parts.events);
         this.tries.set(requestId, sending);
         void this.parts.sender
             .send(open, attempt, address, frame => this.takeFrame(sending, frame), sending.token)
--- a/src/router/try.ts
+++ b/src/router/try.ts
@@ -1,5 +1,7 @@
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
+import { RunningDigest } from "../base/hash.js";
 import type { WorkFrame } from "../control/frames.js";
+import type { EventRecorder } from "../events/fleetEvent.js";
 import type { RouterMessage } from "../fleet/routerMessages.js";
 import type { OpenRequest } from "./openRequest.js";
 import type { BrokenTry } from "./workSender.js";
@@ -8,6 +10,7 @@
 export class Try {
     private readonly cancellation = new CancellationTokenSource();
     private nextSequence = 0;
+    private readonly digest = new RunningDigest();
     private answered = false;
 
     public constructor(
@@ -15,6 +18,7 @@
         public readonly agentId: string,
         public readonly attempt: number,
         private readonly sendMessage: (message: RouterMessage) => void,
+        private readonly recorder: EventRecorder,
     ) {}
 
     public get requestId(): string {
@@ -101,6 +105,7 @@
             throw new Error(`chunk ${sequence} came where ${this.nextSequence} was due`);
         }
         this.nextSequence++;
+        this.digest.add(data);
         await this.open.answer.writeChunk(data);
     }
 
@@ -110,6 +115,9 @@
         }
         this.answered = true;
         await this.open.answer.end();
+        const { id: requestId, clientAccount, service } = this.open.work;
+        const digest = this.digest.build();
+        this.recorder.record({ kind: "answer-delivered", requestId, clientAccount, service, value: count, digest });
         this.sendMessage({ type: "workEnded", ...this.names, cost });
     }
 
