--- a/src/decisions/concurrencyWindow.ts
+++ b/src/decisions/concurrencyWindow.ts
@@ -10,6 +10,17 @@
 const reportsStaleAfterMs = 10_000;
 const slowDecrease = 0.8;
 const slowDecreaseEveryMs = 1_000;
+/** Slow first outputs in a row before the window shrinks: one or two happen on any target. */
+const slowInRow = 3;
+
+/** A request's first token or response head. */
+export interface FirstOutput {
+    readonly workClass: "short" | "long";
+    readonly promptTokens: number;
+    readonly delayMs: number;
+    /** Requests that run now, this one included. */
+    readonly running: number;
+}
 
 /** What a target bears, from the environment's document. */
 export interface WindowLimits {
@@ -31,8 +42,9 @@
  * output, which doubles it in each round as TCP's slow start does, and only while it is at least half used.
  *
  * Signs of cold: a report, a refusal by the target, a lost connection, and a first output so late that the baseline of
- * the same class is left far behind (see {@link FirstOutputBaseline}). A first output that is merely slow
- * takes a fifth off the window, once a second at most, since queueing inside the engine only adds to the delay.
+ * the same class is left far behind (see {@link FirstOutputBaseline}). Three first outputs in a row
+ * that are merely slow take a fifth off the window, once a second at most: a target that has become slow gains nothing
+ * from a longer queue inside, and what waits at the agent can still be moved elsewhere.
  */
 export class ConcurrencyWindow {
     private readonly baselines = { short: new FirstOutputBaseline(), long: new FirstOutputBaseline() };
@@ -43,6 +55,7 @@
     private warmReports = 0;
     private successesSinceCold = 0;
     private lastReportAtMs: number | undefined;
+    private slowCount = 0;
     private lastDecreaseAtMs = Number.NEGATIVE_INFINITY;
 
     /** Requests that may run at once now. */
@@ -92,25 +105,21 @@
         return changed ? "cold" : undefined;
     }
 
-    /** A request's first token or response head; `running` counts it. */
-    public observeFirstOutput(
-        workClass: "short" | "long",
-        delayMs: number,
-        running: number,
-        nowMs: number,
-    ): WindowChange | undefined {
+    public observeFirstOutput(output: FirstOutput, nowMs: number): WindowChange | undefined {
         // What a cold target takes is no measure of what is usual.
         if (this.cold) {
             return undefined;
         }
-        const baseline = this.baselines[workClass];
-        const judgement = baseline.compare(delayMs);
-        baseline.observe(delayMs);
+        const { delayMs, promptTokens, running } = output;
+        const baseline = this.baselines[output.workClass];
+        const judgement = baseline.compare(delayMs, promptTokens);
+        baseline.observe(delayMs, promptTokens);
+        this.slowCount = judgement === "slow" ? this.slowCount + 1 : 0;
         if (judgement === "cold") {
             return this.observeColdSign(nowMs);
         }
         if (judgement === "slow") {
-            return this.applyDecrease(nowMs);
+            return this.slowCount < slowInRow ? undefined : this.applyDecrease(nowMs);
         }
         if (running * 2 < this.currentLimit || this.currentLimit >= this.limits.maxConcurrent) {
             return undefined;
@@ -134,8 +143,8 @@
     }
 
     /** When a request that has given nothing yet counts as a sign of cold; undefined while no baseline is known. */
-    public getLateAfterMs(workClass: "short" | "long"): number | undefined {
-        return this.baselines[workClass].coldAfterMs;
+    public getLateAfterMs(workClass: "short" | "long", promptTokens: number): number | undefined {
+        return this.baselines[workClass].getColdAfterMs(promptTokens);
     }
 
     private applyDecrease(nowMs: number): WindowChange | undefined {
--- a/src/decisions/firstOutputBaseline.ts
+++ b/src/decisions/firstOutputBaseline.ts
@@ -1,10 +1,12 @@
 /** Samples before the baseline judges anything. */
 export const baselineSamples = 8;
-/** Times the baseline from which a first output is slow. */
+/** Times the expected delay from which a first output is slow. */
 export const slowRatio = 4;
-/** Times the baseline from which it is a sign of a cold start. */
+/** Times the expected delay from which it is a sign of a cold start. */
 export const coldRatio = 10;
 
+/** Prompt tokens that take as long as what every request takes, whatever its size. */
+const fixedPartTokens = 200;
 const leastSlowMs = 500;
 const leastColdMs = 2_000;
 const smoothing = 0.05;
@@ -13,7 +15,9 @@
 export type FirstOutputJudgement = "usual" | "slow" | "cold";
 
 /**
- * The usual time to a target's first output for one class of work: an exponentially weighted mean.
+ * The usual time to a target's first output for one class of work: an exponentially weighted mean per prompt size,
+ * as an engine works through the prompt before it gives the first token. Without the size, one long prompt among
+ * short ones would look like a slow target.
  *
  * Load pattern: a target that loses its cache or reloads weights without a word. Its load report lags, but its first
  * output is late at once. Batching alone moves the first output by two or three times, hence the ratio of four for slow;
@@ -21,27 +25,34 @@
  * one bad minute from becoming the new usual before it is noticed, yet a lasting change is accepted after some dozens.
  */
 export class FirstOutputBaseline {
-    private mean = 0;
+    private msPerToken = 0;
     private samples = 0;
 
     /** Delay from which a first output is a sign of cold; undefined before enough samples. */
-    public get coldAfterMs(): number | undefined {
-        return this.samples < baselineSamples ? undefined : Math.max(leastColdMs, this.mean * coldRatio);
+    public getColdAfterMs(promptTokens: number): number | undefined {
+        return this.samples < baselineSamples
+            ? undefined
+            : Math.max(leastColdMs, this.getExpectedMs(promptTokens) * coldRatio);
     }
 
-    public compare(delayMs: number): FirstOutputJudgement {
-        const coldAfterMs = this.coldAfterMs;
+    public compare(delayMs: number, promptTokens: number): FirstOutputJudgement {
+        const coldAfterMs = this.getColdAfterMs(promptTokens);
         if (coldAfterMs === undefined) {
             return "usual";
         }
         if (delayMs > coldAfterMs) {
             return "cold";
         }
-        return delayMs > Math.max(leastSlowMs, this.mean * slowRatio) ? "slow" : "usual";
+        return delayMs > Math.max(leastSlowMs, this.getExpectedMs(promptTokens) * slowRatio) ? "slow" : "usual";
     }
 
-    public observe(delayMs: number): void {
+    public observe(delayMs: number, promptTokens: number): void {
         this.samples += 1;
-        this.mean += (delayMs - this.mean) * Math.max(smoothing, 1 / this.samples);
+        const msPerToken = delayMs / (fixedPartTokens + promptTokens);
+        this.msPerToken += (msPerToken - this.msPerToken) * Math.max(smoothing, 1 / this.samples);
+    }
+
+    private getExpectedMs(promptTokens: number): number {
+        return this.msPerToken * (fixedPartTokens + promptTokens);
     }
 }
--- a/src/fleet/agent/runSystem.ts
+++ b/src/fleet/agent/runSystem.ts
@@ -15,8 +15,13 @@
         return;
     }
     const delayMs = nowMs - work.startedAtMs;
-    const running = context.tables.running.size;
-    context.recordWindow(context.window.observeFirstOutput(work.workClass, delayMs, running, nowMs));
+    const output = {
+        workClass: work.workClass,
+        promptTokens: work.request.promptTokens,
+        delayMs,
+        running: context.tables.running.size,
+    };
+    context.recordWindow(context.window.observeFirstOutput(output, nowMs));
 }
 
 /** Frees the slot of a run that ended and settles its cost. */
@@ -68,7 +73,7 @@
     let earliest: number | undefined;
     for (const workClass of ["short", "long"] as const) {
         const work = tables.getAwaitingOutput(workClass);
-        const lateAfterMs = window.getLateAfterMs(workClass);
+        const lateAfterMs = work && window.getLateAfterMs(workClass, work.request.promptTokens);
         if (work === undefined || lateAfterMs === undefined) {
             continue;
         }
