--- a/src/fleet/router/retrySystem.ts
+++ b/src/fleet/router/retrySystem.ts
@@ -11,14 +11,14 @@
 
     /** The way to the agent broke or the target failed. */
     public handleFailed(entry: RequestEntry, execution: Execution, detail: string, nowMs: number): void {
-        const failed: RequestEntry = { ...entry, execution: mergeExecution(entry.execution, execution) };
+        const failed: RequestEntry = { ...entry, execution: getExecution(entry, execution) };
         const refusal = this.state.createRefusal("target-failed", failed.execution, minRetryAfterMs, detail);
         this.handleFailure(failed, execution, refusal, nowMs);
     }
 
     /** The agent turned the request away. */
     public handleRefused(entry: RequestEntry, refusal: Refusal, nowMs: number): void {
-        const refused: RequestEntry = { ...entry, execution: mergeExecution(entry.execution, refusal.execution) };
+        const refused: RequestEntry = { ...entry, execution: getExecution(entry, refusal.execution) };
         const merged: Refusal = { ...refusal, execution: refused.execution };
         if (finalReasons.has(refusal.reason)) {
             this.state.refuse(refused, merged, nowMs);
@@ -34,11 +34,10 @@
         const { state } = this;
         state.recordRequest("request-withdrawn", entry, { value: entry.attempt });
         if (entry.withdrawFor === "deadline") {
-            const detail = "the deadline passed before the request could start";
-            state.refuse(entry, state.createRefusal("deadline", entry.execution, minRetryAfterMs, detail), nowMs);
+            this.refuseLate(entry, nowMs);
         } else if (entry.lane.homeAgentId !== undefined) {
             const detail = "the key's home gave the request back";
-            state.refuse(entry, state.createRefusal("draining", entry.execution, minRetryAfterMs, detail), nowMs);
+            state.refuse(entry, state.createRefusal("draining", "not-run", minRetryAfterMs, detail), nowMs);
         } else {
             this.addBack(entry, nowMs);
         }
@@ -65,7 +64,18 @@
         }
     }
 
+    /** The deadline's timer has gone off already, so that nothing else would end the request. */
+    private refuseLate(entry: RequestEntry, nowMs: number): void {
+        const detail = "the deadline passed before the request could start";
+        const refusal = this.state.createRefusal("deadline", entry.execution, minRetryAfterMs, detail);
+        this.state.refuse(entry, refusal, nowMs);
+    }
+
     private addBack(entry: RequestEntry, nowMs: number): void {
+        if (nowMs >= entry.request.deadlineAtMs) {
+            this.refuseLate(entry, nowMs);
+            return;
+        }
         this.state.removeFromStage(entry, nowMs);
         this.state.addToBacklog(entry, "first", nowMs);
     }
@@ -73,9 +83,9 @@
     private handleFailure(entry: RequestEntry, execution: Execution, refusal: Refusal, nowMs: number): void {
         const { state } = this;
         const failures = entry.failures + 1;
-        const { idempotent, clientAccount } = entry.request;
+        const { idempotent, clientAccount, deadlineAtMs } = entry.request;
         const boundToHome = entry.lane.homeAgentId !== undefined;
-        if (!canRetry({ idempotent, execution, attempt: failures, boundToHome })) {
+        if (nowMs >= deadlineAtMs || !canRetry({ idempotent, execution, attempt: failures, boundToHome })) {
             state.refuse(entry, refusal, nowMs);
             return;
         }
@@ -100,10 +110,15 @@
 }
 
 /** Refusals that another agent would give too, or that only this one may give. */
-const finalReasons: ReadonlySet<string> = new Set(["deadline", "duplicate", "key-unknown", "key-required"]);
+const finalReasons: ReadonlySet<string> = new Set(["deadline", "key-unknown", "key-required"]);
 /** Refusals of an agent that takes nothing new. */
 const awayReasons: ReadonlySet<string> = new Set(["draining", "stopping"]);
 
+/** A key's home speaks for all attempts that were made under the key; other agents for their own attempt only. */
+function getExecution(entry: RequestEntry, execution: Execution): Execution {
+    return entry.lane.homeAgentId === undefined ? mergeExecution(entry.execution, execution) : execution;
+}
+
 /** What is known after several attempts: one that may have run makes the whole "unknown", one that ran "ran". */
 function mergeExecution(first: Execution, second: Execution): Execution {
     if (first === "ran" || second === "ran") {
--- a/src/router/routerService.ts
+++ b/src/router/routerService.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../base/log.js";
 import type { Metrics } from "../base/metrics.js";
 import type { WorkFrame } from "../control/frames.js";
+import type { EventRecorder } from "../events/fleetEvent.js";
 import type { ClientShare } from "../fleet/clientShare.js";
 import type { Core } from "../fleet/core.js";
 import { CoreRunner, type Scheduler } from "../fleet/coreRunner.js";
@@ -39,6 +40,7 @@
     readonly scheduler: Scheduler;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    readonly events: EventRecorder;
 }
 
 /** The shell around a router's core: holds callers' requests, sends them, passes their answers on. */
@@ -106,11 +108,12 @@
         const address = this.parts.directory.get(agentId)?.entry.address;
         if (open === undefined || address === undefined) {
             const detail = "the agent is not in the roster";
-            this.send({ type: "workFailed", requestId, agentId, attempt, execution: "not-run", detail });
+            const execution = open?.homeAgentId === undefined ? "not-run" : "unknown";
+            this.send({ type: "workFailed", requestId, agentId, attempt, execution, detail });
             return;
         }
         open.answer.clear();
-        const sending = new Try(open, agentId, attempt, message => this.runner.send(message));
+        const sending = new Try(open, agentId, attempt, message => this.runner.send(message), this.parts.events);
         this.tries.set(requestId, sending);
         void this.parts.sender
             .send(open, attempt, address, frame => this.takeFrame(sending, frame), sending.token)
@@ -130,7 +133,8 @@
             this.tries.delete(requestId);
         }
         if (broken !== undefined) {
-            sending.fail(broken);
+            // The home never saw this try, but may have run an earlier one under the same key.
+            sending.fail(sending.isHomeBound ? { ...broken, execution: "unknown" } : broken);
         }
         if (sending.isAnswered) {
             this.open.delete(requestId);
