Tell a daemon's late registration from its newest one in the roster

Cause: the daemon registers anew when it learns its services, with the same incarnation. The fold took that for a renewal: the change was not announced and the membership's span kept the old services; and an earlier record that lands late would have brought the old services back. Change: a registration whose writer had read less than the present one's is late and ignored; one with another entry ends the span and begins a new one, with the same registration offset.

--- a/src/fleet/rosterState.ts
+++ b/src/fleet/rosterState.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import { z } from "zod";
 import { rosterEntrySchema, type RosterEntry } from "./rosterEntry.js";
 
@@ -42,6 +43,8 @@
     readonly renewedAtMs: number;
     /** The same on the scale that leaves out the log's outages; see {@link RosterState}. */
     readonly renewedAtActiveMs: number;
+    /** What the writer of the newest registration had read. */
+    readonly knownUpTo: number;
 }
 
 /** A membership in time: from its registration to its end. Offsets and times are the log's. */
@@ -199,23 +202,19 @@
     private applyRegister(offset: number, atMs: number, record: RegisterRecord): boolean {
         const { entry } = record;
         const present = this.memberTable.get(entry.daemonId);
-        const departure = this.departures.get(entry.daemonId);
-        // An append whose answer was lost may land after the daemon has left or a newer process has taken its place.
-        // Taken for valid, it would bring a stopped daemon back into the roster, and keys would go to a dead home.
-        const isLate = departure !== undefined && departure.offset > record.knownUpTo;
-        if (isLate && departure.incarnation >= entry.incarnation) {
+        if (this.isLate(record, present)) {
             return false;
         }
-        if (present !== undefined && present.entry.incarnation > entry.incarnation) {
+        const isSameProcess = present?.entry.incarnation === entry.incarnation;
+        const registration = isSameProcess ? present.registration : (record.registration ?? offset);
+        const renewal = { renewedAtMs: atMs, renewedAtActiveMs: this.activeMs, knownUpTo: record.knownUpTo };
+        const member: RosterMember = { entry, registration, ...renewal };
+        if (isSameProcess && isDeepStrictEqual(present.entry, entry)) {
+            this.memberTable.set(entry.daemonId, member);
             return false;
         }
-        if (present?.entry.incarnation === entry.incarnation) {
-            this.memberTable.set(entry.daemonId, { ...present, entry, ...this.buildRenewal(atMs) });
-            return present.entry.address !== entry.address;
-        }
         this.closeSpan(entry.daemonId, offset, atMs);
-        const registration = record.registration ?? offset;
-        this.memberTable.set(entry.daemonId, { entry, registration, ...this.buildRenewal(atMs) });
+        this.memberTable.set(entry.daemonId, member);
         const openEnd = { untilOffset: undefined, untilMs: undefined };
         this.spanTable.push({ entry, registration, fromOffset: offset, fromMs: atMs, ...openEnd });
         for (const service of entry.role === "agent" ? entry.services : []) {
@@ -224,8 +223,21 @@
         return true;
     }
 
-    private buildRenewal(atMs: number): Pick<RosterMember, "renewedAtMs" | "renewedAtActiveMs"> {
-        return { renewedAtMs: atMs, renewedAtActiveMs: this.activeMs };
+    /**
+     * An append whose answer was lost may land after the daemon has left, or after it or a newer process has registered
+     * again. Taken for valid, it would bring a stopped daemon or its old services back into the roster, and keys would
+     * go to a home that does not answer. The writer says what it had read, so that every reader can tell.
+     */
+    private isLate(record: RegisterRecord, present: RosterMember | undefined): boolean {
+        const { daemonId, incarnation } = record.entry;
+        const departure = this.departures.get(daemonId);
+        if (departure !== undefined && departure.offset > record.knownUpTo && departure.incarnation >= incarnation) {
+            return true;
+        }
+        if (present === undefined || present.entry.incarnation < incarnation) {
+            return false;
+        }
+        return present.entry.incarnation > incarnation || present.knownUpTo > record.knownUpTo;
     }
 
     private applyLeave(offset: number, atMs: number, record: LeaveRecord): boolean {
