Count a planned stop's cuts by what had begun; print what callers got

Cause: the first check counted every unknown answer as cut off, also calls that a stopping router turned away before they had begun. It is replaced by one that compares what ran at the targets with what reached the callers. Ruled out: looking at the callers' answers alone: turned away and cut off look alike there. Change: checkCuts; scenarios without service or fault prove nothing and fail; homes settle before a run.

--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -72,6 +72,7 @@
 async function runFaults(scenario: Scenario, run: ProofRun): Promise<void> {
     await run.fleet.start();
     run.observer.start();
+    await run.waitForHomes();
     if (scenario.hasWorkload !== false) {
         run.workload.start(usualLoad);
     }
@@ -80,12 +81,38 @@
     await run.sleep(healedMs);
     await run.workload.stop();
     await run.observer.stop();
+    printAnswers(scenario, run);
+}
+
+/** What callers got, in one line; a run in which nothing was served or no fault was injected proves nothing. */
+function printAnswers(scenario: Scenario, run: ProofRun): void {
     const { chats, calls } = run.workload;
     const whole = chats.filter(chat => chat.whole).length;
     const answered = calls.filter(call => call.status === 200).length;
+    const others = countBy([
+        ...chats.filter(chat => !chat.whole).map(chat => `chat ${chat.failure} ${chat.execution ?? ""}`),
+        ...calls
+            .filter(call => call.status !== 200)
+            .map(call => `call ${formatProblem(call.body)} ${String(call.body.execution ?? "")}`),
+    ]);
+    console.log(`  ${scenario.name}: ${run.faults.length} faults: ${run.faults.join("; ")}`);
     console.log(
-        `  ${scenario.name}: ${run.faults.length} faults, chats ${whole} whole of ${chats.length}, calls ${answered} answered of ${calls.length}`,
+        `    chats ${whole} whole of ${chats.length}, calls ${answered} answered of ${calls.length}; ${others}`,
     );
+    const isIdle = answered === 0 || (scenario.hasWorkload !== false && whole === 0);
+    if (isIdle || run.faults.length === 0) {
+        throw new Error("nothing was served or no fault was injected");
+    }
+}
+
+function formatProblem(body: Readonly<Record<string, unknown>>): string {
+    return typeof body.type === "string" ? (body.type.split("/").at(-1) ?? "") : "unreached";
+}
+
+function countBy(names: readonly string[]): string {
+    const counts = new Map<string, number>();
+    names.forEach(name => counts.set(name.trim(), (counts.get(name.trim()) ?? 0) + 1));
+    return [...counts].map(([name, count]) => `${name} ${count}`).join(", ");
 }
 
 function printResult(result: ScenarioResult): void {
--- a/scripts/prove/checks.ts
+++ b/scripts/prove/checks.ts
@@ -43,7 +43,7 @@
         ...checkAnswers(run),
         ...checkNotRun(run, evidence),
         ...checkAtMostOnce(evidence),
-        ...checkCuts(run),
+        ...checkCuts(run, evidence),
         ...checkOffsets(run),
     ];
 }
@@ -153,17 +153,22 @@
         .map(([key, count]) => createBreach(7, `key ${key} ran ${count} times`));
 }
 
-/** In runs whose only fault is a planned stop no answer breaks off and no call is lost. */
-function checkCuts(run: ProofRun): readonly Breach[] {
+/**
+ * In runs whose only fault is a planned stop, what began at a target reaches its caller. A request that a stopping
+ * daemon turns away before it has begun is not cut off.
+ */
+function checkCuts(run: ProofRun, evidence: TargetEvidence): readonly Breach[] {
     if (!run.expectNoCuts) {
         return [];
     }
+    const ran = new Set([...evidence.engines.values()].flatMap(engine => engine.runs.map(seen => seen.promptDigest)));
     const chats = run.workload.chats
-        .filter(chat => chat.failure === "cut" || chat.failure === "error")
-        .map(chat => createBreach(9, `"${chat.prompt}" (${chat.requestId}) was ${chat.failure} by a planned stop`));
-    const calls = run.workload.calls
-        .filter(call => call.body.execution === "unknown" || call.body.execution === "ran")
-        .map(call => createBreach(9, `key ${call.key} was lost by a planned stop: ${call.text}`));
+        .filter(chat => !chat.whole && ran.has(hashText(chat.prompt)))
+        .map(chat => createBreach(9, `"${chat.prompt}" (${chat.requestId}) had begun and was ${chat.failure}`));
+    const answered = new Set(run.workload.calls.filter(call => call.status === 200).map(call => call.key));
+    const calls = [...new Set(run.workload.calls.map(call => call.key))]
+        .filter(key => evidence.runsByKey.has(key) && !answered.has(key))
+        .map(key => createBreach(9, `key ${key} ran and no caller got its answer`));
     return [...chats, ...calls];
 }
 
--- a/scripts/prove/proofRun.ts
+++ b/scripts/prove/proofRun.ts
@@ -1,9 +1,13 @@
 import type { Random } from "../../src/base/random.js";
+import { sendUntilRun } from "../../test/fakes/callers.js";
 import { Fleet, type FleetDaemon, type FleetOptions } from "../../test/fakes/fleet.js";
 import { Observer } from "./observer.js";
 import type { Breach, PointNumber } from "./point.js";
 import { Workload } from "./workload.js";
 
+/** Enough keys that each of a few homes has one with near certainty. */
+const homeProbes = 12;
+
 /** A document change that was appended as the only one of its basis, or that won a race. */
 export interface AppliedChange {
     readonly offset: number;
@@ -41,6 +45,13 @@
         this.observer = new Observer(this.fleet);
     }
 
+    /** Waits until the agents of the plain service take keys of the callers' own choice. */
+    public async waitForHomes(): Promise<void> {
+        const url = this.fleet.getRouter(0).callersUrl ?? "";
+        const keys = [...Array(homeProbes).keys()].map(index => `probe-${index}-${this.random.next()}`);
+        await Promise.all(keys.map(key => sendUntilRun(url, "middle", key)));
+    }
+
     /** Notes a fault; the report counts them. */
     public recordFault(what: string): void {
         this.faults.push(what);
