--- a/src/decisions/expectedWait.ts
+++ b/src/decisions/expectedWait.ts
@@ -9,6 +9,8 @@
     readonly msPerCost: number | undefined;
     readonly waitingCost: number;
     readonly accountWaitingCost: number;
+    /** Estimated cost of the request itself. */
+    readonly cost: number;
     readonly accountWeight: number;
     /** Weights of all accounts that wait, the request's own included. */
     readonly backloggedWeight: number;
@@ -45,12 +47,26 @@
     return situation.pausedForMs + (ahead * msPerCost) / window;
 }
 
+/** How long the request itself is expected to run, in milliseconds; 0 before anything ended. */
+export function estimateServiceMs(situation: Pick<WaitSituation, "msPerCost" | "cost">): number {
+    return (situation.msPerCost ?? 0) * situation.cost;
+}
+
+/**
+ * When a waiting request must have started to be answered in time. At most half of the time it has is kept for the
+ * answer: the estimate may be far too high, and the request must then have had a chance.
+ */
+export function computeLatestStartMs(situation: WaitSituation, nowMs: number, deadlineAtMs: number): number {
+    return deadlineAtMs - Math.min(estimateServiceMs(situation), (deadlineAtMs - nowMs) / 2);
+}
+
 /**
  * Decides whether a request may wait at this agent.
  *
- * Load patterns: saturation and a flood. A request that cannot start before its deadline only holds memory and, once
- * started, a slot for an answer that nobody waits for; at full load such work crowds out what could still be in time.
- * It is refused at once, with the time after which the wait is expected to have drained to half its deadline.
+ * Load patterns: saturation and a flood. A request that cannot be answered before its deadline only holds memory and,
+ * once started, a slot for an answer that nobody waits for; at full load such work crowds out what could still be in
+ * time. It is refused at once, with the time after which the wait is expected to have drained to half its deadline.
+ * One that can start at once is never refused for its own expected time, else a wrong estimate would never be mended.
  * The bound per account keeps one account from using up the total bound, which protects the process's memory.
  */
 export function checkAdmission(
@@ -66,7 +82,8 @@
     if (counts.queuedTotal >= bounds.maxQueuedTotal) {
         return { admitted: false, reason: "queue-full", retryAfterMs: toRetryAfterMs(waitMs / 2) };
     }
-    if (timeLeftMs <= 0 || waitMs > timeLeftMs) {
+    const neededMs = waitMs === 0 ? 0 : waitMs + Math.min(estimateServiceMs(situation), timeLeftMs / 2);
+    if (timeLeftMs <= 0 || neededMs > timeLeftMs) {
         const retryAfterMs = toRetryAfterMs(waitMs - Math.max(0, timeLeftMs) / 2);
         return { admitted: false, reason: "deadline", retryAfterMs };
     }
--- a/src/decisions/firstOutputBaseline.ts
+++ b/src/decisions/firstOutputBaseline.ts
@@ -9,7 +9,9 @@
 const fixedPartTokens = 200;
 const leastSlowMs = 500;
 const leastColdMs = 2_000;
-const smoothing = 0.05;
+const smoothing = 0.02;
+/** One sample counts as no more than so many times what was expected. */
+const largestSampleRatio = 2;
 
 /** How a first output compares with what the target usually does. */
 export type FirstOutputJudgement = "usual" | "slow" | "cold";
@@ -21,8 +23,9 @@
  *
  * Load pattern: a target that loses its cache or reloads weights without a word. Its load report lags, but its first
  * output is late at once. Batching alone moves the first output by two or three times, hence the ratio of four for slow;
- * a weight load takes seconds, hence ten times and never under two seconds for cold. The small smoothing factor keeps
- * one bad minute from becoming the new usual before it is noticed, yet a lasting change is accepted after some dozens.
+ * a weight load takes seconds, hence ten times and never under two seconds for cold. A late sample
+ * moves the mean by two in a hundred at most: with five in a hundred and no limit, two outputs five times late had
+ * already become the usual in a test. A lasting fourfold slowdown is accepted after about seventy requests.
  */
 export class FirstOutputBaseline {
     private msPerToken = 0;
@@ -48,7 +51,9 @@
 
     public observe(delayMs: number, promptTokens: number): void {
         this.samples += 1;
-        const msPerToken = delayMs / (fixedPartTokens + promptTokens);
+        const sample = delayMs / (fixedPartTokens + promptTokens);
+        const isSettled = this.samples > baselineSamples;
+        const msPerToken = isSettled ? Math.min(sample, this.msPerToken * largestSampleRatio) : sample;
         this.msPerToken += (msPerToken - this.msPerToken) * Math.max(smoothing, 1 / this.samples);
     }
 
--- a/src/fleet/agent/admitSystem.ts
+++ b/src/fleet/agent/admitSystem.ts
@@ -1,4 +1,4 @@
-import { checkAdmission, type AdmissionDecision } from "../../decisions/expectedWait.js";
+import { checkAdmission, computeLatestStartMs, type WaitSituation } from "../../decisions/expectedWait.js";
 import type { Refusal, WorkRequest } from "../entities.js";
 import type { AgentContext } from "./agentContext.js";
 import type { QueuedWork, ServiceRow } from "./tables.js";
@@ -20,7 +20,12 @@
     }
     const row = context.getRow(request.service);
     const work = createQueuedWork(context, request, routerId, nowMs);
-    const decision = checkRoom(context, row, work, nowMs);
+    const situation = createSituation(context, row, work, nowMs);
+    const counts = {
+        queuedTotal: context.tables.countQueued(),
+        queuedOfAccount: row.queue.countWaiting(work.clientAccount),
+    };
+    const decision = checkAdmission(situation, counts, context.options, request.deadlineAtMs - nowMs);
     if (!decision.admitted) {
         context.refuseRequest(request, {
             reason: decision.reason,
@@ -31,6 +36,7 @@
         return;
     }
     addToQueue(context, row, work, nowMs);
+    context.deadlines.set(work.id, computeLatestStartMs(situation, nowMs, request.deadlineAtMs));
 }
 
 /**
@@ -73,22 +79,21 @@
     return { id, clientAccount, cost, workClass, hintClass, request, routerId, queuedAtMs: nowMs };
 }
 
-function checkRoom(context: AgentContext, row: ServiceRow, work: QueuedWork, nowMs: number): AdmissionDecision {
-    const { tables, window, options } = context;
+function createSituation(context: AgentContext, row: ServiceRow, work: QueuedWork, nowMs: number): WaitSituation {
+    const { tables, window } = context;
     const accountWeight = context.getWeight(work.clientAccount);
-    const queuedOfAccount = row.queue.countWaiting(work.clientAccount);
-    const situation = {
+    const isBacklogged = row.queue.countWaiting(work.clientAccount) > 0;
+    return {
         freeSlots: window.limit - tables.running.size,
         window: window.limit,
         msPerCost: row.msPerCost,
         waitingCost: row.queue.waitingCost,
         accountWaitingCost: row.queue.getAccountCost(work.clientAccount),
         accountWeight,
-        backloggedWeight: row.queue.backloggedWeight + (queuedOfAccount === 0 ? accountWeight : 0),
+        cost: work.cost,
+        backloggedWeight: row.queue.backloggedWeight + (isBacklogged ? 0 : accountWeight),
         pausedForMs: Math.max(0, (context.circuit.probeAtMs ?? nowMs) - nowMs),
     };
-    const counts = { queuedTotal: tables.countQueued(), queuedOfAccount };
-    return checkAdmission(situation, counts, options, work.request.deadlineAtMs - nowMs);
 }
 
 function addToQueue(context: AgentContext, row: ServiceRow, work: QueuedWork, nowMs: number): void {
@@ -101,7 +106,6 @@
     }
     ledger.recordActivity(clientAccount, nowMs);
     queue.add(work, ledger.getNormalizedService(clientAccount), context.getWeight(clientAccount));
-    context.deadlines.set(work.id, request.deadlineAtMs);
     if (work.workClass === "short") {
         context.reserve.observeArrival(nowMs);
     }
--- a/src/fleet/agent/agentContext.ts
+++ b/src/fleet/agent/agentContext.ts
@@ -22,7 +22,7 @@
     public readonly circuit: CircuitBreaker;
     public readonly reserve = new ShortReserve();
     public readonly estimator = new CostEstimator();
-    /** Queued requests by deadline. */
+    /** Queued requests by the time at which they must have started. */
     public readonly deadlines = new IndexedHeap<string>();
     public readonly started: IdMemory;
     public readonly withdrawn: IdMemory;
--- a/src/fleet/agent/expireSystem.ts
+++ b/src/fleet/agent/expireSystem.ts
@@ -1,7 +1,7 @@
 import { toRetryAfterMs } from "../../decisions/expectedWait.js";
 import type { AgentContext } from "./agentContext.js";
 
-/** Turns away what has waited beyond its deadline: its caller no longer waits, and a slot spent on it is lost. */
+/** Turns away what can no longer be answered by its deadline: a slot spent on it would be lost for all. */
 export function refuseExpired(context: AgentContext, nowMs: number): void {
     let next = context.deadlines.getLeast();
     while (next !== undefined && next.priority <= nowMs) {
@@ -13,7 +13,7 @@
                 reason: "deadline",
                 execution: "not-run",
                 retryAfterMs: toRetryAfterMs(context.serviceTimeMs),
-                detail: "The request waited beyond its deadline.",
+                detail: "The request has waited too long to be answered by its deadline.",
             });
         }
         next = context.deadlines.getLeast();
--- a/test/fleet/agentFleetDriver.ts
+++ b/test/fleet/agentFleetDriver.ts
@@ -61,6 +61,12 @@
     readonly normalizedCost: number;
 }
 
+interface Ending {
+    readonly atMs: number;
+    readonly clientAccount: string;
+    readonly waitMs: number;
+}
+
 interface AgentSeat {
     readonly index: number;
     core: AgentCore;
@@ -78,7 +84,7 @@
 export class AgentFleetDriver {
     public nowMs = 0;
     public readonly starts: Start[] = [];
-    public readonly refusals: { readonly atMs: number; readonly clientAccount: string; readonly reason: string }[] = [];
+    public readonly refusals: Ending[] = [];
     /** Cost delivered to each account, over weight, with the part of what runs now. */
     public readonly ended = new Map<string, number>();
     public greatestStalenessMs = 0;
@@ -279,7 +285,8 @@
                 this.startRun(seat, known.request, known.demand);
                 refill.add(clientAccount);
             } else if (effect.type === "refuseWork") {
-                this.refusals.push({ atMs: this.nowMs, clientAccount, reason: effect.refusal.reason });
+                const waitMs = this.nowMs - known.request.arrivedAtMs;
+                this.refusals.push({ atMs: this.nowMs, clientAccount, waitMs });
             }
         }
         this.updateTimer(seat);
