--- a/src/decisions/concurrencyWindow.ts
+++ b/src/decisions/concurrencyWindow.ts
@@ -55,6 +55,8 @@
     private warmReports = 0;
     private successesSinceCold = 0;
     private lastReportAtMs: number | undefined;
+    /** Whether nothing but a late first output speaks for the present cold start. */
+    private isSuspicionOnly = false;
     private slowCount = 0;
     private lastDecreaseAtMs = Number.NEGATIVE_INFINITY;
 
@@ -87,15 +89,20 @@
             return undefined;
         }
         this.warmReports += 1;
-        if (this.warmReports < warmReportsNeeded) {
-            return undefined;
-        }
-        this.cold = false;
-        return "warm";
+        return this.warmReports < warmReportsNeeded ? undefined : this.setWarm();
     }
 
-    /** Any sign of a cold start: falls to the cold limit at once. */
+    /** A first output is overdue: falls to the cold limit on this suspicion. */
+    public observeLateOutput(nowMs: number): WindowChange | undefined {
+        const isSuspicionOnly = !this.cold || this.isSuspicionOnly;
+        const change = this.observeColdSign(nowMs);
+        this.isSuspicionOnly = isSuspicionOnly;
+        return change;
+    }
+
+    /** A sign that the target is cold: falls to the cold limit at once. */
     public observeColdSign(nowMs: number): WindowChange | undefined {
+        this.isSuspicionOnly = false;
         const changed = !this.cold || this.currentLimit > this.limits.coldLimit;
         this.cold = true;
         this.coldSinceMs = nowMs;
@@ -116,7 +123,7 @@
         baseline.observe(delayMs, promptTokens);
         this.slowCount = judgement === "slow" ? this.slowCount + 1 : 0;
         if (judgement === "cold") {
-            return this.observeColdSign(nowMs);
+            return this.observeLateOutput(nowMs);
         }
         if (judgement === "slow") {
             return this.slowCount < slowInRow ? undefined : this.applyDecrease(nowMs);
@@ -138,8 +145,7 @@
         if (hasReports || this.successesSinceCold < warmSuccessesPerSlot * this.limits.coldLimit) {
             return undefined;
         }
-        this.cold = false;
-        return "warm";
+        return this.setWarm();
     }
 
     /** When a request that has given nothing yet counts as a sign of cold; undefined while no baseline is known. */
@@ -147,6 +153,20 @@
         return this.baselines[workClass].getColdAfterMs(promptTokens);
     }
 
+    /**
+     * Ends the cold start. When nothing but lateness spoke for it, the target was probably just busy: without the
+     * correction a target whose first outputs are late at full load would fall to its cold limit every few seconds.
+     */
+    private setWarm(): WindowChange {
+        if (this.isSuspicionOnly) {
+            this.baselines.short.recordFalseAlarm();
+            this.baselines.long.recordFalseAlarm();
+        }
+        this.isSuspicionOnly = false;
+        this.cold = false;
+        return "warm";
+    }
+
     private applyDecrease(nowMs: number): WindowChange | undefined {
         if (nowMs - this.lastDecreaseAtMs < slowDecreaseEveryMs) {
             return undefined;
--- a/src/decisions/firstOutputBaseline.ts
+++ b/src/decisions/firstOutputBaseline.ts
@@ -12,6 +12,7 @@
 const smoothing = 0.02;
 /** One sample counts as no more than so many times what was expected. */
 const largestSampleRatio = 2;
+const falseAlarmRatio = 1.5;
 
 /** How a first output compares with what the target usually does. */
 export type FirstOutputJudgement = "usual" | "slow" | "cold";
@@ -57,6 +58,11 @@
         this.msPerToken += (msPerToken - this.msPerToken) * Math.max(smoothing, 1 / this.samples);
     }
 
+    /** The target was taken for cold and was not: such delays are more usual than was thought. */
+    public recordFalseAlarm(): void {
+        this.msPerToken *= falseAlarmRatio;
+    }
+
     private getExpectedMs(promptTokens: number): number {
         return this.msPerToken * (fixedPartTokens + promptTokens);
     }
--- a/src/fleet/agent/runSystem.ts
+++ b/src/fleet/agent/runSystem.ts
@@ -60,7 +60,10 @@
 export function checkLateOutputs(context: AgentContext, nowMs: number): void {
     const lateAtMs = getLateCheckAtMs(context);
     if (lateAtMs !== undefined && nowMs >= lateAtMs) {
-        receiveColdSign(context, "late first output", nowMs);
+        if (context.window.observeLateOutput(nowMs) !== undefined) {
+            context.recordWindow("cold: late first output");
+        }
+        context.tables.clearAwaitingOutput();
     }
 }
 
--- a/test/decisions/target.test.ts
+++ b/test/decisions/target.test.ts
@@ -54,6 +54,26 @@
         `);
     });
 
+    // The callers see: full load again after a few seconds, and not the same fall again and again. The target was only busy:
+    // its first outputs are late at full load, while its reports never say cold.
+    it("learns from false alarms", () => {
+        const window = createWarmWindow();
+        sendOutputs(window, 16, 300, 4_000);
+        const falls: string[] = [];
+        for (let nowMs = 20_000; nowMs < 80_000; nowMs += 1_000) {
+            const [change = ""] = sendOutputs(window, 1, 4_000, nowMs);
+            window.observeReport(false, nowMs);
+            if (change.startsWith("cold")) {
+                falls.push(`${nowMs}`);
+            }
+        }
+        expect(falls).toMatchInlineSnapshot(`
+          [
+            "20000",
+          ]
+        `);
+    });
+
     // The callers see: the target's queue does not grow while it is slow. First outputs take five times as long as usual.
     it("shrinks by a fifth, once a second, while first outputs are slow", () => {
         const window = createWarmWindow();
