--- /dev/null
+++ b/src/router/exchange.ts
@@ -0,0 +1,154 @@
+import { CancellationTokenSource } from "../base/cancellation.js";
+import type { Clock } from "../base/clock.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { Random } from "../base/random.js";
+import type { ExchangeReply } from "../control/host.js";
+import type { AcceptedDocument } from "../document/schema.js";
+import type { EventRing } from "../events/eventRing.js";
+import type { Scheduler } from "../fleet/coreRunner.js";
+import type { AgentReport } from "../fleet/entities.js";
+import type { AgentDirectory } from "./agentDirectory.js";
+import type { VersionedClaims } from "./routerService.js";
+
+/** An agent that has not answered for this long gets no new work and loses what can be known not to run there. */
+const agentLeaseMs = 3_000;
+/** Share of the period by which exchanges are spread, so that routers started together do not stay in step. */
+const jitter = 0.2;
+
+/** What the exchange needs of the router. */
+export interface ExchangeHost {
+    createClaims(agentId: string, sinceVersion: number): VersionedClaims;
+    handleReport(report: AgentReport): void;
+    handleLost(agentId: string): void;
+    readonly document: AcceptedDocument | undefined;
+    applyDocument(document: AcceptedDocument): void;
+}
+
+/** What the exchange is built from. */
+export interface ExchangeParts {
+    readonly routerId: string;
+    readonly incarnation: number;
+    /** Time between two exchanges with one agent; milliseconds. */
+    readonly periodMs: number;
+    readonly directory: AgentDirectory;
+    readonly host: ExchangeHost;
+    readonly events: EventRing;
+    readonly clock: Clock;
+    readonly scheduler: Scheduler;
+    readonly random: Random;
+}
+
+interface Peer {
+    lastAnswerAtMs: number;
+    acknowledgedSequence: number | undefined;
+    documentOffset: number;
+    /** Claims up to this version have arrived there. */
+    claimsVersion: number;
+    /** Incarnation that answered last; what an earlier one has acknowledged is lost. */
+    reporter: number | undefined;
+    lost: boolean;
+    timer: Disposable | undefined;
+    readonly incarnation: number;
+}
+
+/** Talks with each agent on a period: brings claims and a newer document, takes its report. */
+export class Exchange implements Disposable {
+    private readonly peers = new Map<string, Peer>();
+    private readonly cancellation = new CancellationTokenSource();
+
+    public constructor(private readonly parts: ExchangeParts) {}
+
+    /** Starts with agents that are new in the directory, and stops with those that left it. */
+    public update(): void {
+        for (const [agentId, peer] of this.peers) {
+            if (this.parts.directory.get(agentId)?.entry.incarnation !== peer.incarnation) {
+                peer.timer?.dispose();
+                this.peers.delete(agentId);
+            }
+        }
+        for (const agentId of this.parts.directory.list()) {
+            if (!this.peers.has(agentId)) {
+                this.add(agentId);
+            }
+        }
+    }
+
+    public dispose(): void {
+        this.cancellation.cancel();
+        for (const peer of this.peers.values()) {
+            peer.timer?.dispose();
+        }
+        this.peers.clear();
+    }
+
+    private add(agentId: string): void {
+        const peer: Peer = {
+            lastAnswerAtMs: this.parts.clock.nowMs(),
+            acknowledgedSequence: undefined,
+            documentOffset: -1,
+            claimsVersion: 0,
+            reporter: undefined,
+            lost: false,
+            timer: undefined,
+            incarnation: this.parts.directory.get(agentId)?.entry.incarnation ?? 0,
+        };
+        this.peers.set(agentId, peer);
+        void this.run(agentId, peer);
+    }
+
+    private async run(agentId: string, peer: Peer): Promise<void> {
+        const client = this.parts.directory.get(agentId)?.client;
+        if (client === undefined || this.cancellation.token.isCancelled) {
+            return;
+        }
+        const { document } = this.parts.host;
+        const isPeerBehind = document !== undefined && document.offset > peer.documentOffset;
+        const { version, claims } = this.parts.host.createClaims(agentId, peer.claimsVersion);
+        const reply = await client.sendExchange(
+            {
+                routerId: this.parts.routerId,
+                incarnation: this.parts.incarnation,
+                time: this.parts.events.now(),
+                documentOffset: document?.offset ?? -1,
+                acknowledgedSequence: peer.acknowledgedSequence,
+                claims,
+                // Not on the first call: the agent's own offset is not known yet, and most agents have the document.
+                document: isPeerBehind && peer.acknowledgedSequence !== undefined ? document : undefined,
+            },
+            this.cancellation.token,
+        );
+        if (this.peers.get(agentId) !== peer) {
+            return;
+        }
+        reply.match(
+            answer => this.handleReply(peer, answer, version),
+            () => this.handleSilence(agentId, peer),
+        );
+        const delayMs = this.parts.periodMs * (1 + jitter * (this.parts.random.next() - 0.5));
+        peer.timer = this.parts.scheduler.run(() => void this.run(agentId, peer), delayMs);
+    }
+
+    private handleReply(peer: Peer, reply: ExchangeReply, claimsVersion: number): void {
+        peer.lastAnswerAtMs = this.parts.clock.nowMs();
+        peer.lost = false;
+        this.parts.events.merge(reply.time);
+        const { incarnation } = reply.report.identity;
+        // A restarted agent knows nothing: everything is sent anew from the next exchange on.
+        const isSame = peer.reporter === undefined || peer.reporter === incarnation;
+        peer.reporter = incarnation;
+        peer.claimsVersion = isSame ? claimsVersion : 0;
+        peer.acknowledgedSequence = reply.report.sequence;
+        peer.documentOffset = reply.report.documentOffset;
+        if (reply.document !== undefined) {
+            this.parts.host.applyDocument(reply.document);
+        }
+        this.parts.host.handleReport(reply.report);
+    }
+
+    private handleSilence(agentId: string, peer: Peer): void {
+        if (!peer.lost && this.parts.clock.nowMs() - peer.lastAnswerAtMs > agentLeaseMs) {
+            peer.lost = true;
+            this.parts.host.handleLost(agentId);
+        }
+    }
+}
