--- a/src/agent/loadWatcher.ts
+++ b/src/agent/loadWatcher.ts
@@ -1,4 +1,5 @@
 import { CancellationTokenSource } from "../base/cancellation.js";
+import { Emitter } from "../base/event.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { AgentMessage } from "../fleet/agentMessages.js";
 import type { Scheduler } from "../fleet/coreRunner.js";
@@ -8,8 +9,12 @@
 export class LoadWatcher implements Disposable {
     private readonly cancellation = new CancellationTokenSource();
     private timer: Disposable | undefined;
+    private readonly returnEmitter = new Emitter<void>();
     private failed = false;
 
+    /** The target answers again after it was gone. */
+    public readonly onDidReturn = this.returnEmitter.onDidFire;
+
     public constructor(
         private readonly target: TargetClient,
         private readonly periodMs: number,
@@ -22,6 +27,7 @@
     public dispose(): void {
         this.cancellation.cancel();
         this.timer?.dispose();
+        this.returnEmitter.dispose();
     }
 
     private async run(): Promise<void> {
@@ -31,7 +37,10 @@
         }
         load.match(
             report => {
-                this.failed = false;
+                if (this.failed) {
+                    this.failed = false;
+                    this.returnEmitter.fire();
+                }
                 if (report !== undefined) {
                     this.sendMessage({ type: "targetReported", ...report });
                 }
--- a/src/agent/modelTargetClient.ts
+++ b/src/agent/modelTargetClient.ts
@@ -2,12 +2,22 @@
 import { ResultAsync } from "neverthrow";
 import type { Dispatcher } from "undici";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
+import type { EngineOrder } from "../decisions/orderPolicy.js";
 import type { WorkEnvelope } from "../control/frames.js";
-import { TargetError, type RunSink, type RunUsage, type TargetClient, type TargetLoad } from "./targetClient.js";
+import {
+    TargetError,
+    type OrderTarget,
+    type RunSink,
+    type RunUsage,
+    type TargetClient,
+    type TargetLoad,
+} from "./targetClient.js";
 import { isRefusal, toTargetError, type TargetConnection } from "./targetConnection.js";
 
 /** How often a stream that stopped short is resumed before the run counts as failed. */
 const maxResumes = 3;
+/** The engine has seen a larger fencing number. */
+const staleStatus = 409;
 const doneMarker = "[DONE]";
 
 interface ChatChunk {
@@ -16,7 +26,7 @@
 }
 
 /** Speaks to a model engine: the OpenAI-compatible chat API as streamed events, with the engine's resume and cancel. */
-export class ModelTargetClient implements TargetClient {
+export class ModelTargetClient implements TargetClient, OrderTarget {
     public constructor(private readonly connection: TargetConnection) {}
 
     public run(
@@ -32,6 +42,24 @@
         });
     }
 
+    public sendOrder(order: EngineOrder, token: CancellationToken): ResultAsync<"done" | "stale", TargetError> {
+        return ResultAsync.fromPromise(this.writeOrder(order, token), cause => toTargetError(cause, false));
+    }
+
+    private async writeOrder(order: EngineOrder, token: CancellationToken): Promise<"done" | "stale"> {
+        const headers = { "content-type": "application/json" };
+        const call = { method: "POST", headers, body: JSON.stringify(order) };
+        const response = await this.connection.send("/orders", call, token);
+        await response.body.dump();
+        if (response.statusCode === staleStatus) {
+            return "stale";
+        }
+        if (response.statusCode !== 200) {
+            throw new TargetError(`the engine answered an order with ${response.statusCode}`, "unknown", false);
+        }
+        return "done";
+    }
+
     /**
      * Tells the engine that nobody wants the stream. An engine that can resume keeps a run whose connection is gone:
      * its slot would stay taken by an answer that has no reader.
--- a/src/agent/targetClient.ts
+++ b/src/agent/targetClient.ts
@@ -1,6 +1,7 @@
 import type { ResultAsync } from "neverthrow";
 import type { CancellationToken } from "../base/cancellation.js";
 import { LynxarchError } from "../base/errors.js";
+import type { EngineOrder } from "../decisions/orderPolicy.js";
 import type { WorkEnvelope } from "../control/frames.js";
 import type { Execution } from "../fleet/entities.js";
 
@@ -40,6 +41,12 @@
     readonly cold: boolean;
 }
 
+/** Takes orders. */
+export interface OrderTarget {
+    /** `stale`: the engine refused the order for its old fencing number. Errors: unreachable or failed. */
+    sendOrder(order: EngineOrder, token: CancellationToken): ResultAsync<"done" | "stale", TargetError>;
+}
+
 /** Speaks to a target. */
 export interface TargetClient {
     /** Runs a request to its end. Errors: TargetError; `not-run` only when the target cannot have begun it. */
--- a/src/daemon/agentDaemon.ts
+++ b/src/daemon/agentDaemon.ts
@@ -4,10 +4,10 @@
 import { KeyedWork } from "../agent/keyedWork.js";
 import { ModelTargetClient } from "../agent/modelTargetClient.js";
 import { PlainTargetClient } from "../agent/plainTargetClient.js";
-import type { TargetClient } from "../agent/targetClient.js";
 import { TargetConnection } from "../agent/targetConnection.js";
 import { TargetSwitch } from "../agent/targetSwitch.js";
 import { LoadWatcher } from "../agent/loadWatcher.js";
+import { OrderService, type OrderView } from "../agent/orderService.js";
 import { addWorkRoute } from "../agent/workServer.js";
 import type { CancellationToken } from "../base/cancellation.js";
 import { DisposableStore } from "../base/lifecycle.js";
@@ -18,6 +18,7 @@
 import { createControlApp, listenOn, type HttpListener } from "../control/server.js";
 import type { AcceptedDocument } from "../document/schema.js";
 import { AgentCore, defaultAgentOptions } from "../fleet/agent/agentCore.js";
+import type { AgentMessage } from "../fleet/agentMessages.js";
 import { HomeAuthority } from "../fleet/keys/homeAuthority.js";
 import { defaultKeyTableLimits, KeyTable } from "../fleet/keys/keyTable.js";
 import { defaultKeyTiming } from "../fleet/keys/keyTiming.js";
@@ -26,6 +27,7 @@
 import type { Daemon } from "./daemon.js";
 import { Membership } from "./membership.js";
 import { createKeyHistory } from "./keyHistory.js";
+import { createOrderView } from "./orderView.js";
 import type { AgentSettings } from "./settings.js";
 
 const defaultMaxBodyBytes = 16 * 1024 * 1024;
@@ -50,6 +52,7 @@
     private readonly keyed: KeyedWork;
     private readonly authority: HomeAuthority;
     private readonly membership: Membership;
+    private readonly orders: OrderService;
     private listener: HttpListener | undefined;
 
     public constructor(
@@ -66,7 +69,9 @@
             services: [],
         };
         this.core = new AgentCore(identity, defaultAgentOptions, events, random);
-        const target = this.createTarget();
+        const connection = this.store.add(new TargetConnection(settings.target.url));
+        const model = new ModelTargetClient(connection);
+        const target = new TargetSwitch(model, new PlainTargetClient(connection));
         const documents = createDocumentPeer(parts);
         this.service = this.store.add(
             new AgentService({ core: this.core, target, documents, events, clock, scheduler, logger, metrics }),
@@ -75,10 +80,22 @@
         const table = new KeyTable(this.authority, defaultKeyTableLimits);
         this.keyed = this.store.add(new KeyedWork({ table, holder: this.service, clock, scheduler, recorder: events }));
         this.service.guard = this.keyed;
-        this.store.add(
-            new LoadWatcher(target, settings.loadPeriodMs, scheduler, message => this.service.send(message)),
-        );
         this.membership = this.store.add(new Membership(parts, () => this.listServices()));
+        const getView = (): OrderView | undefined => createOrderView(parts, this.membership, settings.target.name);
+        this.orders = this.store.add(
+            new OrderService({
+                target: model,
+                recorder: events,
+                clock,
+                scheduler,
+                random,
+                getView,
+                confirmRoster: token => parts.roster.verify(token),
+            }),
+        );
+        const send = (message: AgentMessage): void => this.service.send(message);
+        const load = this.store.add(new LoadWatcher(target, settings.loadPeriodMs, scheduler, send));
+        this.store.add(load.onDidReturn(() => this.orders.clear()));
     }
 
     public readonly agent = {
@@ -108,6 +125,7 @@
         const { documents, roster, vms } = this.parts;
         this.store.add(documents.onDidAccept(accepted => this.applyDocument(accepted)));
         this.store.add(roster.onDidRead(() => this.updateAuthority()));
+        this.store.add(roster.onDidRead(() => this.orders.update()));
         this.store.add(
             vms.onDidRead(list => {
                 if (list.some(vm => vm.id === this.settings.vmId && vm.state === "leaving")) {
@@ -173,11 +191,6 @@
         }
     }
 
-    private createTarget(): TargetClient {
-        const connection = this.store.add(new TargetConnection(this.settings.target.url));
-        return new TargetSwitch(new ModelTargetClient(connection), new PlainTargetClient(connection));
-    }
-
     private applyDocument(accepted: AcceptedDocument): void {
         this.service.send({ type: "documentAccepted", ...accepted });
         this.membership.update();
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -47,6 +47,15 @@
     coldLimit: z.number().int().positive().max(10_000),
     /** Whether the target refuses an order that carries an old fencing number. */
     checksFencing: z.boolean(),
+    /** Orders for a model engine, given in this order at the agent's start, on change and after the engine was gone. */
+    orders: z
+        .array(
+            z.strictObject({
+                kind: z.enum(["load-model", "load-adapter", "set-version", "set-role"]),
+                name: z.string().min(1).max(200),
+            }),
+        )
+        .optional(),
 });
 
 /** Limits of the environment. */
--- a/src/fleet/rosterWatcher.ts
+++ b/src/fleet/rosterWatcher.ts
@@ -1,3 +1,4 @@
+import type { CancellationToken } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
 import { Emitter } from "../base/event.js";
 import { DisposableStore, type Disposable } from "../base/lifecycle.js";
@@ -38,7 +39,7 @@
     /** Records were read, or the end of the stream was confirmed. */
     public readonly onDidRead = this.readEmitter.onDidFire;
 
-    public constructor(options: RosterWatcherOptions) {
+    public constructor(private readonly options: RosterWatcherOptions) {
         const { log, clock, random, sleep } = options;
         this.state = new RosterState(computeRosterTimes(options.logRetentionMs ?? defaultLogRetentionMs));
         const stream = formatRosterStream(options.environment);
@@ -67,6 +68,15 @@
         return this.tail.isConnected;
     }
 
+    /** Reads to the stream's end without waiting. When the read began if nothing new was there, else undefined. */
+    public async verify(token: CancellationToken): Promise<number | undefined> {
+        const { log, clock, environment } = this.options;
+        const beganAtMs = clock.nowMs();
+        const page = await log.read(formatRosterStream(environment), this.state.nextOffset, 0, token);
+        const isCurrent = page.isOk() && page.value.endOffset <= this.state.nextOffset;
+        return isCurrent ? beganAtMs : undefined;
+    }
+
     public start(): void {
         this.tail.start();
     }
