Number reports from the incarnation on, and offer a report without counters

Cause: a router that had acknowledged report 5,000 of an agent's earlier incarnation asked the new one for what changed after 5,000 and got nothing; the new one's first charges stayed unknown until the account was charged again. Ruled out: relying on routers to forget the number (a router cannot tell before the first answer). Change: sequence numbers begin at the incarnation, a number never given out counts as none; createBriefReport for answers; the reserve for short work never exceeds a quarter of the window, so a window under four slots has none. Conclusion: a receiver of brief reports must not drop the counters of reports that were overtaken.

--- a/src/decisions/shortReserve.ts
+++ b/src/decisions/shortReserve.ts
@@ -10,11 +10,11 @@
  *
  * Load pattern: long among short. Some route rebuilds of a minute each fill every slot, and a question that takes a
  * second waits for a minute. The reserve is the number of slots that short work keeps busy (Little's law: arrivals per
- * time, times the time each takes), at least one and at most a quarter of the window.
+ * time, times the time each takes), at least one, but never more than a quarter of the window: a window of less than four
+ * slots has none, so that a cold target's few slots are not held back.
  *
  * It is the one exception to work conservation: a reserved slot may stand free while only long work waits. It lapses
- * five seconds after the last short request, so without short traffic nothing is held back, and a window of one slot
- * has no reserve, so that long work is never shut out.
+ * five seconds after the last short request, so without short traffic nothing is held back.
  */
 export class ShortReserve {
     private lastSeenAtMs: number | undefined;
@@ -45,12 +45,11 @@
 
     /** Slots of the window that long work may not take now. */
     public getReserved(window: number, nowMs: number): number {
-        if (window < 2 || !this.isActive(nowMs)) {
+        if (!this.isActive(nowMs)) {
             return 0;
         }
         const busy = Math.ceil((this.durationMs ?? 0) / Math.max(1, this.gapMs ?? shortSeenWithinMs));
-        const most = Math.max(1, Math.floor(window * largestReserveShare));
-        return Math.min(most, Math.max(1, busy));
+        return Math.min(Math.floor(window * largestReserveShare), Math.max(1, busy));
     }
 
     private isActive(nowMs: number): boolean {
--- a/src/fleet/agent/agentContext.ts
+++ b/src/fleet/agent/agentContext.ts
@@ -32,8 +32,11 @@
     public documentOffset = -1;
     /** Nothing starts before the first document: the target's limits are not known until then. */
     public phase: AgentPhase = "draining";
-    /** Number of the next report. */
-    public nextSequence = 1;
+    /**
+     * Number of the next report. It begins at the incarnation (a time in milliseconds), so that numbers acknowledged to
+     * an earlier incarnation are smaller; else a router's old acknowledgement would hide this one's first charges.
+     */
+    public nextSequence: number;
     public startCount = 0;
     /** When calls of plain services were last charged for their time. */
     public elapsedChargedAtMs = Number.NEGATIVE_INFINITY;
@@ -47,6 +50,7 @@
         private readonly recorder: EventRecorder,
         random: Random,
     ) {
+        this.nextSequence = identity.incarnation;
         this.circuit = new CircuitBreaker(random);
         this.started = new IdMemory({ keepForMs: startedIdsKeptForMs, maxIds: options.maxStartedIds });
         this.withdrawn = new IdMemory({ keepForMs: withdrawnIdsKeptForMs, maxIds: options.maxWithdrawnIds });
--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -60,6 +60,17 @@
 
     /** The report for a peer that has acknowledged up to a sequence; with all counters when it has acknowledged none. */
     public createReport(acknowledgedSequence: number | undefined): AgentReport {
+        // A number that was never given out was acknowledged to another incarnation and says nothing of this one.
+        const isOwn = acknowledgedSequence !== undefined && acknowledgedSequence < this.context.nextSequence;
+        const since = isOwn ? acknowledgedSequence : undefined;
+        return { ...this.createBriefReport(), counters: this.listCounters(since) };
+    }
+
+    /**
+     * A report without counters, for answers: with 350 accounts the counters of one report weigh tens of kilobytes.
+     * It takes a sequence number like any other, so a receiver must take the counters of reports that it overtakes.
+     */
+    public createBriefReport(): AgentReport {
         const { context } = this;
         const sequence = context.nextSequence;
         context.nextSequence += 1;
@@ -73,7 +84,7 @@
             cold: context.window.isCold,
             serviceTimeMs: context.serviceTimeMs,
             documentOffset: context.documentOffset,
-            counters: this.listCounters(acknowledgedSequence),
+            counters: [],
             cachedPrefixes: [...context.cachedPrefixes.keys()].reverse(),
         };
     }
--- a/test/fleet/agentCore.property.test.ts
+++ b/test/fleet/agentCore.property.test.ts
@@ -232,7 +232,7 @@
                 this.queued.delete(id);
                 this.running.add(id);
                 this.everStarted.add(id);
-                const report = this.agent.createReport(0);
+                const report = this.agent.createBriefReport();
                 const most = report.cold ? limits.coldLimit : limits.maxConcurrent;
                 check(this.running.size <= Math.min(most, limits.maxConcurrent), `${id} started beyond the window`);
                 return;
@@ -258,7 +258,7 @@
 
     /** No free slot while work waits, but for long work under the reserve and while the circuit is open. */
     private checkConservation(): void {
-        const report = this.agent.createReport(0);
+        const report = this.agent.createBriefReport();
         const isCircuitOpen = report.window < limits.coldLimit;
         if (!this.serving || isCircuitOpen || report.running >= report.window) {
             return;
--- a/test/fleet/agentCore.test.ts
+++ b/test/fleet/agentCore.test.ts
@@ -232,4 +232,19 @@
         const acknowledged = agent.createReport(undefined).sequence;
         expect(agent.createReport(acknowledged).counters).toEqual([]);
     });
+
+    // The callers see: shares that count what a restarted agent gave. A router has acknowledged many reports of the agent's
+    // earlier incarnation; the new one charges before the first exchange and must not take that number for its own.
+    it("tells all its counters to a router that has acknowledged an earlier incarnation only", () => {
+        const old = createWarmAgent();
+        const acknowledged = Array.from({ length: 20 }, () => old.createReport(undefined).sequence).pop();
+        const agent = createAgent(new ListRecorder(), 1_000_000);
+        agent.handle({ type: "documentAccepted", offset: 1, document: createDocument() }, 0);
+        offer(agent, "a", 10);
+        const numbered = Array.from({ length: 30 }, () => agent.createBriefReport().sequence).pop();
+        const counted = [acknowledged, numbered, Number.MAX_SAFE_INTEGER].map(
+            sequence => agent.createReport(sequence).counters.length,
+        );
+        expect(counted).toEqual([1, 0, 1]);
+    });
 });
--- a/test/fleet/agentFleetDriver.ts
+++ b/test/fleet/agentFleetDriver.ts
@@ -205,14 +205,14 @@
     /** Slots inside the windows that stand free while something waits at that agent. */
     public countIdleSlots(): number {
         return this.seats.reduce((sum, seat) => {
-            const report = seat.core.createReport(Number.MAX_SAFE_INTEGER);
+            const report = seat.core.createBriefReport();
             return sum + (report.queued > 0 ? Math.max(0, report.window - report.running) : 0);
         }, 0);
     }
 
     /** Sum of the windows. */
     public countSlots(): number {
-        return this.seats.reduce((sum, seat) => sum + seat.core.createReport(Number.MAX_SAFE_INTEGER).window, 0);
+        return this.seats.reduce((sum, seat) => sum + seat.core.createBriefReport().window, 0);
     }
 
     /** What all agents, also those that are gone, have charged an account, over weight. */
