--- a/test/fleet/agentCore.property.test.ts
+++ b/test/fleet/agentCore.property.test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import { describe, it } from "vitest";
+import { catchUpWindowMs } from "../../src/decisions/catchUpCap.js";
 import { idleAfterMs } from "../../src/decisions/serviceLedger.js";
 import { shortSeenWithinMs } from "../../src/decisions/shortReserve.js";
 import type { AgentCore } from "../../src/fleet/agent/agentCore.js";
@@ -232,7 +233,7 @@
                 this.queued.delete(id);
                 this.running.add(id);
                 this.everStarted.add(id);
-                const report = this.agent.createReport(0);
+                const report = this.agent.createBriefReport();
                 const most = report.cold ? limits.coldLimit : limits.maxConcurrent;
                 check(this.running.size <= Math.min(most, limits.maxConcurrent), `${id} started beyond the window`);
                 return;
@@ -258,7 +259,7 @@
 
     /** No free slot while work waits, but for long work under the reserve and while the circuit is open. */
     private checkConservation(): void {
-        const report = this.agent.createReport(0);
+        const report = this.agent.createBriefReport();
         const isCircuitOpen = report.window < limits.coldLimit;
         if (!this.serving || isCircuitOpen || report.running >= report.window) {
             return;
@@ -339,8 +340,8 @@
                             generatedTokens: 100,
                         });
                     }
-                    // Ten seconds of the cap and eight of the largest cost, in steps that each serve one request.
-                    const boundMs = 10_000 + idleAfterMs + 12 * stepMs;
+                    // The window of the cap and eight of the largest cost, in steps that each serve one request.
+                    const boundMs = catchUpWindowMs + idleAfterMs + 12 * stepMs;
                     check(started.includes("club"), "the account that led was never served");
                     check(nowMs <= boundMs, `the account that led waited for ${nowMs} ms`);
                 },
