Take the counters of reports that were overtaken

Ruled out: acknowledging only reports that the core took (the shell does not know). Change: counters are merged first, the view only from the newest.

--- a/src/agent/agentService.ts
+++ b/src/agent/agentService.ts
@@ -22,7 +22,7 @@
     /** What routers are told; counters that an acknowledged report already carried are left out. */
     createReport(acknowledgedSequence: number | undefined): AgentReport;
     /** A small report to go along with an answer. */
-    createBriefReport(service: string, clientAccount: string): BriefReport;
+    createAnswerReport(service: string, clientAccount: string): BriefReport;
     listShares(): readonly ClientShare[];
 }
 
@@ -176,7 +176,7 @@
             this.runs.delete(requestId);
             this.runner.send(ending.message);
             const { service, clientAccount } = held.envelope;
-            const report = this.parts.core.createBriefReport(service, clientAccount);
+            const report = this.parts.core.createAnswerReport(service, clientAccount);
             const frame =
                 ending.frame.type === "end" ? { ...ending.frame, report, time: this.parts.events.now() } : ending.frame;
             this.release(requestId, found => found.close(frame));
--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -90,11 +90,10 @@
     }
 
     /** A small report to go along with an answer: with the one account's counter, without prefix hashes. */
-    public createBriefReport(service: string, clientAccount: string): BriefReport {
-        const report = this.createReport(this.context.nextSequence);
+    public createAnswerReport(service: string, clientAccount: string): BriefReport {
         const counter = this.context.tables.services.get(service)?.ledger.getCounter(clientAccount);
         const counters = counter === undefined ? [] : [{ service, ...counter }];
-        return { ...report, counters, cachedPrefixes: undefined };
+        return { ...this.createBriefReport(), counters, cachedPrefixes: undefined };
     }
 
     /** The accounts' shares as this agent knows them. */
--- a/src/fleet/router/agentViewSystem.ts
+++ b/src/fleet/router/agentViewSystem.ts
@@ -16,15 +16,16 @@
         private readonly expireSystem: ExpireSystem,
     ) {}
 
-    /** Takes a report; one that was overtaken by a newer one is dropped. */
+    /** Takes a report; of one that was overtaken by a newer one only the counters. */
     public receiveReport(report: AgentReport, nowMs: number): void {
         const { state } = this;
         const { agentId } = report.identity;
         const before = state.agents.get(agentId);
+        // Also of a report that was overtaken: counters only rise, and the exchange acknowledges them by the number.
+        state.claims.receiveReport(report);
         if (before !== undefined && !isNewer(report, before.report)) {
             return;
         }
-        state.claims.receiveReport(report);
         const hints = report.cachedPrefixes;
         const entry: AgentEntry = {
             agentId,
--- a/test/fleet/routerCore.test.ts
+++ b/test/fleet/routerCore.test.ts
@@ -287,4 +287,15 @@
           }
         `);
     });
+
+    // An exchange's report with many counters crosses a small one that goes along with an answer and is newer. Dropped as
+    // late with all that it brought, its counters would be missing from the sums until those accounts are charged again,
+    // since the exchange has acknowledged them; a resting account would look as if it had been given less than it was.
+    it("takes the counters of a report that was overtaken", () => {
+        const core = createRouter(["t1", "t2"]);
+        core.handle({ type: "agentReported", report: createReport("t1", 5, { window: 3 }) }, 1);
+        const overtaken = createReport("t1", 4, { window: 9, counters: [counter(10)] });
+        core.handle({ type: "agentReported", report: overtaken }, 2);
+        expect(core.createClaims("t2").claims.map(claim => claim.charged)).toEqual([10]);
+    });
 });
