Measure the fairness gap over real processes against its bound

Ruled out: reading the agents' own counters (they would judge themselves); service is what the engines delivered. Change: scripts/prove/fairness.ts, evidence.ts, scenario flood.

--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -2,8 +2,9 @@
 import { SeededRandom } from "../src/base/random.js";
 import type { FleetOptions } from "../test/fakes/fleet.js";
 import { capacityScenarios } from "./prove/capacityScenarios.js";
-import { checkRun, fetchTargetEvidence } from "./prove/checks.js";
+import { checkRun } from "./prove/checks.js";
 import { daemonScenarios } from "./prove/daemonScenarios.js";
+import { fetchTargetEvidence } from "./prove/evidence.js";
 import { networkScenarios } from "./prove/networkScenarios.js";
 import { pairScenarios } from "./prove/pairScenarios.js";
 import { platformScenarios } from "./prove/platformScenarios.js";
@@ -99,7 +100,7 @@
     console.log(
         `    chats ${whole} whole of ${chats.length}, calls ${answered} answered of ${calls.length}; ${others}`,
     );
-    const isIdle = answered === 0 || (scenario.hasWorkload !== false && whole === 0);
+    const isIdle = whole + answered === 0 || (scenario.hasWorkload !== false && whole * answered === 0);
     if (isIdle || run.faults.length === 0) {
         throw new Error("nothing was served or no fault was injected");
     }
--- a/scripts/prove/capacityScenarios.ts
+++ b/scripts/prove/capacityScenarios.ts
@@ -5,6 +5,8 @@
 
 const settleMs = 1_500;
 const outMs = 7_000;
+const floodSettleMs = 5_000;
+const floodMs = 25_000;
 
 /** Faults of targets, and capacity that operators take out. */
 export const capacityScenarios: readonly Scenario[] = [
@@ -40,6 +42,14 @@
             }
         },
     },
+    {
+        name: "flood",
+        summary: "the department floods three full engines that all accounts are backlogged at",
+        points: [1, 2, 3, 5, 6],
+        hasWorkload: false,
+        options: { document: { maxConcurrent: 4, coldLimit: 2, deadlineMs: 60_000 } },
+        run: runFlood,
+    },
     {
         name: "datacentre-out",
         summary: "a data centre is taken out under load and let in again",
@@ -76,6 +86,15 @@
     },
 ];
 
+async function runFlood(run: ProofRun): Promise<void> {
+    run.recordFault("department keeps 60 chats open, the others 16 each");
+    run.workload.start({ chats: { department: 60, middle: 16, club: 16 }, calls: {} });
+    await run.sleep(floodSettleMs);
+    const fromMs = Date.now();
+    await run.sleep(floodMs);
+    run.backlogged = { fromMs, toMs: Date.now() };
+}
+
 async function runDataCentreOut(run: ProofRun, inject: (dataCentre: string) => Promise<void>): Promise<void> {
     const dataCentre = run.pick([...new Set(run.fleet.targets.map(target => target.dataCentre))]);
     const targets = run.fleet.targets.filter(target => target.dataCentre === dataCentre).map(target => target.name);
--- a/scripts/prove/checks.ts
+++ b/scripts/prove/checks.ts
@@ -1,7 +1,7 @@
 import { hashText } from "../../src/base/hash.js";
 import { testAccounts } from "../../test/fakes/fleetDocument.js";
-import { countRunsByKey, fetchEngineRuns, type EngineRuns } from "../../test/fakes/targetRuns.js";
-import type { FleetEvent } from "../../src/events/fleetEvent.js";
+import type { TargetEvidence } from "./evidence.js";
+import { computeGap } from "./fairness.js";
 import type { Breach, PointNumber } from "./point.js";
 import type { ProofRun } from "./proofRun.js";
 import type { SeenCall } from "./workload.js";
@@ -9,34 +9,11 @@
 const closureBoundMs = 3_000;
 const documentBoundMs = 5_000;
 
-/** What the stand-ins know at the end of a run. */
-export interface TargetEvidence {
-    readonly engines: ReadonlyMap<string, EngineRuns>;
-    readonly runsByKey: ReadonlyMap<string, number>;
-    /** Events of all stand-ins. */
-    readonly events: readonly FleetEvent[];
-}
-
-/** Reads from the stand-ins what ran. */
-export async function fetchTargetEvidence(run: ProofRun): Promise<TargetEvidence> {
-    const engines = new Map<string, EngineRuns>();
-    const events: FleetEvent[] = [];
-    for (const target of run.fleet.targets) {
-        const isModel = target.kind === "model";
-        if (isModel) {
-            engines.set(target.name, await fetchEngineRuns(run.fleet, target.name));
-        }
-        const path = isModel ? "/events" : "/__events";
-        const response = await fetch(`${run.fleet.getStandIn(target.name).url}${path}`);
-        events.push(...((await response.json()) as { events: FleetEvent[] }).events);
-    }
-    return { engines, runsByKey: await countRunsByKey(run.fleet), events };
-}
-
 /** All checks that need nothing but the stand-ins' counts and the callers' answers. */
 export function checkRun(run: ProofRun, evidence: TargetEvidence): readonly Breach[] {
     return [
         ...run.breaches,
+        ...checkGap(run, evidence),
         ...checkStarvation(run),
         ...checkColdLimit(evidence),
         ...checkClosures(run, evidence),
@@ -52,6 +29,17 @@
     return { point, evidence };
 }
 
+/** While all accounts were backlogged the gap between any two stays within its bound. */
+function checkGap(run: ProofRun, evidence: TargetEvidence): readonly Breach[] {
+    if (run.backlogged === undefined) {
+        return [];
+    }
+    const { gap, bound, served } = computeGap(run, evidence, run.backlogged.fromMs, run.backlogged.toMs);
+    const figures = `gap ${gap} of bound ${bound}, service over weight ${JSON.stringify(served)}`;
+    console.log(`    ${figures}`);
+    return gap > bound ? [createBreach(1, figures)] : [];
+}
+
 /** Every account that kept sending gets a whole answer after the faults have been healed. */
 function checkStarvation(run: ProofRun): readonly Breach[] {
     const { healedAtMs } = run;
--- a/test/fakes/targetRuns.ts
+++ b/test/fakes/targetRuns.ts
@@ -21,6 +21,7 @@
     readonly requestId: string;
     readonly state: "waiting" | "running" | "completed" | "cancelled" | "broken";
     readonly promptDigest: string;
+    readonly promptTokens: number;
     readonly generatedTokens: number;
     readonly answerDigest: string;
 }
