--- a/scripts/capacity/exchangeCost.ts
+++ b/scripts/capacity/exchangeCost.ts
@@ -21,6 +21,8 @@
 
 const secret = "secret-for-measuring";
 const rounds = 400;
+/** Rounds before the measured ones; the first hundreds run code that is not yet compiled and cost several times more. */
+const warmUpRounds = 2_000;
 
 /** Measures exchanges over loopback for several numbers of changed accounts. */
 export async function measureExchangeCosts(accountCounts: readonly number[]): Promise<readonly ExchangeCost[]> {
@@ -45,7 +47,7 @@
     const request = createRequest(accounts);
     const countBytes = (): number =>
         [...sockets].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0);
-    for (let round = 0; round < rounds; round++) {
+    for (let round = 0; round < warmUpRounds; round++) {
         await client.sendExchange(request, token);
     }
     const bytesBefore = countBytes();
