--- a/src/decisions/backlog.ts
+++ b/src/decisions/backlog.ts
@@ -8,13 +8,13 @@
  * Adding, taking and removing cost at most the logarithm of the number of lanes, and nothing per waiting request.
  */
 
-import { MinHeap } from "./minHeap.js";
+import { IndexedHeap } from "./indexedHeap.js";
 
 /** Queues of request ids by lane. */
 export class Backlog {
     private readonly lanes = new Map<string, LaneQueue>();
     private readonly laneOfRequest = new Map<string, LaneQueue>();
-    private readonly ready = new MinHeap<LaneQueue>(isBefore);
+    private readonly ready = new IndexedHeap<LaneQueue>();
     /** Pass of the lane that went last: a lane that returns starts here and so has no saved-up turns. */
     private currentPass = 0;
 
@@ -84,23 +84,24 @@
 
     /** The request whose turn it is, left in place; undefined when no lane can go on. */
     public findNext(): { readonly laneKey: string; readonly requestId: string } | undefined {
-        for (let lane = this.ready.first; lane !== undefined; lane = this.ready.first) {
+        for (let lane = this.ready.getLeast()?.key; lane !== undefined; lane = this.ready.getLeast()?.key) {
             const requestId = this.findHead(lane);
             if (requestId !== undefined) {
                 return { laneKey: lane.key, requestId };
             }
-            this.takeReady();
+            this.ready.remove(lane);
         }
         return undefined;
     }
 
     /** The lane of {@link findNext} used its turn: its head is taken out and its next turn comes by weight. */
     public takeNext(): void {
-        const lane = this.takeReady();
+        const lane = this.ready.getLeast()?.key;
         const requestId = lane === undefined ? undefined : this.findHead(lane);
         if (lane === undefined || requestId === undefined) {
             return;
         }
+        this.ready.remove(lane);
         this.remove(requestId);
         this.currentPass = Math.max(this.currentPass, lane.pass);
         lane.pass += 1 / lane.weight;
@@ -109,13 +110,16 @@
 
     /** The lane of {@link findNext} can't go on until something changes for it. */
     public stopNext(): void {
-        this.takeReady();
+        const lane = this.ready.getLeast()?.key;
+        if (lane !== undefined) {
+            this.ready.remove(lane);
+        }
     }
 
     private getLane(key: string, weight: number): LaneQueue {
         let lane = this.lanes.get(key);
         if (lane === undefined) {
-            lane = { key, weight, pass: 0, isReady: false, live: 0, head: [], tail: [], tailStart: 0 };
+            lane = { key, weight, pass: 0, live: 0, head: [], tail: [], tailStart: 0 };
             this.lanes.set(key, lane);
         }
         lane.weight = weight;
@@ -150,20 +154,11 @@
     }
 
     private addReady(lane: LaneQueue): void {
-        if (lane.isReady || lane.live === 0) {
+        if (lane.live === 0 || this.ready.has(lane)) {
             return;
         }
-        lane.isReady = true;
         lane.pass = Math.max(lane.pass, this.currentPass);
-        this.ready.add(lane);
-    }
-
-    private takeReady(): LaneQueue | undefined {
-        const lane = this.ready.takeFirst();
-        if (lane !== undefined) {
-            lane.isReady = false;
-        }
-        return lane;
+        this.ready.set(lane, lane.pass);
     }
 }
 
@@ -171,7 +166,6 @@
     readonly key: string;
     weight: number;
     pass: number;
-    isReady: boolean;
     live: number;
     /** Requests that came back; the last one is the lane's head. */
     readonly head: string[];
@@ -181,7 +175,3 @@
 
 /** Entries of a consumed array that are worth copying the rest for. */
 const compactFrom = 64;
-
-function isBefore(first: LaneQueue, second: LaneQueue): boolean {
-    return first.pass < second.pass || (first.pass === second.pass && first.key < second.key);
-}
--- a/src/fleet/router/admitSystem.ts
+++ b/src/fleet/router/admitSystem.ts
@@ -28,7 +28,7 @@
             return;
         }
         this.state.budget.recordFirstTry(request.clientAccount, nowMs);
-        this.state.timers.add({ atMs: request.deadlineAtMs, key: request.id, kind: "deadline" });
+        this.state.timers.set("deadline", request.id, request.deadlineAtMs);
         this.state.addToBacklog(entry, "last", nowMs);
         this.state.recordRequest("request-queued", entry);
     }
--- a/src/fleet/router/expireSystem.ts
+++ b/src/fleet/router/expireSystem.ts
@@ -1,6 +1,7 @@
 import { minRetryAfterMs } from "../../decisions/admission.js";
 import type { RetrySystem } from "./retrySystem.js";
 import type { RouterState } from "./state.js";
+import type { Timer } from "./timers.js";
 import type { WithdrawSystem } from "./withdrawSystem.js";
 
 /** Acts on timers: deadlines, delays before retries, unanswered withdraws, services without any agent. */
@@ -13,7 +14,7 @@
 
     /** Handles every timer that is due. */
     public run(nowMs: number): void {
-        for (let timer = this.state.timers.takeDue(nowMs); timer !== undefined;) {
+        for (let timer = this.take(nowMs); timer !== undefined; timer = this.take(nowMs)) {
             switch (timer.kind) {
                 case "deadline":
                     this.handleDeadline(timer.key, nowMs);
@@ -31,10 +32,13 @@
                     this.state.backlog.handleAllChanged();
                     break;
             }
-            timer = this.state.timers.takeDue(nowMs);
         }
     }
 
+    private take(nowMs: number): Timer | undefined {
+        return this.state.timers.takeDue(nowMs);
+    }
+
     /** Looks whether a service has an agent; called when a request came in or an agent changed. */
     public checkService(service: string, nowMs: number): void {
         const { state } = this;
@@ -42,7 +46,7 @@
             state.withoutAgentSinceMs.delete(service);
         } else if (!state.withoutAgentSinceMs.has(service)) {
             state.withoutAgentSinceMs.set(service, nowMs);
-            state.timers.add({ atMs: nowMs + state.options.noTargetWaitMs, key: service, kind: "no-target" });
+            state.timers.set("no-target", service, nowMs + state.options.noTargetWaitMs);
         }
     }
 
@@ -58,7 +62,7 @@
             return;
         }
         this.withdrawSystem.withdraw(entry, "deadline", nowMs);
-        state.timers.add({ atMs: nowMs + state.options.answerGraceMs, key: requestId, kind: "answer-grace" });
+        state.timers.set("answer-grace", requestId, nowMs + state.options.answerGraceMs);
     }
 
     /** The agent neither gave the request back nor said that it started: nobody here can tell whether it ran. */
--- a/src/fleet/router/retrySystem.ts
+++ b/src/fleet/router/retrySystem.ts
@@ -104,7 +104,7 @@
         };
         state.requests.set(delayed);
         const atMs = nowMs + computeBackoffMs(failures, state.random);
-        state.timers.add({ atMs, key: entry.request.id, kind: "backoff" });
+        state.timers.set("backoff", entry.request.id, atMs);
         state.recordRequest("request-retried", entry, { reason: refusal.reason, execution, value: failures });
     }
 }
--- a/src/fleet/router/state.ts
+++ b/src/fleet/router/state.ts
@@ -22,7 +22,7 @@
     public readonly lanes = new Map<string, Lane>();
     /** Services without an agent that takes new work, with the time since when. */
     public readonly withoutAgentSinceMs = new Map<string, number>();
-    public readonly timers = new TimerQueue(timer => timer.kind === "no-target" || this.requests.has(timer.key));
+    public readonly timers = new TimerQueue();
     public document: EnvironmentDocument | undefined;
     public documentOffset = -1;
     public isStopping = false;
@@ -136,6 +136,7 @@
     public deleteRequest(entry: RequestEntry, nowMs: number): void {
         this.removeFromStage(entry, nowMs);
         this.requests.delete(entry.request.id);
+        this.timers.remove("deadline", entry.request.id);
     }
 
     /** Gives the caller its final answer. */
--- a/src/fleet/router/timers.ts
+++ b/src/fleet/router/timers.ts
@@ -1,49 +1,43 @@
-import { MinHeap } from "../../decisions/minHeap.js";
+import { IndexedHeap } from "../../decisions/indexedHeap.js";
 
 /** Why a timer was set. */
 export type TimerKind = "deadline" | "backoff" | "withdraw-repeat" | "no-target" | "answer-grace";
 
 /** A point in time at which a request (or, for "no-target", a service) must be looked at. */
 export interface Timer {
-    readonly atMs: number;
-    readonly key: string;
     readonly kind: TimerKind;
+    readonly key: string;
 }
 
-/** Below this, stale timers cost less than removing them. */
-const minRemoveStaleAt = 1_024;
-
-/** Timers ordered by time. Stale ones (their request is gone) are dropped when they come up or take half the space. */
+/**
+ * Timers ordered by time, one per kind and key. Deadlines are removed with their request, as they lie far ahead; the others
+ * come up within seconds, and whoever handles them looks whether they still matter.
+ */
 export class TimerQueue {
-    private readonly heap = new MinHeap<Timer>((first, second) => first.atMs < second.atMs);
-    private removeStaleAt = minRemoveStaleAt;
+    private readonly heap = new IndexedHeap<string>();
 
-    /** `isLive` tells whether a timer still matters. */
-    public constructor(private readonly isLive: (timer: Timer) => boolean) {}
+    /** Sets a timer, or moves it when it is set. */
+    public set(kind: TimerKind, key: string, atMs: number): void {
+        this.heap.set(`${kind}\n${key}`, atMs);
+    }
 
-    /** Sets a timer. */
-    public add(timer: Timer): void {
-        if (this.heap.size >= this.removeStaleAt) {
-            this.heap.removeUnless(this.isLive);
-            this.removeStaleAt = Math.max(minRemoveStaleAt, this.heap.size * 2);
-        }
-        this.heap.add(timer);
+    public remove(kind: TimerKind, key: string): void {
+        this.heap.remove(`${kind}\n${key}`);
     }
 
     /** When the next timer is due. */
     public nextAtMs(): number | undefined {
-        for (let { first } = this.heap; first !== undefined; { first } = this.heap) {
-            if (this.isLive(first)) {
-                return first.atMs;
-            }
-            this.heap.takeFirst();
-        }
-        return undefined;
+        return this.heap.getLeast()?.priority;
     }
 
     /** Takes the next timer if it is due. */
     public takeDue(nowMs: number): Timer | undefined {
-        const atMs = this.nextAtMs();
-        return atMs !== undefined && atMs <= nowMs ? this.heap.takeFirst() : undefined;
+        const least = this.heap.getLeast();
+        if (least === undefined || least.priority > nowMs) {
+            return undefined;
+        }
+        this.heap.remove(least.key);
+        const split = least.key.indexOf("\n");
+        return { kind: least.key.slice(0, split) as TimerKind, key: least.key.slice(split + 1) };
     }
 }
--- a/src/fleet/router/withdrawSystem.ts
+++ b/src/fleet/router/withdrawSystem.ts
@@ -90,7 +90,7 @@
     private sendWithdraw(requestId: string, agentId: string, nowMs: number): void {
         const { state } = this;
         state.addEffect({ type: "withdrawWork", requestId, agentId });
-        state.timers.add({ atMs: nowMs + state.options.withdrawRepeatMs, key: requestId, kind: "withdraw-repeat" });
+        state.timers.set("withdraw-repeat", requestId, nowMs + state.options.withdrawRepeatMs);
     }
 }
 
