--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -3,7 +3,7 @@
 import type { AgentEffect, AgentMessage } from "../agentMessages.js";
 import type { ClientShare } from "../clientShare.js";
 import type { Core } from "../core.js";
-import type { AgentIdentity, AgentReport, ServiceCounter } from "../entities.js";
+import type { AgentIdentity, AgentReport, BriefReport, ServiceCounter } from "../entities.js";
 import { receiveOffer } from "./admitSystem.js";
 import { AgentContext } from "./agentContext.js";
 import type { AgentOptions } from "./agentOptions.js";
@@ -60,6 +60,17 @@
 
     /** The report for a peer that has acknowledged up to a sequence; with all counters when it has acknowledged none. */
     public createReport(acknowledgedSequence: number | undefined): AgentReport {
+        // A number that was never given out was acknowledged to another incarnation and says nothing of this one.
+        const isOwn = acknowledgedSequence !== undefined && acknowledgedSequence < this.context.nextSequence;
+        const since = isOwn ? acknowledgedSequence : undefined;
+        return { ...this.createBriefReport(), counters: this.listCounters(since) };
+    }
+
+    /**
+     * A report without counters, for answers: with 350 accounts the counters of one report weigh tens of kilobytes.
+     * It takes a sequence number like any other, so a receiver must take the counters of reports that it overtakes.
+     */
+    public createBriefReport(): AgentReport {
         const { context } = this;
         const sequence = context.nextSequence;
         context.nextSequence += 1;
@@ -73,11 +84,18 @@
             cold: context.window.isCold,
             serviceTimeMs: context.serviceTimeMs,
             documentOffset: context.documentOffset,
-            counters: this.listCounters(acknowledgedSequence),
+            counters: [],
             cachedPrefixes: [...context.cachedPrefixes.keys()].reverse(),
         };
     }
 
+    /** A small report to go along with an answer: with the one account's counter, without prefix hashes. */
+    public createAnswerReport(service: string, clientAccount: string): BriefReport {
+        const counter = this.context.tables.services.get(service)?.ledger.getCounter(clientAccount);
+        const counters = counter === undefined ? [] : [{ service, ...counter }];
+        return { ...this.createBriefReport(), counters, cachedPrefixes: undefined };
+    }
+
     /** The accounts' shares as this agent knows them. */
     public listShares(): readonly ClientShare[] {
         const { context } = this;
--- a/test/fleet/agentFleetDriver.ts
+++ b/test/fleet/agentFleetDriver.ts
@@ -61,6 +61,12 @@
     readonly normalizedCost: number;
 }
 
+interface Ending {
+    readonly atMs: number;
+    readonly clientAccount: string;
+    readonly waitMs: number;
+}
+
 interface AgentSeat {
     readonly index: number;
     core: AgentCore;
@@ -78,7 +84,7 @@
 export class AgentFleetDriver {
     public nowMs = 0;
     public readonly starts: Start[] = [];
-    public readonly refusals: { readonly atMs: number; readonly clientAccount: string; readonly reason: string }[] = [];
+    public readonly refusals: Ending[] = [];
     /** Cost delivered to each account, over weight, with the part of what runs now. */
     public readonly ended = new Map<string, number>();
     public greatestStalenessMs = 0;
@@ -199,14 +205,14 @@
     /** Slots inside the windows that stand free while something waits at that agent. */
     public countIdleSlots(): number {
         return this.seats.reduce((sum, seat) => {
-            const report = seat.core.createReport(Number.MAX_SAFE_INTEGER);
+            const report = seat.core.createBriefReport();
             return sum + (report.queued > 0 ? Math.max(0, report.window - report.running) : 0);
         }, 0);
     }
 
     /** Sum of the windows. */
     public countSlots(): number {
-        return this.seats.reduce((sum, seat) => sum + seat.core.createReport(Number.MAX_SAFE_INTEGER).window, 0);
+        return this.seats.reduce((sum, seat) => sum + seat.core.createBriefReport().window, 0);
     }
 
     /** What all agents, also those that are gone, have charged an account, over weight. */
@@ -279,7 +285,8 @@
                 this.startRun(seat, known.request, known.demand);
                 refill.add(clientAccount);
             } else if (effect.type === "refuseWork") {
-                this.refusals.push({ atMs: this.nowMs, clientAccount, reason: effect.refusal.reason });
+                const waitMs = this.nowMs - known.request.arrivedAtMs;
+                this.refusals.push({ atMs: this.nowMs, clientAccount, waitMs });
             }
         }
         this.updateTimer(seat);
