--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -25,7 +25,7 @@
 export interface Report {
     readonly json: unknown;
     readonly lines: readonly string[];
-    /** Goes to the error stream, also with --json. */
+    /** Goes to the error stream, without --json. */
     readonly notes?: readonly string[];
     readonly exitCode?: ExitCode;
 }
--- a/src/cli/documentClient.ts
+++ b/src/cli/documentClient.ts
@@ -32,7 +32,7 @@
     readonly token: CancellationToken;
     readonly author: string;
     /** How long to try while the platform does not answer; milliseconds. */
-    readonly giveUpAfterMs?: number;
+    readonly giveUpAfterMs: number;
 }
 
 /** A change that is in force in the log's history. */
@@ -46,7 +46,6 @@
 /** Where a promoted document comes from. */
 export type PromotedFrom = ChangeRecord["promotedFrom"];
 
-const defaultGiveUpAfterMs = 15_000;
 const retryMs = 300;
 
 /** An operator's view of one environment's document: reads the log and appends changes to it. */
@@ -82,7 +81,7 @@
     /** Reads the log to its end. Errors: platform unavailable. */
     public async read(): Promise<Result<void, UnavailableError>> {
         const { clock, giveUpAfterMs } = this.options;
-        const giveUpAtMs = clock.nowMs() + (giveUpAfterMs ?? defaultGiveUpAfterMs);
+        const giveUpAtMs = clock.nowMs() + giveUpAfterMs;
         return this.readUntil(giveUpAtMs);
     }
 
@@ -142,7 +141,7 @@
      */
     private async appendUntilDecided(record: ChangeRecord | RestoreRecord): Promise<Result<number, CliError>> {
         const { clock, log, token, sleep, giveUpAfterMs } = this.options;
-        const giveUpAtMs = clock.nowMs() + (giveUpAfterMs ?? defaultGiveUpAfterMs);
+        const giveUpAtMs = clock.nowMs() + giveUpAfterMs;
         while (!token.isCancelled && clock.nowMs() < giveUpAtMs) {
             await log.append(this.stream, record, token);
             const read = await this.readUntil(giveUpAtMs);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -24,7 +24,7 @@
         print: line => process.stdout.write(`${line}\n`),
         printError: line => process.stderr.write(`${line}\n`),
     },
-    createContext: settingsFile =>
-        new SystemContext(settingsFile ?? process.env["LYNXARCH_SETTINGS"], cancellation.token),
+    createContext: ({ settingsFile, giveUpAfterMs }) =>
+        new SystemContext(settingsFile ?? process.env["LYNXARCH_SETTINGS"], giveUpAfterMs, cancellation.token),
 });
 process.exitCode = exitCode;
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -14,22 +14,35 @@
     readonly version: string;
     readonly commands: readonly Command[];
     readonly output: Output;
-    /** Makes the context once the settings option is known. */
-    createContext(settingsFile: string | undefined): CliContext;
+    /** Makes the context once the common options are known. */
+    createContext(common: CommonOptions): CliContext;
+}
+
+/** Options that every command takes. */
+export interface CommonOptions {
+    readonly settingsFile: string | undefined;
+    /** How long to try while the platform does not answer; milliseconds. */
+    readonly giveUpAfterMs: number;
 }
 
 interface ParsedCommand {
     readonly command: Command;
     readonly invocation: Invocation;
-    readonly isJson: boolean;
-    readonly settingsFile: string | undefined;
+    readonly common: CommonOptions;
 }
 
+const millisecondsPerSecond = 1_000;
 const settingsOption: CommandOption = {
     name: "settings",
     kind: "text",
     description: "Settings file; LYNXARCH_SETTINGS when left out",
 };
+const timeoutOption: CommandOption = {
+    name: "timeout",
+    kind: "number",
+    description: "Seconds to try while the platform does not answer",
+    defaultValue: 15,
+};
 const jsonOption: CommandOption = { name: "json", kind: "flag", description: "Print JSON" };
 
 /** Runs one command line (without the interpreter and the script); returns the exit code. */
@@ -49,7 +62,7 @@
 }
 
 async function runCommand(parsed: ParsedCommand, options: ProgramOptions): Promise<Result<Report, CliError>> {
-    return parsed.command.run(parsed.invocation, options.createContext(parsed.settingsFile));
+    return parsed.command.run(parsed.invocation, options.createContext(parsed.common));
 }
 
 /** Undefined when the library has printed a help or the version. */
@@ -64,7 +77,7 @@
         program.parse(["node", "lynxarch", ...args], {
             lazy: true,
             boolean: [jsonOption, ...flags].map(option => option.name),
-            string: [settingsOption, ...texts].map(option => option.name),
+            string: [settingsOption, timeoutOption, ...texts].map(option => option.name),
             // Without this, a mistyped option would be taken for one that was left out.
             unknown: flag => {
                 throw new UsageError(`unknown option ${flag}`);
@@ -109,20 +122,22 @@
         return err(new UsageError(`unexpected argument "${given._[0]}"`));
     }
     const texts = values.slice(0, -1).map(value => (value === undefined ? undefined : String(value)));
-    return readOptions(command, given).map(parsedOptions => ({
+    return readOptions([...command.options, settingsOption, timeoutOption], given).map(parsedOptions => ({
         command,
         invocation: { args: texts, options: parsedOptions },
-        isJson: given["json"] === true,
-        settingsFile: typeof given["settings"] === "string" ? given["settings"] : undefined,
+        common: {
+            settingsFile: parsedOptions.get("settings")?.toString(),
+            giveUpAfterMs: Number(parsedOptions.get("timeout")) * millisecondsPerSecond,
+        },
     }));
 }
 
 function readOptions(
-    command: Command,
+    options: readonly CommandOption[],
     given: Readonly<Record<string, unknown>>,
 ): Result<ReadonlyMap<string, string | number | boolean>, UsageError> {
     const values = new Map<string, string | number | boolean>();
-    for (const option of command.options) {
+    for (const option of options) {
         const value = given[option.name];
         const text = value === undefined || value === "" ? option.defaultValue : value;
         if (option.kind === "flag") {
@@ -149,7 +164,7 @@
     }
     for (const command of options.commands) {
         program.command(command.usage, command.description);
-        for (const option of [...command.options, settingsOption, jsonOption]) {
+        for (const option of [...command.options, settingsOption, timeoutOption, jsonOption]) {
             program.option(`--${option.name}`, option.description, option.defaultValue);
         }
     }
@@ -170,10 +185,10 @@
 }
 
 function printReport(report: Report, isJson: boolean, output: Output): void {
-    report.notes?.forEach(line => output.printError(line));
     if (isJson) {
         output.print(JSON.stringify(report.json));
     } else {
+        report.notes?.forEach(line => output.printError(line));
         report.lines.forEach(line => output.print(line));
     }
 }
--- a/src/cli/systemContext.ts
+++ b/src/cli/systemContext.ts
@@ -18,6 +18,7 @@
 
     public constructor(
         private readonly settingsFile: string | undefined,
+        private readonly giveUpAfterMs: number,
         public readonly token: CancellationToken,
     ) {}
 
@@ -26,11 +27,14 @@
     }
 
     public openDocument(environment: EnvironmentName): Result<DocumentClient, CliError> {
-        const { clock, token, author } = this;
+        const { clock, token, author, giveUpAfterMs } = this;
         return this.loadSettings()
             .andThen(settings => getEnvironment(settings, environment))
             .map(({ platformUrl }) => new HttpLogService({ url: platformUrl }))
-            .map(log => new DocumentClient({ environment, log, clock, sleep: sleepOnTimer, token, author }));
+            .map(
+                log =>
+                    new DocumentClient({ environment, log, clock, sleep: sleepOnTimer, token, author, giveUpAfterMs }),
+            );
     }
 
     public openDaemons(environment: EnvironmentName): Result<DaemonDirectory, CliError> {
--- a/test/cli/cliFixtures.ts
+++ b/test/cli/cliFixtures.ts
@@ -61,7 +61,7 @@
             this.onSleep();
             await new Promise(resolve => setImmediate(resolve));
         };
-        return new DocumentClient({ environment, log, clock, sleep, token, author });
+        return new DocumentClient({ environment, log, clock, sleep, token, author, giveUpAfterMs: 15_000 });
     }
 
     private createContext(author: string, daemons: DaemonDirectory | undefined): CliContext {
