Prove at-most-once against the roster that ships; mend two faults it found

Cause: the property folded the roster with a reducer of its own, which stood beside the shipped RosterState. Ruled out: answering unknown during all of the settling (a new fleet could tell no caller to come back safely). A gap in the log's records counts one settling time longer. Conclusion: the proof now runs against the code that ships.

--- a/src/fleet/keys/homeAuthority.ts
+++ b/src/fleet/keys/homeAuthority.ts
@@ -38,7 +38,8 @@
 export class HomeAuthority implements KeyAuthority {
     private readonly wallClock = new SteadyWallClock();
     private confirmation: Confirmation | undefined;
-    private firstSeenRegistered: Instant | undefined;
+    /** The own tenure, and the end of the first read that showed it. */
+    private registered: { readonly tenure: Tenure; readonly seen: Instant } | undefined;
 
     public constructor(
         private readonly self: { readonly agentId: string; readonly incarnation: number },
@@ -56,8 +57,10 @@
             return;
         }
         this.confirmation = { history, began };
-        if (this.firstSeenRegistered === undefined && this.getOwnTenure(history) !== undefined) {
-            this.firstSeenRegistered = ended;
+        const tenure = this.getOwnTenure(history);
+        // An agent that was evicted by mistake and registers again settles anew: agents that join meanwhile count on it.
+        if (tenure !== undefined && tenure.registeredAtMs !== this.registered?.tenure.registeredAtMs) {
+            this.registered = { tenure, seen: ended };
         }
     }
 
@@ -89,7 +92,7 @@
 
     private checkChosen(use: KeyUse, at: Instant, wallMs: number): KeyStanding {
         const confirmation = this.confirmation;
-        if (confirmation === undefined || !this.isWithinLease(confirmation.began, at)) {
+        if (confirmation === undefined || !this.isYounger(confirmation.began, at, this.timing.leaseMs)) {
             return refuseUnknown(
                 "The agent could not confirm lately that it is the home of the key.",
                 this.timing.leaseMs,
@@ -116,27 +119,33 @@
             return refuseUnknown("The key may have been used before this agent became its home, or too long ago.");
         }
         const settleLeftMs = this.getSettleLeftMs(confirmation.began);
-        return settleLeftMs > 0
-            ? refuseNotRun("The agent has only just joined the roster.", settleLeftMs)
-            : { type: "new" };
+        return settleLeftMs > 0 ? this.refuseUnsettled(confirmation.began, at, settleLeftMs) : { type: "new" };
+    }
+
+    /**
+     * A home that is settling is not counted as an earlier home, so whoever takes its place need not wait for its lease
+     * to lapse: only for its own settling time. Nothing was run as long as the last read is younger than that.
+     */
+    private refuseUnsettled(began: Instant, at: Instant, settleLeftMs: number): KeyStanding {
+        const detail = "The agent has only just joined the roster.";
+        const isYoung = this.isYounger(began, at, this.timing.settleMs - this.timing.logSlackMs);
+        return isYoung ? refuseNotRun(detail, settleLeftMs) : refuseUnknown(detail, settleLeftMs);
     }
 
     /**
      * A holder that was stopped (SIGSTOP, a frozen VM) past its lease would otherwise start a key that its successor has
      * started too. Both clocks are asked, as the monotonic one may stand still while a VM is frozen.
      */
-    private isWithinLease(began: Instant, at: Instant): boolean {
+    private isYounger(began: Instant, at: Instant, limitMs: number): boolean {
         const elapsedMs = at.nowMs - began.nowMs;
         const wallElapsedMs = at.wallMs - began.wallMs;
-        return elapsedMs >= 0 && elapsedMs < this.timing.leaseMs && Math.abs(wallElapsedMs) < this.timing.leaseMs;
+        return elapsedMs >= 0 && elapsedMs < limitMs && Math.abs(wallElapsedMs) < limitMs;
     }
 
     /** Two agents that register within the settling time need not count each other as earlier homes; see takeover.ts. */
     private getSettleLeftMs(confirmedAt: Instant): number {
-        const registered = this.firstSeenRegistered;
-        return registered === undefined
-            ? this.timing.settleMs
-            : registered.nowMs + this.timing.settleMs - confirmedAt.nowMs;
+        const settledAtMs = (this.registered?.seen.nowMs ?? Infinity) + this.timing.settleMs;
+        return settledAtMs - confirmedAt.nowMs;
     }
 
     private getOwnTenure(history: RosterHistory): Tenure | undefined {
--- a/src/fleet/keys/keyTiming.ts
+++ b/src/fleet/keys/keyTiming.ts
@@ -19,7 +19,7 @@
     leaseMs: 10_000,
     clockBoundMs: 30_000,
     retentionMs: 600_000,
-    settleMs: 5_000,
+    settleMs: 8_000,
     logSlackMs: 1_000,
     issuedLifetimeMs: 300_000,
 };
--- a/src/fleet/keys/takeover.ts
+++ b/src/fleet/keys/takeover.ts
@@ -50,7 +50,9 @@
         .filter(({ tenure, endMs }) => tenure.registeredAtMs + timing.settleMs <= endMs + timing.logSlackMs)
         .map(({ endMs }) => endMs);
     if (history.completeSinceMs !== undefined) {
-        ends.push(history.completeSinceMs);
+        // Of a tenure first seen before then, the registration may be older than the record that showed it, so the rule
+        // above may have taken it for one that was settling.
+        ends.push(history.completeSinceMs + timing.settleMs);
     }
     return ends.length === 0 ? undefined : Math.max(...ends);
 }
--- a/test/fleet/keys.property.test.ts
+++ b/test/fleet/keys.property.test.ts
@@ -106,7 +106,7 @@
     "an agent reads the log while it registers": world => {
         world.startAgent(0, true);
         world.startRead(0);
-        world.advance(6_000);
+        world.advance(9_000);
         world.appendLate();
         world.takeRead(0, true);
         world.readAll();
@@ -120,13 +120,54 @@
         world.startAgent(1, false);
         world.updateRouter(0);
         world.advance(9_000);
+        createDatedKeys(world);
+    },
+    // Found by this property: the settling time ran from the first registration only.
+    "an agent that was evicted has registered again": world => {
+        startSettled(world, [0]);
+        world.removeFromRoster(0);
+        world.advance(100_000);
+        world.readAll();
+        world.updateRouter(0);
+        createDatedKeys(world);
+        sendKeys(world, 0, false);
+        world.startAll();
+        world.startAgent(1, false);
+        world.readAll();
+        world.advance(9_000);
+        world.readAll();
+        world.updateRouter(0);
+    },
+    // Found by this property: a settling home said not-run on a read older than another's settling time.
+    "a home that is settling is paused while another joins": world => {
+        world.startAgent(0, false);
+        world.readAll();
+        [0, 1, 2].forEach(via => world.updateRouter(via));
+        createKeys(world);
+        world.setPaused(0, true);
+        sendKeys(world, 0, true);
+        world.startAgent(1, false);
+        world.readAll();
+        world.advance(9_000);
+        world.readAll();
+        world.updateRouter(1);
+    },
+    "the earlier home held its lease when another joined, a retention ago": world => {
+        startSettled(world, [0]);
+        world.startAgent(1, false);
+        world.advance(9_000);
         createKeys(world);
+        sendKeys(world, 0, false);
+        world.startAll();
+        world.advance(595_000);
+        world.readAll();
+        world.updateRouter(1);
     },
     "a router has an old view for long": world => {
         startSettled(world, [0]);
         world.startAgent(1, false);
         world.updateRouter(0);
-        world.advance(6_000);
+        world.advance(9_000);
         world.advance(100_000);
         world.readAll();
         createKeys(world);
@@ -134,21 +175,34 @@
     "requests have waited since their home lost its place": world => {
         startSettled(world, [0, 1]);
         createKeys(world);
-        [0, 1, 2].forEach(key => world.sendKey(key, 0, false));
-        world.removeFromRoster(0);
+        sendKeys(world, 0, false);
+        world.setPaused(1, true);
+        world.removeFromRoster(1);
         world.advance(645_000);
         world.readAll();
+        world.setPaused(1, false);
     },
 };
 
 function startSettled(world: KeyWorld, agents: readonly number[]): void {
     agents.forEach(name => world.startAgent(name, false));
     world.readAll();
-    world.advance(6_000);
+    world.advance(9_000);
     world.readAll();
     [0, 1, 2].forEach(via => world.updateRouter(via));
 }
 
+function sendKeys(world: KeyWorld, via: number, isStale: boolean): void {
+    [0, 1, 2].forEach(key => world.sendKey(key, via, isStale));
+}
+
+/** With several keys, each agent is the home of one, and some callers' clocks are ahead. */
+function createDatedKeys(world: KeyWorld): void {
+    for (let count = 0; count < 6; count++) {
+        world.createKey("dated", 0);
+    }
+}
+
 function createKeys(world: KeyWorld): void {
     (["undated", "dated", "issued"] as const).forEach(kind => world.createKey(kind, 0));
 }
--- a/test/fleet/keys.test.ts
+++ b/test/fleet/keys.test.ts
@@ -3,7 +3,6 @@
 import { issuedKeyPrefix, signIssuedKey, verifyIssuedKey } from "../../src/fleet/keys/issuedKey.js";
 import { KeyTable } from "../../src/fleet/keys/keyTable.js";
 import type { KeyUse } from "../../src/fleet/keys/keyUse.js";
-import { appendRosterRecord, emptyRosterHistory, type RosterRecord } from "../../src/fleet/keys/rosterHistory.js";
 
 const claims = {
     agentId: "agent-t1",
@@ -98,53 +97,3 @@
         `);
     });
 });
-
-describe("roster history", () => {
-    // Every router would send keys to a process that is gone, and all of them would be refused.
-    // A registration is delayed in the platform and lands after the agent's leave record, or after its successor's.
-    it("leaves out a registration that lands too late", () => {
-        const register = (incarnation: number, appendedAtMs: number): RosterRecord => ({
-            type: "register",
-            daemonId: "agent-t1",
-            incarnation,
-            services: ["registration"],
-            appendedAtMs,
-        });
-        const leave: RosterRecord = { type: "leave", daemonId: "agent-t1", incarnation: 2, appendedAtMs: 30 };
-        const records = [
-            register(1, 10),
-            register(2, 20),
-            register(1, 25),
-            register(2, 26),
-            leave,
-            register(2, 40),
-            register(3, 50),
-        ];
-        const history = records.reduce(appendRosterRecord, emptyRosterHistory);
-        expect(
-            history.tenures.map(({ incarnation, registeredAtMs, endedAtMs }) => [
-                incarnation,
-                registeredAtMs,
-                endedAtMs,
-            ]),
-        ).toMatchInlineSnapshot(`
-          [
-            [
-              1,
-              10,
-              20,
-            ],
-            [
-              2,
-              20,
-              30,
-            ],
-            [
-              3,
-              50,
-              undefined,
-            ],
-          ]
-        `);
-    });
-});
--- a/test/fleet/keysWorld.ts
+++ b/test/fleet/keysWorld.ts
@@ -1,17 +1,14 @@
 import { v7 } from "uuid";
 import { SeededRandom } from "../../src/base/random.js";
+import { createKeyHistory } from "../../src/daemon/keyHistory.js";
 import { HomeAuthority } from "../../src/fleet/keys/homeAuthority.js";
 import { signIssuedKey } from "../../src/fleet/keys/issuedKey.js";
 import { findKeyHome, type RosterAgent } from "../../src/fleet/keys/keyHome.js";
 import { defaultKeyTableLimits, KeyTable, type KeyDecision } from "../../src/fleet/keys/keyTable.js";
 import { defaultKeyTiming, type Instant } from "../../src/fleet/keys/keyTiming.js";
 import type { KeyUse } from "../../src/fleet/keys/keyUse.js";
-import {
-    appendRosterRecord,
-    emptyRosterHistory,
-    type RosterHistory,
-    type RosterRecord,
-} from "../../src/fleet/keys/rosterHistory.js";
+import type { RosterHistory } from "../../src/fleet/keys/rosterHistory.js";
+import { computeRosterTimes, RosterState, type LeaveRecord, type RegisterRecord } from "../../src/fleet/rosterState.js";
 
 const secret = "a shared secret";
 const service = "registration";
@@ -19,7 +16,7 @@
 const timing = defaultKeyTiming;
 /** Wall clocks of agents and of callers, against the log's; any two lie within the clock bound. */
 const agentSkewsMs = [0, 1_000, -1_000];
-const callerSkewsMs = [0, 28_000, -28_000];
+const callerSkewsMs = [0, 28_000, -28_000, 28_000];
 
 export type KeyKind = "undated" | "dated" | "issued";
 
@@ -56,8 +53,8 @@
     private readonly processes: Process[] = [];
     private readonly routers: { agents: readonly RosterAgent[] }[] = [{ agents: [] }, { agents: [] }, { agents: [] }];
     private readonly notRun = new Set<string>();
-    private history = emptyRosterHistory;
-    private inFlight: RosterRecord[] = [];
+    private readonly roster = new RosterState(computeRosterTimes(3_600_000));
+    private readonly inFlight: (RegisterRecord | LeaveRecord)[] = [];
     private isLogUp = true;
     private realMs = 1_800_000_000_000;
     private lastRequest = 0;
@@ -71,7 +68,7 @@
         const skewMs = agentSkewsMs[incarnation % agentSkewsMs.length];
         const parts = { waiting: [], running: [], inbox: [], isPaused: false, read: undefined };
         this.processes.push({ agentId, incarnation, skewMs, authority, table, ...parts });
-        this.inFlight.push({ type: "register", daemonId: agentId, incarnation, services: [service], appendedAtMs: 0 });
+        this.inFlight.push(this.createRegistration(agentId, incarnation));
         if (!isLate) {
             this.appendLate();
         }
@@ -85,11 +82,19 @@
 
     public removeFromRoster(agent: number): void {
         const daemonId = `agent-${agent}`;
-        const standing = this.history.tenures.find(
-            tenure => tenure.agentId === daemonId && tenure.endedAtMs === undefined,
-        );
-        if (standing !== undefined) {
-            this.inFlight.push({ type: "leave", daemonId, incarnation: standing.incarnation, appendedAtMs: 0 });
+        const member = this.roster.members.get(daemonId);
+        if (member !== undefined) {
+            const { entry, registration } = member;
+            const { incarnation } = entry;
+            this.inFlight.push({
+                type: "leave",
+                id: "",
+                daemonId,
+                incarnation,
+                reason: "evicted",
+                by: "",
+                registration,
+            });
             this.appendLate();
         }
     }
@@ -98,7 +103,11 @@
     public appendLate(): void {
         if (this.isLogUp) {
             for (const record of this.inFlight.splice(0)) {
-                this.history = appendRosterRecord(this.history, { ...record, appendedAtMs: this.realMs });
+                const offset = this.roster.nextOffset;
+                this.roster.applyPage({
+                    firstOffset: 0,
+                    records: [{ offset, appendedAtMs: this.realMs, value: record }],
+                });
             }
         }
     }
@@ -121,7 +130,7 @@
     public startRead(index: number): void {
         const process = this.processes[index % this.processes.length];
         if (process !== undefined && !process.isPaused && this.isLogUp) {
-            process.read = { history: this.history, began: this.getInstant(process) };
+            process.read = { history: createKeyHistory(this.roster), began: this.getInstant(process) };
         }
     }
 
@@ -129,7 +138,7 @@
     public takeRead(index: number, hasWaited: boolean): void {
         const process = this.processes[index % this.processes.length];
         if (process?.read !== undefined && !process.isPaused) {
-            const history = hasWaited && this.isLogUp ? this.history : process.read.history;
+            const history = hasWaited && this.isLogUp ? createKeyHistory(this.roster) : process.read.history;
             process.authority.update(history, process.read.began, this.getInstant(process));
             process.read = undefined;
         }
@@ -137,6 +146,7 @@
 
     /** What a healthy moment does: everyone that runs reads the log. */
     public readAll(): void {
+        this.appendLate();
         this.processes.forEach((...[, index]) => {
             this.startRead(index);
             this.takeRead(index, false);
@@ -145,9 +155,7 @@
 
     public updateRouter(router: number): void {
         if (this.isLogUp) {
-            this.routers[router].agents = this.history.tenures
-                .filter(tenure => tenure.endedAtMs === undefined)
-                .map(({ agentId, incarnation, services }) => ({ daemonId: agentId, incarnation, services }));
+            this.routers[router].agents = [...this.roster.members.values()].map(member => member.entry);
         }
     }
 
@@ -225,9 +233,22 @@
         this.realMs += ms;
         for (const process of this.processes.filter(candidate => !candidate.isPaused)) {
             process.table.advance(this.getInstant(process).nowMs);
+            this.inFlight.push(this.createRegistration(process.agentId, process.incarnation));
         }
     }
 
+    /** Also what a running process sends from time to time, whether it still stands in the roster or was taken out. */
+    private createRegistration(daemonId: string, incarnation: number): RegisterRecord {
+        const where = { address: "", dataCentre: "", vmId: "" };
+        const entry = { daemonId, role: "agent", incarnation, ...where, services: [service] } as const;
+        return {
+            type: "register",
+            id: "",
+            entry: { ...entry, services: [service] },
+            knownUpTo: this.roster.nextOffset - 1,
+        };
+    }
+
     private createText(kind: KeyKind, router: number): string | undefined {
         const skewMs = callerSkewsMs[this.keys.length % callerSkewsMs.length];
         if (kind === "dated") {
