--- a/scripts/capacity/idleDaemons.ts
+++ b/scripts/capacity/idleDaemons.ts
@@ -1,7 +1,7 @@
 import { execFileSync } from "node:child_process";
-import { readFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Fleet } from "../../test/fakes/fleet.js";
+import { readCpuSeconds, readResidentMiB } from "./processFigures.js";
 
 /** What daemons of a fleet take when no request comes. */
 export interface IdleCost {
@@ -18,8 +18,6 @@
 const settleMs = 8_000;
 const measureMs = 15_000;
 const bytesPerMiB = 1_048_576;
-const pageBytes = 4_096;
-const ticksPerSecond = 100;
 
 /** Resident memory of a Node.js process that does nothing; MiB. */
 export function measureBareProcessMiB(): number {
@@ -33,13 +31,12 @@
     try {
         await fleet.start();
         await sleep(settleMs);
-        const before = fleet.daemons.map(daemon => readCpuTicks(daemon.process.pid));
+        const before = fleet.daemons.map(daemon => readCpuSeconds(daemon.process.pid));
         await sleep(measureMs);
         const costs = fleet.daemons.map((daemon, index) => ({
             role: daemon.role,
             miB: readResidentMiB(daemon.process.pid),
-            cpuPercent:
-                ((readCpuTicks(daemon.process.pid) - before[index]) / ticksPerSecond / (measureMs / 1_000)) * 100,
+            cpuPercent: ((readCpuSeconds(daemon.process.pid) - before[index]) / (measureMs / 1_000)) * 100,
         }));
         const getMean = (role: string, field: "miB" | "cpuPercent"): number => {
             const values = costs.filter(cost => cost.role === role).map(cost => cost[field]);
@@ -57,14 +54,3 @@
         await fleet.close();
     }
 }
-
-function readCpuTicks(pid: number | undefined): number {
-    const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
-    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
-    const userField = 11;
-    return Number(fields[userField]) + Number(fields[userField + 1]);
-}
-
-function readResidentMiB(pid: number | undefined): number {
-    return (Number(readFileSync(`/proc/${pid}/statm`, "utf8").split(" ")[1]) * pageBytes) / bytesPerMiB;
-}
--- a/src/daemon/routerDaemon.ts
+++ b/src/daemon/routerDaemon.ts
@@ -5,7 +5,7 @@
 import type { ControlHost } from "../control/host.js";
 import type { DaemonStatus } from "../control/schemas.js";
 import { createControlApp, listenOn, type HttpListener } from "../control/server.js";
-import type { AcceptedDocument } from "../document/schema.js";
+import type { AcceptedDocument, EnvironmentDocument } from "../document/schema.js";
 import type { AgentReport, BriefReport } from "../fleet/entities.js";
 import { Evictor } from "../fleet/evictor.js";
 import { defaultRouterOptions } from "../fleet/router/options.js";
@@ -13,6 +13,7 @@
 import type { Vm } from "../platform/vmList.js";
 import { sleepOnTimer } from "../platform/sleep.js";
 import { AgentDirectory } from "../router/agentDirectory.js";
+import { pickAgents } from "../router/agentSubset.js";
 import { CallerRequests } from "../router/callerRequests.js";
 import { createCallerApp } from "../router/callerServer.js";
 import { Exchange, type ExchangeHost } from "../router/exchange.js";
@@ -56,6 +57,8 @@
     private readonly evictor: Evictor;
     private callers: HttpListener | undefined;
     private stopping = false;
+    /** Kinds of the services when the agents were last chosen. */
+    private kinds = "";
 
     public constructor(
         private readonly parts: CommonParts,
@@ -129,6 +132,7 @@
             documents.onDidAccept(accepted => {
                 this.service.send({ type: "documentAccepted", ...accepted });
                 this.membership.update();
+                this.updateKinds(accepted.document);
             }),
         );
         this.store.add(roster.onDidChange(() => this.updateDirectory()));
@@ -223,8 +227,19 @@
         }
     }
 
+    /** Choosing the agents anew takes some milliseconds in a large fleet, so not for each change of the document. */
+    private updateKinds(document: EnvironmentDocument): void {
+        const kinds = JSON.stringify(Object.entries(document.services).map(([name, service]) => [name, service.kind]));
+        if (kinds !== this.kinds) {
+            this.kinds = kinds;
+            this.updateDirectory();
+        }
+    }
+
     private updateDirectory(): void {
-        const removed = this.directory.update(this.parts.listRoster());
+        const { documents, settings } = this.parts;
+        const agents = pickAgents(settings.daemonId, this.parts.listRoster(), documents.current?.document);
+        const removed = this.directory.update(agents);
         removed.forEach(agentId => this.handleLost(agentId));
         this.exchange.update();
     }
