Let callers also send calls without a key that may run only once; see the fault runs find what they are for

Cause: with the router telling a broken try as not-run the fault runs found nothing: keyed calls are bound to their home and chats are idempotent, so nobody sent the kind of call that the safeguard is for. Ruled out: trusting the harness without seeing it fail. Change: the workload sends calls without a key; the document demands keys under /seats only; failures of issued and own keys are counted apart.

--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -1,5 +1,6 @@
 import { parseArgs } from "node:util";
 import { SeededRandom } from "../src/base/random.js";
+import type { CallOutcome } from "../test/fakes/callers.js";
 import type { FleetOptions } from "../test/fakes/fleet.js";
 import { capacityScenarios } from "./prove/capacityScenarios.js";
 import { checkRun } from "./prove/checks.js";
@@ -32,6 +33,7 @@
 const usualLoad = {
     chats: { department: 6, middle: 3, club: 2 },
     calls: { department: 2, club: 2 },
+    notes: { middle: 2 },
 } as const;
 const healedMs = 3_000;
 const longestScenarioMs = 150_000;
@@ -87,14 +89,15 @@
 
 /** What callers got, in one line; a run in which nothing was served or no fault was injected proves nothing. */
 function printAnswers(scenario: Scenario, run: ProofRun): void {
-    const { chats, calls } = run.workload;
+    const { chats, calls, notes } = run.workload;
     const whole = chats.filter(chat => chat.whole).length;
     const answered = calls.filter(call => call.status === 200).length;
     const others = countBy([
         ...chats.filter(chat => !chat.whole).map(chat => `chat ${chat.failure} ${chat.execution ?? ""}`),
         ...calls
             .filter(call => call.status !== 200)
-            .map(call => `call ${formatProblem(call.body)} ${String(call.body.execution ?? "")}`),
+            .map(call => `${call.key.startsWith("lx1.") ? "issued" : "own"}-key ${formatProblem(call)}`),
+        ...notes.filter(note => note.status !== 200).map(note => `note ${formatProblem(note)}`),
     ]);
     console.log(`  ${scenario.name}: ${run.faults.length} faults: ${run.faults.join("; ")}`);
     console.log(
@@ -106,8 +109,8 @@
     }
 }
 
-function formatProblem(body: Readonly<Record<string, unknown>>): string {
-    return typeof body.type === "string" ? (body.type.split("/").at(-1) ?? "") : "unreached";
+function formatProblem({ body }: CallOutcome): string {
+    return typeof body.type === "string" ? `${body.type.split("/").at(-1)} ${String(body.execution)}` : "unreached";
 }
 
 function countBy(names: readonly string[]): string {
--- a/scripts/prove/capacityScenarios.ts
+++ b/scripts/prove/capacityScenarios.ts
@@ -88,7 +88,7 @@
 
 async function runFlood(run: ProofRun): Promise<void> {
     run.recordFault("department keeps 60 chats open, the others 16 each");
-    run.workload.start({ chats: { department: 60, middle: 16, club: 16 }, calls: {} });
+    run.workload.start({ chats: { department: 60, middle: 16, club: 16 }, calls: {}, notes: {} });
     await run.sleep(floodSettleMs);
     const fromMs = Date.now();
     await run.sleep(floodMs);
--- a/scripts/prove/checks.ts
+++ b/scripts/prove/checks.ts
@@ -20,6 +20,7 @@
         ...checkAnswers(run),
         ...checkNotRun(run, evidence),
         ...checkAtMostOnce(evidence),
+        ...checkNotes(run, evidence),
         ...checkCuts(run, evidence),
         ...checkOffsets(run),
     ];
@@ -141,6 +142,22 @@
         .map(([key, count]) => createBreach(7, `key ${key} ran ${count} times`));
 }
 
+/** Calls without a key: at most one run each, none after "not-run", and the answer to its own body. */
+function checkNotes(run: ProofRun, evidence: TargetEvidence): readonly Breach[] {
+    return run.workload.notes.flatMap(note => {
+        const digest = hashText(note.sentBody);
+        const runs = evidence.runsByBody.get(digest) ?? 0;
+        const wrong = note.status === 200 && note.body.bodyDigest !== digest;
+        return [
+            ...(runs > 1 ? [createBreach(7, `${note.sentBody} ran ${runs} times`)] : []),
+            ...(runs > 0 && note.body.execution === "not-run"
+                ? [createBreach(6, `${note.sentBody} ran and was told not-run: ${note.text}`)]
+                : []),
+            ...(wrong ? [createBreach(5, `${note.sentBody} got another's answer: ${note.text}`)] : []),
+        ];
+    });
+}
+
 /**
  * In runs whose only fault is a planned stop, what began at a target reaches its caller. A request that a stopping
  * daemon turns away before it has begun is not cut off.
--- a/scripts/prove/workload.ts
+++ b/scripts/prove/workload.ts
@@ -26,12 +26,19 @@
     readonly endedAtMs: number;
 }
 
+/** A call without a key, sent once; told apart by its body. */
+export interface SeenNote extends CallOutcome {
+    readonly sentBody: string;
+}
+
 /** How much the callers send. */
 export interface WorkloadOptions {
     /** Chats kept open at once for each account. */
     readonly chats: Readonly<Partial<Record<TestAccount, number>>>;
     /** Keyed calls kept open at once for each account. */
     readonly calls: Readonly<Partial<Record<TestAccount, number>>>;
+    /** Calls without a key that may run only once, kept open at once for each account. */
+    readonly notes: Readonly<Partial<Record<TestAccount, number>>>;
 }
 
 const repeatShare = 0.4;
@@ -45,6 +52,7 @@
 export class Workload {
     public readonly chats: SeenChat[] = [];
     public readonly calls: SeenCall[] = [];
+    public readonly notes: SeenNote[] = [];
     private readonly callers: Promise<void>[] = [];
     private stopping = false;
     private chatCount = 0;
@@ -55,16 +63,9 @@
     ) {}
 
     public start(options: WorkloadOptions): void {
-        for (const [account, count] of Object.entries(options.chats)) {
-            for (let caller = 0; caller < count; caller++) {
-                this.callers.push(this.runCaller(() => this.runChat(account as TestAccount)));
-            }
-        }
-        for (const [account, count] of Object.entries(options.calls)) {
-            for (let caller = 0; caller < count; caller++) {
-                this.callers.push(this.runCaller(() => this.runCall(account as TestAccount)));
-            }
-        }
+        this.startCallers(options.chats, account => this.runChat(account));
+        this.startCallers(options.calls, account => this.runCall(account));
+        this.startCallers(options.notes, account => this.runNote(account));
     }
 
     /** Lets every caller get its last answer. */
@@ -110,6 +111,25 @@
         return seen;
     }
 
+    /** One call that may run only once and has no key: nobody may send it again after it may have run. */
+    private async runNote(account: TestAccount): Promise<boolean> {
+        const sentBody = JSON.stringify({ note: randomUUID() });
+        const outcome = await sendCall(this.pickUrl(), account, undefined, sentBody, "/notes", callTimeoutMs);
+        this.notes.push({ ...outcome, sentBody });
+        return outcome.status === 200;
+    }
+
+    private startCallers(
+        counts: Readonly<Partial<Record<TestAccount, number>>>,
+        send: (account: TestAccount) => Promise<boolean>,
+    ): void {
+        for (const [account, count] of Object.entries(counts)) {
+            for (let caller = 0; caller < count; caller++) {
+                this.callers.push(this.runCaller(() => send(account as TestAccount)));
+            }
+        }
+    }
+
     private async createKey(account: TestAccount): Promise<string | undefined> {
         if (this.random.next() < ownKeyShare) {
             return randomUUID();
--- a/test/fakes/fleetDocument.ts
+++ b/test/fakes/fleetDocument.ts
@@ -10,7 +10,7 @@
 
 /** The model service of a test fleet. */
 export const modelService = "planner";
-/** The plain service of a test fleet; a POST to it must not be repeated. */
+/** The plain service of a test fleet; it demands an idempotency key for a POST to `/seats`, for no other call. */
 export const plainService = "bookings";
 
 /** One target of a test fleet. */
@@ -57,7 +57,7 @@
             [modelService]: { kind: "model", nonIdempotent: [], deadlineMs, longFromCost: 2_000 },
             [plainService]: {
                 kind: "plain",
-                nonIdempotent: [{ method: "POST", pathPrefix: "/" }],
+                nonIdempotent: [{ method: "POST", pathPrefix: "/seats" }],
                 deadlineMs,
                 longFromCost: 5_000,
             },
--- a/test/fakes/targetRuns.ts
+++ b/test/fakes/targetRuns.ts
@@ -5,6 +5,7 @@
     readonly key?: string;
     readonly requestId?: string;
     readonly path: string;
+    readonly bodyDigest: string;
     readonly state: "running" | "ended";
 }
 
