--- a/bench/driver.ts
+++ b/bench/driver.ts
@@ -33,7 +33,7 @@
     readonly router: RouterNode;
     readonly number: number;
     hasOutput: boolean;
-    isOpen: boolean;
+    isStarted: boolean;
 }
 
 /** What a (router, agent) pair has acknowledged. */
@@ -189,7 +189,7 @@
         if (arrival === undefined) {
             return;
         }
-        const attempt: Attempt = { arrival, router, number, hasOutput: false, isOpen: true };
+        const attempt: Attempt = { arrival, router, number, hasOutput: false, isStarted: false };
         if (!this.canReach(router, agent)) {
             this.addAfter(resetNoticedMs, () => this.handleBroken(agent, attempt, "not-run"));
             return;
@@ -197,6 +197,10 @@
         this.addAfter(this.getTripMs(router, agent), () => {
             agent.attempts.set(requestId, attempt);
             this.sendToAgent(agent, { type: "workOffered", request: arrival.request, routerId: router.id });
+            // The frame that says "queued" carries a report, so that the router learns that it chose a busy target.
+            if (this.system.hasExchange && agent.attempts.get(requestId) === attempt && !attempt.isStarted) {
+                this.sendReport(router, agent, 0);
+            }
         });
     }
 
@@ -260,6 +264,7 @@
     }
 
     private startRun(agent: AgentNode, attempt: Attempt): void {
+        attempt.isStarted = true;
         const { request, generatedTokens } = attempt.arrival;
         const { id, promptTokens, prefixHash } = request;
         const { engine } = agent;
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -8,8 +8,8 @@
  *
  * Every candidate gets a score in milliseconds: expected wait, slowdown by a fuller batch, and distance; two candidates
  * per (account, prefix), picked by rendezvous hashing, get an advantage, as do targets known to hold the prefix. The
- * advantage is the computing time that the cached prefix saves, and at most `maxAffinityMs`: so affinity never makes a
- * request wait more than that beyond an idle target. Two candidates and not one, so that a hot prefix has somewhere to go
+ * advantage is the computing time that the cached prefix saves, and at most `maxAffinityMs`. A target without room is no
+ * candidate while one with room is known, so affinity beats an idle target only as far as reports are stale. Two candidates and not one, so that a hot prefix has somewhere to go
  * before it leaves the cache altogether. Near-equal scores are decided by chance, so that routers with equal, stale views
  * don't all run to one target.
  */
@@ -26,6 +26,8 @@
     readonly window: number;
     /** Requests running or queued there, with those sent since the last report. */
     readonly load: number;
+    /** Requests of the same account and class that this router has waiting there. */
+    readonly ownWaiting: number;
     /** Smoothed time of one request; milliseconds; 0 when not known. */
     readonly serviceTimeMs: number;
     /** Whether the target is known to hold the request's prefix; false also when hints are missing. */
@@ -54,6 +56,8 @@
 /** Scores nearer than this can't be told apart, as reports are older than that. */
 const tieBandMs = 0.5;
 const unknownServiceTimeMs = 100;
+/** Turn that another account's waiting request takes ahead of this one; small, as most of them are behind it. */
+const othersShare = 0.1;
 
 /** A 32-bit hash of an agent's id, computed once per agent. */
 export function computeNameHash(agentId: string): number {
@@ -71,9 +75,11 @@
     request: PlacementRequest,
     random: Random,
 ): T | undefined {
+    const withRoom = candidates.filter(candidate => candidate.load < candidate.window);
+    const allowed = withRoom.length > 0 ? withRoom : candidates;
     const affine = listRendezvous(candidates, request.affinityHash);
     const advantageMs = Math.min(maxAffinityMs, request.promptTokens * prefillMsPerToken);
-    const scored = candidates.map(candidate => {
+    const scored = allowed.map(candidate => {
         const share = candidate.holdsPrefix ? 1 : affine.includes(candidate) ? rendezvousShare : 0;
         return { candidate, score: computeBaseScore(candidate, request.dataCentre) - share * advantageMs };
     });
@@ -82,9 +88,17 @@
     return best[Math.floor(random.next() * best.length)]?.candidate;
 }
 
-/** Expected wait of one more request at a target; milliseconds. */
-export function estimateWaitMs(window: number, load: number, serviceTimeMs: number): number {
-    const ahead = Math.max(0, load + 1 - window);
+/**
+ * Expected wait of one more request; milliseconds. At a full target it is the time until enough slots come free: one per
+ * request of the same account ahead, and a part of one per other, since the agent's fair queue lets accounts take turns.
+ */
+function estimateWaitMs(candidate: PlacementCandidate): number {
+    const { window, load, ownWaiting, serviceTimeMs } = candidate;
+    if (load < window) {
+        return 0;
+    }
+    const others = Math.max(0, load - window - ownWaiting);
+    const ahead = 1 + ownWaiting + othersShare * others;
     return (ahead * (serviceTimeMs || unknownServiceTimeMs)) / Math.max(1, window);
 }
 
@@ -92,7 +106,7 @@
     const serviceTimeMs = candidate.serviceTimeMs || unknownServiceTimeMs;
     const fill = Math.min(1, candidate.load / Math.max(1, candidate.window));
     return (
-        estimateWaitMs(candidate.window, candidate.load, candidate.serviceTimeMs) +
+        estimateWaitMs(candidate) +
         batchSlowdown * fill * serviceTimeMs +
         (candidate.dataCentre === dataCentre ? 0 : distanceMs)
     );
--- a/src/fleet/router/offerSystem.ts
+++ b/src/fleet/router/offerSystem.ts
@@ -80,8 +80,9 @@
         const { prefixHash } = entry.request;
         const candidates: AgentCandidate[] = [];
         for (const agent of agents) {
-            if (state.offers.count(agent.agentId, entry.lane.key) < state.options.offerDepth) {
-                candidates.push(createCandidate(agent, prefixHash));
+            const ownWaiting = state.offers.count(agent.agentId, entry.lane.key);
+            if (ownWaiting < state.options.offerDepth) {
+                candidates.push(createCandidate(agent, ownWaiting, prefixHash));
             }
         }
         const request = {
@@ -117,7 +118,7 @@
     readonly agent: AgentEntry;
 }
 
-function createCandidate(agent: AgentEntry, prefixHash: string | undefined): AgentCandidate {
+function createCandidate(agent: AgentEntry, ownWaiting: number, prefixHash: string | undefined): AgentCandidate {
     const { report } = agent;
     return {
         agent,
@@ -126,6 +127,7 @@
         dataCentre: report.identity.dataCentre,
         window: report.window,
         load: report.running + report.queued + agent.sentSinceReport,
+        ownWaiting,
         serviceTimeMs: report.serviceTimeMs,
         holdsPrefix: prefixHash !== undefined && agent.cachedPrefixes.has(prefixHash),
     };
--- a/src/fleet/router/options.ts
+++ b/src/fleet/router/options.ts
@@ -7,7 +7,7 @@
     readonly offerDepth: number;
     /** A request that waits this long without any agent for its service is refused. */
     readonly noTargetWaitMs: number;
-    /** A request offered for less than this stays; it keeps reports that crossed it on the way from moving it at once. */
+    /** A request that was moved stays for this, then for three times, seven times and so on as it moves again. */
     readonly moveHoldMs: number;
     /** A withdraw that was not answered is asked again after this. */
     readonly withdrawRepeatMs: number;
--- a/src/fleet/router/withdrawSystem.ts
+++ b/src/fleet/router/withdrawSystem.ts
@@ -1,7 +1,7 @@
 import type { RouterState } from "./state.js";
 import type { AgentEntry, RequestEntry } from "./tables.js";
 
-/** A withdrawn request stays at its next agent at least this many doublings of the hold time. */
+/** Doublings of the hold time after which it grows no more: five seconds. */
 const maxHoldDoublings = 8;
 
 /**
@@ -64,6 +64,22 @@
         }
     }
 
+    /** Moves what waits at a busy agent to the one with the most room. */
+    public withdrawFromBusy(agent: AgentEntry, nowMs: number): void {
+        if (this.state.offers.listByLane(agent.agentId).size === 0 || computeRoom(agent) > 0) {
+            return;
+        }
+        let roomiest: AgentEntry | undefined;
+        for (const other of this.state.agents.list()) {
+            if (computeRoom(other) > (roomiest === undefined ? 0 : computeRoom(roomiest))) {
+                roomiest = other;
+            }
+        }
+        if (roomiest !== undefined) {
+            this.withdrawForRoom(roomiest, nowMs);
+        }
+    }
+
     private canMove(laneKey: string, agent: AgentEntry): boolean {
         const { state } = this;
         const lane = state.lanes.get(laneKey);
@@ -78,7 +94,7 @@
 
     private hasStayed(entry: RequestEntry, nowMs: number): boolean {
         const doublings = Math.min(maxHoldDoublings, entry.attempt - 1);
-        return nowMs - entry.sentAtMs >= this.state.options.moveHoldMs * 2 ** doublings;
+        return nowMs - entry.sentAtMs >= this.state.options.moveHoldMs * (2 ** doublings - 1);
     }
 
     private listOffered(ids: Iterable<string>): readonly RequestEntry[] {
