--- a/test/fakes/targetRuns.ts
+++ b/test/fakes/targetRuns.ts
@@ -5,6 +5,7 @@
     readonly key?: string;
     readonly requestId?: string;
     readonly path: string;
+    readonly bodyDigest: string;
     readonly state: "running" | "ended";
 }
 
@@ -21,6 +22,7 @@
     readonly requestId: string;
     readonly state: "waiting" | "running" | "completed" | "cancelled" | "broken";
     readonly promptDigest: string;
+    readonly promptTokens: number;
     readonly generatedTokens: number;
     readonly answerDigest: string;
 }
