Tell when a cold engine got too much

Cause: cold-targets breaches point 3, and its evidence did not say when. Ruled out: requests on their way when the engine turned cold: 125 to 436 ms is far longer than a trip on loopback. Change: the engine notes each overload and how long it had been cold; the check names each. Conclusion: a fault of the product (a run that broke off is no sign of cold); reported, not mended here.

--- a/scripts/prove/checks.ts
+++ b/scripts/prove/checks.ts
@@ -57,15 +57,10 @@
 }
 
 function checkColdLimit(evidence: TargetEvidence): readonly Breach[] {
-    return [...evidence.engines].flatMap(([target, runs]) =>
-        runs.maxOpenWhileCold > runs.coldLimit
-            ? [
-                  createBreach(
-                      3,
-                      `${target} had ${runs.maxOpenWhileCold} at once while cold, its limit is ${runs.coldLimit}`,
-                  ),
-              ]
-            : [],
+    return [...evidence.engines].flatMap(([target, { overloads, coldLimit }]) =>
+        overloads.map(({ open, coldForMs }) =>
+            createBreach(3, `${target}, cold for ${coldForMs} ms, had ${open} at once, its limit is ${coldLimit}`),
+        ),
     );
 }
 
--- a/test/fakes/engine/engineModel.ts
+++ b/test/fakes/engine/engineModel.ts
@@ -57,6 +57,9 @@
     private coldTimer: NodeJS.Timeout | undefined;
     private maxOpen = 0;
     private maxOpenWhileCold = 0;
+    private coldSinceMs = 0;
+    /** How long the engine had been cold each time it got more than it bears. */
+    private readonly overloads: { readonly coldForMs: number; readonly open: number }[] = [];
     private fallCount = 0;
     public readonly cache: PrefixCache;
 
@@ -97,6 +100,7 @@
         }
         if (this.isCold && open > this.options.coldLimit) {
             this.fallCount++;
+            this.overloads.push({ coldForMs: Math.round(nowMs - this.coldSinceMs), open });
             this.applyCold("fell over");
         }
         this.promoteWaiting();
@@ -182,6 +186,7 @@
             maxOpenWhileCold: this.maxOpenWhileCold,
             coldLimit: this.options.coldLimit,
             falls: this.fallCount,
+            overloads: this.overloads,
             cold: this.isCold,
             open: this.listOpen().length,
             runs: this.runs.map(run => ({
@@ -256,6 +261,7 @@
     private applyCold(reason: string): void {
         this.listOpen().forEach(run => this.close(run, "broken"));
         this.isCold = true;
+        this.coldSinceMs = this.clock.nowMs();
         this.recorder.record({
             kind: "target-cold",
             target: this.options.target,
--- a/test/fakes/targetRuns.ts
+++ b/test/fakes/targetRuns.ts
@@ -33,6 +33,7 @@
     readonly maxOpenWhileCold: number;
     readonly coldLimit: number;
     readonly falls: number;
+    readonly overloads: readonly { readonly coldForMs: number; readonly open: number }[];
     readonly cold: boolean;
     readonly open: number;
     readonly runs: readonly EngineRunSeen[];
