--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -26,7 +26,7 @@
     readonly window: number;
     /** Requests running or queued there, with those sent since the last report. */
     readonly load: number;
-    /** Requests of the same account and class that this router has waiting there. */
+    /** Requests of the same account that this router has waiting there. */
     readonly ownWaiting: number;
     /** Smoothed time of one request; milliseconds; 0 when not known. */
     readonly serviceTimeMs: number;
@@ -57,7 +57,7 @@
 const tieBandMs = 0.5;
 const unknownServiceTimeMs = 100;
 /** Turn that another account's waiting request takes ahead of this one; small, as most of them are behind it. */
-const othersShare = 0.1;
+const othersShare = 0.4;
 
 /** A 32-bit hash of an agent's id, computed once per agent. */
 export function computeNameHash(agentId: string): number {
@@ -75,8 +75,7 @@
     request: PlacementRequest,
     random: Random,
 ): T | undefined {
-    const withRoom = candidates.filter(candidate => candidate.load < candidate.window);
-    const allowed = withRoom.length > 0 ? withRoom : candidates;
+    const allowed = listAllowed(candidates);
     const affine = listRendezvous(candidates, request.affinityHash);
     const advantageMs = Math.min(maxAffinityMs, request.promptTokens * prefillMsPerToken);
     const scored = allowed.map(candidate => {
@@ -102,6 +101,16 @@
     return (ahead * (serviceTimeMs || unknownServiceTimeMs)) / Math.max(1, window);
 }
 
+/** Those with room, or else those where the fewest of the account's own requests wait. */
+function listAllowed<T extends PlacementCandidate>(candidates: readonly T[]): readonly T[] {
+    const withRoom = candidates.filter(candidate => candidate.load < candidate.window);
+    if (withRoom.length > 0) {
+        return withRoom;
+    }
+    const least = Math.min(...candidates.map(candidate => candidate.ownWaiting));
+    return candidates.filter(candidate => candidate.ownWaiting === least);
+}
+
 function computeBaseScore(candidate: PlacementCandidate, dataCentre: string): number {
     const serviceTimeMs = candidate.serviceTimeMs || unknownServiceTimeMs;
     const fill = Math.min(1, candidate.load / Math.max(1, candidate.window));
--- a/src/fleet/router/offerSystem.ts
+++ b/src/fleet/router/offerSystem.ts
@@ -80,8 +80,8 @@
         const { prefixHash } = entry.request;
         const candidates: AgentCandidate[] = [];
         for (const agent of agents) {
-            const ownWaiting = state.offers.count(agent.agentId, entry.lane.key);
-            if (ownWaiting < state.options.offerDepth) {
+            if (state.offers.count(agent.agentId, entry.lane.key) < state.options.offerDepth) {
+                const ownWaiting = state.offers.countAccount(agent.agentId, entry.lane);
                 candidates.push(createCandidate(agent, ownWaiting, prefixHash));
             }
         }
@@ -107,7 +107,7 @@
                 : [...entry.triedAgentIds, agentId],
         };
         state.requests.set(sent);
-        state.offers.add(agentId, entry.lane.key, entry.request.id);
+        state.offers.add(agentId, entry.lane, entry.request.id);
         state.agents.set({ ...agent, sentSinceReport: agent.sentSinceReport + 1 });
         state.addEffect({ type: "sendWork", requestId: entry.request.id, agentId, attempt: sent.attempt });
         state.recordRequest("request-sent", sent, { value: sent.attempt });
--- a/src/fleet/router/state.ts
+++ b/src/fleet/router/state.ts
@@ -120,7 +120,7 @@
             this.backlog.remove(entry.request.id);
             this.updateDrainRate(laneKey, nowMs);
         } else if (entry.agentId !== undefined && entry.stage !== "started") {
-            this.offers.remove(entry.agentId, laneKey, entry.request.id);
+            this.offers.remove(entry.agentId, entry.lane, entry.request.id);
             this.backlog.handleLaneChanged(laneKey);
         }
     }
--- a/src/fleet/router/tables.ts
+++ b/src/fleet/router/tables.ts
@@ -172,8 +172,11 @@
 /** Offered requests that have not started, by agent and lane. */
 export class OfferTable {
     private readonly byAgent = new Map<string, Map<string, Set<string>>>();
+    private readonly byAccount = new Map<string, number>();
 
-    public add(agentId: string, laneKey: string, requestId: string): void {
+    public add(agentId: string, lane: Lane, requestId: string): void {
+        const laneKey = lane.key;
+        this.updateAccount(agentId, lane, 1);
         let lanes = this.byAgent.get(agentId);
         if (lanes === undefined) {
             lanes = new Map();
@@ -184,15 +187,22 @@
         lanes.set(laneKey, ids);
     }
 
-    public remove(agentId: string, laneKey: string, requestId: string): void {
+    public remove(agentId: string, lane: Lane, requestId: string): void {
         const lanes = this.byAgent.get(agentId);
-        const ids = lanes?.get(laneKey);
-        ids?.delete(requestId);
+        const ids = lanes?.get(lane.key);
+        if (ids?.delete(requestId) === true) {
+            this.updateAccount(agentId, lane, -1);
+        }
         if (ids?.size === 0) {
-            lanes?.delete(laneKey);
+            lanes?.delete(lane.key);
         }
     }
 
+    /** Requests of an account that an agent holds, of all classes. */
+    public countAccount(agentId: string, lane: Lane): number {
+        return this.byAccount.get(toAccountKey(agentId, lane)) ?? 0;
+    }
+
     /** Requests of a lane that an agent holds. */
     public count(agentId: string, laneKey: string): number {
         return this.byAgent.get(agentId)?.get(laneKey)?.size ?? 0;
@@ -207,4 +217,13 @@
     public list(agentId: string): readonly string[] {
         return [...this.listByLane(agentId).values()].flatMap(ids => [...ids]);
     }
+
+    private updateAccount(agentId: string, lane: Lane, step: number): void {
+        const key = toAccountKey(agentId, lane);
+        this.byAccount.set(key, (this.byAccount.get(key) ?? 0) + step);
+    }
+}
+
+function toAccountKey(agentId: string, lane: Lane): string {
+    return `${agentId}\n${lane.service}\n${lane.clientAccount}`;
 }
