--- a/src/decisions/concurrencyWindow.ts
+++ b/src/decisions/concurrencyWindow.ts
@@ -10,6 +10,17 @@
 const reportsStaleAfterMs = 10_000;
 const slowDecrease = 0.8;
 const slowDecreaseEveryMs = 1_000;
+/** Slow first outputs in a row before the window shrinks: one or two happen on any target. */
+const slowInRow = 3;
+
+/** A request's first token or response head. */
+export interface FirstOutput {
+    readonly workClass: "short" | "long";
+    readonly promptTokens: number;
+    readonly delayMs: number;
+    /** Requests that run now, this one included. */
+    readonly running: number;
+}
 
 /** What a target bears, from the environment's document. */
 export interface WindowLimits {
@@ -31,8 +42,9 @@
  * output, which doubles it in each round as TCP's slow start does, and only while it is at least half used.
  *
  * Signs of cold: a report, a refusal by the target, a lost connection, and a first output so late that the baseline of
- * the same class is left far behind (see {@link FirstOutputBaseline}). A first output that is merely slow
- * takes a fifth off the window, once a second at most, since queueing inside the engine only adds to the delay.
+ * the same class is left far behind (see {@link FirstOutputBaseline}). Three first outputs in a row
+ * that are merely slow take a fifth off the window, once a second at most: a target that has become slow gains nothing
+ * from a longer queue inside, and what waits at the agent can still be moved elsewhere.
  */
 export class ConcurrencyWindow {
     private readonly baselines = { short: new FirstOutputBaseline(), long: new FirstOutputBaseline() };
@@ -43,6 +55,9 @@
     private warmReports = 0;
     private successesSinceCold = 0;
     private lastReportAtMs: number | undefined;
+    /** Whether nothing but a late first output speaks for the present cold start. */
+    private isSuspicionOnly = false;
+    private slowCount = 0;
     private lastDecreaseAtMs = Number.NEGATIVE_INFINITY;
 
     /** Requests that may run at once now. */
@@ -74,15 +89,20 @@
             return undefined;
         }
         this.warmReports += 1;
-        if (this.warmReports < warmReportsNeeded) {
-            return undefined;
-        }
-        this.cold = false;
-        return "warm";
+        return this.warmReports < warmReportsNeeded ? undefined : this.setWarm();
+    }
+
+    /** A first output is overdue: falls to the cold limit on this suspicion. */
+    public observeLateOutput(nowMs: number): WindowChange | undefined {
+        const isSuspicionOnly = !this.cold || this.isSuspicionOnly;
+        const change = this.observeColdSign(nowMs);
+        this.isSuspicionOnly = isSuspicionOnly;
+        return change;
     }
 
-    /** Any sign of a cold start: falls to the cold limit at once. */
+    /** A sign that the target is cold: falls to the cold limit at once. */
     public observeColdSign(nowMs: number): WindowChange | undefined {
+        this.isSuspicionOnly = false;
         const changed = !this.cold || this.currentLimit > this.limits.coldLimit;
         this.cold = true;
         this.coldSinceMs = nowMs;
@@ -92,25 +112,21 @@
         return changed ? "cold" : undefined;
     }
 
-    /** A request's first token or response head; `running` counts it. */
-    public observeFirstOutput(
-        workClass: "short" | "long",
-        delayMs: number,
-        running: number,
-        nowMs: number,
-    ): WindowChange | undefined {
+    public observeFirstOutput(output: FirstOutput, nowMs: number): WindowChange | undefined {
         // What a cold target takes is no measure of what is usual.
         if (this.cold) {
             return undefined;
         }
-        const baseline = this.baselines[workClass];
-        const judgement = baseline.compare(delayMs);
-        baseline.observe(delayMs);
+        const { delayMs, promptTokens, running } = output;
+        const baseline = this.baselines[output.workClass];
+        const judgement = baseline.compare(delayMs, promptTokens);
+        baseline.observe(delayMs, promptTokens);
+        this.slowCount = judgement === "slow" ? this.slowCount + 1 : 0;
         if (judgement === "cold") {
-            return this.observeColdSign(nowMs);
+            return this.observeLateOutput(nowMs);
         }
         if (judgement === "slow") {
-            return this.applyDecrease(nowMs);
+            return this.slowCount < slowInRow ? undefined : this.applyDecrease(nowMs);
         }
         if (running * 2 < this.currentLimit || this.currentLimit >= this.limits.maxConcurrent) {
             return undefined;
@@ -129,13 +145,26 @@
         if (hasReports || this.successesSinceCold < warmSuccessesPerSlot * this.limits.coldLimit) {
             return undefined;
         }
-        this.cold = false;
-        return "warm";
+        return this.setWarm();
     }
 
     /** When a request that has given nothing yet counts as a sign of cold; undefined while no baseline is known. */
-    public getLateAfterMs(workClass: "short" | "long"): number | undefined {
-        return this.baselines[workClass].coldAfterMs;
+    public getLateAfterMs(workClass: "short" | "long", promptTokens: number): number | undefined {
+        return this.baselines[workClass].getColdAfterMs(promptTokens);
+    }
+
+    /**
+     * Ends the cold start. When nothing but lateness spoke for it, the target was probably just busy: without the
+     * correction a target whose first outputs are late at full load would fall to its cold limit every few seconds.
+     */
+    private setWarm(): WindowChange {
+        if (this.isSuspicionOnly) {
+            this.baselines.short.recordFalseAlarm();
+            this.baselines.long.recordFalseAlarm();
+        }
+        this.isSuspicionOnly = false;
+        this.cold = false;
+        return "warm";
     }
 
     private applyDecrease(nowMs: number): WindowChange | undefined {
--- a/src/fleet/agent/admitSystem.ts
+++ b/src/fleet/agent/admitSystem.ts
@@ -1,4 +1,5 @@
-import { checkAdmission, type AdmissionDecision } from "../../decisions/expectedWait.js";
+import { checkAdmission, computeLatestStartMs, type WaitSituation } from "../../decisions/expectedWait.js";
+import { idleAfterMs } from "../../decisions/serviceLedger.js";
 import type { Refusal, WorkRequest } from "../entities.js";
 import type { AgentContext } from "./agentContext.js";
 import type { QueuedWork, ServiceRow } from "./tables.js";
@@ -20,7 +21,12 @@
     }
     const row = context.getRow(request.service);
     const work = createQueuedWork(context, request, routerId, nowMs);
-    const decision = checkRoom(context, row, work, nowMs);
+    const situation = createSituation(context, row, work, nowMs);
+    const counts = {
+        queuedTotal: context.tables.countQueued(),
+        queuedOfAccount: row.queue.countWaiting(work.clientAccount),
+    };
+    const decision = checkAdmission(situation, counts, context.options, request.deadlineAtMs - nowMs);
     if (!decision.admitted) {
         context.refuseRequest(request, {
             reason: decision.reason,
@@ -31,6 +37,7 @@
         return;
     }
     addToQueue(context, row, work, nowMs);
+    context.deadlines.set(work.id, computeLatestStartMs(situation, nowMs, request.deadlineAtMs));
 }
 
 /**
@@ -56,7 +63,7 @@
     if (context.phase !== "serving") {
         return createRefusal("draining", "not-run", `The target takes no new work (${context.phase}).`);
     }
-    if (!context.identity.services.includes(request.service)) {
+    if (!context.listServices().includes(request.service)) {
         return createRefusal("no-target", "not-run", "The target does not serve this service.");
     }
     return undefined;
@@ -68,40 +75,49 @@
 
 function createQueuedWork(context: AgentContext, request: WorkRequest, routerId: string, nowMs: number): QueuedWork {
     const longFromCost = context.document?.services[request.service]?.longFromCost ?? noLongWork;
-    const { cost, workClass, hintClass } = context.estimator.estimate(request, longFromCost);
+    const { cost, charge, workClass, hintClass } = context.estimator.estimate(request, longFromCost);
     const { id, clientAccount } = request;
-    return { id, clientAccount, cost, workClass, hintClass, request, routerId, queuedAtMs: nowMs };
+    return { id, clientAccount, cost, charge, workClass, hintClass, request, routerId, queuedAtMs: nowMs };
 }
 
-function checkRoom(context: AgentContext, row: ServiceRow, work: QueuedWork, nowMs: number): AdmissionDecision {
-    const { tables, window, options } = context;
+function createSituation(context: AgentContext, row: ServiceRow, work: QueuedWork, nowMs: number): WaitSituation {
+    const { tables, window } = context;
     const accountWeight = context.getWeight(work.clientAccount);
-    const queuedOfAccount = row.queue.countWaiting(work.clientAccount);
-    const situation = {
+    const isBacklogged = row.queue.countWaiting(work.clientAccount) > 0;
+    return {
         freeSlots: window.limit - tables.running.size,
         window: window.limit,
         msPerCost: row.msPerCost,
         waitingCost: row.queue.waitingCost,
         accountWaitingCost: row.queue.getAccountCost(work.clientAccount),
         accountWeight,
-        backloggedWeight: row.queue.backloggedWeight + (queuedOfAccount === 0 ? accountWeight : 0),
+        cost: work.cost,
+        backloggedWeight: row.queue.backloggedWeight + (isBacklogged ? 0 : accountWeight),
         pausedForMs: Math.max(0, (context.circuit.probeAtMs ?? nowMs) - nowMs),
     };
-    const counts = { queuedTotal: tables.countQueued(), queuedOfAccount };
-    return checkAdmission(situation, counts, options, work.request.deadlineAtMs - nowMs);
+}
+
+/**
+ * Whether an account returns from a rest. An agent that has not heard from any router of late cannot tell rest from work
+ * elsewhere: after a partition it would take the right of an account that lags for saved-up credit. What such
+ * an account may then catch up is limited by the cap.
+ */
+function hasRested(context: AgentContext, row: ServiceRow, clientAccount: string, nowMs: number): boolean {
+    const { lastExchangeAtMs, tables } = context;
+    const hasWork = row.queue.countWaiting(clientAccount) + tables.countRunning(row.service, clientAccount) > 0;
+    const hasNews = lastExchangeAtMs === undefined || nowMs - lastExchangeAtMs <= idleAfterMs;
+    return !hasWork && hasNews && row.ledger.isIdle(clientAccount, nowMs);
 }
 
 function addToQueue(context: AgentContext, row: ServiceRow, work: QueuedWork, nowMs: number): void {
     const { clientAccount, request } = work;
     const { ledger, queue } = row;
-    const hasWork = queue.countWaiting(clientAccount) + context.tables.countRunning(row.service, clientAccount) > 0;
-    if (!hasWork && ledger.isIdle(clientAccount, nowMs)) {
+    if (hasRested(context, row, clientAccount, nowMs)) {
         const floor = queue.getLeastService() ?? ledger.getReturnFloor(nowMs);
         ledger.applyLift(clientAccount, floor, context.nextSequence);
     }
     ledger.recordActivity(clientAccount, nowMs);
     queue.add(work, ledger.getNormalizedService(clientAccount), context.getWeight(clientAccount));
-    context.deadlines.set(work.id, request.deadlineAtMs);
     if (work.workClass === "short") {
         context.reserve.observeArrival(nowMs);
     }
--- a/src/fleet/agent/agentContext.ts
+++ b/src/fleet/agent/agentContext.ts
@@ -22,7 +22,7 @@
     public readonly circuit: CircuitBreaker;
     public readonly reserve = new ShortReserve();
     public readonly estimator = new CostEstimator();
-    /** Queued requests by deadline. */
+    /** Queued requests by the time at which they must have started. */
     public readonly deadlines = new IndexedHeap<string>();
     public readonly started: IdMemory;
     public readonly withdrawn: IdMemory;
@@ -32,9 +32,14 @@
     public documentOffset = -1;
     /** Nothing starts before the first document: the target's limits are not known until then. */
     public phase: AgentPhase = "draining";
-    /** Number of the next report. */
-    public nextSequence = 1;
+    /**
+     * Number of the next report. It begins at the incarnation (a time in milliseconds), so that numbers acknowledged to
+     * an earlier incarnation are smaller; else a router's old acknowledgement would hide this one's first charges.
+     */
+    public nextSequence: number;
     public startCount = 0;
+    /** When an exchange last came from any router; undefined before the first. */
+    public lastExchangeAtMs: number | undefined;
     /** When calls of plain services were last charged for their time. */
     public elapsedChargedAtMs = Number.NEGATIVE_INFINITY;
     /** Smoothed time of one request; milliseconds. */
@@ -47,6 +52,7 @@
         private readonly recorder: EventRecorder,
         random: Random,
     ) {
+        this.nextSequence = identity.incarnation;
         this.circuit = new CircuitBreaker(random);
         this.started = new IdMemory({ keepForMs: startedIdsKeptForMs, maxIds: options.maxStartedIds });
         this.withdrawn = new IdMemory({ keepForMs: withdrawnIdsKeptForMs, maxIds: options.maxWithdrawnIds });
@@ -76,6 +82,11 @@
         this.record({ kind, requestId, clientAccount, service, ...more });
     }
 
+    /** What the target serves: by the document once there is one. */
+    public listServices(): readonly string[] {
+        return this.document?.targets[this.identity.targetName]?.services ?? this.identity.services;
+    }
+
     public getWeight(clientAccount: string): number {
         return this.document?.clientAccounts[clientAccount]?.weight ?? 1;
     }
--- a/src/fleet/entities.ts
+++ b/src/fleet/entities.ts
@@ -27,7 +27,7 @@
 
 /** Where a daemon of role agent stands and what it serves. */
 export interface AgentIdentity {
-    /** Stable over restarts: the target's name. */
+    /** Stable over restarts: the daemon's id. */
     readonly agentId: string;
     /** New at each start of the process; larger means later. */
     readonly incarnation: number;
@@ -71,6 +71,9 @@
     readonly cachedPrefixes: readonly string[];
 }
 
+/** A report that goes along with an answer: the answered account's counter only, and no prefixes, so that it is small. */
+export type BriefReport = Omit<AgentReport, "cachedPrefixes"> & { readonly cachedPrefixes?: undefined };
+
 /** Why a request was turned away. */
 export type RefusalReason =
     | "queue-full"
