--- a/test/fakes/targetRuns.ts
+++ b/test/fakes/targetRuns.ts
@@ -5,6 +5,7 @@
     readonly key?: string;
     readonly requestId?: string;
     readonly path: string;
+    readonly bodyDigest: string;
     readonly state: "running" | "ended";
 }
 
@@ -32,6 +33,7 @@
     readonly maxOpenWhileCold: number;
     readonly coldLimit: number;
     readonly falls: number;
+    readonly overloads: readonly { readonly coldForMs: number; readonly open: number }[];
     readonly cold: boolean;
     readonly open: number;
     readonly runs: readonly EngineRunSeen[];
