Hand keys over when their home's data centre is out; say not-run of a keyed call nowhere but at its home

Ruled out: ending the home's tenure in the roster (undated keys would be unknown for ten minutes, also after a short outage). Change: a home that takes nothing new keeps the key and hands the request over under an issued key of a serving home, the same one for every repeat; the router's own problems say unknown where a key came along.

--- a/src/agent/agentService.ts
+++ b/src/agent/agentService.ts
@@ -90,12 +90,12 @@
     public offerWork(held: HeldWork): void {
         const { envelope, body } = held;
         this.held.set(envelope.requestId, held);
-        void held.write({ type: "queued" });
         this.runner.send({
             type: "workOffered",
             request: toWorkRequest(envelope, body.length, this.parts.clock.nowMs()),
             routerId: envelope.routerId,
         });
+        this.reportQueued(held);
     }
 
     /** A held request, for followers that join it. */
@@ -184,6 +184,15 @@
         });
     }
 
+    /** A request that is not started at once tells its router how full the agent is, so that it can be moved at once. */
+    private reportQueued(held: HeldWork): void {
+        const { requestId, service, clientAccount } = held.envelope;
+        if (this.held.has(requestId) && !this.runs.has(requestId)) {
+            const report = this.parts.core.createAnswerReport(service, clientAccount);
+            void held.write({ type: "queued", report });
+        }
+    }
+
     private release(requestId: string, close: (held: HeldWork) => Promise<void>): void {
         const held = this.held.get(requestId);
         if (held === undefined) {
--- a/src/agent/keyedWork.ts
+++ b/src/agent/keyedWork.ts
@@ -22,6 +22,8 @@
     readonly clock: Clock;
     readonly scheduler: Scheduler;
     readonly recorder: EventRecorder;
+    /** Undefined while new requests may start here; else the issued key of another home under which new ones go on. */
+    findDelegateKey(envelope: WorkEnvelope): string | undefined;
 }
 
 interface KeyedRun {
@@ -43,7 +45,8 @@
 
     /** Takes a request that carries a key. */
     public takeWork(envelope: WorkEnvelope, body: Buffer, follower: AnswerFollower): void {
-        const decision = this.parts.table.resolve(createKeyUse(envelope, body), this.readInstant());
+        const delegateKey = this.parts.findDelegateKey(envelope);
+        const decision = this.parts.table.resolve(createKeyUse(envelope, body), this.readInstant(), delegateKey);
         switch (decision.type) {
             case "run":
                 this.run(decision.keyHash, this.parts.holder.createHeldWork(envelope, body, follower));
@@ -55,6 +58,9 @@
                 this.recordReplay(envelope, decision.keyHash);
                 void writeAll(follower, this.answers.get(decision.answerReference) ?? [createTooLargeFrame("ran")]);
                 return;
+            case "delegate":
+                void writeAll(follower, [{ type: "delegated", idempotencyKey: decision.delegateKey }]);
+                return;
             case "refuse":
                 void writeAll(follower, [{ type: "refused", refusal: decision.refusal }]);
                 return;
--- a/src/control/frames.ts
+++ b/src/control/frames.ts
@@ -7,13 +7,15 @@
  * Chunks are numbered from 0 and the end carries their count, so that a cut answer is never taken for a whole one.
  */
 export const workFrameSchema = z.discriminatedUnion("type", [
-    /** The agent holds the request. */
-    z.object({ type: z.literal("queued") }),
+    /** The agent holds the request and has not started it. */
+    z.object({ type: z.literal("queued"), report: briefReportSchema.optional() }),
     /** The request has been given to the target. */
     z.object({ type: z.literal("started") }),
     /** The request was never started here and never will be. */
     z.object({ type: z.literal("withdrawn") }),
     z.object({ type: z.literal("refused"), refusal: refusalSchema }),
+    /** The key's home takes nothing new: the request goes on under this issued key, at the home that it names. */
+    z.object({ type: z.literal("delegated"), idempotencyKey: z.string() }),
     /** Status and headers of a plain service's answer; models have status 200 and no headers. */
     z.object({ type: z.literal("head"), status: z.number().int(), headers: z.record(z.string(), z.string()) }),
     /** Models: one event's JSON text. Plain services: bytes as base64. */
@@ -45,6 +47,8 @@
     kind: z.enum(["model", "plain"]),
     idempotent: z.boolean(),
     idempotencyKey: z.string().optional(),
+    /** An issued key of another home, for the case that this home takes nothing new. */
+    delegateKey: z.string().optional(),
     /** Time left until the caller's deadline; milliseconds. */
     remainingMs: z.number(),
     promptTokens: z.number(),
--- a/src/daemon/agentDaemon.ts
+++ b/src/daemon/agentDaemon.ts
@@ -20,6 +20,7 @@
 import { AgentCore, defaultAgentOptions } from "../fleet/agent/agentCore.js";
 import type { AgentMessage } from "../fleet/agentMessages.js";
 import { HomeAuthority } from "../fleet/keys/homeAuthority.js";
+import { verifyIssuedKey } from "../fleet/keys/issuedKey.js";
 import { defaultKeyTableLimits, KeyTable } from "../fleet/keys/keyTable.js";
 import { defaultKeyTiming } from "../fleet/keys/keyTiming.js";
 import { sleepOnTimer } from "../platform/sleep.js";
@@ -78,7 +79,16 @@
         );
         this.authority = new HomeAuthority({ agentId: daemonId, incarnation }, parts.secret, defaultKeyTiming);
         const table = new KeyTable(this.authority, defaultKeyTableLimits);
-        this.keyed = this.store.add(new KeyedWork({ table, holder: this.service, clock, scheduler, recorder: events }));
+        this.keyed = this.store.add(
+            new KeyedWork({
+                table,
+                holder: this.service,
+                clock,
+                scheduler,
+                recorder: events,
+                findDelegateKey: envelope => this.findDelegateKey(envelope),
+            }),
+        );
         this.service.guard = this.keyed;
         this.membership = this.store.add(new Membership(parts, () => this.listServices()));
         const getView = (): OrderView | undefined => createOrderView(parts, this.membership, settings.target.name);
@@ -183,6 +193,15 @@
         return this.parts.documents.current !== undefined;
     }
 
+    /** A router that does not know yet that this agent is out may name this very agent; handed to itself, a key would stay. */
+    private findDelegateKey({ delegateKey }: WorkEnvelope): string | undefined {
+        if (this.core.phase === "serving" || delegateKey === undefined) {
+            return undefined;
+        }
+        const home = verifyIssuedKey(this.parts.secret, delegateKey).map(claims => claims.agentId);
+        return home.isOk() && home.value !== this.settings.daemonId ? delegateKey : undefined;
+    }
+
     private takeWork(envelope: WorkEnvelope, body: Buffer, follower: AnswerFollower): void {
         if (envelope.idempotencyKey !== undefined && !envelope.idempotent) {
             this.keyed.takeWork(envelope, body, follower);
--- a/src/daemon/routerDaemon.ts
+++ b/src/daemon/routerDaemon.ts
@@ -8,6 +8,7 @@
 import type { AcceptedDocument, EnvironmentDocument } from "../document/schema.js";
 import type { AgentReport, BriefReport } from "../fleet/entities.js";
 import { Evictor } from "../fleet/evictor.js";
+import { verifyIssuedKey } from "../fleet/keys/issuedKey.js";
 import { defaultRouterOptions } from "../fleet/router/options.js";
 import { RouterCore } from "../fleet/router/routerCore.js";
 import type { Vm } from "../platform/vmList.js";
@@ -80,6 +81,10 @@
                 logger,
                 metrics,
                 events,
+                findIssuedHome: key =>
+                    verifyIssuedKey(secret, key)
+                        .map(claims => claims.agentId)
+                        .unwrapOr(undefined),
             }),
         );
         this.exchange = this.store.add(
--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -3,7 +3,7 @@
 import type { AgentEffect, AgentMessage } from "../agentMessages.js";
 import type { ClientShare } from "../clientShare.js";
 import type { Core } from "../core.js";
-import type { AgentIdentity, AgentReport, BriefReport, ServiceCounter } from "../entities.js";
+import type { AgentIdentity, AgentPhase, AgentReport, BriefReport, ServiceCounter } from "../entities.js";
 import { receiveOffer } from "./admitSystem.js";
 import { AgentContext } from "./agentContext.js";
 import type { AgentOptions } from "./agentOptions.js";
@@ -58,6 +58,11 @@
         ]);
     }
 
+    /** What the agent lets routers do with it now. */
+    public get phase(): AgentPhase {
+        return this.context.phase;
+    }
+
     /** The report for a peer that has acknowledged up to a sequence; with all counters when it has acknowledged none. */
     public createReport(acknowledgedSequence: number | undefined): AgentReport {
         // A number that was never given out was acknowledged to another incarnation and says nothing of this one.
--- a/src/fleet/keys/keyTable.ts
+++ b/src/fleet/keys/keyTable.ts
@@ -11,6 +11,8 @@
     | { readonly type: "join"; readonly keyHash: string; readonly requestId: string }
     /** It ran; give this caller the answer that is kept under the reference. */
     | { readonly type: "replay"; readonly keyHash: string; readonly answerReference: string }
+    /** Its target takes nothing new; the request goes on under this issued key, and so does every repeat. */
+    | { readonly type: "delegate"; readonly keyHash: string; readonly delegateKey: string }
     | { readonly type: "refuse"; readonly refusal: Refusal; readonly homeAgentId?: string };
 
 /** How a run ended, as far as its key goes. */
@@ -45,6 +47,7 @@
     | { readonly type: "running" }
     /** The reference is undefined once the answer's bytes had to go. */
     | { readonly type: "completed"; readonly answerReference: string | undefined; readonly answerBytes: number }
+    | { readonly type: "delegated"; readonly delegateKey: string }
     | { readonly type: "unknown" };
 
 interface KeyEntry {
@@ -76,8 +79,12 @@
         return this.entries.size;
     }
 
-    /** Resolves a request that has arrived; a decision to run reserves the key for it. */
-    public resolve(use: KeyUse, at: Instant): KeyDecision {
+    /**
+     * Resolves a request that has arrived; a decision to run reserves the key for it. With a `delegateKey`, an issued key
+     * that names another home, a key that was not seen is handed over to that home instead. The first one is kept: were each
+     * repeat handed on under a key of its own, two homes would run it.
+     */
+    public resolve(use: KeyUse, at: Instant, delegateKey?: string): KeyDecision {
         const keyHash = hashKey(use);
         const entry = this.entries.get(keyHash);
         if (entry !== undefined) {
@@ -91,8 +98,14 @@
         if (refusal !== undefined) {
             return { type: "refuse", refusal };
         }
-        this.entries.set(keyHash, { keyHash, use, state: { type: "waiting" }, endedAtMs: undefined });
         this.addToAccount(use.clientAccount, 1);
+        if (delegateKey !== undefined) {
+            const state: KeyState = { type: "delegated", delegateKey };
+            this.entries.set(keyHash, { keyHash, use, state, endedAtMs: at.nowMs });
+            this.ended.add(keyHash);
+            return { type: "delegate", keyHash, delegateKey };
+        }
+        this.entries.set(keyHash, { keyHash, use, state: { type: "waiting" }, endedAtMs: undefined });
         return { type: "run", keyHash };
     }
 
@@ -225,6 +238,8 @@
         case "waiting":
         case "running":
             return { type: "join", keyHash, requestId: entry.use.requestId };
+        case "delegated":
+            return { type: "delegate", keyHash, delegateKey: state.delegateKey };
         case "unknown":
             return { type: "refuse", refusal: createUnknownRefusal() };
         case "completed":
--- a/src/fleet/router/admitSystem.ts
+++ b/src/fleet/router/admitSystem.ts
@@ -33,6 +33,15 @@
         this.state.recordRequest("request-queued", entry);
     }
 
+    /** The request goes on at another home; how often that may happen is the shell's to bound. */
+    public handleDelegated(entry: RequestEntry, homeAgentId: string, nowMs: number): void {
+        const { state } = this;
+        state.removeFromStage(entry, nowMs);
+        const moved: RequestEntry = { ...entry, lane: this.getLane(entry.request, homeAgentId), triedAgentIds: [] };
+        state.addToBacklog(moved, "first", nowMs);
+        state.recordRequest("request-queued", moved, { reason: "delegated" });
+    }
+
     private check(entry: RequestEntry, nowMs: number): ReturnType<RouterState["createRefusal"]> | undefined {
         const { state } = this;
         if (state.isStopping) {
@@ -40,7 +49,8 @@
         }
         if (isKeyed(entry.request)) {
             const home = entry.lane.homeAgentId;
-            if (home === undefined || state.agents.get(home)?.isAccepting !== true) {
+            // A home that takes nothing new still answers repeats, and hands new keys over to another home.
+            if (home === undefined || state.agents.get(home)?.isLost !== false) {
                 return state.createRefusal(
                     "no-target",
                     entry.execution,
--- a/src/fleet/router/offerSystem.ts
+++ b/src/fleet/router/offerSystem.ts
@@ -57,7 +57,7 @@
         const { homeAgentId } = entry.lane;
         const agents = this.state.agents
             .listForService(entry.request.service)
-            .filter(agent => agent.isAccepting && (homeAgentId === undefined || agent.agentId === homeAgentId));
+            .filter(agent => (homeAgentId === undefined ? agent.isAccepting : isHome(agent, homeAgentId)));
         const untried = agents.filter(agent => !entry.triedAgentIds.includes(agent.agentId));
         // An agent that held a non-idempotent request never gets it again: a late answer to the first sending could
         // otherwise be taken for one to the second, and the request be run twice.
@@ -114,6 +114,11 @@
     }
 }
 
+/** A home is asked also while it takes nothing new: only it can tell what became of a key. */
+function isHome(agent: AgentEntry, homeAgentId: string): boolean {
+    return agent.agentId === homeAgentId && !agent.isLost;
+}
+
 interface AgentCandidate extends PlacementCandidate {
     readonly agent: AgentEntry;
 }
--- a/src/fleet/router/routerCore.ts
+++ b/src/fleet/router/routerCore.ts
@@ -144,6 +144,9 @@
             case "workWithdrawn":
                 this.retrySystem.handleWithdrawn(entry, nowMs);
                 break;
+            case "workDelegated":
+                this.admitSystem.handleDelegated(entry, message.homeAgentId, nowMs);
+                break;
             case "workRefused":
                 this.retrySystem.handleRefused(entry, message.refusal, nowMs);
                 break;
--- a/src/fleet/routerMessages.ts
+++ b/src/fleet/routerMessages.ts
@@ -27,6 +27,14 @@
           readonly agentId: string;
           readonly attempt?: number;
       }
+    /** The key's home handed the key over to another home. */
+    | {
+          readonly type: "workDelegated";
+          readonly requestId: string;
+          readonly agentId: string;
+          readonly attempt?: number;
+          readonly homeAgentId: string;
+      }
     /** The agent turned the request away. */
     | {
           readonly type: "workRefused";
--- a/src/router/callerRequests.ts
+++ b/src/router/callerRequests.ts
@@ -118,7 +118,13 @@
                     const work = this.createWork(request.id, admitted, name, service, body.length);
                     this.submit(
                         { ...work, idempotent: safety === "idempotent", idempotencyKey: key },
-                        { body, call, answer: new PlainAnswer(connection), homeAgentId },
+                        {
+                            body,
+                            call,
+                            answer: new PlainAnswer(connection),
+                            homeAgentId,
+                            delegateKey: this.createDelegateKey(admitted.clientAccount, name, key),
+                        },
                     );
                 });
             }),
@@ -147,7 +153,7 @@
         const admitted = this.findAccount(request.incoming.headers.authorization);
         if (admitted.isErr()) {
             request.incoming.resume();
-            connection.writeProblem(admitted.error);
+            connection.writeProblem(toTruth(admitted.error, request.incoming));
             return;
         }
         const { clientAccount, document } = admitted.value;
@@ -158,7 +164,7 @@
         const result = body.andThen(bytes => run(admitted.value, bytes, connection));
         if (result.isErr()) {
             request.incoming.resume();
-            connection.writeProblem(result.error);
+            connection.writeProblem(toTruth(result.error, request.incoming));
         }
         this.parts.logger.write("debug", "request taken", {
             requestId: request.id,
@@ -220,6 +226,11 @@
         return this.parts.keys.findHome(clientAccount, service, key).mapErr(toProblem);
     }
 
+    /** Goes along with every keyed call, as the home may be taken out before it arrives. */
+    private createDelegateKey(clientAccount: string, service: string, key: string | undefined): string | undefined {
+        return key === undefined ? undefined : this.parts.keys.issue(clientAccount, service).unwrapOr(undefined);
+    }
+
     private createWork(
         id: string,
         admitted: Admitted,
@@ -249,6 +260,15 @@
     }
 }
 
+/**
+ * A request with an idempotency key may be the repeat of one that ran through another router. This router's own "not-run"
+ * would be taken for the key's: the caller would do the call anew. Only the key's home says so; sending the same key
+ * again is always safe.
+ */
+function toTruth(problem: Problem, incoming: IncomingMessage): Problem {
+    return getIdempotencyKey(incoming) === undefined ? problem : { ...problem, execution: "unknown" };
+}
+
 function getIdempotencyKey(incoming: IncomingMessage): string | undefined {
     const header = incoming.headers["idempotency-key"];
     return Array.isArray(header) ? header[0] : header;
--- a/src/router/openRequest.ts
+++ b/src/router/openRequest.ts
@@ -16,4 +16,8 @@
     readonly answer: CallerAnswer;
     /** Agent that must run it, for calls with an idempotency key. */
     readonly homeAgentId: string | undefined;
+    /** An issued key of another home, for a home that takes nothing new. */
+    readonly delegateKey?: string | undefined;
+    /** The issued key under which the request goes on since its home handed it over. */
+    readonly delegatedKey?: string | undefined;
 }
--- a/src/router/routerService.ts
+++ b/src/router/routerService.ts
@@ -42,6 +42,8 @@
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly events: EventRecorder;
+    /** The agent that an issued key names; undefined when it is none of ours. */
+    findIssuedHome(idempotencyKey: string): string | undefined;
 }
 
 /** The shell around a router's core: holds callers' requests, sends them, passes their answers on. */
@@ -121,15 +123,37 @@
             return;
         }
         open.answer.clear();
-        const sending = new Try(open, agentId, attempt, message => this.runner.send(message), this.parts.events);
+        const sending = new Try(
+            open,
+            agentId,
+            attempt,
+            message => this.runner.send(message),
+            this.parts.events,
+            key => this.handleDelegated(open, agentId, attempt, key),
+        );
         this.tries.set(requestId, sending);
         void this.parts.sender
             .send(open, attempt, { id: agentId, address }, frame => this.takeFrame(sending, frame), sending.token)
             .then(broken => this.handleTryEnd(sending, broken));
     }
 
+    /** The key's home takes nothing new: the request goes on at the home that the issued key names. */
+    private handleDelegated(open: OpenRequest, agentId: string, attempt: number, delegatedKey: string): void {
+        const requestId = open.work.id;
+        const homeAgentId = this.parts.findIssuedHome(delegatedKey);
+        // A second hand-over would mean that both homes were taken out in this moment; the caller is told to come back.
+        if (homeAgentId === undefined || open.delegatedKey !== undefined) {
+            const refusal = { reason: "draining", execution: "unknown", retryAfterMs: 1_000, detail: "" } as const;
+            const detail = "the homes of the key take nothing new";
+            this.send({ type: "workRefused", requestId, agentId, attempt, refusal: { ...refusal, detail } });
+            return;
+        }
+        this.open.set(requestId, { ...open, homeAgentId, delegatedKey });
+        this.send({ type: "workDelegated", requestId, agentId, attempt, homeAgentId });
+    }
+
     private async takeFrame(sending: Try, frame: WorkFrame): Promise<void> {
-        if (frame.type === "end" && frame.report !== undefined) {
+        if ((frame.type === "end" || frame.type === "queued") && frame.report !== undefined) {
             this.didReportEmitter.fire(frame.report);
         }
         await sending.take(frame);
--- a/src/router/try.ts
+++ b/src/router/try.ts
@@ -19,6 +19,7 @@
         public readonly attempt: number,
         private readonly sendMessage: (message: RouterMessage) => void,
         private readonly recorder: EventRecorder,
+        private readonly onDidDelegate: (idempotencyKey: string) => void,
     ) {}
 
     public get requestId(): string {
@@ -55,6 +56,9 @@
             case "withdrawn":
                 this.sendMessage({ type: "workWithdrawn", ...this.names });
                 return;
+            case "delegated":
+                this.onDidDelegate(frame.idempotencyKey);
+                return;
             case "refused":
                 this.sendMessage({
                     type: "workRefused",
--- a/src/router/workSender.ts
+++ b/src/router/workSender.ts
@@ -23,7 +23,7 @@
 }
 
 /** Frames after which nothing follows. */
-const lastFrames: ReadonlySet<WorkFrame["type"]> = new Set(["end", "failed", "refused", "withdrawn"]);
+const lastFrames: ReadonlySet<WorkFrame["type"]> = new Set(["end", "failed", "refused", "withdrawn", "delegated"]);
 
 /** Knows what other agents gave an account. */
 export interface ClaimSource {
@@ -97,7 +97,8 @@
             service: work.service,
             kind: work.kind,
             idempotent: work.idempotent,
-            idempotencyKey: work.idempotencyKey,
+            idempotencyKey: open.delegatedKey ?? work.idempotencyKey,
+            delegateKey: open.delegateKey,
             remainingMs: work.deadlineAtMs - this.clock.nowMs(),
             promptTokens: work.promptTokens,
             maxTokens: work.maxTokens,
--- a/test/router/callerFuzz.test.ts
+++ b/test/router/callerFuzz.test.ts
@@ -50,7 +50,9 @@
     };
     const directory = store.add(new AgentDirectory("secret", { add: () => undefined }));
     const sender = store.add(new WorkSender("r", "secret", clock, events, core));
-    const service = store.add(new RouterService({ core, directory, sender, ...parts }));
+    const service = store.add(
+        new RouterService({ core, directory, sender, ...parts, findIssuedHome: () => undefined }),
+    );
     service.send({ type: "documentAccepted", offset: 0, document });
     const requests = new CallerRequests({
         service,
