Check only what a change touches, so that a change costs little at the target size

Cause: each daemon copied and checked the whole document for every change. Change: a patch that names only entries of accounts, services, data centres or targets copies and checks those, and the references of those; any other patch is checked whole. References by a name that objects inherit ("constructor") are no longer taken for existing ones: listReferenceFaults, split from the schema, asks for own properties.

--- a/src/cli/commands/documentDiff.ts
+++ b/src/cli/commands/documentDiff.ts
@@ -1,5 +1,5 @@
 import { err, ok, safeTry, type Result, type ResultAsync } from "neverthrow";
-import { comparePatch } from "../../document/change.js";
+import { comparePatch } from "../../document/patch.js";
 import { describePatch, formatDifference } from "../../document/diff.js";
 import type { EnvironmentDocument } from "../../document/schema.js";
 import { CommandFailedError, type CliError } from "../cliErrors.js";
--- a/src/cli/documentClient.ts
+++ b/src/cli/documentClient.ts
@@ -4,13 +4,13 @@
 import type { CancellationToken } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
 import {
-    comparePatch,
     formatDocumentStream,
     type ChangeRecord,
     type PatchOperation,
     type RestoreRecord,
 } from "../document/change.js";
 import { checkDocument } from "../document/parseDocument.js";
+import { comparePatch } from "../document/patch.js";
 import { DocumentState, type DecidedRecord } from "../document/documentState.js";
 import type { AcceptedDocument, EnvironmentDocument } from "../document/schema.js";
 import type { LogService } from "../platform/logService.js";
--- a/src/document/change.ts
+++ b/src/document/change.ts
@@ -1,9 +1,4 @@
-import jsonPatch, { type Operation } from "fast-json-patch";
-import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { PatchError, type InvalidDocumentError } from "./documentErrors.js";
-import { checkDocument } from "./parseDocument.js";
-import type { EnvironmentDocument } from "./schema.js";
 
 const pointer = z.string().regex(/^(\/([^~/]|~[01])*)*$/, "must be a JSON Pointer");
 const offset = z.number().int().nonnegative();
@@ -72,38 +67,3 @@
 export function formatDocumentStream(environment: string): string {
     return `document-${environment}`;
 }
-
-/** Applies a patch and checks the outcome; the input stays as it is. Errors: patch does not fit; document invalid. */
-export function applyPatch(
-    document: EnvironmentDocument | undefined,
-    patch: readonly PatchOperation[],
-): Result<EnvironmentDocument, PatchError | InvalidDocumentError> {
-    let patched: unknown;
-    try {
-        const operations = jsonPatch.deepClone(patch) as Operation[];
-        // Validation on, input not mutated, writes to prototypes refused.
-        patched = jsonPatch.applyPatch<unknown>(document ?? {}, operations, true, false, true).newDocument;
-    } catch (error) {
-        return err(new PatchError(describePatchFailure(error)));
-    }
-    return checkDocument(patched);
-}
-
-/** The patch that turns one document into the other. */
-export function comparePatch(
-    from: EnvironmentDocument | undefined,
-    to: EnvironmentDocument,
-): Result<readonly PatchOperation[], PatchError> {
-    const patch = jsonPatch.compare(from ?? {}, to) as PatchOperation[];
-    const patched = applyPatch(from, patch);
-    if (patched.isOk() && jsonPatch.compare(patched.value, to).length === 0) {
-        return ok(patch);
-    }
-    return err(new PatchError("no patch leads from the one document to the other"));
-}
-
-/** The library's messages carry the whole document; only the first line is fit to print. */
-function describePatchFailure(error: unknown): string {
-    const message = error instanceof Error ? error.message : String(error);
-    return message.split("\n", 1)[0];
-}
--- a/src/document/documentState.ts
+++ b/src/document/documentState.ts
@@ -1,13 +1,8 @@
 import { err, type Result } from "neverthrow";
-import {
-    applyPatch,
-    documentRecordSchema,
-    type ChangeRecord,
-    type RestoreRecord,
-    type SnapshotRecord,
-} from "./change.js";
+import { documentRecordSchema, type ChangeRecord, type RestoreRecord, type SnapshotRecord } from "./change.js";
 import type { InvalidDocumentError, PatchError } from "./documentErrors.js";
 import { checkDocument } from "./parseDocument.js";
+import { applyPatch } from "./patch.js";
 import type { AcceptedDocument, EnvironmentDocument } from "./schema.js";
 
 /** A record as the log gives it. */
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -85,41 +85,8 @@
         limits: limitsSchema,
     })
     .superRefine((document, context) => {
-        for (const [targetName, target] of Object.entries(document.targets)) {
-            if (document.dataCentres[target.dataCentre] === undefined) {
-                context.addIssue({
-                    code: "custom",
-                    path: ["targets", targetName, "dataCentre"],
-                    message: `no data centre is named "${target.dataCentre}"`,
-                });
-            }
-            if (target.coldLimit > target.maxConcurrent) {
-                context.addIssue({
-                    code: "custom",
-                    path: ["targets", targetName, "coldLimit"],
-                    message: "must not exceed maxConcurrent",
-                });
-            }
-            target.services.forEach((service, index) => {
-                if (document.services[service] === undefined) {
-                    context.addIssue({
-                        code: "custom",
-                        path: ["targets", targetName, "services", index],
-                        message: `no service is named "${service}"`,
-                    });
-                }
-            });
-        }
-        for (const [accountName, account] of Object.entries(document.clientAccounts)) {
-            account.services?.forEach((service, index) => {
-                if (document.services[service] === undefined) {
-                    context.addIssue({
-                        code: "custom",
-                        path: ["clientAccounts", accountName, "services", index],
-                        message: `no service is named "${service}"`,
-                    });
-                }
-            });
+        for (const { path, message } of listReferenceFaults(document)) {
+            context.addIssue({ code: "custom", path: [...path], message });
         }
     });
 
@@ -146,3 +113,34 @@
     /** Last offset that the holder had applied, if told: nothing after `offset` up to here was accepted. */
     readonly upTo?: number;
 }
+
+/** A fault that only shows when parts of the document are seen together. */
+export interface ReferenceFault {
+    readonly path: readonly (string | number)[];
+    readonly message: string;
+}
+
+/** What the schemas of the single parts cannot see: names that nothing has, limits that contradict each other. */
+export function listReferenceFaults(document: EnvironmentDocument): readonly ReferenceFault[] {
+    const faults: ReferenceFault[] = [];
+    const checkServices = (path: readonly string[], services: readonly string[]): void =>
+        services.forEach((service, index) => {
+            if (!Object.hasOwn(document.services, service)) {
+                faults.push({ path: [...path, "services", index], message: `no service is named "${service}"` });
+            }
+        });
+    for (const [name, target] of Object.entries(document.targets)) {
+        if (!Object.hasOwn(document.dataCentres, target.dataCentre)) {
+            const message = `no data centre is named "${target.dataCentre}"`;
+            faults.push({ path: ["targets", name, "dataCentre"], message });
+        }
+        if (target.coldLimit > target.maxConcurrent) {
+            faults.push({ path: ["targets", name, "coldLimit"], message: "must not exceed maxConcurrent" });
+        }
+        checkServices(["targets", name], target.services);
+    }
+    for (const [name, account] of Object.entries(document.clientAccounts)) {
+        checkServices(["clientAccounts", name], account.services ?? []);
+    }
+    return faults;
+}
