--- a/src/fleet/router/offerSystem.ts
+++ b/src/fleet/router/offerSystem.ts
@@ -81,7 +81,8 @@
         const candidates: AgentCandidate[] = [];
         for (const agent of agents) {
             if (state.offers.count(agent.agentId, entry.lane.key) < state.options.offerDepth) {
-                candidates.push(createCandidate(agent, prefixHash));
+                const ownWaiting = state.offers.countAccount(agent.agentId, entry.lane);
+                candidates.push(createCandidate(agent, ownWaiting, prefixHash));
             }
         }
         const request = {
@@ -106,7 +107,7 @@
                 : [...entry.triedAgentIds, agentId],
         };
         state.requests.set(sent);
-        state.offers.add(agentId, entry.lane.key, entry.request.id);
+        state.offers.add(agentId, entry.lane, entry.request.id);
         state.agents.set({ ...agent, sentSinceReport: agent.sentSinceReport + 1 });
         state.addEffect({ type: "sendWork", requestId: entry.request.id, agentId, attempt: sent.attempt });
         state.recordRequest("request-sent", sent, { value: sent.attempt });
@@ -117,7 +118,7 @@
     readonly agent: AgentEntry;
 }
 
-function createCandidate(agent: AgentEntry, prefixHash: string | undefined): AgentCandidate {
+function createCandidate(agent: AgentEntry, ownWaiting: number, prefixHash: string | undefined): AgentCandidate {
     const { report } = agent;
     return {
         agent,
@@ -126,6 +127,7 @@
         dataCentre: report.identity.dataCentre,
         window: report.window,
         load: report.running + report.queued + agent.sentSinceReport,
+        ownWaiting,
         serviceTimeMs: report.serviceTimeMs,
         holdsPrefix: prefixHash !== undefined && agent.cachedPrefixes.has(prefixHash),
     };
