--- a/test/fakes/platform/server.ts
+++ b/test/fakes/platform/server.ts
@@ -30,6 +30,8 @@
     readonly port: number;
     readonly url: string;
     readonly streams: Streams;
+    /** "ok" again once a counted fault has hit its requests. */
+    getFaultMode(): Fault["mode"];
     setFault(fault: { mode: Fault["mode"]; delayMs?: number; count?: number }): void;
     close(): Promise<void>;
 }
@@ -56,6 +58,10 @@
         this.fault = fault;
     }
 
+    public getFaultMode(): Fault["mode"] {
+        return this.fault.mode;
+    }
+
     public buildApp(): Hono<{ Bindings: HttpBindings }> {
         const app = new Hono<{ Bindings: HttpBindings }>();
         app.post("/faults", async context => {
@@ -157,6 +163,7 @@
         port,
         url: `http://127.0.0.1:${port}`,
         streams,
+        getFaultMode: () => platform.getFaultMode(),
         setFault: fault => platform.setFault({ delayMs: 1_000, ...fault }),
         close: () =>
             new Promise(resolve => {
