--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -1,3 +1,5 @@
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { parseArgs } from "node:util";
 import type { FleetEvent } from "../src/events/fleetEvent.js";
 import { createOpenAi, getKey, issueKey, sendCall } from "../test/fakes/callers.js";
@@ -19,6 +21,24 @@
     console.log(`\n== ${text}`);
 }
 
+/** Runs `lynxarch` as an operator would, and prints what it prints. */
+async function runOperator(...args: readonly string[]): Promise<void> {
+    console.log(`$ lynxarch ${args.join(" ").replaceAll(`${fleet.folder}/`, "")}`);
+    const settings = fleet.writeCliSettings();
+    const operator = fleet.group.start("lynxarch", "dist/cli/main.js", [...args, "--settings", settings]);
+    const exit = await operator.exited;
+    operator.listLines().forEach(line => console.log(line));
+    if (exit.code !== 0) {
+        throw new Error(`lynxarch ended with ${exit.code ?? exit.signal}`);
+    }
+}
+
+function applyDocument(): Promise<void> {
+    const file = join(fleet.folder, "document.json");
+    writeFileSync(file, JSON.stringify(fleet.document, undefined, 4));
+    return runOperator("document", "apply", file, "--environment", "production");
+}
+
 function printAddresses(): void {
     for (const daemon of fleet.daemons) {
         const callers = daemon.callersUrl === undefined ? "" : `, callers at ${daemon.callersUrl}`;
@@ -81,14 +101,14 @@
     console.log(`curl -N ${url}/v1/chat/completions -H 'Authorization: Bearer ${key}' \\
   -d '{"model":"${modelService}","stream":true,"messages":[{"role":"user","content":"hello"}]}'
 curl ${url}/services/${plainService}/seats -H 'Authorization: Bearer ${key}' -H 'Idempotency-Key: seat-1' -d '{}'
-secret file of the daemons, for lynxarch: ${fleet.secretFile}
-platform: ${fleet.platform.url}`);
+node dist/cli/main.js status --environment production --settings ${fleet.writeCliSettings()}`);
 }
 
 async function runDemo(): Promise<void> {
-    printHeading("start: platform, 6 targets, 6 agents, 2 routers; the document goes through the log");
-    await fleet.start();
+    printHeading("start: platform, 6 targets, the document, 6 agents, 2 routers");
+    await fleet.start(applyDocument);
     printAddresses();
+    await runOperator("status", "--environment", "production");
     printHeading("a streamed chat request through router-1");
     const requestId = await runChat();
     printHeading("a booking that must not run twice, sent through both routers with one key");
--- a/test/fakes/fleet.ts
+++ b/test/fakes/fleet.ts
@@ -84,9 +84,10 @@
     }
 
     /** Starts the stand-ins, publishes the document, starts the daemons and waits until each is ready. */
-    public async start(): Promise<void> {
+    public async start(publish = (): Promise<unknown> => this.applyFirstDocument()): Promise<void> {
         await this.startStandIns();
-        await this.applyFirstDocument();
+        await this.setVms();
+        await publish();
         await this.chooseAddresses();
         await this.addAgents();
         await this.addRouters();
@@ -251,7 +252,20 @@
         this.standIns.set(target.name, standIn);
     }
 
-    private async applyFirstDocument(): Promise<void> {
+    /** Writes a settings file for `lynxarch` and returns its name. */
+    public writeCliSettings(): string {
+        const file = join(this.folder, "lynxarch.json");
+        const daemons = this.daemons.map(daemon => daemon.address);
+        const environments = { [fleetEnvironment]: { platformUrl: this.platform.url, daemons } };
+        writeFileSync(file, JSON.stringify({ environments, secretFile: this.secretFile }, undefined, 4));
+        return file;
+    }
+
+    private applyFirstDocument(): Promise<number> {
+        return this.applyChange("first", -1, [{ op: "replace", path: "", value: this.document }]);
+    }
+
+    private async setVms(): Promise<void> {
         const vms = [
             ...this.targets.map(target => ({ id: `vm-${target.name}`, dataCentre: target.dataCentre, state: "live" })),
             ...this.listRouterNames().map((name, index) => ({
@@ -261,7 +275,6 @@
             })),
         ];
         await fetch(`${this.platform.url}/vms`, { method: "PUT", body: JSON.stringify({ vms }) });
-        await this.applyChange("first", -1, [{ op: "replace", path: "", value: this.document }]);
     }
 
     private getRouterDataCentre(index: number): string {
