--- a/bench/baseline/baseline.ts
+++ b/bench/baseline/baseline.ts
@@ -7,6 +7,7 @@
 export class BaselineSystem implements BenchSystem {
     public readonly name = "round-robin-fifo";
     public readonly hasExchange = false;
+    public readonly reportsWhenQueued = false;
 
     public createRouter(): BenchRouter {
         return new RoundRobinRouter();
--- a/bench/baseline/fifoAgent.ts
+++ b/bench/baseline/fifoAgent.ts
@@ -1,5 +1,5 @@
 import type { AgentEffect, AgentMessage } from "../../src/fleet/agentMessages.js";
-import type { AgentIdentity, AgentReport, WorkRequest } from "../../src/fleet/entities.js";
+import type { AgentIdentity, AgentReport, BriefReport, WorkRequest } from "../../src/fleet/entities.js";
 import type { BenchAgent } from "../system.js";
 
 /** One first-in-first-out queue before a fixed number of slots; drops what has waited beyond its deadline. */
@@ -54,6 +54,10 @@
         };
     }
 
+    public createAnswerReport(): BriefReport {
+        return { ...this.createReport(), cachedPrefixes: undefined };
+    }
+
     private start(nowMs: number): readonly AgentEffect[] {
         const effects: AgentEffect[] = [];
         while (this.running.size < this.slots && this.queue.length > 0) {
--- a/bench/baseline/roundRobinRouter.ts
+++ b/bench/baseline/roundRobinRouter.ts
@@ -55,6 +55,10 @@
         return { version: 0, claims: [] };
     }
 
+    public findClaim(): undefined {
+        return undefined;
+    }
+
     private send(request: WorkRequest, attempt: number): readonly RouterEffect[] {
         const agents = [...this.agents.values()].filter(agent => this.isIn(agent));
         const agent = agents[this.turn % Math.max(1, agents.length)];
--- a/bench/driver.ts
+++ b/bench/driver.ts
@@ -1,13 +1,14 @@
 import { SeededRandom } from "../src/base/random.js";
 import { IndexedHeap } from "../src/decisions/indexedHeap.js";
+import { chooseSubset, defaultSubsetSize } from "../src/decisions/subset.js";
 import type { EnvironmentDocument } from "../src/document/schema.js";
 import type { AgentEffect, AgentMessage, RunOutcome } from "../src/fleet/agentMessages.js";
-import type { AgentIdentity } from "../src/fleet/entities.js";
+import type { AgentIdentity, AgentReport } from "../src/fleet/entities.js";
 import type { RouterEffect, RouterMessage } from "../src/fleet/routerMessages.js";
 import { createArrivals, type Arrival } from "./arrivals.js";
 import { createDocument } from "./document.js";
 import { Engine, type EngineEvent } from "./engine.js";
-import { exchangeEveryMs, Metrics, outBoundMs, waitingAfterMs, type Figures } from "./metrics.js";
+import { computeExchangePeriodMs, Metrics, outBoundMs, waitingAfterMs, type Figures } from "./metrics.js";
 import type { Fault, Scenario } from "./scenario.js";
 import type { BenchAgent, BenchRouter, BenchSystem } from "./system.js";
 
@@ -15,6 +16,8 @@
     readonly id: string;
     readonly dataCentre: string;
     readonly core: BenchRouter;
+    /** Agents that it works with. */
+    readonly agents: readonly AgentNode[];
 }
 
 interface AgentNode {
@@ -22,8 +25,6 @@
     readonly core: BenchAgent;
     readonly engine: Engine;
     readonly attempts: Map<string, Attempt>;
-    hadRoom: boolean;
-    announcedAtMs: number;
     outSinceMs: number | undefined;
 }
 
@@ -40,16 +41,17 @@
 interface Link {
     claimVersion: number;
     reportSequence: number | undefined;
-    heardAtMs: number;
+    /** The last whole report, for the hints that brief ones leave out. */
+    report: AgentReport | undefined;
+    /** Exchanges without an answer since the last one with. */
+    missed: number;
     isLost: boolean;
 }
 
-/** An agent tells of room at most this often, and each router at once. */
-const announceEveryMs = 100;
 /** Time passes between two ticks, as on a real clock; rounding could otherwise set one timer for the same time for ever. */
 const leastTickMs = 0.1;
-/** An agent that was not heard for this long is lost. */
-const leaseMs = 3_000;
+/** Exchanges without an answer after which an agent is lost. */
+const missedExchanges = 2;
 /** A broken connection is noticed after this. */
 const resetNoticedMs = 1_000;
 /** Engines report their load this often, and this late. */
@@ -87,11 +89,8 @@
         this.random = new SeededRandom(seed * 7_919 + 1);
         this.metrics = new Metrics(scenario);
         this.document = createDocument(scenario);
-        this.routers = scenario.routerDataCentres.map((dataCentre, index) => {
-            const id = `router-${index + 1}`;
-            return { id, dataCentre, core: system.createRouter(id, dataCentre, new SeededRandom(seed * 31 + index)) };
-        });
         this.agents = scenario.agentDataCentres.map((dataCentre, index) => this.createAgent(dataCentre, index));
+        this.routers = scenario.routerDataCentres.map((dataCentre, index) => this.createRouter(dataCentre, index));
         this.agentsById = new Map(this.agents.map(agent => [agent.identity.agentId, agent]));
     }
 
@@ -119,6 +118,20 @@
         return this.metrics.getFigures(this.system.name, this.nowMs);
     }
 
+    private createRouter(dataCentre: string, index: number): RouterNode {
+        const id = `router-${index + 1}`;
+        const routerIds = this.scenario.routerDataCentres.map((...[, other]) => `router-${other + 1}`);
+        const identities = this.agents.map(agent => agent.identity);
+        const subset = chooseSubset(id, routerIds, identities, defaultSubsetSize, "bench");
+        const ids = new Set(subset.map(identity => identity.agentId));
+        return {
+            id,
+            dataCentre,
+            core: this.system.createRouter(id, dataCentre, new SeededRandom(this.seed * 31 + index)),
+            agents: this.agents.filter(agent => ids.has(agent.identity.agentId)),
+        };
+    }
+
     private createAgent(dataCentre: string, index: number): AgentNode {
         const agentId = `t${index + 1}`;
         const identity = { agentId, incarnation: 1, targetName: agentId, dataCentre, services: ["model"] };
@@ -127,23 +140,28 @@
             core: this.system.createAgent(identity, new SeededRandom(this.seed * 37 + index)),
             engine: new Engine(this.scenario.engine),
             attempts: new Map(),
-            hadRoom: false,
-            announcedAtMs: 0,
             outSinceMs: undefined,
         };
     }
 
     private connectAll(): void {
-        this.agents.forEach((agent, agentIndex) => {
-            this.addEvery(engineReportEveryMs, agentIndex, () => this.reportLoad(agent));
-            this.routers.forEach((router, routerIndex) => {
-                const link = { claimVersion: 0, reportSequence: undefined, heardAtMs: 0, isLost: false };
+        this.agents.forEach((agent, index) => this.addEvery(engineReportEveryMs, index, () => this.reportLoad(agent)));
+        this.routers.forEach((router, routerIndex) => {
+            const periodMs = computeExchangePeriodMs(router.agents.length);
+            router.agents.forEach((agent, agentIndex) => {
+                const link = {
+                    claimVersion: 0,
+                    reportSequence: undefined,
+                    report: undefined,
+                    missed: 0,
+                    isLost: false,
+                };
                 this.links.set(`${router.id} ${agent.identity.agentId}`, link);
                 if (this.system.hasExchange) {
-                    const offsetMs = ((routerIndex * 131 + agentIndex * 71) % 97) * (exchangeEveryMs / 97);
-                    this.addEvery(exchangeEveryMs, offsetMs, () => this.startExchange(router, agent));
+                    const offsetMs = ((routerIndex * 131 + agentIndex * 71) % 97) * (periodMs / 97);
+                    this.addEvery(periodMs, offsetMs, () => this.startExchange(router, agent));
                 }
-                this.sendReport(router, agent, 1);
+                this.sendReport(router, agent);
             });
         });
     }
@@ -194,12 +212,18 @@
             this.addAfter(resetNoticedMs, () => this.handleBroken(agent, attempt, "not-run"));
             return;
         }
+        const { service, clientAccount } = arrival.request;
+        const claim = router.core.findClaim(agent.identity.agentId, service, clientAccount);
+        this.metrics.recordControl(claim === undefined ? 0 : countBytes(claim), 0);
         this.addAfter(this.getTripMs(router, agent), () => {
             agent.attempts.set(requestId, attempt);
+            // An account's claim travels with its work; a retried request may find an older attempt of its own.
+            if (claim !== undefined) {
+                this.sendToAgent(agent, { type: "claimsReceived", routerId: router.id, claims: [claim] });
+            }
             this.sendToAgent(agent, { type: "workOffered", request: arrival.request, routerId: router.id });
-            // The frame that says "queued" carries a report, so that the router learns that it chose a busy target.
-            if (this.system.hasExchange && agent.attempts.get(requestId) === attempt && !attempt.isStarted) {
-                this.sendReport(router, agent, 0);
+            if (this.system.reportsWhenQueued && agent.attempts.get(requestId) === attempt && !attempt.isStarted) {
+                this.sendAnswerReport(agent, attempt);
             }
         });
     }
@@ -226,7 +250,6 @@
     private sendToAgent(agent: AgentNode, message: AgentMessage): void {
         this.handleAgentEffects(agent, agent.core.handle(message, this.nowMs));
         this.setTick(agent.core, effects => this.handleAgentEffects(agent, effects));
-        this.sendRoom(agent);
     }
 
     private handleAgentEffects(agent: AgentNode, effects: readonly AgentEffect[]): void {
@@ -331,9 +354,7 @@
         if (outcome === "cancelled") {
             return;
         }
-        if (this.system.hasExchange) {
-            this.sendReport(attempt.router, agent, 0);
-        }
+        this.sendAnswerReport(agent, attempt);
         if (outcome === "completed" || attempt.hasOutput) {
             this.sendAnswer(agent, attempt, { type: "workEnded", cost: promptTokens + 4 * generatedTokens });
             this.addReachable(attempt.router, agent, () =>
@@ -363,52 +384,50 @@
 
     private startExchange(router: RouterNode, agent: AgentNode): void {
         const link = this.getLink(router, agent);
-        if (!link.isLost && this.nowMs - link.heardAtMs > leaseMs) {
+        const { agentId } = agent.identity;
+        link.missed += 1;
+        if (!link.isLost && link.missed > missedExchanges) {
             link.isLost = true;
-            this.sendToRouter(router, { type: "agentLost", agentId: agent.identity.agentId });
+            this.sendToRouter(router, { type: "agentLost", agentId });
         }
-        const { version, claims } = router.core.createClaims(agent.identity.agentId, link.claimVersion);
+        const { version, claims } = router.core.createClaims(agentId, link.claimVersion);
         this.metrics.recordControl(messageOverheadBytes + countBytes(claims));
         this.addReachable(router, agent, () => {
             link.claimVersion = version;
-            if (claims.length > 0) {
-                this.sendToAgent(agent, { type: "claimsReceived", routerId: router.id, claims });
-            }
-            this.sendReport(router, agent, 1);
+            this.sendToAgent(agent, { type: "claimsReceived", routerId: router.id, claims });
+            this.sendReport(router, agent);
         });
     }
 
-    /** `messages` is 0 when the report rides on the end of an answer. */
-    private sendReport(router: RouterNode, agent: AgentNode, messages: 0 | 1): void {
+    /** The agent's half of an exchange. */
+    private sendReport(router: RouterNode, agent: AgentNode): void {
         const link = this.getLink(router, agent);
         const report = agent.core.createReport(link.reportSequence);
         if (this.system.hasExchange) {
-            this.metrics.recordControl(countBytes(report) + messages * messageOverheadBytes, messages);
+            this.metrics.recordControl(countBytes(report) + messageOverheadBytes);
         }
         this.addReachable(router, agent, () => {
-            link.reportSequence = Math.max(link.reportSequence ?? 0, report.sequence);
-            link.heardAtMs = this.nowMs;
+            link.reportSequence = report.sequence;
+            link.report = report;
+            link.missed = 0;
             link.isLost = false;
             this.sendToRouter(router, { type: "agentReported", report });
         });
     }
 
-    /** Tells routers when room appears, since each may hold work that waits at another agent. */
-    private sendRoom(agent: AgentNode): void {
+    /** The brief report that rides on a frame of an answer, and so is no message of its own. */
+    private sendAnswerReport(agent: AgentNode, attempt: Attempt): void {
         if (!this.system.hasExchange) {
             return;
         }
-        const hasRoom = agent.engine.running < agent.engine.getCapacity(this.nowMs) && this.hasFreeWindow(agent);
-        if (hasRoom && !agent.hadRoom && this.nowMs - agent.announcedAtMs >= announceEveryMs) {
-            agent.announcedAtMs = this.nowMs;
-            this.routers.forEach(router => this.sendReport(router, agent, 1));
-        }
-        agent.hadRoom = hasRoom;
-    }
-
-    private hasFreeWindow(agent: AgentNode): boolean {
-        const { window, running, queued } = agent.core.createReport(Number.MAX_SAFE_INTEGER);
-        return window - running - queued > 0;
+        const { service, clientAccount } = attempt.arrival.request;
+        const brief = agent.core.createAnswerReport(service, clientAccount);
+        const link = this.getLink(attempt.router, agent);
+        this.metrics.recordControl(countBytes(brief), 0);
+        this.addReachable(attempt.router, agent, () => {
+            const cachedPrefixes = link.report?.cachedPrefixes ?? [];
+            this.sendToRouter(attempt.router, { type: "agentReported", report: { ...brief, cachedPrefixes } });
+        });
     }
 
     // ---- network
--- a/bench/metrics.ts
+++ b/bench/metrics.ts
@@ -1,4 +1,5 @@
 import { computeModelCost } from "../src/decisions/costEstimate.js";
+import { defaultSubsetSize } from "../src/decisions/subset.js";
 import { greatestCost, type Arrival } from "./arrivals.js";
 import type { Scenario } from "./scenario.js";
 
@@ -256,8 +257,13 @@
     }
 }
 
-/** Period of the exchange between router and agent; see src/daemon. */
-export const exchangeEveryMs = 1_000;
+/**
+ * Period of the exchange between a router and each of its agents, as src/router/exchange.ts computes it: a second, or
+ * longer with many agents, so that an exchange of 1,200 bytes with each stays within 4,000 bytes a second.
+ */
+export function computeExchangePeriodMs(agentCount: number): number {
+    return Math.max(1_000, (agentCount * 1_200) / 4);
+}
 
 /**
  * The stated bound on the gap: the greatest cost of one request for each of the two accounts, what the whole fleet can
@@ -270,7 +276,8 @@
     const slots = scenario.agentDataCentres.length * engine.maxConcurrent;
     const batch = 1 + engine.batchSlowdown * (engine.maxConcurrent - 1);
     const costPerMs = (slots * computeModelCost(0, 1)) / (engine.msPerToken * batch);
-    const staleMs = exchangeEveryMs + 2 * scenario.dataCentreTripMs;
+    const peers = Math.min(defaultSubsetSize, scenario.agentDataCentres.length);
+    const staleMs = computeExchangePeriodMs(peers) + 2 * scenario.dataCentreTripMs;
     return (2 * greatestCost + staleMs * costPerMs) / leastWeight + (slots * greatestCost) / allWeights;
 }
 
