Count what other agents probably start between two exchanges

Change: own charges younger than the news count for the others too, in the ratio in which they charge the account.

--- a/src/decisions/fairQueue.ts
+++ b/src/decisions/fairQueue.ts
@@ -178,6 +178,11 @@
         return this.accounts.get(clientAccount)?.cost ?? 0;
     }
 
+    /** The accounts with work waiting. */
+    public listAccounts(): readonly string[] {
+        return [...this.accounts.keys()];
+    }
+
     /** The ids of all that waits, oldest first. */
     public listIds(): readonly string[] {
         return [...this.placed.keys()];
--- a/src/decisions/serviceLedger.ts
+++ b/src/decisions/serviceLedger.ts
@@ -19,11 +19,23 @@
     lift: number;
     changedInSequence: number;
     lastActiveAtMs: number;
+    /** Own net charges of this half of the horizon and of the one before. */
+    recentOwn: number;
+    previousOwn: number;
+    /** Rise of the claims in this half of the horizon. */
+    recentClaimed: number;
+    /** Decayed sums of the same, for the ratio between others and this agent. */
+    decayedOwn: number;
+    decayedClaimed: number;
+    othersPerOwn: number;
 }
 
 /** An account with nothing queued, running or newly charged for this long counts as idle; milliseconds. */
 export const idleAfterMs = 2_000;
 
+const ratioDecay = 0.8;
+const greatestRatio = 256;
+
 const neverActive = Number.NEGATIVE_INFINITY;
 
 /**
@@ -40,6 +52,7 @@
  */
 export class ServiceLedger {
     private readonly entries = new Map<string, LedgerEntry>();
+    private horizonAtMs = neverActive;
 
     /** Service over weight: own and claimed charges less refunds, plus the lift. */
     public getNormalizedService(clientAccount: string): number {
@@ -47,10 +60,54 @@
         return entry === undefined ? 0 : getNet(entry) + entry.lift;
     }
 
+    /**
+     * Service with what others have probably given in the meantime; orders the queue.
+     *
+     * Agents that share a view all find the same account furthest behind, and until news comes each starts its requests
+     * as if alone: with weights of 16 to 1 the small account's overshoot is many times its fair share. Each agent
+     * therefore assumes of the others what it does itself: own charges younger than the news count as often as the others
+     * charge for this account when this agent charges once. Errors last for one horizon and do not add up, as
+     * the counters themselves are exact.
+     */
+    public getExpectedService(clientAccount: string): number {
+        const entry = this.entries.get(clientAccount);
+        if (entry === undefined) {
+            return 0;
+        }
+        const recent = Math.max(0, entry.recentOwn + entry.previousOwn);
+        return getNet(entry) + entry.lift + recent * entry.othersPerOwn;
+    }
+
+    /** Moves the horizon of {@link getExpectedService} on when half of it has passed; true when services changed. */
+    public advanceHorizon(nowMs: number, horizonMs: number): boolean {
+        if (nowMs - this.horizonAtMs < horizonMs / 2) {
+            return false;
+        }
+        this.horizonAtMs = nowMs;
+        let own = 0;
+        let claimed = 0;
+        for (const entry of this.entries.values()) {
+            entry.decayedOwn = entry.decayedOwn * ratioDecay + Math.max(0, entry.recentOwn);
+            entry.decayedClaimed = entry.decayedClaimed * ratioDecay + entry.recentClaimed;
+            entry.previousOwn = entry.recentOwn;
+            entry.recentOwn = 0;
+            entry.recentClaimed = 0;
+            own += entry.decayedOwn;
+            claimed += entry.decayedClaimed;
+        }
+        const usual = own > 0 ? Math.min(greatestRatio, claimed / own) : 0;
+        for (const entry of this.entries.values()) {
+            const ratio = entry.decayedOwn > 0 ? entry.decayedClaimed / entry.decayedOwn : usual;
+            entry.othersPerOwn = Math.min(ratio, usual);
+        }
+        return true;
+    }
+
     /** Adds to an account's own charges; `sequence` is the number of the report that will carry the change. */
     public chargeAccount(clientAccount: string, amount: number, sequence: number): void {
         const entry = this.openEntry(clientAccount);
         entry.charged += amount;
+        entry.recentOwn += amount;
         entry.changedInSequence = sequence;
     }
 
@@ -58,6 +115,7 @@
     public recordRefund(clientAccount: string, amount: number, sequence: number): void {
         const entry = this.openEntry(clientAccount);
         entry.refunded += amount;
+        entry.recentOwn -= amount;
         entry.changedInSequence = sequence;
     }
 
@@ -65,6 +123,8 @@
     public mergeClaim(clientAccount: string, claim: ServiceClaim, nowMs: number): boolean {
         const entry = this.openEntry(clientAccount);
         const before = getNet(entry) + entry.lift;
+        const claimedBefore = entry.claimedCharged - entry.claimedRefunded;
+        const isFirst = entry.claimedCharged === 0;
         // The first claim after a restart tells of all times past; only a rise after it shows present activity.
         if (claim.charged > entry.claimedCharged && entry.claimedCharged > 0) {
             entry.lastActiveAtMs = nowMs;
@@ -72,6 +132,7 @@
         entry.claimedCharged = Math.max(entry.claimedCharged, claim.charged);
         entry.claimedRefunded = Math.max(entry.claimedRefunded, claim.refunded);
         entry.lift = Math.max(entry.lift, claim.lift);
+        entry.recentClaimed += isFirst ? 0 : entry.claimedCharged - entry.claimedRefunded - claimedBefore;
         return getNet(entry) + entry.lift !== before;
     }
 
@@ -149,6 +210,12 @@
             lift: 0,
             changedInSequence: 0,
             lastActiveAtMs: neverActive,
+            recentOwn: 0,
+            previousOwn: 0,
+            recentClaimed: 0,
+            decayedOwn: 0,
+            decayedClaimed: 0,
+            othersPerOwn: 0,
         };
         this.entries.set(clientAccount, entry);
         return entry;
--- a/src/fleet/agent/admitSystem.ts
+++ b/src/fleet/agent/admitSystem.ts
@@ -117,7 +117,7 @@
         ledger.applyLift(clientAccount, floor, context.nextSequence);
     }
     ledger.recordActivity(clientAccount, nowMs);
-    queue.add(work, ledger.getNormalizedService(clientAccount), context.getWeight(clientAccount));
+    queue.add(work, ledger.getExpectedService(clientAccount), context.getWeight(clientAccount));
     if (work.workClass === "short") {
         context.reserve.observeArrival(nowMs);
     }
--- a/src/fleet/agent/agentContext.ts
+++ b/src/fleet/agent/agentContext.ts
@@ -38,6 +38,10 @@
      */
     public nextSequence: number;
     public startCount = 0;
+    /** Smoothed time between two exchanges with one router; milliseconds. Undefined before two have come. */
+    public newsPeriodMs: number | undefined;
+    /** When each router's exchange came last. */
+    public readonly newsAtMs = new Map<string, number>();
     /** When an exchange last came from any router; undefined before the first. */
     public lastExchangeAtMs: number | undefined;
     /** When calls of plain services were last charged for their time. */
@@ -111,7 +115,7 @@
 
     /** Tells the queue an account's present normalized service. */
     public updateQueue(row: ServiceRow, clientAccount: string): void {
-        row.queue.updateAccount(clientAccount, row.ledger.getNormalizedService(clientAccount));
+        row.queue.updateAccount(clientAccount, row.ledger.getExpectedService(clientAccount));
     }
 
     /** Takes a request out of the queue for good. */
--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -8,7 +8,7 @@
 import { AgentContext } from "./agentContext.js";
 import type { AgentOptions } from "./agentOptions.js";
 import { chargeElapsed, chargeProgress } from "./chargeSystem.js";
-import { receiveClaims } from "./claimSystem.js";
+import { advanceHorizons, receiveClaims } from "./claimSystem.js";
 import { refuseExpired } from "./expireSystem.js";
 import { receiveDocument, receiveLeaving } from "./phaseSystem.js";
 import { checkLateOutputs, getLateCheckAtMs, receiveColdSign, receiveEnd, receiveFirstOutput } from "./runSystem.js";
@@ -43,6 +43,7 @@
         this.lastNowMs = nowMs;
         refuseExpired(this.context, nowMs);
         checkLateOutputs(this.context, nowMs);
+        advanceHorizons(this.context, nowMs);
         startWork(this.context, nowMs);
         return this.context.takeEffects();
     }
@@ -138,7 +139,7 @@
             case "targetLost":
                 return receiveColdSign(context, "target lost", nowMs);
             case "claimsReceived":
-                return receiveClaims(context, message.claims, nowMs);
+                return receiveClaims(context, message.routerId, message.claims, nowMs);
             case "documentAccepted":
                 return receiveDocument(context, message.offset, message.document, nowMs);
             case "leaving":
--- a/src/fleet/agent/claimSystem.ts
+++ b/src/fleet/agent/claimSystem.ts
@@ -1,8 +1,28 @@
 import type { ServiceCounter } from "../entities.js";
 import type { AgentContext } from "./agentContext.js";
 
+const smoothing = 0.2;
+/**
+ * Bounds on the time that counts as without news; between them it is the exchange's period. In trials over six agents one
+ * half as long as the period gave twice the gap; a longer one gave about the same, but a small account's questions waited
+ * longer (p95 200 ms with 2,000 ms, 100 ms with the period, for an exchange each 250 ms).
+ */
+const leastHorizonMs = 250;
+const greatestHorizonMs = 10_000;
+const usualPeriodMs = 1_000;
+const mostRouters = 1_000;
+
 /** Takes what other agents have charged, as a router knows it. */
-export function receiveClaims(context: AgentContext, claims: readonly ServiceCounter[], nowMs: number): void {
+export function receiveClaims(
+    context: AgentContext,
+    routerId: string,
+    claims: readonly ServiceCounter[],
+    nowMs: number,
+): void {
+    // Claims that come along with work carry one account's counters; how often they come says nothing of the exchange.
+    if (claims.length !== 1) {
+        observePeriod(context, routerId, nowMs);
+    }
     context.lastExchangeAtMs = nowMs;
     for (const claim of claims) {
         const row = context.getRow(claim.service);
@@ -11,3 +31,27 @@
         }
     }
 }
+
+/** Counts charges that others have probably made since their last news. */
+export function advanceHorizons(context: AgentContext, nowMs: number): void {
+    const horizonMs = Math.max(leastHorizonMs, context.newsPeriodMs ?? usualPeriodMs);
+    for (const row of context.tables.services.values()) {
+        if (row.queue.size > 0 && row.ledger.advanceHorizon(nowMs, horizonMs)) {
+            row.queue.listAccounts().forEach(clientAccount => context.updateQueue(row, clientAccount));
+        }
+    }
+}
+
+function observePeriod(context: AgentContext, routerId: string, nowMs: number): void {
+    const before = context.newsAtMs.get(routerId);
+    // Routers come and go under new names.
+    if (context.newsAtMs.size >= mostRouters) {
+        context.newsAtMs.clear();
+    }
+    context.newsAtMs.set(routerId, nowMs);
+    if (before !== undefined) {
+        const periodMs = Math.min(greatestHorizonMs, nowMs - before);
+        const smoothed = context.newsPeriodMs ?? periodMs;
+        context.newsPeriodMs = smoothed + smoothing * (periodMs - smoothed);
+    }
+}
