--- a/test/fleet/agentCore.test.ts
+++ b/test/fleet/agentCore.test.ts
@@ -166,6 +166,22 @@
         `);
     });
 
+    // The caller sees: "not run" only when that is known. The agent starts more requests than it can remember; asked for one
+    // that it may have forgotten, it must not say that it never started.
+    it("does not call an unknown request withdrawn while it may have forgotten one", () => {
+        const agent = createAgent(new ListRecorder(), 1, { maxStartedIds: 16 });
+        agent.handle({ type: "documentAccepted", offset: 1, document: createDocument() }, 0);
+        const answers: string[] = [];
+        for (let index = 0; index < 40; index += 1) {
+            offer(agent, `r${index}`, index);
+            end(agent, `r${index}`, index);
+            const [answer = ""] = formatEffects(agent.handle({ type: "withdrawRequested", requestId: "r0" }, index));
+            answers.push(answer);
+        }
+        const hourLater = formatEffects(agent.handle({ type: "withdrawRequested", requestId: "new" }, 3_700_000));
+        expect([new Set(answers), hourLater]).toEqual([new Set(["kept r0"]), ["withdrawn new"]]);
+    });
+
     it("cancels a run whose caller left, but lets a non-idempotent one with a key run on", () => {
         const agent = createWarmAgent();
         const cancel = (requestId: string): readonly string[] =>
