--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -27,7 +27,7 @@
     /** Printed with --json in place of `json`, one value a line; for reports of any length. */
     readonly jsonLines?: readonly unknown[];
     readonly lines: readonly string[];
-    /** Goes to the error stream, also with --json. */
+    /** Goes to the error stream, without --json. */
     readonly notes?: readonly string[];
     readonly exitCode?: ExitCode;
 }
