--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -186,7 +186,7 @@
 
 function printReport(report: Report, isJson: boolean, output: Output): void {
     if (isJson) {
-        output.print(JSON.stringify(report.json));
+        (report.jsonLines ?? [report.json]).forEach(value => output.print(JSON.stringify(value)));
     } else {
         report.notes?.forEach(line => output.printError(line));
         report.lines.forEach(line => output.print(line));
