--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 import sade from "sade";
 import { BaselineSystem } from "./baseline/baseline.js";
+import { costSizes, measureCycleMicroseconds } from "./cost.js";
 import { Driver } from "./driver.js";
 import { ProductSystem } from "./product.js";
 import { scenarios } from "./scenarios.js";
@@ -7,6 +8,7 @@
 
 interface Options {
     readonly list?: boolean;
+    readonly cost?: boolean;
     readonly scenario?: string;
     readonly seed: string | number;
     readonly json?: boolean;
@@ -20,6 +22,14 @@
         scenarios.forEach(scenario => console.log(`${scenario.name.padEnd(26)}${scenario.description}`));
         return;
     }
+    if (options.cost === true) {
+        costSizes.forEach(size => {
+            console.log(
+                JSON.stringify({ ...size, microsecondsPerRequest: Math.round(measureCycleMicroseconds(size)) }),
+            );
+        });
+        return;
+    }
     const seed = Number(options.seed);
     const chosen = scenarios.filter(({ name }) => options.scenario === undefined || name === options.scenario);
     if (chosen.length === 0 || !Number.isSafeInteger(seed)) {
@@ -38,6 +48,7 @@
 sade("bench", true)
     .describe("Measures the decisions against round robin with first-in-first-out queues, on a fake clock.")
     .option("--list", "List the scenarios")
+    .option("--cost", "Measure the processor time of a router's decisions by size")
     .option("--scenario", "Run one scenario; all when left out")
     .option("--seed", "Seed of arrivals and chances; the same seed gives the same line", 1)
     .option("--json", "Print one JSON line per scenario")
--- a/src/decisions/backlog.ts
+++ b/src/decisions/backlog.ts
@@ -13,37 +13,39 @@
 /** Queues of request ids by lane. */
 export class Backlog {
     private readonly lanes = new Map<string, LaneQueue>();
-    private readonly laneOfRequest = new Map<string, LaneQueue>();
+    private readonly nodes = new Map<string, QueueNode>();
     private readonly ready = new IndexedHeap<LaneQueue>();
     /** Pass of the lane that went last: a lane that returns starts here and so has no saved-up turns. */
     private currentPass = 0;
 
     /** Requests that wait here. */
     public get size(): number {
-        return this.laneOfRequest.size;
+        return this.nodes.size;
     }
 
     /** Appends a request to its lane and lets the lane take part in the round. */
     public add(laneKey: string, weight: number, requestId: string): void {
         const lane = this.getLane(laneKey, weight);
-        lane.tail.push(requestId);
-        this.addToLane(lane, requestId);
+        lane.tail.push(this.addNode(lane, requestId));
+        this.addReady(lane);
     }
 
     /** Puts a request at its lane's head: it waited before and came back. */
     public addFirst(laneKey: string, weight: number, requestId: string): void {
         const lane = this.getLane(laneKey, weight);
-        lane.head.push(requestId);
-        this.addToLane(lane, requestId);
+        lane.head.push(this.addNode(lane, requestId));
+        this.addReady(lane);
     }
 
     /** Takes a request out, wherever it stands. */
     public remove(requestId: string): void {
-        const lane = this.laneOfRequest.get(requestId);
-        if (lane === undefined) {
+        const node = this.nodes.get(requestId);
+        if (node === undefined) {
             return;
         }
-        this.laneOfRequest.delete(requestId);
+        const { lane } = node;
+        node.isLive = false;
+        this.nodes.delete(requestId);
         lane.live -= 1;
         if (lane.live === 0) {
             lane.head.length = 0;
@@ -63,8 +65,8 @@
         if (lane === undefined) {
             return [];
         }
-        const ids = [...lane.head.toReversed(), ...lane.tail.slice(lane.tailStart)];
-        return [...new Set(ids)].filter(id => this.laneOfRequest.get(id) === lane);
+        const nodes = [...lane.head.toReversed(), ...lane.tail.slice(lane.tailStart)];
+        return nodes.filter(node => node.isLive).map(node => node.requestId);
     }
 
     /** Something changed for a lane: it takes part in the round again. */
@@ -126,23 +128,24 @@
         return lane;
     }
 
-    private addToLane(lane: LaneQueue, requestId: string): void {
+    private addNode(lane: LaneQueue, requestId: string): QueueNode {
+        const node = { requestId, lane, isLive: true };
         lane.live += 1;
-        this.laneOfRequest.set(requestId, lane);
-        this.addReady(lane);
+        this.nodes.set(requestId, node);
+        return node;
     }
 
     /** The oldest live request; drops entries that were removed on the way. */
     private findHead(lane: LaneQueue): string | undefined {
-        for (let id = lane.head.at(-1); id !== undefined; id = lane.head.at(-1)) {
-            if (this.laneOfRequest.get(id) === lane) {
-                return id;
+        for (let node = lane.head.at(-1); node !== undefined; node = lane.head.at(-1)) {
+            if (node.isLive) {
+                return node.requestId;
             }
             lane.head.pop();
         }
-        for (let id = lane.tail[lane.tailStart]; id !== undefined; id = lane.tail[lane.tailStart]) {
-            if (this.laneOfRequest.get(id) === lane) {
-                return id;
+        for (let node = lane.tail[lane.tailStart]; node !== undefined; node = lane.tail[lane.tailStart]) {
+            if (node.isLive) {
+                return node.requestId;
             }
             lane.tailStart += 1;
             if (lane.tailStart > compactFrom && lane.tailStart * 2 > lane.tail.length) {
@@ -162,14 +165,21 @@
     }
 }
 
+/** One stay of a request; a request that returns gets a new node, so that its old place doesn't come alive again. */
+interface QueueNode {
+    readonly requestId: string;
+    readonly lane: LaneQueue;
+    isLive: boolean;
+}
+
 interface LaneQueue {
     readonly key: string;
     weight: number;
     pass: number;
     live: number;
     /** Requests that came back; the last one is the lane's head. */
-    readonly head: string[];
-    tail: string[];
+    readonly head: QueueNode[];
+    tail: QueueNode[];
     tailStart: number;
 }
 
