Pause before asking a log again that answers polls at once with nothing new

Cause: a log that cuts the wait of long polls would be asked without pause by every daemon, and stay down. Change: after such an answer the tail pauses as after a failure.

--- a/src/platform/logTail.ts
+++ b/src/platform/logTail.ts
@@ -75,12 +75,14 @@
     private async run(): Promise<void> {
         const { token } = this.cancellation;
         while (!token.isCancelled) {
-            if (!(await this.readOnce())) {
+            const shouldPause = !(await this.readOnce());
+            if (shouldPause) {
                 await this.options.sleep(this.computeBackoffMs(), token);
             }
         }
     }
 
+    /** Returns whether to read on at once. */
     private async readOnce(): Promise<boolean> {
         const { log, stream, clock, waitMs } = this.options;
         const sentAtMs = clock.nowMs();
@@ -101,7 +103,10 @@
             this.confirmedAtMs = sentAtMs;
             this.confirmEmitter.fire();
         }
-        return true;
+        // A log that answers at once though it has nothing new (it is short of memory for waiting readers, or a proxy cuts
+        // the wait) would be asked without pause by every daemon. A poll that waited its time is pause enough.
+        const waitedMs = clock.nowMs() - sentAtMs;
+        return page.value.records.length > 0 || waitedMs >= waitMs / 2 || firstWaitMs === 0;
     }
 
     /** Full jitter: after an outage the fleet's reads come spread over time, not all at the same instant. */
