--- a/scripts/prove/checks.ts
+++ b/scripts/prove/checks.ts
@@ -2,6 +2,7 @@
 import { testAccounts } from "../../test/fakes/fleetDocument.js";
 import type { TargetEvidence } from "./evidence.js";
 import { computeGap } from "./fairness.js";
+import { checkEvents } from "./historyChecks.js";
 import type { Breach, PointNumber } from "./point.js";
 import type { ProofRun } from "./proofRun.js";
 import type { SeenCall } from "./workload.js";
@@ -9,7 +10,7 @@
 const closureBoundMs = 3_000;
 const documentBoundMs = 5_000;
 
-/** All checks that need nothing but the stand-ins' counts and the callers' answers. */
+/** All checks: by the stand-ins' counts, by the callers' answers, and by the merged history. */
 export function checkRun(run: ProofRun, evidence: TargetEvidence): readonly Breach[] {
     return [
         ...run.breaches,
@@ -23,6 +24,7 @@
         ...checkNotes(run, evidence),
         ...checkCuts(run, evidence),
         ...checkOffsets(run),
+        ...checkEvents(run, evidence),
     ];
 }
 
@@ -38,7 +40,11 @@
     const { gap, bound, served } = computeGap(run, evidence, run.backlogged.fromMs, run.backlogged.toMs);
     const figures = `gap ${gap} of bound ${bound}, service over weight ${JSON.stringify(served)}`;
     console.log(`    ${figures}`);
-    return gap > bound ? [createBreach(1, figures)] : [];
+    const starved = Object.keys(served).filter(account => served[account] === 0);
+    return [
+        ...(gap > bound ? [createBreach(1, figures)] : []),
+        ...starved.map(account => createBreach(2, `${account} was backlogged and got nothing: ${figures}`)),
+    ];
 }
 
 /** Every account that kept sending gets a whole answer after the faults have been healed. */
--- a/scripts/prove/networkScenarios.ts
+++ b/scripts/prove/networkScenarios.ts
@@ -11,8 +11,9 @@
         points: usualPoints,
         run: async run => {
             await run.sleep(settleMs);
-            const { name } = run.pick(run.fleet.routers);
-            await run.closeWays(`^${name}>|>${name}$`, cutMs);
+            const router = run.pick(run.fleet.routers);
+            const { name } = router;
+            await run.runIsolated([router], () => run.closeWays(`^${name}>|>${name}$`, cutMs));
         },
     },
     {
--- a/scripts/prove/proofRun.ts
+++ b/scripts/prove/proofRun.ts
@@ -1,5 +1,6 @@
 import type { Random } from "../../src/base/random.js";
 import { sendUntilRun } from "../../test/fakes/callers.js";
+import type { Isolation } from "../../src/events/historyChecker.js";
 import { Fleet, type FleetDaemon, type FleetOptions } from "../../test/fakes/fleet.js";
 import { Observer } from "./observer.js";
 import type { Breach, PointNumber } from "./point.js";
@@ -31,6 +32,8 @@
     public readonly changes: AppliedChange[] = [];
     public readonly closures: Closure[] = [];
     public readonly breaches: Breach[] = [];
+    /** Times in which a daemon could reach neither the log nor a peer. */
+    public readonly isolations: Isolation[] = [];
     /** Requests that were open when a planned stop began, and no other fault was on, must all end whole. */
     public expectNoCuts = false;
     /** Time in which every account had more open than it could be given. */
@@ -91,10 +94,18 @@
     public async stopForWhile(daemon: FleetDaemon, ms: number): Promise<void> {
         this.recordFault(`SIGSTOP ${daemon.name} for ${ms} ms`);
         daemon.process.send("SIGSTOP");
-        await this.sleep(ms);
+        await this.runIsolated([daemon], () => this.sleep(ms));
         daemon.process.send("SIGCONT");
     }
 
+    /** Notes that daemons can reach neither the log nor a peer while something runs. */
+    public async runIsolated(daemons: readonly FleetDaemon[], run: () => Promise<void>): Promise<void> {
+        const fromMs = Date.now();
+        await run();
+        const toMs = Date.now();
+        this.isolations.push(...daemons.map(daemon => ({ daemon: daemon.name, fromMs, toMs })));
+    }
+
     /** Cuts or freezes the ways whose names match for a while. */
     public async closeWays(pattern: string, ms: number, mode: "cut" | "frozen" = "cut"): Promise<void> {
         const count = await this.fleet.setRoutes(pattern, mode);
