--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -3,12 +3,12 @@
 import type { AgentEffect, AgentMessage } from "../agentMessages.js";
 import type { ClientShare } from "../clientShare.js";
 import type { Core } from "../core.js";
-import type { AgentIdentity, AgentReport, BriefReport, ServiceCounter } from "../entities.js";
+import type { AgentIdentity, AgentPhase, AgentReport, BriefReport, ServiceCounter } from "../entities.js";
 import { receiveOffer } from "./admitSystem.js";
 import { AgentContext } from "./agentContext.js";
 import type { AgentOptions } from "./agentOptions.js";
 import { chargeElapsed, chargeProgress } from "./chargeSystem.js";
-import { receiveClaims } from "./claimSystem.js";
+import { advanceHorizons, receiveClaims } from "./claimSystem.js";
 import { refuseExpired } from "./expireSystem.js";
 import { receiveDocument, receiveLeaving } from "./phaseSystem.js";
 import { checkLateOutputs, getLateCheckAtMs, receiveColdSign, receiveEnd, receiveFirstOutput } from "./runSystem.js";
@@ -43,6 +43,7 @@
         this.lastNowMs = nowMs;
         refuseExpired(this.context, nowMs);
         checkLateOutputs(this.context, nowMs);
+        advanceHorizons(this.context, nowMs);
         startWork(this.context, nowMs);
         return this.context.takeEffects();
     }
@@ -58,6 +59,11 @@
         ]);
     }
 
+    /** What the agent lets routers do with it now. */
+    public get phase(): AgentPhase {
+        return this.context.phase;
+    }
+
     /** The report for a peer that has acknowledged up to a sequence; with all counters when it has acknowledged none. */
     public createReport(acknowledgedSequence: number | undefined): AgentReport {
         // A number that was never given out was acknowledged to another incarnation and says nothing of this one.
@@ -138,7 +144,7 @@
             case "targetLost":
                 return receiveColdSign(context, "target lost", nowMs);
             case "claimsReceived":
-                return receiveClaims(context, message.claims, nowMs);
+                return receiveClaims(context, message.routerId, message.claims, nowMs);
             case "documentAccepted":
                 return receiveDocument(context, message.offset, message.document, nowMs);
             case "leaving":
