Show the time line, one request's way, and the shares

Cause: operators must see what the fleet did, over all processes, in one order. Ruled out: a chart library in the page (the page must be one file without scripts; SVG text is enough). Change: renderText, renderHtml (lanes, backlog and service over weight; no external resource, names from outside are text only), explainRequest; commands timeline, explain, shares; Report.jsonLines for JSON lines. Attempts (request~2) count as their request: the checker missed all second attempts before (seen on the first real history).

--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -24,6 +24,8 @@
 /** What a command prints: `json` with --json, else `lines`. */
 export interface Report {
     readonly json: unknown;
+    /** Printed with --json in place of `json`, one value a line; for reports of any length. */
+    readonly jsonLines?: readonly unknown[];
     readonly lines: readonly string[];
     /** Goes to the error stream, also with --json. */
     readonly notes?: readonly string[];
--- a/src/cli/commandList.ts
+++ b/src/cli/commandList.ts
@@ -8,9 +8,12 @@
 import { documentPromote } from "./commands/documentPromote.js";
 import { documentRestore } from "./commands/documentRestore.js";
 import { documentShow } from "./commands/documentShow.js";
+import { explain } from "./commands/explain.js";
 import { keyIssue } from "./commands/keyIssue.js";
+import { shares } from "./commands/shares.js";
 import { status } from "./commands/status.js";
 import { targetDrain, targetResume } from "./commands/target.js";
+import { timeline } from "./commands/timeline.js";
 
 /** Every command of `lynxarch`, in the order of its help. */
 export const commandList: readonly Command[] = [
@@ -22,6 +25,9 @@
     documentHistory,
     documentRestore,
     status,
+    shares,
+    timeline,
+    explain,
     dataCentreOut,
     dataCentreIn,
     targetDrain,
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -172,7 +172,7 @@
 function printReport(report: Report, isJson: boolean, output: Output): void {
     report.notes?.forEach(line => output.printError(line));
     if (isJson) {
-        output.print(JSON.stringify(report.json));
+        (report.jsonLines ?? [report.json]).forEach(value => output.print(JSON.stringify(value)));
     } else {
         report.lines.forEach(line => output.print(line));
     }
--- a/src/events/checks/fairnessCheck.ts
+++ b/src/events/checks/fairnessCheck.ts
@@ -1,4 +1,5 @@
 import type { FleetEvent } from "../fleetEvent.js";
+import { getBaseRequestId } from "../requestId.js";
 import { getProcess, type History, type HistoryBreach } from "./history.js";
 
 /** Service given to one account, in cost over weight, and how much of its work waits. */
@@ -34,9 +35,9 @@
         const state = accounts.get(key) ?? { service: 0, waiting: new Set<string>() };
         accounts.set(key, state);
         if (event.kind === "request-accepted") {
-            state.waiting.add(requestId);
+            state.waiting.add(getBaseRequestId(requestId));
         } else {
-            state.waiting.delete(requestId);
+            state.waiting.delete(getBaseRequestId(requestId));
         }
         if (event.kind === "request-started") {
             state.service += getCost(history, event) / (history.bounds.weights[clientAccount] ?? 1);
@@ -86,7 +87,9 @@
 ]);
 
 function getCost(history: History, started: FleetEvent): number {
-    const own = history.getRequest(started.requestId).filter(event => getProcess(event) === getProcess(started));
+    const own = history
+        .getRequest(started.requestId)
+        .filter(event => getProcess(event) === getProcess(started) && event.requestId === started.requestId);
     const known =
         own.find(event => event.kind === "request-ended") ?? own.find(event => event.kind === "request-queued");
     return known?.value ?? 0;
--- a/src/events/checks/history.ts
+++ b/src/events/checks/history.ts
@@ -1,5 +1,6 @@
 import type { FleetEvent } from "../fleetEvent.js";
 import type { Timeline } from "../mergeTimeline.js";
+import { getBaseRequestId } from "../requestId.js";
 
 /** What must always hold; one name for each rule. */
 export type RuleName =
@@ -58,12 +59,12 @@
         for (const event of timeline.events) {
             addTo(this.processes, getProcess(event), event);
             if (event.requestId !== undefined) {
-                addTo(this.requests, event.requestId, event);
+                addTo(this.requests, getBaseRequestId(event.requestId), event);
             }
         }
     }
 
-    /** Events by request. */
+    /** Events by request, those of all its attempts together. */
     public listRequests(): ReadonlyMap<string, readonly FleetEvent[]> {
         return this.requests;
     }
@@ -78,9 +79,9 @@
         return this.events.filter(event => event.kind === kind);
     }
 
-    /** Events of one request. */
+    /** Events of one request, or of the request that an attempt belongs to. */
     public getRequest(requestId: string | undefined): readonly FleetEvent[] {
-        return requestId === undefined ? [] : (this.requests.get(requestId) ?? []);
+        return requestId === undefined ? [] : (this.requests.get(getBaseRequestId(requestId)) ?? []);
     }
 
     /** Events of the process that recorded the event. */
--- a/src/events/checks/requestChecks.ts
+++ b/src/events/checks/requestChecks.ts
@@ -145,7 +145,9 @@
         return false;
     }
     const ownName = getProcess(own[0]);
-    return !history.getRequest(event.requestId).some(other => getProcess(other) === ownName && ends.has(other.kind));
+    return !history
+        .getRequest(event.requestId)
+        .some(other => getProcess(other) === ownName && other.requestId === event.requestId && ends.has(other.kind));
 }
 
 const agentEndKinds: ReadonlySet<string> = new Set(["request-ended", "request-cancelled"]);
