--- a/src/fleet/router/offerSystem.ts
+++ b/src/fleet/router/offerSystem.ts
@@ -57,7 +57,7 @@
         const { homeAgentId } = entry.lane;
         const agents = this.state.agents
             .listForService(entry.request.service)
-            .filter(agent => agent.isAccepting && (homeAgentId === undefined || agent.agentId === homeAgentId));
+            .filter(agent => (homeAgentId === undefined ? agent.isAccepting : isHome(agent, homeAgentId)));
         const untried = agents.filter(agent => !entry.triedAgentIds.includes(agent.agentId));
         // An agent that held a non-idempotent request never gets it again: a late answer to the first sending could
         // otherwise be taken for one to the second, and the request be run twice.
@@ -80,8 +80,8 @@
         const { prefixHash } = entry.request;
         const candidates: AgentCandidate[] = [];
         for (const agent of agents) {
-            const ownWaiting = state.offers.count(agent.agentId, entry.lane.key);
-            if (ownWaiting < state.options.offerDepth) {
+            if (state.offers.count(agent.agentId, entry.lane.key) < state.options.offerDepth) {
+                const ownWaiting = state.offers.countAccount(agent.agentId, entry.lane);
                 candidates.push(createCandidate(agent, ownWaiting, prefixHash));
             }
         }
@@ -107,13 +107,18 @@
                 : [...entry.triedAgentIds, agentId],
         };
         state.requests.set(sent);
-        state.offers.add(agentId, entry.lane.key, entry.request.id);
+        state.offers.add(agentId, entry.lane, entry.request.id);
         state.agents.set({ ...agent, sentSinceReport: agent.sentSinceReport + 1 });
         state.addEffect({ type: "sendWork", requestId: entry.request.id, agentId, attempt: sent.attempt });
         state.recordRequest("request-sent", sent, { value: sent.attempt });
     }
 }
 
+/** A home is asked also while it takes nothing new: only it can tell what became of a key. */
+function isHome(agent: AgentEntry, homeAgentId: string): boolean {
+    return agent.agentId === homeAgentId && !agent.isLost;
+}
+
 interface AgentCandidate extends PlacementCandidate {
     readonly agent: AgentEntry;
 }
