--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -26,9 +26,13 @@
             const { events, gaps } = loaded.timeline;
             const file = getText(invocation, "html");
             if (file === undefined) {
-                const gapNotes = gaps.map(formatGap);
+                const jsonLines = [
+                    ...loaded.unreachable.map(daemon => ({ unreachable: daemon })),
+                    ...gaps.map(gap => ({ gap })),
+                    ...events,
+                ];
                 const lines = renderText({ events, gaps: [] });
-                return ok({ json: undefined, jsonLines: events, lines, notes: [...notes, ...gapNotes] });
+                return ok({ json: undefined, jsonLines, lines, notes: [...notes, ...gaps.map(formatGap)] });
             }
             const shares = (await loadShares(directory, context.token)).unwrapOr({ daemons: [], unreachable: [] });
             const weights = Object.fromEntries(
--- a/test/events/realHistory.test.ts
+++ b/test/events/realHistory.test.ts
@@ -3,7 +3,7 @@
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { CancellationTokenSource } from "../../src/base/cancellation.js";
 import { commandList } from "../../src/cli/commandList.js";
-import { runProgram } from "../../src/cli/program.js";
+import { runProgram, type CommonOptions } from "../../src/cli/program.js";
 import { SystemContext } from "../../src/cli/systemContext.js";
 import { explainRequest, renderExplanation } from "../../src/events/explainRequest.js";
 import type { FleetEvent, FleetEventKind } from "../../src/events/fleetEvent.js";
@@ -75,7 +75,8 @@
     const lines: string[] = [];
     const output = { print: (line: string) => lines.push(line), printError: () => undefined };
     const source = new CancellationTokenSource();
-    const createContext = (file: string | undefined): SystemContext => new SystemContext(file, source.token);
+    const createContext = ({ settingsFile: file, giveUpAfterMs }: CommonOptions): SystemContext =>
+        new SystemContext(file, giveUpAfterMs, source.token);
     const commands = commandList;
     const code = await runProgram([...args, "--settings", settingsFile], {
         version: "0",
