Leave out of reports on answers and of claims on work what the other side knows

Change: reports on answers and claims on work carry figures only. Ruled out for now: leaving reports out when nothing waits (the router counts what it sent since the last report).

--- a/bench/driver.ts
+++ b/bench/driver.ts
@@ -1,3 +1,4 @@
+import { encodeAnswerReport } from "../src/control/answerReport.js";
 import { SeededRandom } from "../src/base/random.js";
 import { IndexedHeap } from "../src/decisions/indexedHeap.js";
 import { chooseSubset, defaultSubsetSize } from "../src/decisions/subset.js";
@@ -423,7 +424,7 @@
         const { service, clientAccount } = attempt.arrival.request;
         const brief = agent.core.createAnswerReport(service, clientAccount);
         const link = this.getLink(attempt.router, agent);
-        this.metrics.recordControl(countBytes(brief), 0);
+        this.metrics.recordControl(countBytes(encodeAnswerReport(brief)), 0);
         this.addReachable(attempt.router, agent, () => {
             const cachedPrefixes = link.report?.cachedPrefixes ?? [];
             this.sendToRouter(attempt.router, { type: "agentReported", report: { ...brief, cachedPrefixes } });
--- a/src/agent/agentService.ts
+++ b/src/agent/agentService.ts
@@ -2,6 +2,7 @@
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import type { Metrics } from "../base/metrics.js";
+import { encodeAnswerReport } from "../control/answerReport.js";
 import type { WorkEnvelope } from "../control/frames.js";
 import type { AgentControlHost, ExchangeReply, ExchangeRequest } from "../control/host.js";
 import type { AcceptedDocument } from "../document/schema.js";
@@ -79,7 +80,8 @@
             this.parts.events.merge(envelope.time);
         }
         if (envelope.claim !== undefined) {
-            this.send({ type: "claimsReceived", routerId: envelope.routerId, claims: [envelope.claim] });
+            const { routerId, service, clientAccount, claim } = envelope;
+            this.send({ type: "claimsReceived", routerId, claims: [{ service, clientAccount, ...claim }] });
         }
         const held = new HeldWork(envelope, body);
         held.add(follower);
@@ -176,7 +178,7 @@
             this.runs.delete(requestId);
             this.runner.send(ending.message);
             const { service, clientAccount } = held.envelope;
-            const report = this.parts.core.createAnswerReport(service, clientAccount);
+            const report = encodeAnswerReport(this.parts.core.createAnswerReport(service, clientAccount));
             const frame =
                 ending.frame.type === "end" ? { ...ending.frame, report, time: this.parts.events.now() } : ending.frame;
             this.release(requestId, found => found.close(frame));
@@ -188,7 +190,7 @@
     private reportQueued(held: HeldWork): void {
         const { requestId, service, clientAccount } = held.envelope;
         if (this.held.has(requestId) && !this.runs.has(requestId)) {
-            const report = this.parts.core.createAnswerReport(service, clientAccount);
+            const report = encodeAnswerReport(this.parts.core.createAnswerReport(service, clientAccount));
             void held.write({ type: "queued", report });
         }
     }
--- a/src/control/frames.ts
+++ b/src/control/frames.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
+import { answerReportSchema, workClaimSchema } from "./answerReport.js";
 import { hybridTimeSchema } from "../events/hybridTimeSchema.js";
-import { briefReportSchema, refusalSchema, serviceCounterSchema } from "./schemas.js";
+import { refusalSchema } from "./schemas.js";
 
 /**
  * Frames of an answer on its way from agent to router: one JSON object a line over an HTTP stream.
@@ -8,7 +9,7 @@
  */
 export const workFrameSchema = z.discriminatedUnion("type", [
     /** The agent holds the request and has not started it. */
-    z.object({ type: z.literal("queued"), report: briefReportSchema.optional() }),
+    z.object({ type: z.literal("queued"), report: answerReportSchema.optional() }),
     /** The request has been given to the target. */
     z.object({ type: z.literal("started") }),
     /** The request was never started here and never will be. */
@@ -24,7 +25,7 @@
         type: z.literal("end"),
         count: z.number().int().nonnegative(),
         cost: z.number().nonnegative(),
-        report: briefReportSchema.optional(),
+        report: answerReportSchema.optional(),
         time: hybridTimeSchema.optional(),
     }),
     /** The run failed; chunks already sent stand, and no end follows. */
@@ -41,7 +42,7 @@
     attempt: z.number().int().positive(),
     time: hybridTimeSchema.optional(),
     /** What other agents gave the request's account, as far as the router knows. */
-    claim: serviceCounterSchema.optional(),
+    claim: workClaimSchema.optional(),
     clientAccount: z.string(),
     service: z.string(),
     kind: z.enum(["model", "plain"]),
--- a/src/control/schemas.ts
+++ b/src/control/schemas.ts
@@ -52,9 +52,6 @@
     cachedPrefixes: z.array(z.string()).readonly(),
 });
 
-/** A report on an answer: without what only the exchange brings, so that it stays small. */
-export const briefReportSchema = agentReportSchema.omit({ cachedPrefixes: true });
-
 /** What `lynxarch status` shows of one daemon. */
 export const daemonStatusSchema = z.object({
     daemonId: z.string(),
--- a/src/daemon/routerDaemon.ts
+++ b/src/daemon/routerDaemon.ts
@@ -1,12 +1,13 @@
 import { err, ok, type Result } from "neverthrow";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import { DisposableStore } from "../base/lifecycle.js";
+import { decodeAnswerReport } from "../control/answerReport.js";
 import type { ControlError } from "../control/errors.js";
 import type { ControlHost } from "../control/host.js";
 import type { DaemonStatus } from "../control/schemas.js";
 import { createControlApp, listenOn, type HttpListener } from "../control/server.js";
 import type { AcceptedDocument, EnvironmentDocument } from "../document/schema.js";
-import type { AgentReport, BriefReport } from "../fleet/entities.js";
+import type { AgentReport } from "../fleet/entities.js";
 import { Evictor } from "../fleet/evictor.js";
 import { verifyIssuedKey } from "../fleet/keys/issuedKey.js";
 import { defaultRouterOptions } from "../fleet/router/options.js";
@@ -19,7 +20,7 @@
 import { createCallerApp } from "../router/callerServer.js";
 import { Exchange, type ExchangeHost } from "../router/exchange.js";
 import { RosterKeyDirectory } from "../router/keyDirectory.js";
-import { RouterService } from "../router/routerService.js";
+import { RouterService, type ReportOnAnswer } from "../router/routerService.js";
 import { WorkSender } from "../router/workSender.js";
 import type { CommonParts } from "./commonParts.js";
 import type { Daemon } from "./daemon.js";
@@ -143,7 +144,7 @@
         this.store.add(roster.onDidChange(() => this.updateDirectory()));
         this.store.add(this.parts.vms.onDidRead(vms => this.removeGone(vms)));
         this.store.add(this.parts.onDidReadPeerRoster(() => this.updateDirectory()));
-        this.store.add(this.service.onDidReport(report => this.handleBriefReport(report)));
+        this.store.add(this.service.onDidReport(report => this.handleAnswerReport(report)));
         this.store.add(this.service.onDidFailToReach(agentId => this.exchange.runNow(agentId)));
         this.parts.start();
         this.membership.update();
@@ -225,10 +226,11 @@
         }
     }
 
-    private handleBriefReport(report: BriefReport): void {
-        const known = this.reports.get(report.identity.agentId);
-        if (known !== undefined && known.identity.incarnation === report.identity.incarnation) {
-            this.handleReport({ ...report, cachedPrefixes: known.cachedPrefixes });
+    private handleAnswerReport({ agentId, service, clientAccount, report }: ReportOnAnswer): void {
+        const known = this.reports.get(agentId);
+        const whole = known === undefined ? undefined : decodeAnswerReport(report, known, service, clientAccount);
+        if (whole !== undefined) {
+            this.handleReport(whole);
         }
     }
 
--- a/src/router/routerService.ts
+++ b/src/router/routerService.ts
@@ -4,12 +4,13 @@
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import type { Metrics } from "../base/metrics.js";
+import type { AnswerReport } from "../control/answerReport.js";
 import type { WorkFrame } from "../control/frames.js";
 import type { EventRecorder } from "../events/fleetEvent.js";
 import type { ClientShare } from "../fleet/clientShare.js";
 import type { Core } from "../fleet/core.js";
 import { CoreRunner, type Scheduler } from "../fleet/coreRunner.js";
-import type { BriefReport, Refusal, ServiceCounter } from "../fleet/entities.js";
+import type { Refusal, ServiceCounter } from "../fleet/entities.js";
 import type { RouterEffect, RouterMessage } from "../fleet/routerMessages.js";
 import type { AgentDirectory } from "./agentDirectory.js";
 import type { OpenRequest } from "./openRequest.js";
@@ -24,6 +25,14 @@
     readonly claims: readonly ServiceCounter[];
 }
 
+/** A report that an answer brought, with the request's service and account. */
+export interface ReportOnAnswer {
+    readonly agentId: string;
+    readonly service: string;
+    readonly clientAccount: string;
+    readonly report: AnswerReport;
+}
+
 /** The router's core as the shell sees it. */
 export interface RouterCoreApi extends Core<RouterMessage, RouterEffect> {
     createClaims(agentId: string, sinceVersion?: number): VersionedClaims;
@@ -52,7 +61,7 @@
     private readonly open = new Map<string, OpenRequest>();
     private readonly tries = new Map<string, Try>();
     private readonly lifetime = new CancellationTokenSource();
-    private readonly didReportEmitter = new Emitter<BriefReport>();
+    private readonly didReportEmitter = new Emitter<ReportOnAnswer>();
     private readonly unreachedEmitter = new Emitter<string>();
 
     /** An answer brought an agent's report. */
@@ -154,7 +163,8 @@
 
     private async takeFrame(sending: Try, frame: WorkFrame): Promise<void> {
         if ((frame.type === "end" || frame.type === "queued") && frame.report !== undefined) {
-            this.didReportEmitter.fire(frame.report);
+            const { service, clientAccount } = sending.work;
+            this.didReportEmitter.fire({ agentId: sending.agentId, service, clientAccount, report: frame.report });
         }
         await sending.take(frame);
     }
--- a/src/router/try.ts
+++ b/src/router/try.ts
@@ -2,6 +2,7 @@
 import { RunningDigest } from "../base/hash.js";
 import type { WorkFrame } from "../control/frames.js";
 import type { EventRecorder } from "../events/fleetEvent.js";
+import type { WorkRequest } from "../fleet/entities.js";
 import type { RouterMessage } from "../fleet/routerMessages.js";
 import type { OpenRequest } from "./openRequest.js";
 import type { BrokenTry } from "./workSender.js";
@@ -26,6 +27,10 @@
         return this.open.work.id;
     }
 
+    public get work(): WorkRequest {
+        return this.open.work;
+    }
+
     public get token(): CancellationToken {
         return this.cancellation.token;
     }
--- a/src/router/workSender.ts
+++ b/src/router/workSender.ts
@@ -2,6 +2,7 @@
 import { AbortScope, type CancellationToken } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
 import type { Disposable } from "../base/lifecycle.js";
+import { encodeWorkClaim } from "../control/answerReport.js";
 import { envelopeHeader, workFrameSchema, workPath, type WorkEnvelope, type WorkFrame } from "../control/frames.js";
 import { LineSplitter } from "../control/lines.js";
 import { toAuthorization } from "../control/secret.js";
@@ -87,12 +88,13 @@
 
     private createEnvelope(open: OpenRequest, attempt: number, agentId: string): WorkEnvelope {
         const { work, call } = open;
+        const claim = this.claims.findClaim(agentId, work.service, work.clientAccount);
         return {
             requestId: createAttemptId(work.id, attempt),
             routerId: this.routerId,
             attempt,
             time: this.events.now(),
-            claim: this.claims.findClaim(agentId, work.service, work.clientAccount),
+            claim: claim === undefined ? undefined : encodeWorkClaim(claim),
             clientAccount: work.clientAccount,
             service: work.service,
             kind: work.kind,
