--- a/bench/cost.ts
+++ b/bench/cost.ts
@@ -54,6 +54,7 @@
 class FullFleet {
     private readonly core: RouterCore;
     private readonly offered: { readonly requestId: string; readonly agentId: string }[] = [];
+    private nextOffer = 0;
     private count = 0;
     private nowMs = 0;
 
@@ -99,7 +100,8 @@
     public runCycle(): void {
         this.nowMs += 1;
         this.addRequest();
-        const offer = this.offered.shift();
+        const offer = this.offered[this.nextOffer];
+        this.nextOffer += 1;
         if (offer !== undefined) {
             this.handleEffects(this.core.handle({ type: "workStarted", ...offer }, this.nowMs));
             this.handleEffects(this.core.handle({ type: "workEnded", ...offer, cost: 400 }, this.nowMs));
--- a/bench/product.ts
+++ b/bench/product.ts
@@ -10,7 +10,7 @@
 export class ProductSystem implements BenchSystem {
     public readonly name = "lynxarch";
     public readonly hasExchange = true;
-    public readonly reportsWhenQueued = false;
+    public readonly reportsWhenQueued = true;
 
     public createRouter(routerId: string, dataCentre: string, random: Random): BenchRouter {
         return new RouterCore(routerId, dataCentre, defaultRouterOptions, new NoopEventRecorder(), random);
--- a/src/fleet/router/withdrawSystem.ts
+++ b/src/fleet/router/withdrawSystem.ts
@@ -1,6 +1,8 @@
 import type { RouterState } from "./state.js";
 import type { AgentEntry, RequestEntry } from "./tables.js";
 
+/** Lanes looked at for one report: with hundreds of accounts at dozens of agents, a look at all takes milliseconds. */
+const maxLaneVisits = 256;
 /** Doublings of the hold time after which it grows no more: five seconds. */
 const maxHoldDoublings = 8;
 
@@ -9,6 +11,8 @@
  * work waits elsewhere), and when a deadline has passed.
  */
 export class WithdrawSystem {
+    private nextStart = 0;
+
     public constructor(private readonly state: RouterState) {}
 
     /** Asks for one request back. */
@@ -45,12 +49,11 @@
      */
     public withdrawForRoom(agent: AgentEntry, nowMs: number): void {
         let room = computeRoom(agent);
-        for (const other of room > 0 ? this.state.agents.list() : []) {
-            if (other.agentId === agent.agentId || computeRoom(other) > 0) {
-                continue;
-            }
+        let visits = 0;
+        for (const other of room > 0 ? this.listBusy(agent) : []) {
             for (const [laneKey, ids] of this.state.offers.listByLane(other.agentId)) {
-                if (room <= 0) {
+                visits += 1;
+                if (room <= 0 || visits > maxLaneVisits) {
                     return;
                 }
                 if (this.canMove(laneKey, agent)) {
@@ -64,6 +67,14 @@
         }
     }
 
+    /** Agents without room, beginning with another one each time, so that none is left out when visits run out. */
+    private listBusy(agent: AgentEntry): readonly AgentEntry[] {
+        const agents = [...this.state.agents.list()];
+        this.nextStart = (this.nextStart + 1) % agents.length;
+        const turned = [...agents.slice(this.nextStart), ...agents.slice(0, this.nextStart)];
+        return turned.filter(other => other.agentId !== agent.agentId && computeRoom(other) <= 0);
+    }
+
     /** Moves what waits at a busy agent to the one with the most room. */
     public withdrawFromBusy(agent: AgentEntry, nowMs: number): void {
         if (this.state.offers.listByLane(agent.agentId).size === 0 || computeRoom(agent) > 0) {
