Take a broken run as a sign of cold, and tell apart what a failed run says of the target

Ruled out: any failure as the sign (an engine that answers 500 to one account's broken request would hold everyone at the cold limit). Change: outcomes failed (connection or stream broke: cold sign for models) and target-error (it answered); the run's event says unknown, not ran, unless it completed.

--- a/src/agent/modelTargetClient.ts
+++ b/src/agent/modelTargetClient.ts
@@ -55,7 +55,11 @@
             return "stale";
         }
         if (response.statusCode !== 200) {
-            throw new TargetError(`the engine answered an order with ${response.statusCode}`, "unknown", false);
+            throw new TargetError(
+                `the engine answered an order with ${response.statusCode}`,
+                "unknown",
+                "error-answer",
+            );
         }
         return "done";
     }
@@ -106,7 +110,7 @@
             await this.resume();
         }
         if (!this.done) {
-            throw new TargetError(`the stream stopped short after ${this.received} chunks`, "unknown", false);
+            throw new TargetError(`the stream stopped short after ${this.received} chunks`, "unknown", "broken");
         }
         return this.usage ?? { promptTokens: 0, generatedTokens: this.generated };
     }
@@ -133,7 +137,7 @@
             throw new TargetError(
                 `the engine answered ${response.statusCode}: ${text}`,
                 refused ? "not-run" : "unknown",
-                refused,
+                refused ? "refused" : "error-answer",
             );
         }
         await this.sink.writeHead(200, {});
@@ -145,7 +149,7 @@
         const response = await this.connection.send(path, { method: "GET" }, this.token);
         if (response.statusCode !== 200) {
             await response.body.dump();
-            throw new TargetError(`the engine cannot resume: ${response.statusCode}`, "unknown", false);
+            throw new TargetError(`the engine cannot resume: ${response.statusCode}`, "unknown", "broken");
         }
         await this.read(response);
     }
--- a/src/agent/targetClient.ts
+++ b/src/agent/targetClient.ts
@@ -5,6 +5,15 @@
 import type { WorkEnvelope } from "../control/frames.js";
 import type { Execution } from "../fleet/entities.js";
 
+/** What a run's failure tells of the target. */
+export type TargetErrorKind =
+    /** It was alive and turned the request away, as one in cold start does. */
+    | "refused"
+    /** It answered with an error: the request's fault or the target's, but the target has kept its state. */
+    | "error-answer"
+    /** The connection or the stream broke: the target may have lost its state. */
+    | "broken";
+
 /** A run at the target did not end as it should. */
 export class TargetError extends LynxarchError {
     public readonly code = "target-failed";
@@ -13,8 +22,7 @@
         message: string,
         /** Whether the target may have run the request. */
         public readonly execution: Execution,
-        /** The target was alive and turned the request away, as one in cold start does. */
-        public readonly refused: boolean,
+        public readonly kind: TargetErrorKind,
         cause?: unknown,
     ) {
         super(message, cause);
--- a/src/agent/targetConnection.ts
+++ b/src/agent/targetConnection.ts
@@ -97,5 +97,5 @@
     }
     const { code, message } = cause as { code?: string; message?: string };
     const unreached = !hasOutput && code !== undefined && unreachedCodes.has(code);
-    return new TargetError(message ?? String(cause), unreached ? "not-run" : "unknown", false, cause);
+    return new TargetError(message ?? String(cause), unreached ? "not-run" : "unknown", "broken", cause);
 }
--- a/src/agent/targetRun.ts
+++ b/src/agent/targetRun.ts
@@ -3,7 +3,7 @@
 import type { EventRecorder } from "../events/fleetEvent.js";
 import type { AgentMessage, RunOutcome } from "../fleet/agentMessages.js";
 import type { HeldWork } from "./heldWork.js";
-import type { RunSink, RunUsage, TargetClient, TargetError } from "./targetClient.js";
+import type { RunSink, RunUsage, TargetClient, TargetError, TargetErrorKind } from "./targetClient.js";
 
 /** How a run ended: what the core is told, and the last frame of the answer. */
 export interface RunEnding {
@@ -11,6 +11,12 @@
     readonly frame: WorkFrame;
 }
 
+const outcomes: Readonly<Record<TargetErrorKind, RunOutcome>> = {
+    refused: "refused-by-target",
+    "error-answer": "target-error",
+    broken: "failed",
+};
+
 /** One request's run at the target: numbers its chunks and tells the core of its progress. */
 export class TargetRun implements RunSink {
     private sequence = 0;
@@ -79,11 +85,7 @@
     }
 
     private createFailure(error: TargetError): RunEnding {
-        const outcome = this.held.cancellation.token.isCancelled
-            ? "cancelled"
-            : error.refused
-              ? "refused-by-target"
-              : "failed";
+        const outcome = this.held.cancellation.token.isCancelled ? "cancelled" : outcomes[error.kind];
         const usage = { promptTokens: 0, generatedTokens: this.generated };
         return this.createEnding(outcome, usage, {
             type: "failed",
--- a/src/fleet/agent/runSystem.ts
+++ b/src/fleet/agent/runSystem.ts
@@ -1,5 +1,7 @@
 import type { AgentContext } from "./agentContext.js";
 import { chargeFinal, type FinalCount } from "./chargeSystem.js";
+import type { RunOutcome } from "../agentMessages.js";
+import type { Execution } from "../entities.js";
 import type { RunningWork } from "./tables.js";
 
 /** Notes the first output of a run: the window's and the circuit's measure of the target. */
@@ -24,6 +26,14 @@
     context.recordWindow(context.window.observeFirstOutput(output, nowMs));
 }
 
+const executions: Readonly<Record<RunOutcome, Execution>> = {
+    completed: "ran",
+    failed: "unknown",
+    "target-error": "unknown",
+    cancelled: "unknown",
+    "refused-by-target": "not-run",
+};
+
 /** Frees the slot of a run that ended and settles its cost. */
 export function receiveEnd(context: AgentContext, requestId: string, final: FinalCount, nowMs: number): void {
     const work = context.tables.running.get(requestId);
@@ -39,7 +49,7 @@
     context.getRow(work.request.service).ledger.recordActivity(work.request.clientAccount, nowMs);
     context.recordRequest("request-ended", work.request, {
         reason: final.outcome,
-        execution: final.outcome === "refused-by-target" ? "not-run" : "ran",
+        execution: executions[final.outcome],
         value: cost,
     });
     observeOutcome(context, work, final, nowMs);
@@ -109,6 +119,12 @@
     if (final.outcome === "refused-by-target") {
         receiveColdSign(context, "refused by target", nowMs);
     }
+    // An engine that turns cold loses its runs, and its load report still tells of the time before. Were the freed slots
+    // filled, the cold engine would get a full load and fall over again. A run that broke off for another reason costs the
+    // window's growth, which comes back within some answers.
+    if (final.outcome === "failed" && work.request.kind === "model") {
+        receiveColdSign(context, "run broke off", nowMs);
+    }
     if (context.circuit.observeFailure(id, nowMs)) {
         context.record({ kind: "window-changed", reason: "circuit open", value: 0 });
     }
--- a/src/fleet/agentMessages.ts
+++ b/src/fleet/agentMessages.ts
@@ -2,7 +2,14 @@
 import type { Refusal, ServiceCounter, WorkRequest } from "./entities.js";
 
 /** How a run at the target ended. */
-export type RunOutcome = "completed" | "failed" | "cancelled" | "refused-by-target";
+export type RunOutcome =
+    | "completed"
+    /** The connection or the stream broke. */
+    | "failed"
+    /** The target answered with an error. */
+    | "target-error"
+    | "cancelled"
+    | "refused-by-target";
 
 /** What the shell of an agent tells its core. */
 export type AgentMessage =
