Prove that a VM listed as leaving gets no new work

Cause: point 8 was shown over processes for a drain only. Ruled out: SIGTERM of the agent (that is point 9).

--- a/scripts/prove/capacityScenarios.ts
+++ b/scripts/prove/capacityScenarios.ts
@@ -73,6 +73,12 @@
             );
         },
     },
+    {
+        name: "vm-leaving",
+        summary: "the platform lists the VMs of an engine and of a plain service as leaving, under load",
+        points: [...usualPoints, 8],
+        run: runLeavingVms,
+    },
     {
         name: "datacentre-out-cut",
         summary: "a data centre is taken out while its agents are cut from the platform: routers must tell them",
@@ -102,6 +108,19 @@
     await runClosure(run, 4, targets, `/dataCentres/${dataCentre}/state`, ["out", "in"], () => inject(dataCentre));
 }
 
+/** A VM that leaves does not come back, so its target stays closed to the end of the run. */
+async function runLeavingVms(run: ProofRun): Promise<void> {
+    await run.sleep(settleMs);
+    const agents = ["model", "plain"].map(kind =>
+        run.pick(run.fleet.agents.filter(candidate => candidate.target?.kind === kind)),
+    );
+    const targets = agents.map(agent => agent.target?.name ?? "");
+    run.recordFault(`VMs of ${targets.join(" and ")} leaving`);
+    run.closures.push({ point: 8, targets, fromMs: Date.now(), toMs: Infinity });
+    await run.fleet.setVms(agents.map(agent => agent.vmId));
+    await run.sleep(outMs);
+}
+
 /** Closes targets by a change of the document for a while; the checks look at what began there. */
 async function runClosure(
     run: ProofRun,
--- a/test/fakes/fleet.ts
+++ b/test/fakes/fleet.ts
@@ -265,15 +265,16 @@
         return this.applyChange("first", -1, [{ op: "replace", path: "", value: this.document }]);
     }
 
-    private async setVms(): Promise<void> {
-        const vms = [
-            ...this.targets.map(target => ({ id: `vm-${target.name}`, dataCentre: target.dataCentre, state: "live" })),
+    /** Sets the platform's list of VMs; those named are leaving, all others live. */
+    public async setVms(leaving: readonly string[] = []): Promise<void> {
+        const places = [
+            ...this.targets.map(target => ({ id: `vm-${target.name}`, dataCentre: target.dataCentre })),
             ...this.listRouterNames().map((name, index) => ({
                 id: `vm-${name}`,
                 dataCentre: this.getRouterDataCentre(index),
-                state: "live",
             })),
         ];
+        const vms = places.map(vm => ({ ...vm, state: leaving.includes(vm.id) ? "leaving" : "live" }));
         await fetch(`${this.platform.url}/vms`, { method: "PUT", body: JSON.stringify({ vms }) });
     }
 
