End the fleet when a signal ends the harness

Cause: a fault run that was stopped by a signal left its daemons running. Ruled out: relying on the group's exit handler: a signal's default action runs none. Change: prove.ts turns SIGTERM and SIGINT into an exit.

--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -38,6 +38,7 @@
 const healedMs = 3_000;
 const longestScenarioMs = 150_000;
 const evidenceShown = 5;
+const signalExitCode = 130;
 
 /** What one scenario showed. */
 interface ScenarioResult {
@@ -170,4 +171,7 @@
     return printPoints(results) ? 0 : 1;
 }
 
+// Without this a signal would end the harness and leave its fleet running.
+process.once("SIGTERM", () => process.exit(signalExitCode));
+process.once("SIGINT", () => process.exit(signalExitCode));
 process.exit(await main());
