Put what both daemons answer and how they stop in one base class

Cause: duplicates named agentDaemon.ts and routerDaemon.ts (14 same lines and the stop's order twice). Change: DaemonHost; the agent's status no longer lists all counters.

--- a/src/daemon/agentDaemon.ts
+++ b/src/daemon/agentDaemon.ts
@@ -9,8 +9,6 @@
 import { LoadWatcher } from "../agent/loadWatcher.js";
 import { OrderService, type OrderView } from "../agent/orderService.js";
 import { addWorkRoute } from "../agent/workServer.js";
-import type { CancellationToken } from "../base/cancellation.js";
-import { DisposableStore } from "../base/lifecycle.js";
 import type { ControlError } from "../control/errors.js";
 import type { WorkEnvelope } from "../control/frames.js";
 import type { ControlHost } from "../control/host.js";
@@ -23,16 +21,14 @@
 import { verifyIssuedKey } from "../fleet/keys/issuedKey.js";
 import { defaultKeyTableLimits, KeyTable } from "../fleet/keys/keyTable.js";
 import { defaultKeyTiming } from "../fleet/keys/keyTiming.js";
-import { sleepOnTimer } from "../platform/sleep.js";
 import type { CommonParts } from "./commonParts.js";
 import type { Daemon } from "./daemon.js";
-import { Membership } from "./membership.js";
+import { DaemonHost } from "./daemonHost.js";
 import { createKeyHistory } from "./keyHistory.js";
 import { createOrderView } from "./orderView.js";
 import type { AgentSettings } from "./settings.js";
 
 const defaultMaxBodyBytes = 16 * 1024 * 1024;
-const stopPollMs = 50;
 
 /** Starts a daemon of role agent. Errors: its address is taken. */
 export async function startAgent(parts: CommonParts, settings: AgentSettings): Promise<Result<Daemon, ControlError>> {
@@ -46,20 +42,19 @@
     return ok(daemon);
 }
 
-class AgentDaemon implements Daemon, ControlHost {
-    private readonly store = new DisposableStore();
+class AgentDaemon extends DaemonHost {
     private readonly core: AgentCore;
     private readonly service: AgentService;
     private readonly keyed: KeyedWork;
     private readonly authority: HomeAuthority;
-    private readonly membership: Membership;
     private readonly orders: OrderService;
     private listener: HttpListener | undefined;
 
     public constructor(
-        private readonly parts: CommonParts,
+        parts: CommonParts,
         private readonly settings: AgentSettings,
     ) {
+        super(parts, () => parts.documents.current?.document.targets[settings.target.name]?.services);
         const { clock, scheduler, logger, metrics, events, incarnation, random } = parts;
         const { daemonId, dataCentre } = settings;
         const identity = {
@@ -90,7 +85,6 @@
             }),
         );
         this.service.guard = this.keyed;
-        this.membership = this.store.add(new Membership(parts, () => this.listServices()));
         const getView = (): OrderView | undefined => createOrderView(parts, this.membership, settings.target.name);
         this.orders = this.store.add(
             new OrderService({
@@ -146,23 +140,8 @@
         this.parts.start();
     }
 
-    public async stop(token: CancellationToken): Promise<void> {
-        this.parts.events.record({ kind: "daemon-stopping" });
-        this.service.send({ type: "leaving" });
-        while (this.service.open > 0 && !token.isCancelled) {
-            await sleepOnTimer(stopPollMs, token);
-        }
-        await this.membership.removeSelf(token);
-        this.listener?.stopAccepting();
-        this.parts.events.record({ kind: "daemon-stopped" });
-    }
-
-    public dispose(): void {
-        this.store.dispose();
-    }
-
     public getStatus(): DaemonStatus {
-        const report = this.core.createReport(undefined);
+        const report = this.core.createBriefReport();
         return {
             ...this.membership.describeSelf(),
             phase: report.phase,
@@ -173,20 +152,20 @@
         };
     }
 
-    public listEvents(sinceSequence: number): ReturnType<ControlHost["listEvents"]> {
-        return this.membership.listEvents(sinceSequence);
-    }
-
     public listShares(): ReturnType<ControlHost["listShares"]> {
         return this.core.listShares();
     }
 
-    public getDocument(): AcceptedDocument | undefined {
-        return this.parts.documents.buildPeerDocument();
+    protected async stopTaking(): Promise<void> {
+        this.service.send({ type: "leaving" });
     }
 
-    public listRoster(): ReturnType<ControlHost["listRoster"]> {
-        return this.parts.listRoster();
+    protected countOpen(): number {
+        return this.service.open;
+    }
+
+    protected stopListening(): void {
+        this.listener?.stopAccepting();
     }
 
     private isReady(): boolean {
@@ -215,10 +194,6 @@
         this.membership.update();
     }
 
-    private listServices(): readonly string[] | undefined {
-        return this.parts.documents.current?.document.targets[this.settings.target.name]?.services;
-    }
-
     /** Tells the keys' authority what the log has confirmed, and from when on. */
     private updateAuthority(): void {
         const { roster, clock } = this.parts;
--- a/src/daemon/membership.ts
+++ b/src/daemon/membership.ts
@@ -1,6 +1,5 @@
 import type { CancellationToken } from "../base/cancellation.js";
 import type { Disposable } from "../base/lifecycle.js";
-import type { EventPage } from "../control/host.js";
 import type { DaemonStatus, RosterEntry } from "../control/schemas.js";
 import { Registrar } from "../fleet/registrar.js";
 import { sleepOnTimer } from "../platform/sleep.js";
@@ -69,12 +68,6 @@
         };
     }
 
-    /** A page of this daemon's events. */
-    public listEvents(sinceSequence: number): EventPage {
-        const events = this.parts.events.listSince(sinceSequence);
-        return { events, firstSequence: events[0]?.sequence ?? sinceSequence + 1 };
-    }
-
     public dispose(): void {
         this.registrar?.dispose();
     }
--- a/src/daemon/routerDaemon.ts
+++ b/src/daemon/routerDaemon.ts
@@ -1,6 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
-import { DisposableStore } from "../base/lifecycle.js";
 import { decodeAnswerReport } from "../control/answerReport.js";
 import type { ControlError } from "../control/errors.js";
 import type { ControlHost } from "../control/host.js";
@@ -24,10 +23,9 @@
 import { WorkSender } from "../router/workSender.js";
 import type { CommonParts } from "./commonParts.js";
 import type { Daemon } from "./daemon.js";
-import { Membership } from "./membership.js";
+import { DaemonHost } from "./daemonHost.js";
 import type { RouterSettings } from "./settings.js";
 
-const stopPollMs = 50;
 /**
  * Time between the health check's "not ready" and the last accepted connection. A balancer looks every second or two; were
  * the listener closed at once, callers that it still sends here would be refused.
@@ -46,14 +44,12 @@
     return ok(daemon);
 }
 
-class RouterDaemon implements Daemon, ControlHost, ExchangeHost {
-    private readonly store = new DisposableStore();
+class RouterDaemon extends DaemonHost implements ExchangeHost {
     private readonly core: RouterCore;
     private readonly directory: AgentDirectory;
     private readonly service: RouterService;
     private readonly exchange: Exchange;
     private readonly requests: CallerRequests;
-    private readonly membership: Membership;
     private readonly reports = new Map<string, AgentReport>();
     private readonly lifetime = this.store.add(new CancellationTokenSource());
     private readonly evictor: Evictor;
@@ -63,9 +59,10 @@
     private kinds = "";
 
     public constructor(
-        private readonly parts: CommonParts,
+        parts: CommonParts,
         private readonly settings: RouterSettings,
     ) {
+        super(parts, () => []);
         const { clock, scheduler, random, events, logger, metrics, secret, incarnation } = parts;
         const { daemonId, dataCentre, exchangePeriodMs } = settings;
         this.core = new RouterCore(daemonId, dataCentre, defaultRouterOptions, events, random);
@@ -116,7 +113,6 @@
             isStopping: () => this.stopping,
         });
         this.evictor = new Evictor(clock);
-        this.membership = this.store.add(new Membership(parts, () => []));
     }
 
     public async listen(): Promise<Result<void, ControlError>> {
@@ -150,23 +146,6 @@
         this.membership.update();
     }
 
-    public async stop(token: CancellationToken): Promise<void> {
-        this.parts.events.record({ kind: "daemon-stopping" });
-        this.stopping = true;
-        await sleepOnTimer(balancerGraceMs, token);
-        this.callers?.stopAccepting();
-        this.service.send({ type: "stopping" });
-        while (this.service.openCount > 0 && !token.isCancelled) {
-            await sleepOnTimer(stopPollMs, token);
-        }
-        await this.membership.removeSelf(token);
-        this.parts.events.record({ kind: "daemon-stopped" });
-    }
-
-    public dispose(): void {
-        this.store.dispose();
-    }
-
     public getStatus(): DaemonStatus {
         return {
             ...this.membership.describeSelf(),
@@ -176,20 +155,23 @@
         };
     }
 
-    public listEvents(sinceSequence: number): ReturnType<ControlHost["listEvents"]> {
-        return this.membership.listEvents(sinceSequence);
-    }
-
     public listShares(): ReturnType<ControlHost["listShares"]> {
         return this.core.listShares();
     }
 
-    public getDocument(): AcceptedDocument | undefined {
-        return this.parts.documents.buildPeerDocument();
+    protected async stopTaking(token: CancellationToken): Promise<void> {
+        this.stopping = true;
+        await sleepOnTimer(balancerGraceMs, token);
+        this.callers?.stopAccepting();
+        this.service.send({ type: "stopping" });
+    }
+
+    protected countOpen(): number {
+        return this.service.openCount;
     }
 
-    public listRoster(): ReturnType<ControlHost["listRoster"]> {
-        return this.parts.listRoster();
+    protected stopListening(): void {
+        // The control API answers until the process ends, so that operators see the stop.
     }
 
     public get document(): AcceptedDocument | undefined {
