--- a/bench/metrics.ts
+++ b/bench/metrics.ts
@@ -258,8 +258,8 @@
 }
 
 /**
- * Period of the exchange between a router and each of its agents, as src/router/exchange.ts computes it: a second, or
- * longer with many agents, so that an exchange of 1,200 bytes with each stays within 4,000 bytes a second.
+ * Period of the exchange between a router and each of its agents: a second, or longer with many agents, so that an exchange
+ * of 1,200 bytes with each stays within 4,000 bytes a second. src/router/exchange.ts takes the measured size instead.
  */
 export function computeExchangePeriodMs(agentCount: number): number {
     return Math.max(1_000, (agentCount * 1_200) / 4);
