Remember a handed-over key until its last possible start plus the retention

Cause: a home whose data centre is out hands a key over under an issued key that lives five minutes, but forgot it ten minutes after the hand-over. If the other home started it late, a repeat within the retention of that start found the key forgotten and ran again. Ruled out: a shorter life of issued keys (callers hold them too).

--- a/scripts/capacity/heapSlopes.ts
+++ b/scripts/capacity/heapSlopes.ts
@@ -113,7 +113,13 @@
     const agent = createAgent();
     const claimed = createAgent();
     const ring = new EventRing(new HybridClock(new ManualClock()), { daemon: "d", incarnation: 1 }, 1_000_000);
-    const limits = { maxEntries: 1e6, maxEntriesPerAccount: 1e6, maxAnswerBytes: 1e6, retentionMs: 1e6 };
+    const limits = {
+        maxEntries: 1e6,
+        maxEntriesPerAccount: 1e6,
+        maxAnswerBytes: 1e6,
+        retentionMs: 1,
+        delegationMs: 0e6,
+    };
     const keys = new KeyTable({ check: () => ({ type: "new" }) }, limits);
     const slopes = [
         measureSlope("router: waiting request", index => {
--- a/src/fleet/keys/keyTable.ts
+++ b/src/fleet/keys/keyTable.ts
@@ -1,6 +1,6 @@
 import type { Refusal } from "../entities.js";
 import type { KeyAuthority } from "./homeAuthority.js";
-import type { Instant } from "./keyTiming.js";
+import { defaultKeyTiming, type Instant } from "./keyTiming.js";
 import { hashKey, type KeyUse } from "./keyUse.js";
 
 /** What a home does with a request that carries a key. */
@@ -32,6 +32,8 @@
     /** Bytes of kept answers over all entries. */
     readonly maxAnswerBytes: number;
     readonly retentionMs: number;
+    /** How long after a key was handed over the other home may still start it: the life of the issued key. */
+    readonly delegationMs: number;
 }
 
 /** What an agent uses: about 300 bytes an entry, so 6 MB of entries and 8 MB of answers at the most. */
@@ -39,7 +41,8 @@
     maxEntries: 20_000,
     maxEntriesPerAccount: 5_000,
     maxAnswerBytes: 8_388_608,
-    retentionMs: 600_000,
+    retentionMs: defaultKeyTiming.retentionMs,
+    delegationMs: defaultKeyTiming.issuedLifetimeMs + defaultKeyTiming.clockBoundMs,
 };
 
 type KeyState =
@@ -64,7 +67,7 @@
  */
 export class KeyTable {
     private readonly entries = new Map<string, KeyEntry>();
-    /** Hashes of ended entries, oldest first, for {@link advance}. */
+    /** Hashes of ended entries in the order in which they were added, for {@link advance}; none goes early by it. */
     private readonly ended = new Set<string>();
     private readonly entriesByAccount = new Map<string, number>();
     private answerBytes = 0;
@@ -101,7 +104,10 @@
         this.addToAccount(use.clientAccount, 1);
         if (delegateKey !== undefined) {
             const state: KeyState = { type: "delegated", delegateKey };
-            this.entries.set(keyHash, { keyHash, use, state, endedAtMs: at.nowMs });
+            // The retention runs from the last moment at which the other home may start it. Counted from now, a repeat that
+            // its caller sends within the retention of that start would find the key forgotten here, and run again.
+            const endedAtMs = at.nowMs + this.limits.delegationMs;
+            this.entries.set(keyHash, { keyHash, use, state, endedAtMs });
             this.ended.add(keyHash);
             return { type: "delegate", keyHash, delegateKey };
         }
