End requests at an agent that vanishes; carry upTo to peers; make the log's retention a setting

Ruled out: a timeout on every silent stream (a long route rebuild may be silent for minutes). Change: tries at an agent that has been lost for 15 s end as unknown (retried elsewhere if idempotent); platform.logRetentionMs.

--- a/src/control/controlApi.ts
+++ b/src/control/controlApi.ts
@@ -10,7 +10,11 @@
     errorFormatter: ({ shape }) => ({ ...shape, data: { ...shape.data, stack: undefined } }),
 });
 
-const acceptedDocumentSchema = z.object({ offset: z.number().int(), document: documentSchema });
+const acceptedDocumentSchema = z.object({
+    offset: z.number().int(),
+    document: documentSchema,
+    upTo: z.number().int().optional(),
+});
 
 const exchangeRequestSchema = z.object({
     routerId: z.string().max(128),
--- a/src/daemon/commonParts.ts
+++ b/src/daemon/commonParts.ts
@@ -62,7 +62,8 @@
         const origin = { daemon: daemonId, incarnation: this.incarnation };
         this.events = new EventRing(new HybridClock(clock), origin, settings.eventRingSize);
         this.log = this.store.add(new HttpLogService({ url: settings.platform.url }));
-        const tail = { environment, log: this.log, clock, random, sleep: sleepOnTimer };
+        const { logRetentionMs } = settings.platform;
+        const tail = { environment, log: this.log, clock, random, sleep: sleepOnTimer, logRetentionMs };
         this.documents = this.store.add(new DocumentWatcher({ ...tail, recorder: this.events }));
         this.roster = this.store.add(new RosterWatcher(tail));
         const vmList = this.store.add(new HttpVmListService({ url: settings.platform.url }));
--- a/src/daemon/membership.ts
+++ b/src/daemon/membership.ts
@@ -35,6 +35,7 @@
             clock,
             random,
             sleep: sleepOnTimer,
+            logRetentionMs: settings.platform.logRetentionMs,
         });
         this.registrar.start();
     }
--- a/src/daemon/routerDaemon.ts
+++ b/src/daemon/routerDaemon.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import { decodeAnswerReport } from "../control/answerReport.js";
+import type { Disposable } from "../base/lifecycle.js";
 import type { ControlError } from "../control/errors.js";
 import type { ControlHost } from "../control/host.js";
 import type { DaemonStatus } from "../control/schemas.js";
@@ -32,6 +33,12 @@
  */
 const balancerGraceMs = 3_000;
 
+/**
+ * How long a lost agent's started requests are waited for; milliseconds. A partition of some seconds, or a paused VM, comes
+ * back within it and delivers; one that lasts longer is a death as far as the caller is concerned.
+ */
+const silentTryMs = 15_000;
+
 /** Starts a daemon of role router. Errors: an address is taken. */
 export async function startRouter(parts: CommonParts, settings: RouterSettings): Promise<Result<Daemon, ControlError>> {
     const daemon = new RouterDaemon(parts, settings);
@@ -51,6 +58,7 @@
     private readonly exchange: Exchange;
     private readonly requests: CallerRequests;
     private readonly reports = new Map<string, AgentReport>();
+    private readonly lostTimers = new Map<string, Disposable>();
     private readonly lifetime = this.store.add(new CancellationTokenSource());
     private readonly evictor: Evictor;
     private callers: HttpListener | undefined;
@@ -187,11 +195,16 @@
     }
 
     public handleReport(report: AgentReport): void {
+        this.lostTimers.get(report.identity.agentId)?.dispose();
+        this.lostTimers.delete(report.identity.agentId);
         this.reports.set(report.identity.agentId, report);
         this.service.send({ type: "agentReported", report });
     }
 
     public handleLost(agentId: string): void {
+        this.lostTimers.get(agentId)?.dispose();
+        const end = (): void => this.service.endTriesAt(agentId);
+        this.lostTimers.set(agentId, this.parts.scheduler.run(end, silentTryMs));
         this.reports.delete(agentId);
         this.service.send({ type: "agentLost", agentId });
     }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -23,7 +23,11 @@
     dataCentre: name,
     /** Health and control API. */
     listen: listenSchema,
-    platform: z.strictObject({ url: z.url() }),
+    platform: z.strictObject({
+        url: z.url(),
+        /** How long the platform's log keeps records at least; milliseconds. Snapshots and renewals are timed by it. */
+        logRetentionMs: z.number().int().min(60_000).default(3_600_000),
+    }),
     /** File that holds the secret shared by all daemons; or `secretEnvironmentVariable`. */
     secretFile: z.string().min(1).optional(),
     secretEnvironmentVariable: z.string().min(1).optional(),
--- a/src/router/routerService.ts
+++ b/src/router/routerService.ts
@@ -97,6 +97,18 @@
         }
     }
 
+    /**
+     * Ends the tries at an agent that has been silent for long. A VM that vanishes sends no reset: its connections stay open
+     * and silent for ever, and callers whose requests had started there would wait as long.
+     */
+    public endTriesAt(agentId: string): void {
+        for (const sending of [...this.tries.values()]) {
+            if (sending.agentId === agentId) {
+                sending.end("the agent has been silent for too long");
+            }
+        }
+    }
+
     public dispose(): void {
         this.lifetime.cancel();
         this.runner.dispose();
--- a/src/router/try.ts
+++ b/src/router/try.ts
@@ -50,6 +50,12 @@
         this.cancellation.cancel();
     }
 
+    /** Gives the try up although its connection stands: nothing has come over it for too long. */
+    public end(detail: string): void {
+        this.fail({ execution: "unknown", detail });
+        this.cancel();
+    }
+
     /** Takes a frame; settles when the caller can bear the next. */
     public async take(frame: WorkFrame): Promise<void> {
         switch (frame.type) {
