--- a/test/fleet/keys.test.ts
+++ b/test/fleet/keys.test.ts
@@ -2,6 +2,8 @@
 import type { KeyAuthority } from "../../src/fleet/keys/homeAuthority.js";
 import { issuedKeyPrefix, signIssuedKey, verifyIssuedKey } from "../../src/fleet/keys/issuedKey.js";
 import { KeyTable } from "../../src/fleet/keys/keyTable.js";
+import { defaultKeyTiming } from "../../src/fleet/keys/keyTiming.js";
+import { hasTakenOver } from "../../src/fleet/keys/takeover.js";
 import type { KeyUse } from "../../src/fleet/keys/keyUse.js";
 
 const claims = {
@@ -103,3 +105,30 @@
         `);
     });
 });
+
+describe("takeover", () => {
+    // A caller whose clock is 28 s ahead makes a key 9 s after a takeover. The earlier home, within its lease, starts it;
+    // the new home takes it for one that was made after the takeover, and starts it again.
+    it("takes a dated key for new only beyond the earlier home's lease and the clock bound", () => {
+        const takeoverMs = 1_800_000_000_000;
+        const services = ["registration"];
+        const before = {
+            agentId: "agent-1",
+            incarnation: 1,
+            services,
+            registeredAtMs: takeoverMs - 60_000,
+            endedAtMs: takeoverMs,
+        };
+        const own = { agentId: "agent-1", incarnation: 2, services, registeredAtMs: takeoverMs, endedAtMs: undefined };
+        const history = { tenures: [before, own], completeSinceMs: undefined };
+        const check = (keyTimeMs: number): boolean =>
+            hasTakenOver(
+                history,
+                own,
+                { service: "registration", keyHash: "k", keyTimeMs },
+                takeoverMs + 50_000,
+                defaultKeyTiming,
+            );
+        expect([37_000, 40_000, 40_001].map(afterMs => check(takeoverMs + afterMs))).toEqual([true, true, false]);
+    });
+});
