--- a/src/daemon/agentDaemon.ts
+++ b/src/daemon/agentDaemon.ts
@@ -197,14 +197,13 @@
     /** Tells the keys' authority what the log has confirmed, and from when on. */
     private updateAuthority(): void {
         const { roster, clock } = this.parts;
-        const beganMs = roster.lastConfirmedAtMs;
-        if (beganMs === undefined) {
+        const { lastConfirmedAtMs, lastConfirmedWallMs } = roster;
+        if (lastConfirmedAtMs === undefined || lastConfirmedWallMs === undefined) {
             return;
         }
-        const nowMs = clock.nowMs();
-        const wallMs = clock.nowDate().getTime();
-        const began = { nowMs: beganMs, wallMs: wallMs - (nowMs - beganMs) };
-        this.authority.update(createKeyHistory(roster.state), began, { nowMs, wallMs });
+        const began = { nowMs: lastConfirmedAtMs, wallMs: lastConfirmedWallMs };
+        const ended = { nowMs: clock.nowMs(), wallMs: clock.nowDate().getTime() };
+        this.authority.update(createKeyHistory(roster.state), began, ended);
     }
 }
 
--- a/src/events/fleetEvent.ts
+++ b/src/events/fleetEvent.ts
@@ -13,6 +13,7 @@
     | "request-withdrawn"
     | "answer-sent"
     | "answer-delivered"
+    | "answer-cut"
     | "request-ended"
     | "request-refused"
     | "request-retried"
--- a/src/fleet/rosterWatcher.ts
+++ b/src/fleet/rosterWatcher.ts
@@ -63,6 +63,11 @@
         return this.tail.lastConfirmedAtMs;
     }
 
+    /** The same instant by the wall clock. */
+    public get lastConfirmedWallMs(): number | undefined {
+        return this.tail.lastConfirmedWallMs;
+    }
+
     /** Whether the platform's log answered the last read. */
     public get isLogConnected(): boolean {
         return this.tail.isConnected;
--- a/src/platform/logTail.ts
+++ b/src/platform/logTail.ts
@@ -34,6 +34,7 @@
     private readonly failEmitter = new Emitter<PlatformError>();
     private readonly confirmEmitter = new Emitter<void>();
     private confirmedAtMs: number | undefined;
+    private confirmedWallMs: number | undefined;
     private failures = 0;
     private running: Promise<void> | undefined;
 
@@ -56,6 +57,14 @@
         return this.confirmedAtMs;
     }
 
+    /**
+     * The same instant by the wall clock, noted when the read was sent: worked out backwards from its end it would hide
+     * that the VM was frozen in between, while the monotonic clock may have stood still.
+     */
+    public get lastConfirmedWallMs(): number | undefined {
+        return this.confirmedWallMs;
+    }
+
     /** Whether the last read succeeded. */
     public get isConnected(): boolean {
         return this.failures === 0 && this.confirmedAtMs !== undefined;
@@ -86,6 +95,7 @@
     private async readOnce(): Promise<boolean> {
         const { log, stream, clock, waitMs } = this.options;
         const sentAtMs = clock.nowMs();
+        const sentWallMs = clock.nowDate().getTime();
         // The first read does not wait, so that a fresh process learns at once that there is nothing to learn.
         const firstWaitMs = this.confirmedAtMs === undefined || this.failures > 0 ? 0 : waitMs;
         const page = await log.read(stream, this.reader.getNextOffset(), firstWaitMs, this.cancellation.token);
@@ -101,6 +111,7 @@
         this.reader.applyPage(page.value);
         if (this.reader.getNextOffset() >= page.value.endOffset) {
             this.confirmedAtMs = sentAtMs;
+            this.confirmedWallMs = sentWallMs;
             this.confirmEmitter.fire();
         }
         // A log that answers at once though it has nothing new (it is short of memory for waiting readers, or a proxy cuts
--- a/src/router/try.ts
+++ b/src/router/try.ts
@@ -101,6 +101,9 @@
             // Part of the answer has reached the caller: another try would begin a second answer in the middle of the
             // first. The caller sees the break, and the core is told that the request is over.
             this.answered = true;
+            const { id: requestId, clientAccount, service } = this.open.work;
+            const { execution } = broken;
+            this.recorder.record({ kind: "answer-cut", requestId, clientAccount, service, execution });
             this.open.answer.fail({
                 status: 502,
                 code: "answer-cut",
