Keep both ends of the exchange within their traffic, and mirror the shells in the benchmark

Cause: benchmark many-routers (120 routers before 26 engines): 54,193 bytes per daemon-second of control against 5,000; an agent with 92 routers got an exchange from each in five seconds. The benchmark also took plain JSON and 120 bytes a message. Ruled out: smaller subsets (fewer agents for each tenant). Change: agents say how many routers exchange with them, and the period grows with the larger of both numbers, a minute at most; the benchmark counts the wire forms and 250 bytes of headers a message and follows the measured size.

--- a/bench/driver.ts
+++ b/bench/driver.ts
@@ -1,4 +1,5 @@
-import { encodeAnswerReport } from "../src/control/answerReport.js";
+import { encodeCounters } from "../src/control/counters.js";
+import { encodeAnswerReport, encodeWorkClaim } from "../src/control/answerReport.js";
 import { SeededRandom } from "../src/base/random.js";
 import { IndexedHeap } from "../src/decisions/indexedHeap.js";
 import { chooseSubset, defaultSubsetSize } from "../src/decisions/subset.js";
@@ -9,7 +10,14 @@
 import { createArrivals, type Arrival } from "./arrivals.js";
 import { createDocument } from "./document.js";
 import { Engine, type EngineEvent } from "./engine.js";
-import { computeExchangePeriodMs, Metrics, outBoundMs, waitingAfterMs, type Figures } from "./metrics.js";
+import {
+    computeExchangePeriodMs,
+    usualExchangeBytes,
+    Metrics,
+    outBoundMs,
+    waitingAfterMs,
+    type Figures,
+} from "./metrics.js";
 import type { Fault, Scenario } from "./scenario.js";
 import type { BenchAgent, BenchRouter, BenchSystem } from "./system.js";
 
@@ -19,6 +27,8 @@
     readonly core: BenchRouter;
     /** Agents that it works with. */
     readonly agents: readonly AgentNode[];
+    /** Mean bytes of an exchange, both ways; decides the period. */
+    meanExchangeBytes: number;
 }
 
 interface AgentNode {
@@ -60,7 +70,9 @@
 const engineReportLagMs = 1_000;
 const sampleEveryMs = 100;
 /** HTTP heads and framing of one control message. */
-const messageOverheadBytes = 120;
+const messageOverheadBytes = 250;
+/** Weight of the newest exchange in a router's mean size, as in src/router/exchange.ts. */
+const sizeSmoothing = 0.1;
 /** A daemon reads an accepted document from the log within this time. */
 const documentDelayMs = 500;
 /** Open requests get this long after the last arrival. */
@@ -130,6 +142,7 @@
             dataCentre,
             core: this.system.createRouter(id, dataCentre, new SeededRandom(this.seed * 31 + index)),
             agents: this.agents.filter(agent => ids.has(agent.identity.agentId)),
+            meanExchangeBytes: usualExchangeBytes,
         };
     }
 
@@ -148,7 +161,7 @@
     private connectAll(): void {
         this.agents.forEach((agent, index) => this.addEvery(engineReportEveryMs, index, () => this.reportLoad(agent)));
         this.routers.forEach((router, routerIndex) => {
-            const periodMs = computeExchangePeriodMs(router.agents.length);
+            const periodMs = this.computePeriodMs(router, undefined);
             router.agents.forEach((agent, agentIndex) => {
                 const link = {
                     claimVersion: 0,
@@ -160,7 +173,7 @@
                 this.links.set(`${router.id} ${agent.identity.agentId}`, link);
                 if (this.system.hasExchange) {
                     const offsetMs = ((routerIndex * 131 + agentIndex * 71) % 97) * (periodMs / 97);
-                    this.addEvery(periodMs, offsetMs, () => this.startExchange(router, agent));
+                    this.addAfter(offsetMs, () => this.runExchange(router, agent));
                 }
                 this.sendReport(router, agent);
             });
@@ -215,7 +228,7 @@
         }
         const { service, clientAccount } = arrival.request;
         const claim = router.core.findClaim(agent.identity.agentId, service, clientAccount);
-        this.metrics.recordControl(claim === undefined ? 0 : countBytes(claim), 0);
+        this.metrics.recordControl(claim === undefined ? 0 : countBytes(encodeWorkClaim(claim)), 0);
         this.addAfter(this.getTripMs(router, agent), () => {
             agent.attempts.set(requestId, attempt);
             // An account's claim travels with its work; a retried request may find an older attempt of its own.
@@ -383,6 +396,17 @@
 
     // ---- exchange
 
+    private runExchange(router: RouterNode, agent: AgentNode): void {
+        this.startExchange(router, agent);
+        this.addAfter(this.computePeriodMs(router, agent), () => this.runExchange(router, agent));
+    }
+
+    /** Both ends keep to their allowance: the router with its agents, and the agent with its routers. */
+    private computePeriodMs(router: RouterNode, agent: AgentNode | undefined): number {
+        const peers = this.routers.filter(other => agent !== undefined && other.agents.includes(agent)).length;
+        return computeExchangePeriodMs(Math.max(router.agents.length, peers), router.meanExchangeBytes);
+    }
+
     private startExchange(router: RouterNode, agent: AgentNode): void {
         const link = this.getLink(router, agent);
         const { agentId } = agent.identity;
@@ -392,20 +416,23 @@
             this.sendToRouter(router, { type: "agentLost", agentId });
         }
         const { version, claims } = router.core.createClaims(agentId, link.claimVersion);
-        this.metrics.recordControl(messageOverheadBytes + countBytes(claims));
+        const claimBytes = messageOverheadBytes + countBytes(encodeCounters(claims));
+        this.metrics.recordControl(claimBytes);
         this.addReachable(router, agent, () => {
             link.claimVersion = version;
             this.sendToAgent(agent, { type: "claimsReceived", routerId: router.id, claims });
-            this.sendReport(router, agent);
+            const reportBytes = this.sendReport(router, agent);
+            router.meanExchangeBytes += sizeSmoothing * (claimBytes + reportBytes - router.meanExchangeBytes);
         });
     }
 
-    /** The agent's half of an exchange. */
-    private sendReport(router: RouterNode, agent: AgentNode): void {
+    /** The agent's half of an exchange; returns its size. */
+    private sendReport(router: RouterNode, agent: AgentNode): number {
         const link = this.getLink(router, agent);
         const report = agent.core.createReport(link.reportSequence);
+        const bytes = messageOverheadBytes + countBytes({ ...report, counters: encodeCounters(report.counters) });
         if (this.system.hasExchange) {
-            this.metrics.recordControl(countBytes(report) + messageOverheadBytes);
+            this.metrics.recordControl(bytes);
         }
         this.addReachable(router, agent, () => {
             link.reportSequence = report.sequence;
@@ -414,6 +441,7 @@
             link.isLost = false;
             this.sendToRouter(router, { type: "agentReported", report });
         });
+        return bytes;
     }
 
     /** The brief report that rides on a frame of an answer, and so is no message of its own. */
--- a/bench/metrics.ts
+++ b/bench/metrics.ts
@@ -257,12 +257,15 @@
     }
 }
 
+/** Size of an exchange that a router assumes before its first; bytes. */
+export const usualExchangeBytes = 1_000;
+
 /**
- * Period of the exchange between a router and each of its agents: a second, or longer with many agents, so that an exchange
- * of 1,200 bytes with each stays within 4,000 bytes a second. src/router/exchange.ts takes the measured size instead.
+ * Period of the exchange between a router and each of its agents, as in src/router/exchange.ts: a second, or longer with many
+ * agents, so that the exchanges stay within 4,000 bytes a second.
  */
-export function computeExchangePeriodMs(agentCount: number): number {
-    return Math.max(1_000, (agentCount * 1_200) / 4);
+export function computeExchangePeriodMs(agentCount: number, meanBytes: number): number {
+    return Math.max(1_000, (agentCount * meanBytes) / 4);
 }
 
 /**
@@ -277,7 +280,7 @@
     const batch = 1 + engine.batchSlowdown * (engine.maxConcurrent - 1);
     const costPerMs = (slots * computeModelCost(0, 1)) / (engine.msPerToken * batch);
     const peers = Math.min(defaultSubsetSize, scenario.agentDataCentres.length);
-    const staleMs = computeExchangePeriodMs(peers) + 2 * scenario.dataCentreTripMs;
+    const staleMs = computeExchangePeriodMs(peers, usualExchangeBytes) + 2 * scenario.dataCentreTripMs;
     return (2 * greatestCost + staleMs * costPerMs) / leastWeight + (slots * greatestCost) / allWeights;
 }
 
--- a/scripts/capacity/exchangeCost.ts
+++ b/scripts/capacity/exchangeCost.ts
@@ -107,7 +107,7 @@
                 core.handle({ type: "claimsReceived", routerId: request.routerId, claims: request.claims }, 0);
                 const report = core.createReport(undefined);
                 // As many counters in the reply as in the request: all these accounts were served here since the last.
-                return { time: request.time, report: { ...report, counters: request.claims } };
+                return { time: request.time, routerCount: 1, report: { ...report, counters: request.claims } };
             },
             withdrawWork: unused,
         },
--- a/src/agent/agentService.ts
+++ b/src/agent/agentService.ts
@@ -14,6 +14,7 @@
 import type { AgentReport, BriefReport, WorkRequest } from "../fleet/entities.js";
 import type { AnswerFollower } from "./answerFollower.js";
 import { HeldWork } from "./heldWork.js";
+import { PeerCounter } from "./peerCounter.js";
 import type { StartGuard, WorkHolder } from "./workHolder.js";
 import type { TargetClient } from "./targetClient.js";
 import { TargetRun } from "./targetRun.js";
@@ -50,6 +51,7 @@
     private readonly runner: CoreRunner<AgentMessage, AgentEffect>;
     private readonly held = new Map<string, HeldWork>();
     private readonly runs = new Map<string, TargetRun>();
+    private readonly routers = new PeerCounter();
     /** Asked right before a request is given to the target. */
     public guard: StartGuard = { checkStart: () => undefined };
     /** Answers of {@link withdrawWork}, which the core gives while its message is handled. */
@@ -121,6 +123,7 @@
 
     public handleExchange(request: ExchangeRequest): ExchangeReply {
         this.parts.events.merge(request.time);
+        this.routers.observe(request.routerId, this.parts.clock.nowMs());
         if (request.document !== undefined) {
             this.parts.documents.applyPeerDocument(request.document);
         }
@@ -131,6 +134,7 @@
             time: this.parts.events.now(),
             report: this.parts.core.createReport(request.acknowledgedSequence),
             document: newer ? current : undefined,
+            routerCount: this.routers.size,
         };
     }
 
--- a/src/control/host.ts
+++ b/src/control/host.ts
@@ -24,6 +24,8 @@
 export interface ExchangeReply {
     readonly time: HybridTime;
     readonly report: AgentReport;
+    /** Routers that exchange with this agent, so that each can keep the agent within its allowance of traffic. */
+    readonly routerCount: number;
     /** The agent's document, when the router's is older. */
     readonly document?: AcceptedDocument | undefined;
 }
--- a/src/router/exchange.ts
+++ b/src/router/exchange.ts
@@ -22,6 +22,8 @@
 const usualExchangeBytes = 1_000;
 /** Weight of the newest exchange in the mean size. */
 const smoothing = 0.1;
+/** Longest time between two exchanges; milliseconds. Past it a daemon's word is too old to be of use. */
+const longestPeriodMs = 60_000;
 /** Share of the period by which exchanges are spread, so that routers started together do not stay in step. */
 const jitter = 0.2;
 
@@ -55,6 +57,8 @@
     claimsVersion: number;
     /** Incarnation that answered last; what an earlier one has acknowledged is lost. */
     reporter: number | undefined;
+    /** Routers that exchange with the agent. */
+    routerCount: number;
     lost: boolean;
     busy: boolean;
     timer: Disposable | undefined;
@@ -113,6 +117,7 @@
             documentOffset: -1,
             claimsVersion: 0,
             reporter: undefined,
+            routerCount: 1,
             lost: false,
             busy: false,
             timer: undefined,
@@ -152,7 +157,7 @@
             () => this.handleSilence(agentId, peer),
         );
         peer.busy = false;
-        this.runLater(agentId, peer, peer.missed > 0 && !peer.lost ? this.parts.periodMs : this.computePeriodMs());
+        this.runLater(agentId, peer, peer.missed > 0 && !peer.lost ? this.parts.periodMs : this.computePeriodMs(peer));
     }
 
     private runLater(agentId: string, peer: Peer, periodMs: number): void {
@@ -161,17 +166,21 @@
     }
 
     /**
-     * The period grows with the number of agents, so that the traffic does not. What is urgent does not wait for it: claims
+     * The period grows with the number of agents, and with the number of routers an agent has, so that neither end's
+     * traffic does. What is urgent does not wait for it: claims
      * travel with work, reports with answers, and an agent that cannot be reached is asked at once.
      */
-    private computePeriodMs(): number {
+    private computePeriodMs(peer: Peer): number {
         const msPerSecond = 1_000;
-        return Math.max(this.parts.periodMs, (this.peers.size * this.meanBytes * msPerSecond) / byteBudget);
+        const peers = Math.max(this.peers.size, peer.routerCount);
+        const periodMs = Math.max(this.parts.periodMs, (peers * this.meanBytes * msPerSecond) / byteBudget);
+        return Math.min(periodMs, longestPeriodMs);
     }
 
     private handleReply(peer: Peer, reply: ExchangeReply, claimsVersion: number): void {
         peer.missed = 0;
         peer.lost = false;
+        peer.routerCount = reply.routerCount;
         this.parts.events.merge(reply.time);
         const { incarnation } = reply.report.identity;
         // A restarted agent knows nothing: everything is sent anew from the next exchange on.
