--- a/src/router/callerRequests.ts
+++ b/src/router/callerRequests.ts
@@ -2,9 +2,9 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../base/clock.js";
 import type { Logger } from "../base/log.js";
-import { ApiKeyIndex } from "../document/apiKey.js";
 import type { AcceptedDocument, EnvironmentDocument, Service } from "../document/schema.js";
 import type { Refusal, WorkRequest } from "../fleet/entities.js";
+import { CallerAccounts, type Admitted } from "./callerAccounts.js";
 import { readCallerBody } from "./callerBody.js";
 import { CallerConnection } from "./callerConnection.js";
 import { callerProblems } from "./callerProblems.js";
@@ -15,7 +15,6 @@
 import { toProblem, type Problem } from "./problem.js";
 import type { RouterService } from "./routerService.js";
 
-const bearerPrefix = "Bearer ";
 const maxKeyLength = 512;
 const servicePrefix = /^\/services\/[^/?]+/;
 
@@ -46,17 +45,13 @@
     isStopping(): boolean;
 }
 
-interface Admitted {
-    readonly clientAccount: string;
-    readonly document: EnvironmentDocument;
-}
-
 /** Checks callers' requests, and hands those that are well-formed and allowed to the router's service. */
 export class CallerRequests {
-    private index: { readonly offset: number; readonly keys: ApiKeyIndex } | undefined;
-    private readonly openByAccount = new Map<string, number>();
+    private readonly accounts: CallerAccounts;
 
-    public constructor(private readonly parts: CallerRequestsParts) {}
+    public constructor(private readonly parts: CallerRequestsParts) {
+        this.accounts = new CallerAccounts(() => parts.getDocument());
+    }
 
     public isReady(): boolean {
         return this.parts.getDocument() !== undefined && !this.parts.isStopping();
@@ -64,11 +59,13 @@
 
     /** Models that the key's account may use. */
     public listModels(authorization: string | undefined): Result<readonly string[], Problem> {
-        return this.findAccount(authorization).map(({ clientAccount, document }) =>
-            Object.keys(document.services).filter(
-                name => document.services[name].kind === "model" && isAllowed(document, clientAccount, name),
-            ),
-        );
+        return this.accounts
+            .find(authorization)
+            .map(({ clientAccount, document }) =>
+                Object.keys(document.services).filter(
+                    name => document.services[name].kind === "model" && isAllowed(document, clientAccount, name),
+                ),
+            );
     }
 
     /** Takes a chat completion; the answer is written to its connection. */
@@ -150,14 +147,14 @@
         const connection = new CallerConnection(request.outgoing, request.id, request.openAiShape, () =>
             this.parts.service.cancel(request.id),
         );
-        const admitted = this.findAccount(request.incoming.headers.authorization);
+        const admitted = this.accounts.find(request.incoming.headers.authorization);
         if (admitted.isErr()) {
             request.incoming.resume();
             connection.writeProblem(toTruth(admitted.error, request.incoming));
             return;
         }
         const { clientAccount, document } = admitted.value;
-        const opened = this.open(clientAccount, document, request.outgoing);
+        const opened = this.accounts.open(admitted.value, request.outgoing);
         const body = opened.isErr()
             ? err(opened.error)
             : await readCallerBody(request.incoming, document.limits.maxBodyBytes);
@@ -173,44 +170,6 @@
         });
     }
 
-    /** Counts the account's open requests until the connection closes. */
-    private open(
-        clientAccount: string,
-        document: EnvironmentDocument,
-        outgoing: ServerResponse,
-    ): Result<void, Problem> {
-        const limit = document.clientAccounts[clientAccount].maxOpen ?? document.limits.maxOpenPerAccount;
-        const count = this.openByAccount.get(clientAccount) ?? 0;
-        if (count >= limit) {
-            return err(callerProblems.createTooManyOpen(limit));
-        }
-        this.openByAccount.set(clientAccount, count + 1);
-        outgoing.once("close", () => {
-            const left = (this.openByAccount.get(clientAccount) ?? 1) - 1;
-            if (left === 0) {
-                this.openByAccount.delete(clientAccount);
-            } else {
-                this.openByAccount.set(clientAccount, left);
-            }
-        });
-        return ok(undefined);
-    }
-
-    private findAccount(authorization: string | undefined): Result<Admitted, Problem> {
-        const current = this.parts.getDocument();
-        if (current === undefined) {
-            return err(callerProblems.notReady);
-        }
-        if (this.index?.offset !== current.offset) {
-            this.index = { offset: current.offset, keys: new ApiKeyIndex(current.document) };
-        }
-        const key = authorization?.startsWith(bearerPrefix) ? authorization.slice(bearerPrefix.length) : "";
-        const clientAccount = this.index.keys.find(key);
-        return clientAccount === undefined
-            ? err(callerProblems.unauthorized)
-            : ok({ clientAccount, document: current.document });
-    }
-
     private findHome(
         clientAccount: string,
         service: string,
--- a/src/router/chatAnswer.ts
+++ b/src/router/chatAnswer.ts
@@ -7,61 +7,48 @@
 const okStatus = 200;
 const jsonHeaders = { "content-type": "application/json" };
 
-/** An engine's own error answer, passed through unchanged. */
-class ErrorAnswer {
-    private status: number | undefined;
+/** A model's answer. An engine's own error answer is passed through unchanged. */
+abstract class ChatAnswer implements CallerAnswer {
+    private status = okStatus;
 
-    public constructor(private readonly connection: CallerConnection) {}
+    public constructor(protected readonly connection: CallerConnection) {}
 
-    public get isError(): boolean {
-        return this.status !== undefined;
+    public get hasBegun(): boolean {
+        return this.connection.hasBegun;
     }
 
-    public update(status: number): void {
-        this.status = status === okStatus ? undefined : status;
+    /** Only notes the status: the head goes out late, so that until then another target can take the request over. */
+    public async writeHead(status: number): Promise<void> {
+        this.status = status;
     }
 
-    public write(data: string): void {
-        this.connection.writeHead(this.status ?? okStatus, jsonHeaders);
+    public async writeChunk(data: string): Promise<void> {
+        if (this.status === okStatus) {
+            await this.writeEvent(data);
+            return;
+        }
+        this.connection.writeHead(this.status, jsonHeaders);
         this.connection.end(data);
     }
+
+    public abstract end(): Promise<void>;
+    public abstract fail(problem: Problem): void;
+    public abstract clear(): void;
+    protected abstract writeEvent(data: string): Promise<void>;
 }
 
 /** A model's answer as server-sent events that end in `[DONE]`. */
-export class StreamedChatAnswer implements CallerAnswer {
-    private readonly error: ErrorAnswer;
-
+export class StreamedChatAnswer extends ChatAnswer {
     /** `includeUsage`: whether the caller asked for the last event that carries the usage. */
     public constructor(
-        private readonly connection: CallerConnection,
+        connection: CallerConnection,
         private readonly includeUsage: boolean,
     ) {
-        this.error = new ErrorAnswer(connection);
-    }
-
-    public get hasBegun(): boolean {
-        return this.connection.hasBegun;
-    }
-
-    public async writeHead(status: number): Promise<void> {
-        this.error.update(status);
-        // The head goes out with the first event: until then another target can still take the request over.
-    }
-
-    public async writeChunk(data: string): Promise<void> {
-        if (this.error.isError) {
-            this.error.write(data);
-            return;
-        }
-        if (!this.includeUsage && isUsageOnly(data)) {
-            return;
-        }
-        this.connection.writeHead(200, eventStreamHeaders);
-        await this.connection.write(`data: ${data}\n\n`);
+        super(connection);
     }
 
     public async end(): Promise<void> {
-        this.connection.writeHead(200, eventStreamHeaders);
+        this.connection.writeHead(okStatus, eventStreamHeaders);
         this.connection.end("data: [DONE]\n\n");
     }
 
@@ -78,36 +65,22 @@
     public clear(): void {
         // Nothing is kept back.
     }
-}
-
-/** A model's answer as one JSON object. Kept until it is whole, so that a broken try can be replaced by another. */
-export class AssembledChatAnswer implements CallerAnswer {
-    private assembler = new ChatAssembler();
-    private readonly error: ErrorAnswer;
-
-    public constructor(private readonly connection: CallerConnection) {
-        this.error = new ErrorAnswer(connection);
-    }
-
-    public get hasBegun(): boolean {
-        return this.connection.hasBegun;
-    }
-
-    public async writeHead(status: number): Promise<void> {
-        this.error.update(status);
-        // The head goes out with the whole answer.
-    }
 
-    public async writeChunk(data: string): Promise<void> {
-        if (this.error.isError) {
-            this.error.write(data);
+    protected async writeEvent(data: string): Promise<void> {
+        if (!this.includeUsage && isUsageOnly(data)) {
             return;
         }
-        this.assembler.add(data);
+        this.connection.writeHead(okStatus, eventStreamHeaders);
+        await this.connection.write(`data: ${data}\n\n`);
     }
+}
+
+/** A model's answer as one JSON object. Kept until it is whole, so that a broken try can be replaced by another. */
+export class AssembledChatAnswer extends ChatAnswer {
+    private assembler = new ChatAssembler();
 
     public async end(): Promise<void> {
-        this.connection.writeHead(200, jsonHeaders);
+        this.connection.writeHead(okStatus, jsonHeaders);
         this.connection.end(JSON.stringify(this.assembler.build()));
     }
 
@@ -118,6 +91,10 @@
     public clear(): void {
         this.assembler = new ChatAssembler();
     }
+
+    protected async writeEvent(data: string): Promise<void> {
+        this.assembler.add(data);
+    }
 }
 
 function isUsageOnly(data: string): boolean {
