--- a/test/endToEnd/callers.test.ts
+++ b/test/endToEnd/callers.test.ts
@@ -2,11 +2,12 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { hashText } from "../../src/base/hash.js";
 import { buildExpectedAnswer, createOpenAi, getKey, issueKey, sendCall, sendUntilRun } from "../fakes/callers.js";
 import { Fleet } from "../fakes/fleet.js";
 import { modelService } from "../fakes/fleetDocument.js";
 import { rootFolder, waitUntil } from "../fakes/processes.js";
-import { countRunsByKey, fetchPlainRuns } from "../fakes/targetRuns.js";
+import { countRunsByKey, fetchEngineRuns, fetchPlainRuns } from "../fakes/targetRuns.js";
 
 const daemonFile = "src/daemon/main.ts";
 const startTimeoutMs = 60_000;
@@ -313,6 +314,31 @@
     });
 });
 
+describe("a caller that leaves", () => {
+    // A planner closes the page while the engine writes a long plan. Engines keep a run whose connection is gone, so that it
+    // can be resumed; if nobody told the engine, the plan would hold its slot to the end while others wait.
+    it("has its work cancelled at the target", async () => {
+        const prompt = "a long plan that nobody waits for [tokens:2000]";
+        const stream = await createOpenAi(getUrl(0), "club").chat.completions.create({
+            model: modelService,
+            stream: true,
+            messages: [{ role: "user", content: prompt }],
+        });
+        await stream[Symbol.asyncIterator]().next();
+        stream.controller.abort();
+        const engines = fleet.targets.filter(target => target.kind === "model");
+        const digest = hashText(prompt);
+        const state = await waitUntil("the engine's run ends", async () => {
+            const runs = (await Promise.all(engines.map(engine => fetchEngineRuns(fleet, engine.name)))).flatMap(
+                engine => engine.runs,
+            );
+            const found = runs.find(run => run.promptDigest === digest)?.state;
+            return found === "running" ? undefined : found;
+        });
+        expect(state).toBe("cancelled");
+    });
+});
+
 describe("the logs", () => {
     // Whoever reads the logs, also at their most talkative, must learn no caller's key, no secret and no prompt.
     it("hold request ids and no secret, API key or prompt", async () => {
