Say where claims come from instead of guessing it by their number

Cause (read-through): an exchange in which one account had changed was taken for a claim that travels with work, so the agent's idea of the exchange's period left it out. Change: claimsReceived names its source.

--- a/bench/driver.ts
+++ b/bench/driver.ts
@@ -233,7 +233,12 @@
             agent.attempts.set(requestId, attempt);
             // An account's claim travels with its work; a retried request may find an older attempt of its own.
             if (claim !== undefined) {
-                this.sendToAgent(agent, { type: "claimsReceived", routerId: router.id, claims: [claim] });
+                this.sendToAgent(agent, {
+                    type: "claimsReceived",
+                    routerId: router.id,
+                    claims: [claim],
+                    source: "work",
+                });
             }
             this.sendToAgent(agent, { type: "workOffered", request: arrival.request, routerId: router.id });
             if (this.system.reportsWhenQueued && agent.attempts.get(requestId) === attempt && !attempt.isStarted) {
--- a/src/agent/agentService.ts
+++ b/src/agent/agentService.ts
@@ -83,7 +83,8 @@
         }
         if (envelope.claim !== undefined) {
             const { routerId, service, clientAccount, claim } = envelope;
-            this.send({ type: "claimsReceived", routerId, claims: [{ service, clientAccount, ...claim }] });
+            const claims = [{ service, clientAccount, ...claim }];
+            this.send({ type: "claimsReceived", routerId, claims, source: "work" });
         }
         const held = new HeldWork(envelope, body);
         held.add(follower);
--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -144,7 +144,7 @@
             case "targetLost":
                 return receiveColdSign(context, "target lost", nowMs);
             case "claimsReceived":
-                return receiveClaims(context, message.routerId, message.claims, nowMs);
+                return receiveClaims(context, message.routerId, message.claims, message.source ?? "exchange", nowMs);
             case "documentAccepted":
                 return receiveDocument(context, message.offset, message.document, nowMs);
             case "leaving":
--- a/src/fleet/agent/claimSystem.ts
+++ b/src/fleet/agent/claimSystem.ts
@@ -17,10 +17,11 @@
     context: AgentContext,
     routerId: string,
     claims: readonly ServiceCounter[],
+    source: "exchange" | "work",
     nowMs: number,
 ): void {
     // Claims that come along with work carry one account's counters; how often they come says nothing of the exchange.
-    if (claims.length !== 1) {
+    if (source === "exchange") {
         observePeriod(context, routerId, nowMs);
     }
     context.lastExchangeAtMs = nowMs;
--- a/src/fleet/agentMessages.ts
+++ b/src/fleet/agentMessages.ts
@@ -40,8 +40,14 @@
     | { readonly type: "targetReported"; readonly cold: boolean; readonly running: number; readonly waiting: number }
     /** The target was unreachable or lost its state. */
     | { readonly type: "targetLost" }
-    /** A router's exchange brought what other agents have charged. */
-    | { readonly type: "claimsReceived"; readonly routerId: string; readonly claims: readonly ServiceCounter[] }
+    /** A router's exchange, or one request of its, brought what other agents have charged. */
+    | {
+          readonly type: "claimsReceived";
+          readonly routerId: string;
+          readonly claims: readonly ServiceCounter[];
+          /** The exchange when left out. */
+          readonly source?: "exchange" | "work";
+      }
     | { readonly type: "documentAccepted"; readonly offset: number; readonly document: EnvironmentDocument }
     /** This process was told to stop, or its VM is leaving: start nothing new but what is already started. */
     | { readonly type: "leaving" };
