Say when to come back with every 429 and 503

Cause: a refusal without a time of its own (a key's home missing from the roster) became a 503 without Retry-After. Change: two seconds where nothing better is known. Measured: problem.test.ts passes; without the default its no-target line has none.

--- a/src/router/problem.ts
+++ b/src/router/problem.ts
@@ -15,6 +15,10 @@
 const msPerSecond = 1_000;
 const typePrefix = "https://lynxarch.example/problems/";
 
+/** Answers that always say when to come back; a client that is not told comes back at once, with all the others. */
+const comeBackStatuses: ReadonlySet<number> = new Set([429, 503]);
+const usualRetryAfterMs = 2_000;
+
 const refusalStatuses: Readonly<Record<RefusalReason, readonly [number, string]>> = {
     "queue-full": [503, "Too many requests wait"],
     "account-queue-full": [429, "Too many requests of this account wait"],
@@ -38,7 +42,7 @@
         title,
         detail: refusal.detail,
         execution: refusal.execution,
-        retryAfterMs: refusal.retryAfterMs,
+        retryAfterMs: refusal.retryAfterMs ?? (comeBackStatuses.has(status) ? usualRetryAfterMs : undefined),
     };
 }
 
