--- a/test/router/problem.test.ts
+++ b/test/router/problem.test.ts
@@ -1,20 +1,8 @@
 import { expect, it } from "vitest";
-import type { RefusalReason } from "../../src/fleet/entities.js";
+import { refusalSchema } from "../../src/control/schemas.js";
 import { createProblemHeaders, toProblem } from "../../src/router/problem.js";
 
-const reasons: readonly RefusalReason[] = [
-    "queue-full",
-    "account-queue-full",
-    "deadline",
-    "no-target",
-    "draining",
-    "duplicate",
-    "key-unknown",
-    "key-required",
-    "retry-budget",
-    "target-failed",
-    "stopping",
-];
+const reasons = refusalSchema.shape.reason.options;
 
 // A caller that is turned away for a passing reason and not told when to come back asks again at once; in an outage all
 // of them do, and the fleet drowns in repeats when it comes back.
