--- /dev/null
+++ b/deploy/router.ts
@@ -0,0 +1,78 @@
+import { readFileSync } from "node:fs";
+import sade from "sade";
+import { SystemClock } from "../src/base/clock.js";
+import { RoarrLogger } from "../src/base/log.js";
+import { SystemRandom } from "../src/base/random.js";
+import { sleepOnTimer } from "../src/base/sleep.js";
+import { GatewayDaemon } from "../src/gateway/gatewayDaemon.js";
+import { parseGatewaySettings, type GatewaySettings } from "../src/gateway/settings.js";
+import { PlatformHeaders } from "../platform/headers.js";
+import { readinessPath, settingsPathVariable } from "../platform/settingsFile.js";
+import { StoreFeed } from "../platform/storeFeed.js";
+
+/** The settings or the command line have a fault. */
+const usageExitCode = 2;
+/** The daemon could not start. */
+const failureExitCode = 1;
+
+interface CommandOptions {
+    readonly settings?: string;
+    readonly "check-settings"?: string;
+}
+
+function main(): void {
+    sade("lynxarch-router", true)
+        .describe("Runs the router that speaks to targets directly, on the users' platform.")
+        .option("--settings", `settings file (JSON); default: the file that ${settingsPathVariable} names`)
+        .option("--check-settings", "check a settings file and exit")
+        .action((options: CommandOptions) => run(options))
+        .parse(process.argv);
+}
+
+function run(options: CommandOptions): void {
+    const file = options["check-settings"] ?? options.settings ?? process.env[settingsPathVariable];
+    if (typeof file !== "string") {
+        printFault(`--settings FILE or the variable ${settingsPathVariable} is needed`);
+        return;
+    }
+    readSettings(file).match(
+        settings => {
+            if (options["check-settings"] !== undefined) {
+                process.stdout.write(`${file}: ok\n`);
+            } else {
+                void start(settings);
+            }
+        },
+        error => printFault(error.message),
+    );
+}
+
+function readSettings(file: string): ReturnType<typeof parseGatewaySettings> {
+    return parseGatewaySettings(() => readFileSync(file, "utf8"), file);
+}
+
+async function start(settings: GatewaySettings): Promise<void> {
+    const clock = new SystemClock();
+    const random = new SystemRandom();
+    const logger = new RoarrLogger(settings.daemonId, settings.logLevel);
+    const source = new StoreFeed({ address: settings.store.address, clock, random, sleep: sleepOnTimer, logger });
+    const codec = new PlatformHeaders();
+    const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, readinessPath });
+    process.on("SIGTERM", () => void daemon.stop().then(() => process.exit(0)));
+    process.on("SIGHUP", () => logger.write("info", "asked to read the settings again"));
+    try {
+        await daemon.start();
+    } catch (error) {
+        logger.write("error", "the daemon cannot start", {
+            detail: error instanceof Error ? error.message : String(error),
+        });
+        process.exit(failureExitCode);
+    }
+}
+
+function printFault(message: string): void {
+    process.stderr.write(`lynxarch-router: ${message}\n`);
+    process.exitCode = usageExitCode;
+}
+
+main();
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,16 +6,16 @@
     ["events"],
     ["decisions"],
     ["document"],
-    ["platform"],
+    ["infrastructure"],
     ["fleet"],
     ["control"],
-    ["router", "agent"],
+    ["router", "agent", "gateway"],
     ["daemon", "cli"],
 ];
 
 /** Verbs a function name may begin with; docs/CONVENTIONS.md says what each one means. */
 const verbs =
-    "add|advance|answer|append|apply|build|cancel|can|charge|check|choose|clear|close|compare|compute|connect|count|create|decode|delete|describe|dispose|drain|encode|end|estimate|explain|fail|fetch|find|fire|format|get|handle|has|hash|increment|is|issue|list|listen|load|main|measure|merge|next|now|observe|offer|on|open|order|parse|pick|print|promote|read|receive|record|refuse|release|remove|render|report|resolve|resume|run|select|send|set|sign|sleep|sort|start|stop|submit|subscribe|take|tick|to|update|verify|wait|watch|withdraw|write";
+    "add|advance|answer|append|apply|build|cancel|can|charge|check|choose|clear|close|compare|compute|connect|count|create|decode|delete|describe|dispose|drain|encode|end|estimate|explain|fail|fetch|find|fire|format|get|handle|has|hash|increment|is|issue|list|listen|load|main|measure|merge|mix|next|now|observe|offer|on|open|order|parse|pick|print|promote|read|receive|record|refuse|release|remove|render|report|resolve|resume|run|select|send|set|sign|sleep|sort|start|stop|submit|subscribe|take|tick|to|update|verify|wait|watch|withdraw|write";
 const verbPattern = `^(${verbs})([A-Z0-9].*)?$`;
 
 const layerRules = layers.flatMap((folders, level) =>
@@ -35,6 +35,10 @@
                                 message: `src/${folder} may only import lower layers.`,
                             },
                             { group: ["**/test/**", "**/bench/**"], message: "Product code never imports tests." },
+                            {
+                                group: ["../../platform/*", "../../deploy/*"],
+                                message: "Only deploy/ imports the translation to the users' platform.",
+                            },
                         ],
                     },
                 ],
@@ -80,8 +84,25 @@
         },
     },
     {
-        files: ["src/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts", "deploy/**/*.ts"],
         rules: { "max-lines": ["error", { max: 350 }], complexity: ["error", 15] },
     },
     ...layerRules,
+    {
+        files: ["platform/**/*.ts"],
+        rules: {
+            "no-restricted-imports": [
+                "error",
+                {
+                    patterns: [
+                        {
+                            regex: "^\\.\\./(?!src/(base|gateway)/)",
+                            message:
+                                "platform/ translates: it knows the basis and the gateway's interfaces, nothing else.",
+                        },
+                    ],
+                },
+            ],
+        },
+    },
 );
--- a/src/base/hash.ts
+++ b/src/base/hash.ts
@@ -12,6 +12,14 @@
     return createHash("sha256").update(text).digest().readUIntBE(0, hashPrefixBytes);
 }
 
+/** Mixes two 32-bit hashes into one (finalizer of MurmurHash3; Appleby, public domain). */
+export function mixHashes(first: number, second: number): number {
+    let mixed = (first ^ Math.imul(second, 0x9e3779b1)) >>> 0;
+    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+    return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
 /** The members ordered by rendezvous weight for a key (highest random weight; Thaler and Ravishankar, 1998). */
 export function orderByRendezvous<T>(key: string, members: readonly T[], getName: (member: T) => string): readonly T[] {
     return members
--- a/src/platform/sleep.ts
+++ b/src/base/sleep.ts
@@ -1,4 +1,4 @@
-import type { CancellationToken } from "../base/cancellation.js";
+import type { CancellationToken } from "./cancellation.js";
 
 /** Waits for a time, or less when the token is cancelled. */
 export type Sleep = (ms: number, token: CancellationToken) => Promise<void>;
--- a/src/cli/daemonDirectory.ts
+++ b/src/cli/daemonDirectory.ts
@@ -5,8 +5,8 @@
 import type { DaemonStatus, RosterEntry } from "../control/schemas.js";
 import { defaultLogRetentionMs } from "../fleet/documentWatcher.js";
 import { computeRosterTimes, formatRosterStream, RosterState } from "../fleet/rosterState.js";
-import type { LogService } from "../platform/logService.js";
-import type { Sleep } from "../platform/sleep.js";
+import type { LogService } from "../infrastructure/logService.js";
+import type { Sleep } from "../base/sleep.js";
 import { UnavailableError } from "./cliErrors.js";
 
 /** A daemon of the roster and what it says of itself. */
--- a/src/cli/documentClient.ts
+++ b/src/cli/documentClient.ts
@@ -13,8 +13,8 @@
 import { comparePatch } from "../document/patch.js";
 import { DocumentState, type DecidedRecord } from "../document/documentState.js";
 import type { AcceptedDocument, EnvironmentDocument } from "../document/schema.js";
-import type { LogService } from "../platform/logService.js";
-import type { Sleep } from "../platform/sleep.js";
+import type { LogService } from "../infrastructure/logService.js";
+import type { Sleep } from "../base/sleep.js";
 import {
     CommandFailedError,
     ConflictError,
--- a/src/daemon/commonParts.ts
+++ b/src/daemon/commonParts.ts
@@ -13,9 +13,9 @@
 import { DocumentWatcher } from "../fleet/documentWatcher.js";
 import { RosterWatcher } from "../fleet/rosterWatcher.js";
 import { VmWatcher } from "../fleet/vmWatcher.js";
-import { HttpLogService } from "../platform/httpLogService.js";
-import { HttpVmListService } from "../platform/httpVmListService.js";
-import { sleepOnTimer } from "../platform/sleep.js";
+import { HttpLogService } from "../infrastructure/httpLogService.js";
+import { HttpVmListService } from "../infrastructure/httpVmListService.js";
+import { sleepOnTimer } from "../base/sleep.js";
 import type { Settings } from "./settings.js";
 
 const peerRetryMs = 1_000;
--- a/src/daemon/daemonHost.ts
+++ b/src/daemon/daemonHost.ts
@@ -4,7 +4,7 @@
 import type { DaemonStatus, RosterEntry } from "../control/schemas.js";
 import type { AcceptedDocument } from "../document/schema.js";
 import type { ClientShare } from "../fleet/clientShare.js";
-import { sleepOnTimer } from "../platform/sleep.js";
+import { sleepOnTimer } from "../base/sleep.js";
 import type { CommonParts } from "./commonParts.js";
 import type { Daemon } from "./daemon.js";
 import { Membership } from "./membership.js";
--- a/src/daemon/membership.ts
+++ b/src/daemon/membership.ts
@@ -2,7 +2,7 @@
 import type { Disposable } from "../base/lifecycle.js";
 import type { DaemonStatus, RosterEntry } from "../control/schemas.js";
 import { Registrar } from "../fleet/registrar.js";
-import { sleepOnTimer } from "../platform/sleep.js";
+import { sleepOnTimer } from "../base/sleep.js";
 import type { CommonParts } from "./commonParts.js";
 
 /** Keeps this daemon in the roster with the services that it serves now, and tells others about it. */
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -13,7 +13,7 @@
  * before it leaves the cache altogether. Near-equal scores are decided by chance, so that routers with equal, stale views
  * don't all run to one target.
  */
-import { hashToNumber } from "../base/hash.js";
+import { hashToNumber, mixHashes } from "../base/hash.js";
 import type { Random } from "../base/random.js";
 
 /** An agent that could take the request. */
@@ -129,16 +129,8 @@
         return [];
     }
     return candidates
-        .map(candidate => ({ candidate, weight: computeWeight(affinityHash, candidate.nameHash) }))
+        .map(candidate => ({ candidate, weight: mixHashes(affinityHash, candidate.nameHash) }))
         .sort((a, b) => b.weight - a.weight)
         .slice(0, rendezvousCandidates)
         .map(entry => entry.candidate);
 }
-
-/** Finalizer of MurmurHash3 (Appleby, public domain) over both hashes. */
-function computeWeight(first: number, second: number): number {
-    let mixed = (first ^ Math.imul(second, 0x9e3779b1)) >>> 0;
-    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
-    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
-    return (mixed ^ (mixed >>> 16)) >>> 0;
-}
--- /dev/null
+++ b/src/decisions/promptAdmission.ts
@@ -0,0 +1,53 @@
+/**
+ * Whether a request for a model engine is sent on, or refused at once with a time to come back.
+ *
+ * Load pattern: more prompt tokens are asked for than the engines read. Sent on all the same, requests queue at the engines
+ * until every first token is late, and work that nobody waits for any more crowds out what could still be in time. A
+ * request whose first token would be late is therefore refused while its caller can still come back in time; and
+ * what lies beyond an account's fair share goes first, since the others are owed that capacity.
+ */
+
+/** What is known when a request arrives. */
+export interface PromptAdmissionView {
+    /** Time to the first event at the best engine. */
+    readonly expectedMs: number;
+    /** The same for a request at an idle engine: its own prompt's reading alone. */
+    readonly aloneMs: number;
+    readonly objectiveMs: number;
+    readonly timeLeftMs: number;
+    /** What the request's account got, over its fair share; 0 where there are no accounts. */
+    readonly shareUse: number;
+}
+
+/** The decision with what it was made from. */
+export type PromptAdmission =
+    | { readonly admitted: true }
+    | { readonly admitted: false; readonly reason: "late" | "over-share"; readonly retryAfterMs: number };
+
+/**
+ * Part of the objective that the expected time may take. Below one, as the estimate is a mean: a request expected just in
+ * time is late every other time, and it holds up those behind it.
+ */
+const usableShare = 0.75;
+/** The same for an account that has had its fair share: it takes only what would otherwise stay idle. */
+const overShareUsable = 0.4;
+/** From here on an account counts as having had its share; the sums of the fleet are late by a round of messages. */
+const overShareFrom = 1;
+const leastRetryAfterMs = 80;
+
+/** Decides on one request. */
+export function checkPromptAdmission(view: PromptAdmissionView): PromptAdmission {
+    const isOverShare = view.shareUse >= overShareFrom;
+    const usableMs = Math.min(view.objectiveMs, view.timeLeftMs) * (isOverShare ? overShareUsable : usableShare);
+    // A prompt that takes long by itself is never in time; refusing it would only bring it back, so it may be late by
+    // its own length, though not by that of a queue.
+    const allowedMs = Math.max(usableMs, isOverShare ? 0 : view.aloneMs + usableMs / 2);
+    if (view.expectedMs <= allowedMs) {
+        return { admitted: true };
+    }
+    return {
+        admitted: false,
+        reason: isOverShare ? "over-share" : "late",
+        retryAfterMs: Math.max(leastRetryAfterMs, view.expectedMs - usableMs),
+    };
+}
--- /dev/null
+++ b/src/decisions/promptPlacement.ts
@@ -0,0 +1,118 @@
+/**
+ * Which engine reads a prompt.
+ *
+ * Load patterns: many requests share long prompt parts (a roster of 13,000 tokens), and prompt tokens read are what
+ * engines run out of first. Sent to any engine, a request makes it read the shared part anew, and a fleet that could serve
+ * everything serves a tenth; always sent to the part's home, a part that many ask for at once piles up a queue there while
+ * others idle.
+ *
+ * Each candidate is charged the time until the request's own prompt has been read there: the tokens that wait there, and
+ * those of the request that the engine does not hold. Reading a shared part once more costs others too, as it pushes
+ * out other parts and holds up the batch, so such tokens count more than once. The home of a part that nobody holds
+ * is the first by rendezvous hashing, the same for all routers without a word between them.
+ */
+import { hashToNumber, mixHashes } from "../base/hash.js";
+
+/** An engine that could take the request. */
+export interface PromptCandidate {
+    readonly id: string;
+    /** 32-bit hash of the id. */
+    readonly idHash: number;
+    readonly dataCentre: string;
+    /** Prompt tokens that wait to be read there, from all routers. */
+    readonly waitingTokens: number;
+    readonly running: number;
+    readonly slots: number;
+    /** Whether a shared part of a prompt is believed to be held there. */
+    hasPart(partId: string): boolean;
+}
+
+/** A part of a prompt. */
+export interface PlacedPart {
+    readonly id: string;
+    readonly tokens: number;
+}
+
+/** What placement needs of a request. */
+export interface PromptRequest {
+    /** In the prompt's order; the last one is the request's own. */
+    readonly parts: readonly PlacedPart[];
+    readonly promptTokens: number;
+    readonly dataCentre: string;
+    readonly tokensPerMs: number;
+}
+
+/** Where a request goes, and what it costs there. */
+export interface PromptPlacement<T> {
+    readonly candidate: T;
+    /** Tokens of the request that the engine has to read. */
+    readonly newTokens: number;
+    /** Tokens to be read up to and with the request's own. */
+    readonly tokensAhead: number;
+}
+
+/** A shared token that is read once more counts this often; 1 copies hot parts everywhere, much more lets homes queue. */
+const rereadFactor = 2;
+/** Part of the cost of a missing shared part that the home of the part is spared, while nobody holds it. */
+const homeShare = 0.5;
+/** Cost of leaving the data centre; milliseconds. A body is some 20 KB, and the data centres lie about a millisecond apart. */
+const distanceMs = 4;
+/** Each running request slows the engine's steps, by about 5 % of a step's usual time in current engines; milliseconds. */
+const batchMs = 1.5;
+/** A request too many for the batch waits for another one to end; milliseconds. */
+const fullBatchMs = 1_000;
+
+/** The cheapest candidate; undefined without candidates. */
+export function choosePromptPlacement<T extends PromptCandidate>(
+    candidates: readonly T[],
+    request: PromptRequest,
+): PromptPlacement<T> | undefined {
+    const shared = request.parts.slice(0, -1);
+    const home = findHome(candidates, shared[shared.length - 1]?.id);
+    let best: PromptPlacement<T> | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const candidate of candidates) {
+        const missing = countMissingTokens(candidate, shared);
+        const own = request.promptTokens - shared.reduce((sum, part) => sum + part.tokens, 0);
+        const newTokens = Math.max(0, own) + missing;
+        const reread = missing * (rereadFactor - 1) * (candidate === home ? 1 - homeShare : 1);
+        const costMs =
+            (candidate.waitingTokens + newTokens + reread) / request.tokensPerMs +
+            candidate.running * batchMs +
+            (candidate.running >= candidate.slots ? fullBatchMs : 0) +
+            (candidate.dataCentre === request.dataCentre ? 0 : distanceMs);
+        if (costMs < bestCost) {
+            bestCost = costMs;
+            best = { candidate, newTokens, tokensAhead: candidate.waitingTokens + newTokens };
+        }
+    }
+    return best;
+}
+
+/** Tokens of shared parts that the engine has to read: a part counts as held only while all before it are held too. */
+export function countMissingTokens(candidate: PromptCandidate, shared: readonly PlacedPart[]): number {
+    let missing = 0;
+    for (const part of shared) {
+        if (missing > 0 || !candidate.hasPart(part.id)) {
+            missing += part.tokens;
+        }
+    }
+    return missing;
+}
+
+function findHome<T extends PromptCandidate>(candidates: readonly T[], partId: string | undefined): T | undefined {
+    if (partId === undefined) {
+        return undefined;
+    }
+    const partHash = hashToNumber(partId) >>> 0;
+    let home: T | undefined;
+    let greatest = -1;
+    for (const candidate of candidates) {
+        const weight = mixHashes(partHash, candidate.idHash);
+        if (weight > greatest) {
+            greatest = weight;
+            home = candidate;
+        }
+    }
+    return home;
+}
--- a/src/decisions/retryBudget.ts
+++ b/src/decisions/retryBudget.ts
@@ -9,14 +9,27 @@
  */
 const bucketMs = 1_000;
 const bucketCount = 10;
-const minRetriesPerAccount = 3;
-const minRetriesPerRouter = 10;
+
+/** Retries that are granted however few first tries there were. */
+export interface RetryFloors {
+    readonly perAccount: number;
+    readonly perRouter: number;
+}
+
+const defaultFloors: RetryFloors = { perAccount: 3, perRouter: 10 };
 
 /** Counts tries and retries; grants a retry while within the ratio. */
 export class RetryBudget {
     private readonly all = new TryWindow();
     private readonly byAccount = new Map<string, TryWindow>();
 
+    public constructor(private floors: RetryFloors = defaultFloors) {}
+
+    /** Where routers share a budget, each one's floor depends on how many there are. */
+    public setFloors(floors: RetryFloors): void {
+        this.floors = floors;
+    }
+
     /** Counts a first try. */
     public recordFirstTry(clientAccount: string, nowMs: number): void {
         this.all.add(nowMs, "first");
@@ -26,7 +39,8 @@
     /** Takes one retry out of the budget; false when there is none left. */
     public takeRetry(clientAccount: string, ratio: number, nowMs: number): boolean {
         const own = this.getWindow(clientAccount);
-        if (!own.hasRoom(nowMs, ratio, minRetriesPerAccount) || !this.all.hasRoom(nowMs, ratio, minRetriesPerRouter)) {
+        const { perAccount, perRouter } = this.floors;
+        if (!own.hasRoom(nowMs, ratio, perAccount) || !this.all.hasRoom(nowMs, ratio, perRouter)) {
             return false;
         }
         own.add(nowMs, "retry");
--- a/src/fleet/documentWatcher.ts
+++ b/src/fleet/documentWatcher.ts
@@ -7,9 +7,9 @@
 import { DocumentState, type DecidedRecord } from "../document/documentState.js";
 import type { AcceptedDocument } from "../document/schema.js";
 import type { EventRecorder } from "../events/fleetEvent.js";
-import { LogTail } from "../platform/logTail.js";
-import type { LogPage, LogService } from "../platform/logService.js";
-import type { Sleep } from "../platform/sleep.js";
+import { LogTail } from "../infrastructure/logTail.js";
+import type { LogPage, LogService } from "../infrastructure/logService.js";
+import type { Sleep } from "../base/sleep.js";
 import { SnapshotSchedule } from "./snapshotSchedule.js";
 
 /** What a {@link DocumentWatcher} needs. */
--- a/src/fleet/evictor.ts
+++ b/src/fleet/evictor.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../base/clock.js";
-import type { Vm } from "../platform/vmList.js";
+import type { Vm } from "../infrastructure/vmList.js";
 import type { RosterEntry } from "./rosterEntry.js";
 
 /** How long a daemon must be both silent and missing from the list of VMs before it is taken out of the roster. */
--- a/src/fleet/registrar.ts
+++ b/src/fleet/registrar.ts
@@ -4,9 +4,9 @@
 import type { Clock } from "../base/clock.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Random } from "../base/random.js";
-import { PlatformError } from "../platform/errors.js";
-import type { LogService } from "../platform/logService.js";
-import type { Sleep } from "../platform/sleep.js";
+import { PlatformError } from "../infrastructure/errors.js";
+import type { LogService } from "../infrastructure/logService.js";
+import type { Sleep } from "../base/sleep.js";
 import { defaultLogRetentionMs } from "./documentWatcher.js";
 import type { RosterEntry } from "./rosterEntry.js";
 import {
--- a/src/fleet/rosterWatcher.ts
+++ b/src/fleet/rosterWatcher.ts
@@ -3,9 +3,9 @@
 import { Emitter } from "../base/event.js";
 import { DisposableStore, type Disposable } from "../base/lifecycle.js";
 import type { Random } from "../base/random.js";
-import { LogTail } from "../platform/logTail.js";
-import type { LogPage, LogService } from "../platform/logService.js";
-import type { Sleep } from "../platform/sleep.js";
+import { LogTail } from "../infrastructure/logTail.js";
+import type { LogPage, LogService } from "../infrastructure/logService.js";
+import type { Sleep } from "../base/sleep.js";
 import { defaultLogRetentionMs } from "./documentWatcher.js";
 import { computeRosterTimes, formatRosterStream, RosterState, type RosterMember } from "./rosterState.js";
 
--- a/src/fleet/vmWatcher.ts
+++ b/src/fleet/vmWatcher.ts
@@ -2,7 +2,7 @@
 import { Emitter } from "../base/event.js";
 import { DisposableStore, type Disposable } from "../base/lifecycle.js";
 import type { Random } from "../base/random.js";
-import type { Vm, VmListService } from "../platform/vmList.js";
+import type { Vm, VmListService } from "../infrastructure/vmList.js";
 import type { Scheduler } from "./coreRunner.js";
 
 /** What a {@link VmWatcher} needs. */
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,167 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { CancelSend, SendFailure, TargetConnection, TargetRequest } from "./targetConnection.js";
+import type { AnswerRelay, StoredAnswer, TargetAnswerHead } from "./relay.js";
+import type { HeaderCodec } from "./wire.js";
+
+/** How one send to one target ended. */
+export type AttemptOutcome =
+    /** The whole answer has gone to the caller. */
+    | { readonly kind: "answered" }
+    /** Surely not run. `arrived`: the target got the request and turned it away. */
+    | { readonly kind: "not-run"; readonly reason: "not-sent" | "refused" | "other-target"; readonly detail: string }
+    /** The target ran it and answered with a failure of its own, which has not been passed on. */
+    | { readonly kind: "failed"; readonly answer: StoredAnswer }
+    /** Part of an answer, an answer to another request, or none; it may have run. */
+    | { readonly kind: "broken"; readonly detail: string }
+    /** Stopped by this router for the reason given. */
+    | { readonly kind: "stopped"; readonly reason: StopReason };
+
+/** Why this router stops an attempt. */
+export type StopReason = "silent" | "deadline" | "left" | "stopping";
+
+/** Tells what the target does while it works. */
+export interface AttemptObserver {
+    handleSent(): void;
+    handleHead(head: TargetAnswerHead): void;
+    /** The first output that goes to the caller. */
+    handleFirstOutput(): void;
+    /** Any output. */
+    handleOutput(): void;
+}
+
+/** A failure's body beyond this size is cut off: it would be a fault of the target. */
+const mostFailureBytes = 1_048_576;
+const firstSuccess = 200;
+const firstRedirect = 300;
+
+/** One send to one target, from the connection to the outcome. */
+export class Attempt {
+    private readonly outcome: Promise<AttemptOutcome>;
+    private resolveOutcome!: (outcome: AttemptOutcome) => void;
+    private cancelSend: CancelSend | undefined;
+    private head: TargetAnswerHead | undefined;
+    private readonly failureChunks: Buffer[] = [];
+    private failureBytes = 0;
+    private hasEnded = false;
+
+    public constructor(
+        private readonly requestId: string | undefined,
+        private readonly codec: HeaderCodec,
+        private readonly relay: AnswerRelay,
+        private readonly observer: AttemptObserver,
+    ) {
+        this.outcome = new Promise(resolve => {
+            this.resolveOutcome = resolve;
+        });
+    }
+
+    /** Sends the request; the outcome always comes. */
+    public run(connection: TargetConnection, request: TargetRequest): Promise<AttemptOutcome> {
+        this.cancelSend = connection.send(request, {
+            handleSent: () => this.observer.handleSent(),
+            handleHead: (status, headers) => this.handleHead(status, headers),
+            handleData: chunk => this.handleData(chunk),
+            handleEnd: () => this.handleEnd(),
+            handleFailure: (failure, detail) => this.handleFailure(failure, detail),
+        });
+        return this.outcome;
+    }
+
+    /** Stops the attempt; its connection is closed. */
+    public stop(reason: StopReason): void {
+        if (!this.hasEnded) {
+            this.cancelSend?.();
+            this.relay.handleBreak();
+            this.endAttempt({ kind: "stopped", reason });
+        }
+    }
+
+    private handleHead(status: number, headers: IncomingHttpHeaders): void {
+        const decoded = this.codec.decodeAnswer(status, headers);
+        const head = { status, headers, decoded };
+        // An answer that a target sends late or twice comes where the next one is expected. Its id tells it apart; taken for
+        // this request's answer, one caller would get what belongs to another.
+        const isAnonymousRefusal = decoded.requestId === undefined && (decoded.isNotRun || decoded.isOtherTarget);
+        if (decoded.requestId !== this.requestId && !isAnonymousRefusal) {
+            this.fail("an answer to another request");
+            return;
+        }
+        this.head = head;
+        this.observer.handleHead(head);
+        const isRefusal = decoded.isNotRun || decoded.isOtherTarget;
+        if (!isRefusal && (!decoded.isSigned || decoded.hasEncodedBody)) {
+            this.fail("an answer without the engine's signature or with an encoding");
+            return;
+        }
+        if (isSuccess(status) && !this.relay.handleHead(head)) {
+            this.fail("an answer that can't go on where the last one stopped");
+        }
+    }
+
+    private handleData(chunk: Buffer): void {
+        if (this.hasEnded || this.head === undefined) {
+            return;
+        }
+        if (!isSuccess(this.head.status)) {
+            this.failureChunks.push(chunk);
+            this.failureBytes += chunk.length;
+            if (this.failureBytes > mostFailureBytes) {
+                this.fail("a failure with an endless body");
+            }
+            return;
+        }
+        this.observer.handleOutput();
+        if (this.relay.handleData(chunk)) {
+            this.observer.handleFirstOutput();
+        }
+    }
+
+    private handleEnd(): void {
+        if (this.hasEnded || this.head === undefined) {
+            return;
+        }
+        const { decoded, status } = this.head;
+        if (decoded.isOtherTarget || decoded.isNotRun) {
+            const reason = decoded.isOtherTarget ? "other-target" : "refused";
+            this.endAttempt({ kind: "not-run", reason, detail: `status ${status}` });
+        } else if (!isSuccess(status)) {
+            this.endAttempt({ kind: "failed", answer: { ...this.head, body: Buffer.concat(this.failureChunks) } });
+        } else if (this.relay.handleEnd()) {
+            this.endAttempt({ kind: "answered" });
+        } else {
+            this.fail("the answer ends inside an event");
+        }
+    }
+
+    private handleFailure(failure: SendFailure, detail: string): void {
+        if (this.hasEnded) {
+            return;
+        }
+        this.relay.handleBreak();
+        // Once the head says that the request was not run, a break behind it changes nothing.
+        const { decoded } = this.head ?? {};
+        if (decoded?.isNotRun === true || decoded?.isOtherTarget === true) {
+            const reason = decoded.isOtherTarget ? "other-target" : "refused";
+            this.endAttempt({ kind: "not-run", reason, detail });
+        } else if (failure === "not-sent") {
+            this.endAttempt({ kind: "not-run", reason: "not-sent", detail });
+        } else {
+            this.endAttempt({ kind: "broken", detail });
+        }
+    }
+
+    private fail(detail: string): void {
+        this.cancelSend?.();
+        this.relay.handleBreak();
+        this.endAttempt({ kind: "broken", detail });
+    }
+
+    private endAttempt(outcome: AttemptOutcome): void {
+        this.hasEnded = true;
+        this.resolveOutcome(outcome);
+    }
+}
+
+function isSuccess(status: number): boolean {
+    return status >= firstSuccess && status < firstRedirect;
+}
--- /dev/null
+++ b/src/gateway/callerExchange.ts
@@ -0,0 +1,122 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
+import type { Disposable } from "../base/lifecycle.js";
+
+/** Why a request's body could not be taken. */
+export type BodyFault = "too-large" | "left";
+
+/** A caller that reads so slowly that this much waits for it is cut off, or a few such callers fill the memory. */
+const mostUnsentBytes = 1_048_576;
+
+/** A caller's request and its answer on one connection. */
+export class CallerExchange implements Disposable {
+    private readonly cancellation = new CancellationTokenSource();
+    private ended = false;
+    private left = false;
+
+    public constructor(
+        public readonly request: IncomingMessage,
+        private readonly response: ServerResponse,
+    ) {
+        response.once("close", () => {
+            if (!this.ended) {
+                this.left = true;
+                this.ended = true;
+                this.cancellation.cancel();
+            }
+        });
+        // A write that crosses the caller's close fails; that the caller left is told by "close".
+        response.on("error", () => undefined);
+        request.on("error", () => undefined);
+    }
+
+    /** Cancelled when the caller closes the connection before the answer's end. */
+    public get token(): CancellationToken {
+        return this.cancellation.token;
+    }
+
+    public get hasLeft(): boolean {
+        return this.left;
+    }
+
+    public get hasBegun(): boolean {
+        return this.response.headersSent;
+    }
+
+    public get hasEnded(): boolean {
+        return this.ended;
+    }
+
+    /** Reads the whole body. Errors: larger than allowed, or the caller left. */
+    public readBody(maxBytes: number): Promise<Result<Buffer | undefined, BodyFault>> {
+        const { request } = this;
+        return new Promise(resolve => {
+            const chunks: Buffer[] = [];
+            let size = 0;
+            request.on("data", (chunk: Buffer) => {
+                size += chunk.length;
+                if (size > maxBytes) {
+                    request.pause();
+                    request.removeAllListeners("data");
+                    resolve(err("too-large"));
+                    return;
+                }
+                chunks.push(chunk);
+            });
+            request.once("end", () => resolve(ok(size === 0 ? undefined : Buffer.concat(chunks, size))));
+            request.once("close", () => resolve(err("left")));
+        });
+    }
+
+    /** Sends a whole answer. */
+    public answer(status: number, headers: Readonly<Record<string, string | string[]>>, body: Buffer | string): void {
+        if (this.ended || this.response.headersSent) {
+            return;
+        }
+        this.ended = true;
+        const length = typeof body === "string" ? Buffer.byteLength(body) : body.length;
+        this.response.writeHead(status, { ...headers, "content-length": String(length) });
+        this.response.end(body);
+    }
+
+    /** Begins an answer whose body follows. */
+    public writeHead(status: number, headers: Readonly<Record<string, string | string[]>>): void {
+        if (!this.ended && !this.response.headersSent) {
+            this.response.writeHead(status, { ...headers });
+        }
+    }
+
+    public write(data: Buffer): void {
+        if (this.ended) {
+            return;
+        }
+        this.response.write(data);
+        if (this.response.writableLength > mostUnsentBytes) {
+            this.cancel();
+        }
+    }
+
+    public end(): void {
+        if (!this.ended) {
+            this.ended = true;
+            this.response.end();
+        }
+    }
+
+    /**
+     * Breaks the connection in the middle of an answer: without the encoding's last chunk, or with fewer bytes than the
+     * announced length, every HTTP client sees that the answer is not whole.
+     */
+    public cancel(): void {
+        if (!this.ended) {
+            this.ended = true;
+            this.response.destroy();
+            this.cancellation.cancel();
+        }
+    }
+
+    public dispose(): void {
+        this.cancellation.dispose();
+    }
+}
--- /dev/null
+++ b/src/gateway/callerServer.ts
@@ -0,0 +1,108 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Disposable } from "../base/lifecycle.js";
+import type { Logger } from "../base/log.js";
+import type { CallerLimits } from "./configuration.js";
+import type { GatewayService } from "./gatewayService.js";
+
+/** Headers up to this size are read before the configuration's own limit is known. */
+const mostHeaderBytes = 65_536;
+/** How often Node looks for connections whose header or request is overdue; milliseconds. */
+const timeoutCheckMs = 1_000;
+/** A body that takes longer than this ties up memory for a caller that has long given up. */
+const requestTimeoutMs = 20_000;
+/** Descriptors that are left for targets, the platform, peers and files. */
+const callerDescriptorShare = 0.5;
+const headerTooLargeStatus = "HTTP/1.1 431 Request Header Fields Too Large";
+const badRequestStatus = "HTTP/1.1 400 Bad Request";
+const timeoutStatus = "HTTP/1.1 408 Request Timeout";
+
+/** The HTTP server that callers reach. */
+export class CallerServer implements Disposable {
+    private readonly server: Server;
+    private closesConnections = false;
+
+    public constructor(
+        private readonly service: GatewayService,
+        private readonly logger: Logger,
+        maxDescriptors: number,
+    ) {
+        this.server = createServer({
+            maxHeaderSize: mostHeaderBytes,
+            connectionsCheckingInterval: timeoutCheckMs,
+            requestTimeout: requestTimeoutMs,
+            noDelay: true,
+        });
+        this.server.maxConnections = Math.floor(maxDescriptors * callerDescriptorShare);
+        this.server.on("request", (request, response) => this.handleRequest(request, response));
+        this.server.on("clientError", (error, socket) => answerClientError(error, socket as Socket));
+        this.server.on("error", error =>
+            logger.write("error", "the callers' server failed", { detail: error.message }),
+        );
+    }
+
+    public listen(host: string, port: number): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen({ host, port, backlog: 1_024 }, () => resolve());
+        });
+    }
+
+    /** The port it listens on; for tests that listen on any. */
+    public get port(): number {
+        const address = this.server.address();
+        return typeof address === "object" && address ? address.port : 0;
+    }
+
+    public applyLimits(limits: CallerLimits): void {
+        this.server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.server.headersTimeout = limits.headerTimeoutMs;
+    }
+
+    /** Tells callers with each answer that their connection ends with it, so that they go elsewhere in time. */
+    public closeWithAnswers(): void {
+        this.closesConnections = true;
+    }
+
+    /** Takes no new connections and closes idle ones; those with a request under way go on. */
+    public stopAccepting(): void {
+        this.server.close();
+    }
+
+    public dispose(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+        if (this.closesConnections) {
+            response.shouldKeepAlive = false;
+        }
+        this.service.handle(request, response).catch((error: unknown) => {
+            const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+            this.logger.write("error", "a request's handling failed", { detail });
+            response.destroy();
+        });
+    }
+}
+
+/** Bytes that are no HTTP request end the connection, with an answer where the caller can still read one. */
+function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === "ECONNRESET") {
+        socket.destroy();
+        return;
+    }
+    const status =
+        error.code === "HPE_HEADER_OVERFLOW"
+            ? headerTooLargeStatus
+            : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
+              ? timeoutStatus
+              : badRequestStatus;
+    // An answer may already be on its way on this connection; another one behind it would belong to no request.
+    const { _httpMessage: open } = socket as Socket & { readonly _httpMessage?: ServerResponse };
+    if (open?.headersSent === true) {
+        socket.destroy();
+        return;
+    }
+    socket.end(`${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
--- /dev/null
+++ b/src/gateway/configurationHolder.ts
@@ -0,0 +1,47 @@
+import { RouteTable } from "../decisions/routeTable.js";
+import type { CallerLimits, ServedAccount, ServedConfiguration, ServedRoute } from "./configuration.js";
+
+/** A configuration with what is looked up in it. */
+export interface ConfigurationInForce {
+    readonly version: number;
+    readonly routes: RouteTable<ServedRoute>;
+    readonly accountsByKey: ReadonlyMap<string, ServedAccount>;
+    readonly hasAccounts: boolean;
+    readonly limits: CallerLimits;
+    readonly source: ServedConfiguration;
+}
+
+/** Holds the configuration in force, whose version never falls while the process lives. */
+export class ConfigurationHolder {
+    private inForce: ConfigurationInForce | undefined;
+
+    /** Undefined before the first one was read. */
+    public get current(): ConfigurationInForce | undefined {
+        return this.inForce;
+    }
+
+    /**
+     * Puts a configuration in force. False when it is not newer: a read that was under way while a newer one arrived,
+     * or a peer that lags, would otherwise bring back routes and keys that operators have taken away.
+     */
+    public apply(configuration: ServedConfiguration): boolean {
+        if (this.inForce !== undefined && configuration.version <= this.inForce.version) {
+            return false;
+        }
+        const accountsByKey = new Map<string, ServedAccount>();
+        for (const account of configuration.accounts) {
+            for (const key of account.apiKeys) {
+                accountsByKey.set(key, account);
+            }
+        }
+        this.inForce = {
+            version: configuration.version,
+            routes: new RouteTable(configuration.routes),
+            accountsByKey,
+            hasAccounts: configuration.accounts.length > 0,
+            limits: configuration.limits,
+            source: configuration,
+        };
+        return true;
+    }
+}
--- /dev/null
+++ b/src/gateway/eventStreamRelay.ts
@@ -0,0 +1,91 @@
+import type { CallerExchange } from "./callerExchange.js";
+import { EventSplitter, type StreamEvent } from "./eventSplitter.js";
+import type { AnswerRelay, TargetAnswerHead } from "./relay.js";
+import type { HeaderCodec } from "./wire.js";
+
+/** Passes a stream on event by event, and joins it with a resumed run where one breaks off. */
+export class EventStreamRelay implements AnswerRelay {
+    private splitter = new EventSplitter();
+    private head: TargetAnswerHead | undefined;
+    private passedId: string | undefined;
+
+    /** `askedFrom`: where the caller itself wants the stream to go on. */
+    public constructor(
+        private readonly caller: CallerExchange,
+        private readonly codec: HeaderCodec,
+        private readonly isResumable: boolean,
+        askedFrom: string | undefined,
+    ) {
+        this.passedId = askedFrom;
+    }
+
+    public get isCommitted(): boolean {
+        return this.caller.hasBegun;
+    }
+
+    public get canResume(): boolean {
+        // Without the id of the last event a resumed run would repeat or leave out some.
+        return this.isResumable && (!this.isCommitted || this.passedId !== undefined);
+    }
+
+    public get lastEventId(): string | undefined {
+        return this.passedId;
+    }
+
+    public handleHead(head: TargetAnswerHead): boolean {
+        // A resumed run keeps the head and signature of the first one, which the caller has already got.
+        this.head ??= head;
+        this.splitter = new EventSplitter();
+        return true;
+    }
+
+    public handleData(chunk: Buffer): boolean {
+        let isFirst = false;
+        for (const event of this.splitter.add(chunk)) {
+            isFirst = this.writeEvent(event) || isFirst;
+        }
+        return isFirst;
+    }
+
+    public handleEnd(): boolean {
+        if (this.splitter.hasRest) {
+            return false;
+        }
+        this.writeHead();
+        this.caller.end();
+        return true;
+    }
+
+    public handleBreak(): void {
+        this.splitter = new EventSplitter();
+        if (!this.isCommitted) {
+            this.head = undefined;
+        }
+    }
+
+    /** True for the first event. */
+    private writeEvent(event: StreamEvent): boolean {
+        if (event.id !== undefined && isAtOrBefore(event.id, this.passedId)) {
+            return false;
+        }
+        const isFirst = !this.isCommitted;
+        this.writeHead();
+        this.caller.write(event.bytes);
+        this.passedId = event.id ?? this.passedId;
+        return isFirst;
+    }
+
+    private writeHead(): void {
+        if (!this.isCommitted && this.head !== undefined) {
+            // A length would be that of the first run alone; a stream that is put together may be longer or shorter.
+            const headers = this.codec.encodeForCaller(this.head.headers);
+            delete headers["content-length"];
+            this.caller.writeHead(this.head.status, headers);
+        }
+    }
+}
+
+/** Whether an event has been passed on already; ids are numbers that rise. */
+function isAtOrBefore(id: string, passed: string | undefined): boolean {
+    return passed !== undefined && Number(id) <= Number(passed);
+}
--- /dev/null
+++ b/src/gateway/fleetSource.ts
@@ -0,0 +1,44 @@
+import type { Event } from "../base/event.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { ServedConfiguration } from "./configuration.js";
+
+/** A target as it registered itself. */
+export interface TargetEntry {
+    /** Name of this incarnation's registration; a restarted target may keep it. */
+    readonly id: string;
+    readonly service: string;
+    /** `IP:PORT`. */
+    readonly address: string;
+    readonly dataCentre: string;
+    readonly slots: number;
+    readonly state: "ready" | "draining";
+    /** How much longer the target is cold, as it said when the entry was written; milliseconds. */
+    readonly coldLeftMs: number;
+    /** When the target started, by its own clock; undefined when it does not say. Tells restarts under one id apart. */
+    readonly startedAtMs: number | undefined;
+}
+
+/** One change of what the platform holds. */
+export type FleetChange =
+    | { readonly kind: "configuration"; readonly configuration: ServedConfiguration }
+    /** `entry` undefined: the registration is gone. */
+    | { readonly kind: "target"; readonly id: string; readonly entry: TargetEntry | undefined }
+    /** A data centre is to get no requests, or may get them again. */
+    | { readonly kind: "data-centre"; readonly dataCentre: string; readonly isOut: boolean };
+
+/** How the link to the platform stands. */
+export interface SourceHealth {
+    /** Whether the last call succeeded. */
+    readonly isConnected: boolean;
+    /** Monotonic time of the last failure; undefined before the first. */
+    readonly lastFailureAtMs: number | undefined;
+}
+
+/** Tells what the platform holds: the configuration, the targets, the data centres that are out. */
+export interface FleetSource extends Disposable {
+    readonly onDidChange: Event<FleetChange>;
+    /** Both the configuration and the targets have been read once. */
+    readonly isComplete: boolean;
+    readonly health: SourceHealth;
+    start(): void;
+}
--- /dev/null
+++ b/src/gateway/flowEndings.ts
@@ -0,0 +1,87 @@
+import type { CallerExchange } from "./callerExchange.js";
+import { createOwnAnswer, type OwnAnswerReason } from "./ownAnswer.js";
+import type { AnswerRelay, StoredAnswer } from "./relay.js";
+import type { HeaderCodec } from "./wire.js";
+
+/** What is known of a request's way when it ends. */
+export interface FlowFacts {
+    /** Targets it was meant for. */
+    readonly attempts: number;
+    /** The last one. */
+    readonly target: string | undefined;
+    readonly service: string | undefined;
+    /** Time to the first event that was expected there; milliseconds. */
+    readonly expectedMs: number | undefined;
+    /** Prompt tokens that were to be read there up to and with its own. */
+    readonly tokensAhead: number | undefined;
+    /** Time from its arrival to its first output; milliseconds. */
+    readonly firstOutputMs: number | undefined;
+    /** What its account had got, over its fair share. */
+    readonly shareUse: number;
+}
+
+/** How a request ended, for the log and the figures. */
+export interface FlowEnd extends FlowFacts {
+    readonly outcome: "answered" | "failed" | "refused" | "broken" | "left" | "timeout";
+    readonly reason: string;
+    /** Undefined when no whole answer was sent. */
+    readonly status: number | undefined;
+}
+
+/** Gives a request its final answer when its target does not. */
+export class FlowEndings {
+    public constructor(
+        private readonly caller: CallerExchange,
+        private readonly codec: HeaderCodec,
+        private readonly requestId: string | undefined,
+        private readonly relay: AnswerRelay,
+        private readonly getFacts: () => FlowFacts,
+    ) {}
+
+    public createEnd(outcome: FlowEnd["outcome"], reason: string, status: number | undefined): FlowEnd {
+        return { ...this.getFacts(), outcome, reason, status };
+    }
+
+    /** The request did not run and will not. */
+    public refuse(reason: OwnAnswerReason, retryAfterMs: number): FlowEnd {
+        return this.answer(reason, retryAfterMs, "refused", reason);
+    }
+
+    /** The target answered with a failure of its own. */
+    public sendFailure(failure: StoredAnswer): FlowEnd {
+        if (this.relay.isCommitted) {
+            return this.endBroken("the stream could not go on elsewhere");
+        }
+        this.caller.answer(failure.status, this.codec.encodeForCaller(failure.headers), failure.body);
+        return this.createEnd("failed", "the target failed", failure.status);
+    }
+
+    /** The target broke off, and the request may have run. */
+    public endBroken(detail: string): FlowEnd {
+        if (this.relay.isCommitted) {
+            this.caller.cancel();
+            return this.createEnd("broken", detail, undefined);
+        }
+        return this.answer("target-broke", undefined, "failed", detail);
+    }
+
+    /** The time is up. */
+    public endLate(): FlowEnd {
+        if (this.relay.isCommitted) {
+            this.caller.cancel();
+            return this.createEnd("timeout", "the answer was not whole in time", undefined);
+        }
+        return this.answer("timeout", undefined, "timeout", "no answer in time");
+    }
+
+    private answer(
+        reason: OwnAnswerReason,
+        retryAfterMs: number | undefined,
+        outcome: FlowEnd["outcome"],
+        detail: string,
+    ): FlowEnd {
+        const own = createOwnAnswer(reason, retryAfterMs);
+        this.caller.answer(own.status, { ...own.headers, ...this.codec.encodeOwnAnswer(this.requestId) }, own.body);
+        return this.createEnd(outcome, detail, own.status);
+    }
+}
--- /dev/null
+++ b/src/gateway/gatewayContext.ts
@@ -0,0 +1,28 @@
+import type { Clock } from "../base/clock.js";
+import type { Logger } from "../base/log.js";
+import type { Random } from "../base/random.js";
+import type { AccountShares } from "../decisions/accountShares.js";
+import type { FirstTokenModel } from "../decisions/firstTokenModel.js";
+import type { RetryBudget } from "../decisions/retryBudget.js";
+import type { ConfigurationHolder } from "./configurationHolder.js";
+import type { PeerView } from "./peerView.js";
+import type { GatewaySettings } from "./settings.js";
+import type { TargetDirectory } from "./targetDirectory.js";
+import type { HeaderCodec } from "./wire.js";
+
+/** What the handling of a request draws on. */
+export interface GatewayContext {
+    readonly settings: GatewaySettings;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: Logger;
+    readonly codec: HeaderCodec;
+    readonly configuration: ConfigurationHolder;
+    readonly directory: TargetDirectory;
+    readonly peers: PeerView;
+    readonly shares: AccountShares;
+    /** Per service. */
+    readonly retryBudgets: { find(service: string): RetryBudget };
+    /** Per service. */
+    readonly firstTokenModels: { find(service: string): FirstTokenModel };
+}
--- /dev/null
+++ b/src/gateway/relay.ts
@@ -0,0 +1,32 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { AnswerHead } from "./wire.js";
+
+/** Head of a target's answer. */
+export interface TargetAnswerHead {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly decoded: AnswerHead;
+}
+
+/** A target's whole answer that has not been passed on. */
+export interface StoredAnswer extends TargetAnswerHead {
+    readonly body: Buffer;
+}
+
+/** Passes one request's answer on to its caller, over one attempt or several. */
+export interface AnswerRelay {
+    /** Whether bytes have gone to the caller, so that no other answer can take this one's place. */
+    readonly isCommitted: boolean;
+    /** Whether a break can be mended by an attempt that goes on where this one stopped. */
+    readonly canResume: boolean;
+    /** The event to resume behind; undefined to begin anew. */
+    readonly lastEventId: string | undefined;
+    /** A successful answer begins. False: it can't follow what has been passed on. */
+    handleHead(head: TargetAnswerHead): boolean;
+    /** More of its body. True when this was the first output. */
+    handleData(chunk: Buffer): boolean;
+    /** Its end was seen. False: it stops in the middle all the same. */
+    handleEnd(): boolean;
+    /** The attempt is over without an end; what it left half is dropped. */
+    handleBreak(): void;
+}
--- /dev/null
+++ b/src/gateway/requestFlow.ts
@@ -0,0 +1,343 @@
+import { DisposableStore } from "../base/lifecycle.js";
+import { checkPromptAdmission } from "../decisions/promptAdmission.js";
+import { Attempt, type AttemptOutcome, type StopReason } from "./attempt.js";
+import type { CallerExchange } from "./callerExchange.js";
+import type { ServedRoute } from "./configuration.js";
+import { EventStreamRelay } from "./eventStreamRelay.js";
+import { FlowEndings, type FlowEnd } from "./flowEndings.js";
+import type { GatewayContext } from "./gatewayContext.js";
+import type { AnswerRelay, StoredAnswer } from "./relay.js";
+import { computeSilenceLimit, SilenceTimer } from "./silenceTimer.js";
+import type { Target } from "./target.js";
+import { TargetSend } from "./targetSend.js";
+import { TargetSelector, type Selection } from "./targetSelector.js";
+import type { RequestHead } from "./wire.js";
+import { WholeAnswerRelay } from "./wholeAnswerRelay.js";
+
+/** A request that has been read, found its route and its account. */
+export interface RoutedRequest {
+    readonly head: RequestHead;
+    readonly route: ServedRoute;
+    readonly account: string | undefined;
+    readonly body: Buffer | undefined;
+    /** Monotonic time of its arrival. */
+    readonly arrivedAtMs: number;
+}
+
+/** Output tokens count this often against an account's share; generating one costs about as much as reading some. */
+const outputTokenWeight = 2;
+/**
+ * A request that must not run twice goes only over a connection that was in use just now: one that the target has closed
+ * meanwhile would break it off, and it could not be sent again.
+ */
+const freshConnectionMs = 250;
+const anyIdleMs = 60_000;
+/** When to come back if nothing can take a request now; about the time in which views of a change meet. */
+const noTargetRetryMs = 300;
+/** Part of the objective that a plain request may wait. */
+const plainUsableShare = 0.6;
+/** Attempts that surely did not run cost nothing, but their number is bounded all the same. */
+const mostUnrunAttempts = 4;
+
+/** One request's way to its target and back. */
+export class RequestFlow {
+    private readonly store = new DisposableStore();
+    private readonly selector: TargetSelector;
+    private readonly relay: AnswerRelay;
+    private readonly tried = new Set<Target>();
+    private readonly deadlineAtMs: number;
+    private readonly isRepeatable: boolean;
+    private readonly endings: FlowEndings;
+    private current: Attempt | undefined;
+    private readonly silence = this.store.add(new SilenceTimer(() => this.current?.stop("silent")));
+    private stopReason: StopReason | undefined;
+    private sent = 0;
+    private unrun = 0;
+    /** Whether an attempt may have run; until then "not run" is true. */
+    private mayHaveRun = false;
+    /** The failure that a target answered with, while a repeat is under way. */
+    private lastFailure: StoredAnswer | undefined;
+    private servedTokens = 0;
+    private selection: Selection | undefined;
+    private firstOutputMs: number | undefined;
+    private shareUse = 0;
+
+    public constructor(
+        private readonly context: GatewayContext,
+        private readonly caller: CallerExchange,
+        private readonly routed: RoutedRequest,
+    ) {
+        const { route, head, arrivedAtMs } = routed;
+        this.selector = new TargetSelector(context);
+        const isStream = route.kind === "stream";
+        this.relay = isStream
+            ? new EventStreamRelay(caller, context.codec, route.isResumable, head.lastEventId)
+            : new WholeAnswerRelay(caller, context.codec, head.lastEventId);
+        this.endings = new FlowEndings(caller, context.codec, head.requestId, this.relay, () => ({
+            attempts: this.tried.size,
+            target: this.selection?.target.id,
+            service: this.selection?.service.name,
+            expectedMs: this.selection?.expectedMs,
+            tokensAhead: this.selection?.tokensAhead,
+            firstOutputMs: this.firstOutputMs,
+            shareUse: this.shareUse,
+        }));
+        this.isRepeatable = route.kind === "idempotent" || (isStream && route.isResumable);
+        this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, head.timeLeftMs ?? route.timeoutMs);
+    }
+
+    /** Serves the request; the caller has its final answer, or has left, when this resolves. */
+    public async run(): Promise<FlowEnd> {
+        const { clock } = this.context;
+        const timer = setTimeout(() => this.stop("deadline"), Math.max(0, this.deadlineAtMs - clock.nowMs()));
+        this.store.add({ dispose: () => clearTimeout(timer) });
+        this.store.add(this.caller.token.onDidCancel(() => this.stop("left")));
+        try {
+            return await this.runAttempts();
+        } finally {
+            this.store.dispose();
+        }
+    }
+
+    private async runAttempts(): Promise<FlowEnd> {
+        const services = this.selector.orderServices(this.routed.route);
+        this.recordAsked();
+        for (;;) {
+            const selection = this.select(services);
+            const refusal = this.sent === 0 ? this.checkAdmission(selection) : undefined;
+            if (refusal !== undefined || selection === undefined) {
+                return refusal ?? this.endWithoutTarget();
+            }
+            const outcome = await this.runAttempt(selection);
+            const end = this.handleOutcome(outcome);
+            if (end !== undefined) {
+                return end;
+            }
+        }
+    }
+
+    private select(services: readonly string[]): Selection | undefined {
+        const { head, route } = this.routed;
+        const selection = this.selector.select(services, head, route.hasPrompts, this.tried);
+        this.selection = selection ?? this.selection;
+        return selection;
+    }
+
+    private recordAsked(): void {
+        const { account, head } = this.routed;
+        const { shares, clock } = this.context;
+        if (account !== undefined && head.promptTokens > 0) {
+            shares.recordAsked(account, this.countShareTokens(), clock.nowMs());
+        }
+    }
+
+    private countShareTokens(): number {
+        const { head } = this.routed;
+        return head.promptTokens + outputTokenWeight * head.maxOutputTokens;
+    }
+
+    private checkAdmission(selection: Selection | undefined): FlowEnd | undefined {
+        if (selection === undefined) {
+            return this.endings.refuse("no-target", noTargetRetryMs);
+        }
+        const { route } = this.routed;
+        if (selection.tokensAhead === 0) {
+            return selection.expectedMs > route.objectiveMs * plainUsableShare
+                ? this.endings.refuse("late", selection.expectedMs)
+                : undefined;
+        }
+        this.shareUse = this.computeShareUse();
+        const admission = checkPromptAdmission({
+            expectedMs: selection.expectedMs,
+            aloneMs: selection.aloneMs,
+            objectiveMs: route.objectiveMs,
+            timeLeftMs: this.deadlineAtMs - this.context.clock.nowMs(),
+            shareUse: this.shareUse,
+        });
+        return admission.admitted ? undefined : this.endings.refuse(admission.reason, admission.retryAfterMs);
+    }
+
+    private computeShareUse(): number {
+        const { configuration, shares, peers, clock } = this.context;
+        const tokensPerSecond = configuration.current?.limits.tokensPerSecond;
+        const { account } = this.routed;
+        return account === undefined || tokensPerSecond === undefined
+            ? 0
+            : shares.computeShareUse(account, peers.accountUses, tokensPerSecond, clock.nowMs());
+    }
+
+    private async runAttempt(selection: Selection): Promise<AttemptOutcome> {
+        const { context, routed } = this;
+        const { target, service } = selection;
+        const maxIdleMs = this.isRepeatable ? anyIdleMs : freshConnectionMs;
+        const limit = this.selector.computeConnectionLimit(service);
+        const nowMs = context.clock.nowMs();
+        const connection = target.connections.open(limit, maxIdleMs, nowMs);
+        this.tried.add(target);
+        if (connection === undefined) {
+            return { kind: "not-run", reason: "not-sent", detail: "no connection is free" };
+        }
+        const { method, url } = this.caller.request;
+        const headers = context.codec.encodeForTarget(this.caller.request.rawHeaders, {
+            timeLeftMs: this.deadlineAtMs - nowMs,
+            targetId: target.id,
+            clientAccount: routed.account,
+            lastEventId: this.relay.lastEventId,
+        });
+        const send = new TargetSend(
+            context,
+            selection,
+            routed.head,
+            `${routed.head.requestId ?? ""}#${this.tried.size}`,
+        );
+        const attempt = new Attempt(routed.head.requestId, context.codec, this.relay, {
+            handleSent: () => this.watchSilence(),
+            handleHead: () => undefined,
+            handleFirstOutput: () => this.handleFirstOutput(send),
+            handleOutput: () => this.watchSilence(),
+        });
+        this.current = attempt;
+        if (this.stopReason !== undefined) {
+            send.handleNeutral();
+            return { kind: "stopped", reason: this.stopReason };
+        }
+        this.recordServed();
+        const outcome = await attempt.run(connection, {
+            method: method ?? "GET",
+            path: url ?? "/",
+            headers,
+            body: routed.body,
+        });
+        this.silence.stop();
+        this.current = undefined;
+        target.connections.release(connection, context.clock.nowMs());
+        this.closeBooks(send, target, outcome);
+        return outcome;
+    }
+
+    /** What a send tells of its target. */
+    private closeBooks(send: TargetSend, target: Target, outcome: AttemptOutcome): void {
+        switch (outcome.kind) {
+            case "answered":
+                send.handleAnswered(true);
+                return;
+            case "failed":
+                send.handleAnswered(false);
+                return;
+            case "broken":
+                send.handleFailed();
+                return;
+            case "not-run":
+                if (outcome.reason === "other-target") {
+                    this.context.directory.removeMoved(target);
+                }
+                if (outcome.reason === "not-sent") {
+                    send.handleFailed();
+                } else {
+                    send.handleNeutral();
+                }
+                return;
+            case "stopped":
+                if (outcome.reason === "silent") {
+                    target.connections.closeIdle();
+                    send.handleFailed();
+                } else {
+                    send.handleNeutral();
+                }
+        }
+    }
+
+    private recordServed(): void {
+        const { account, head } = this.routed;
+        if (account !== undefined && head.promptTokens > 0 && this.servedTokens === 0) {
+            this.servedTokens = this.countShareTokens();
+            this.context.shares.recordServed(account, this.servedTokens, this.context.clock.nowMs());
+        }
+    }
+
+    private handleFirstOutput(send: TargetSend): void {
+        send.handleFirstOutput();
+        this.firstOutputMs ??= this.context.clock.nowMs() - this.routed.arrivedAtMs;
+    }
+
+    /** The request's end, or undefined to try again. */
+    private handleOutcome(outcome: AttemptOutcome): FlowEnd | undefined {
+        switch (outcome.kind) {
+            case "answered":
+                return this.endings.createEnd("answered", "", 200);
+            case "not-run":
+                this.unrun += 1;
+                this.sent += outcome.reason === "refused" ? 1 : 0;
+                return this.canTryUnrun(outcome.reason) ? undefined : this.endWithoutTarget();
+            case "failed":
+                this.sent += 1;
+                this.mayHaveRun = true;
+                this.lastFailure = outcome.answer;
+                return this.canRepeat() ? undefined : this.endings.sendFailure(outcome.answer);
+            case "broken":
+                this.sent += 1;
+                this.mayHaveRun = true;
+                this.lastFailure = undefined;
+                return this.canRepeat() ? undefined : this.endings.endBroken(outcome.detail);
+            case "stopped":
+                return this.handleStopped(outcome.reason);
+        }
+    }
+
+    private handleStopped(reason: StopReason): FlowEnd | undefined {
+        if (reason === "left") {
+            return this.endings.createEnd("left", "the caller left", undefined);
+        }
+        if (reason === "silent") {
+            this.sent += 1;
+            this.mayHaveRun = true;
+            this.lastFailure = undefined;
+            return this.canRepeat() ? undefined : this.endings.endBroken("the target went silent");
+        }
+        return this.endings.endLate();
+    }
+
+    /** A request that did not run may go to another target; one that a target turned away counts against the budget. */
+    private canTryUnrun(reason: "not-sent" | "refused" | "other-target"): boolean {
+        if (this.unrun >= mostUnrunAttempts || this.hasNoTime()) {
+            return false;
+        }
+        return reason !== "refused" || (this.sent < this.routed.route.maxAttempts && this.takeRetry());
+    }
+
+    private canRepeat(): boolean {
+        const mayRepeat = this.relay.isCommitted ? this.relay.canResume : this.isRepeatable;
+        return mayRepeat && this.sent < this.routed.route.maxAttempts && !this.hasNoTime() && this.takeRetry();
+    }
+
+    private hasNoTime(): boolean {
+        return this.stopReason !== undefined || this.context.clock.nowMs() >= this.deadlineAtMs;
+    }
+
+    private takeRetry(): boolean {
+        const { retryBudgets, settings, clock } = this.context;
+        const service = this.selection?.service.name ?? "";
+        return retryBudgets.find(service).takeRetry(service, settings.retryBudget.ratio / 2, clock.nowMs());
+    }
+
+    /** Nothing can take it any more: the caller gets what is known of it. */
+    private endWithoutTarget(): FlowEnd {
+        if (this.lastFailure !== undefined) {
+            return this.endings.sendFailure(this.lastFailure);
+        }
+        return this.relay.isCommitted || this.mayHaveRun
+            ? this.endings.endBroken("no other target can take it")
+            : this.endings.refuse("no-target", noTargetRetryMs);
+    }
+
+    private stop(reason: StopReason): void {
+        this.stopReason ??= reason;
+        this.current?.stop(reason);
+    }
+
+    private watchSilence(): void {
+        if (this.isRepeatable) {
+            this.silence.start(computeSilenceLimit(this.routed.route, this.relay.isCommitted));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/targetConnection.ts
@@ -0,0 +1,217 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
+import { buildConnector, Client, type Dispatcher } from "undici";
+import type { Disposable } from "../base/lifecycle.js";
+
+/** A connection that is not up by then is not worth waiting for; a lost opening packet is sent again after a second only. */
+const connectTimeoutMs = 350;
+/** Without a hint a target may close an idle connection within a second. */
+const idleWithoutHintMs = 400;
+/** Taken off the idle time that a target announces, so that a request does not cross its close. */
+const idleMarginMs = 1_000;
+const longestIdleMs = 60_000;
+const keepAliveProbeMs = 1_000;
+
+/** One request as it goes to a target. */
+export interface TargetRequest {
+    readonly method: string;
+    readonly path: string;
+    /** Names and values by turns. */
+    readonly headers: string[];
+    readonly body: Buffer | undefined;
+}
+
+/** How a request at a target ended without a whole answer. */
+export type SendFailure =
+    /** It never left this process. */
+    | "not-sent"
+    /** It may have reached the target. */
+    | "broken"
+    | "cancelled";
+
+/** Takes a target's answer; after `handleEnd` or `handleFailure` nothing more comes. */
+export interface AnswerListener {
+    /** The request is being written: from here on it may run. */
+    handleSent(): void;
+    handleHead(status: number, headers: IncomingHttpHeaders): void;
+    handleData(chunk: Buffer): void;
+    handleEnd(): void;
+    handleFailure(failure: SendFailure, detail: string): void;
+}
+
+/** Stops a request; its connection is closed, which makes the target drop it. */
+export type CancelSend = () => void;
+
+/** One connection to a target; carries one request at a time. */
+export class TargetConnection implements Disposable {
+    private readonly client: Client;
+    private socket: Socket | undefined;
+    private hasSocketError = false;
+    private closed = false;
+    private carrying = false;
+    /** Monotonic time of the last use. */
+    public lastUsedAtMs = 0;
+
+    /** `onDidClose`: the connection can't be used any more. */
+    public constructor(
+        address: string,
+        private readonly onDidClose: (connection: TargetConnection) => void,
+    ) {
+        const connect = buildConnector({ timeout: connectTimeoutMs });
+        this.client = new Client(`http://${address}`, {
+            pipelining: 1,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            keepAliveTimeout: idleWithoutHintMs,
+            keepAliveTimeoutThreshold: idleMarginMs,
+            keepAliveMaxTimeout: longestIdleMs,
+            connect: (options, callback) => {
+                connect(options, (...outcome) => {
+                    const [, socket] = outcome;
+                    if (socket) {
+                        this.watchSocket(socket);
+                    }
+                    callback(...outcome);
+                });
+            },
+        });
+        this.client.on("disconnect", () => this.close());
+    }
+
+    /** Whether an idle connection can take a request. */
+    public get isUsable(): boolean {
+        return !this.closed && !this.carrying;
+    }
+
+    /** Whether it was ever up; a fresh one has no connection yet. */
+    public get isConnected(): boolean {
+        return this.socket !== undefined;
+    }
+
+    /** Sends a request. */
+    public send(request: TargetRequest, listener: AnswerListener): CancelSend {
+        this.carrying = true;
+        const exchange = new Exchange(listener, {
+            hasSocketError: () => this.hasSocketError,
+            release: () => {
+                this.carrying = false;
+            },
+            close: () => this.close(),
+        });
+        this.client.dispatch(
+            {
+                method: request.method as Dispatcher.HttpMethod,
+                path: request.path,
+                headers: request.headers,
+                body: request.body,
+            },
+            exchange,
+        );
+        return () => exchange.cancel();
+    }
+
+    public dispose(): void {
+        this.close();
+    }
+
+    private watchSocket(socket: Socket): void {
+        this.socket = socket;
+        socket.setKeepAlive(true, keepAliveProbeMs);
+        // Registered before undici's own listener, which takes a reset for the end of an answer that has no length. Such an
+        // answer would pass for whole although its last part is missing; with the error noted here it is told as broken.
+        socket.once("error", () => {
+            this.hasSocketError = true;
+        });
+    }
+
+    private close(): void {
+        if (this.closed) {
+            return;
+        }
+        this.closed = true;
+        void this.client.destroy();
+        this.onDidClose(this);
+    }
+}
+
+interface ExchangeOwner {
+    hasSocketError(): boolean;
+    release(): void;
+    close(): void;
+}
+
+/** One request on a connection, from its dispatch to the end of its answer. */
+class Exchange implements Dispatcher.DispatchHandler {
+    private controller: Dispatcher.DispatchController | undefined;
+    private isSent = false;
+    private isOver = false;
+
+    public constructor(
+        private readonly listener: AnswerListener,
+        private readonly owner: ExchangeOwner,
+    ) {}
+
+    public onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.controller = controller;
+        if (this.isOver) {
+            controller.abort(new Error("cancelled"));
+            return;
+        }
+        this.isSent = true;
+        this.listener.handleSent();
+    }
+
+    public onResponseStart(...head: [Dispatcher.DispatchController, number, IncomingHttpHeaders]): void {
+        const [, status, headers] = head;
+        if (!this.isOver && status >= 200) {
+            this.listener.handleHead(status, headers);
+        }
+    }
+
+    public onResponseData(...data: [Dispatcher.DispatchController, Buffer]): void {
+        const [, chunk] = data;
+        if (!this.isOver) {
+            this.listener.handleData(chunk);
+        }
+    }
+
+    public onResponseEnd(): void {
+        if (this.isOver) {
+            return;
+        }
+        if (this.owner.hasSocketError()) {
+            this.fail("broken", "the connection was reset");
+            return;
+        }
+        this.isOver = true;
+        this.owner.release();
+        this.listener.handleEnd();
+    }
+
+    public onResponseError(...failure: [Dispatcher.DispatchController, Error]): void {
+        const [, error] = failure;
+        if (!this.isOver) {
+            this.fail(this.isSent ? "broken" : "not-sent", describeError(error));
+        }
+    }
+
+    public cancel(): void {
+        if (this.isOver) {
+            return;
+        }
+        this.isOver = true;
+        this.controller?.abort(new Error("cancelled"));
+        this.owner.close();
+    }
+
+    private fail(failure: SendFailure, detail: string): void {
+        this.isOver = true;
+        this.owner.close();
+        this.listener.handleFailure(failure, detail);
+    }
+}
+
+function describeError(error: Error): string {
+    const { code } = error as Error & { readonly code?: string };
+    return code === undefined ? error.message : `${code}: ${error.message}`;
+}
--- /dev/null
+++ b/src/gateway/targetDirectory.ts
@@ -0,0 +1,190 @@
+import type { Clock } from "../base/clock.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { Logger } from "../base/log.js";
+import type { Random } from "../base/random.js";
+import type { ServedConfiguration, ServedService } from "./configuration.js";
+import type { FleetChange, SourceHealth, TargetEntry } from "./fleetSource.js";
+import { Target } from "./target.js";
+
+/**
+ * Entries lapse while the platform's store is away although their targets live, and are back within two seconds of its
+ * return. Dropped at once, a whole service would be without targets for these seconds.
+ */
+const lapseGraceMs = 2_300;
+
+/** What a {@link TargetDirectory} needs. */
+export interface TargetDirectoryOptions {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: Logger;
+    /** How the link to the platform stands; undefined without one. */
+    readonly getHealth: () => SourceHealth | undefined;
+}
+
+/** The targets that this router knows, and which of them may get requests. */
+export class TargetDirectory implements Disposable {
+    private readonly targets = new Map<string, Target>();
+    private readonly byService = new Map<string, Target[]>();
+    private readonly lapsing = new Map<string, NodeJS.Timeout>();
+    private readonly dataCentresOut = new Set<string>();
+    private services: ReadonlyMap<string, ServedService> = new Map();
+
+    public constructor(private readonly options: TargetDirectoryOptions) {}
+
+    public applyConfiguration(configuration: ServedConfiguration): void {
+        this.services = new Map(configuration.services.map(service => [service.name, service]));
+        for (const target of this.targets.values()) {
+            target.applyService(this.services.get(target.entry.service));
+        }
+    }
+
+    public applyChange(change: FleetChange): void {
+        if (change.kind === "target") {
+            this.applyEntry(change.id, change.entry);
+        } else if (change.kind === "data-centre") {
+            this.applyDataCentre(change.dataCentre, change.isOut);
+        }
+    }
+
+    public findService(name: string): ServedService | undefined {
+        return this.services.get(name);
+    }
+
+    public find(id: string): Target | undefined {
+        return this.targets.get(id);
+    }
+
+    public listAll(): readonly Target[] {
+        return [...this.targets.values()];
+    }
+
+    public listDataCentresOut(): readonly string[] {
+        return [...this.dataCentresOut];
+    }
+
+    /** Targets of a service that may get requests: not leaving, not in a data centre that is out. */
+    public listOpen(service: string): readonly Target[] {
+        const known = this.byService.get(service) ?? [];
+        return known.filter(({ entry }) => entry.state === "ready" && !this.dataCentresOut.has(entry.dataCentre));
+    }
+
+    /** Another target has the address: the one that was known there is gone, whatever its entry says. */
+    public removeMoved(target: Target): void {
+        this.options.logger.write("info", "a target's address belongs to another one", { target: target.id });
+        this.remove(target.id);
+    }
+
+    /** A target that could not be reached answers again: it may have been started anew, and is then cold. */
+    public recordRecovery(target: Target): void {
+        this.setCold(target, this.services.get(target.entry.service)?.coldStartMs ?? 0);
+        target.clearParts();
+    }
+
+    public dispose(): void {
+        for (const timer of this.lapsing.values()) {
+            clearTimeout(timer);
+        }
+        for (const target of this.targets.values()) {
+            target.dispose();
+        }
+        this.targets.clear();
+        this.byService.clear();
+    }
+
+    private applyEntry(id: string, entry: TargetEntry | undefined): void {
+        clearTimeout(this.lapsing.get(id));
+        this.lapsing.delete(id);
+        if (entry === undefined) {
+            this.applyRemoval(id);
+            return;
+        }
+        const known = this.targets.get(id);
+        if (known === undefined || known.entry.address !== entry.address || known.entry.service !== entry.service) {
+            this.remove(id);
+            this.addTarget(entry);
+            return;
+        }
+        if (known.entry.state !== entry.state) {
+            this.options.logger.write("info", "a target's state changed", { target: id, state: entry.state });
+        }
+        // A target may start again under its id. It then holds nothing and is cold, though its entry may still say
+        // otherwise; only the time of its start tells.
+        if (known.entry.startedAtMs !== entry.startedAtMs) {
+            this.options.logger.write("info", "a target was started anew", { target: id });
+            known.clearParts();
+            known.connections.closeIdle();
+            this.setCold(known, this.services.get(entry.service)?.coldStartMs ?? 0);
+        }
+        known.entry = entry;
+        this.setCold(known, entry.coldLeftMs);
+    }
+
+    private applyRemoval(id: string): void {
+        const { clock, getHealth } = this.options;
+        const health = getHealth();
+        const failedAtMs = health?.isConnected === false ? clock.nowMs() : health?.lastFailureAtMs;
+        const graceMs = failedAtMs === undefined ? 0 : failedAtMs + lapseGraceMs - clock.nowMs();
+        if (graceMs <= 0 || !this.targets.has(id)) {
+            this.remove(id);
+            return;
+        }
+        const timer = setTimeout(() => {
+            this.lapsing.delete(id);
+            this.remove(id);
+        }, graceMs);
+        this.lapsing.set(id, timer);
+    }
+
+    private applyDataCentre(dataCentre: string, isOut: boolean): void {
+        const wasOut = this.dataCentresOut.has(dataCentre);
+        this.options.logger.write("info", isOut ? "a data centre is out" : "a data centre is back", { dataCentre });
+        if (isOut) {
+            this.dataCentresOut.add(dataCentre);
+            return;
+        }
+        this.dataCentresOut.delete(dataCentre);
+        // Targets that got nothing for a while have usually been restarted or moved in that time, and are cold when the data
+        // centre comes back; their entries tell it a heartbeat later, after a full load would have crashed them.
+        for (const target of wasOut ? this.targets.values() : []) {
+            if (target.dataCentre === dataCentre) {
+                this.setCold(target, this.services.get(target.entry.service)?.coldStartMs ?? 0);
+            }
+        }
+    }
+
+    private addTarget(entry: TargetEntry): void {
+        const target = new Target(entry, this.services.get(entry.service), this.options.random);
+        this.setCold(target, entry.coldLeftMs);
+        this.targets.set(entry.id, target);
+        const known = this.byService.get(entry.service) ?? [];
+        known.push(target);
+        this.byService.set(entry.service, known);
+        const { id, service, address, dataCentre, state, coldLeftMs } = entry;
+        this.options.logger.write("info", "a target joined", {
+            target: id,
+            service,
+            address,
+            dataCentre,
+            state,
+            coldLeftMs,
+        });
+    }
+
+    private setCold(target: Target, ms: number): void {
+        if (ms > 0) {
+            target.coldUntilMs = Math.max(target.coldUntilMs, this.options.clock.nowMs() + ms);
+        }
+    }
+
+    private remove(id: string): void {
+        const target = this.targets.get(id);
+        if (target === undefined) {
+            return;
+        }
+        this.targets.delete(id);
+        const others = (this.byService.get(target.entry.service) ?? []).filter(other => other !== target);
+        this.byService.set(target.entry.service, others);
+        target.dispose();
+        this.options.logger.write("info", "a target is gone", { target: id, service: target.entry.service });
+    }
+}
--- /dev/null
+++ b/src/gateway/targetSelector.ts
@@ -0,0 +1,136 @@
+import { choosePlacement } from "../decisions/placement.js";
+import { computeColdShare } from "../decisions/coldLimit.js";
+import { choosePromptPlacement } from "../decisions/promptPlacement.js";
+import type { ServedRoute, ServedService } from "./configuration.js";
+import type { GatewayContext } from "./gatewayContext.js";
+import type { Target } from "./target.js";
+import type { RequestHead } from "./wire.js";
+
+/** Where a request may go now, and what to expect there. */
+export interface Selection {
+    readonly target: Target;
+    readonly service: ServedService;
+    /** Prompt tokens that the target has to read for this request. */
+    readonly newTokens: number;
+    /** The same with all that waits there before it. */
+    readonly tokensAhead: number;
+    /** Time to the first event, or of the wait before a plain request starts; milliseconds. */
+    readonly expectedMs: number;
+    /** The same at a target with nothing to do. */
+    readonly aloneMs: number;
+}
+
+/** A full target of a plain service lets this many slots' worth of requests wait before others are better told to go. */
+const plainTargetWindowFactor = 1;
+/** Share of a target's connections that routers use; the rest covers closes that are under way and uneven routers. */
+const connectionShare = 0.8;
+
+/** Chooses the target of a request. */
+export class TargetSelector {
+    public constructor(private readonly context: GatewayContext) {}
+
+    /** The service that a request goes to first, and those of the route that could take its place. */
+    public orderServices(route: ServedRoute): readonly string[] {
+        const open = route.destinations.filter(destination => destination.weight > 0);
+        const total = open.reduce((sum, destination) => sum + destination.weight, 0);
+        let point = this.context.random.next() * total;
+        const first = open.find(destination => (point -= destination.weight) < 0) ?? open[0];
+        return first === undefined
+            ? []
+            : [first.service, ...open.filter(other => other !== first).map(other => other.service)];
+    }
+
+    /** The best target of the first service that has one; undefined: none can take a request now. */
+    public select(
+        services: readonly string[],
+        head: RequestHead,
+        hasPrompts: boolean,
+        tried: ReadonlySet<Target>,
+    ): Selection | undefined {
+        for (const name of services) {
+            const service = this.context.directory.findService(name);
+            const candidates = service === undefined ? [] : this.listCandidates(service, tried);
+            if (service !== undefined && candidates.length > 0) {
+                const isModel = hasPrompts && service.engine !== undefined;
+                return isModel
+                    ? this.selectForPrompt(service, candidates, head)
+                    : this.selectPlain(service, candidates);
+            }
+        }
+        return undefined;
+    }
+
+    /** Connections that this router may hold to one target of the service. */
+    public computeConnectionLimit(service: ServedService): number {
+        const routers = this.context.peers.routers.routerIds.length;
+        return Math.max(1, Math.floor((service.maxConnections * connectionShare) / Math.max(1, routers)));
+    }
+
+    private listCandidates(service: ServedService, tried: ReadonlySet<Target>): readonly Target[] {
+        const nowMs = this.context.clock.nowMs();
+        return this.context.directory
+            .listOpen(service.name)
+            .filter(
+                target =>
+                    !tried.has(target) &&
+                    target.circuit.canStart(nowMs) &&
+                    (target.coldUntilMs <= nowMs || this.canSendCold(target, service, nowMs)),
+            );
+    }
+
+    private canSendCold(target: Target, service: ServedService, nowMs: number): boolean {
+        const rate = { requestsPerSecond: service.coldRequestsPerSecond, ...this.context.settings.coldLimit };
+        if (rate.requestsPerSecond === 0) {
+            return true;
+        }
+        return target.cold.hasRoom(nowMs, computeColdShare(target.id, rate, this.context.peers.routers));
+    }
+
+    private selectForPrompt(
+        service: ServedService,
+        candidates: readonly Target[],
+        head: RequestHead,
+    ): Selection | undefined {
+        const model = this.context.firstTokenModels.find(service.name);
+        const placement = choosePromptPlacement(candidates, {
+            parts: head.promptParts,
+            promptTokens: head.promptTokens,
+            dataCentre: this.context.settings.dataCentre,
+            tokensPerMs: model.tokensPerMs,
+        });
+        if (placement === undefined) {
+            return undefined;
+        }
+        return {
+            target: placement.candidate,
+            service,
+            newTokens: placement.newTokens,
+            tokensAhead: placement.tokensAhead,
+            expectedMs: model.estimateMs(placement.tokensAhead),
+            aloneMs: model.estimateMs(placement.newTokens),
+        };
+    }
+
+    private selectPlain(service: ServedService, candidates: readonly Target[]): Selection | undefined {
+        const { random, settings } = this.context;
+        const views = candidates.map(target => ({
+            target,
+            agentId: target.id,
+            nameHash: target.idHash,
+            dataCentre: target.dataCentre,
+            window: target.slots * plainTargetWindowFactor,
+            load: target.running,
+            ownWaiting: 0,
+            serviceTimeMs: target.serviceTimeMs,
+            holdsPrefix: false,
+        }));
+        const request = { affinityHash: undefined, promptTokens: 0, dataCentre: settings.dataCentre };
+        const chosen = choosePlacement(views, request, random);
+        if (chosen === undefined) {
+            return undefined;
+        }
+        const ahead = Math.max(0, chosen.load - chosen.window + 1);
+        const expectedMs = (ahead * chosen.serviceTimeMs) / Math.max(1, chosen.window);
+        return { target: chosen.target, service, newTokens: 0, tokensAhead: 0, expectedMs, aloneMs: 0 };
+    }
+}
--- /dev/null
+++ b/src/gateway/wholeAnswerRelay.ts
@@ -0,0 +1,65 @@
+import type { CallerExchange } from "./callerExchange.js";
+import type { AnswerRelay, TargetAnswerHead } from "./relay.js";
+import type { HeaderCodec } from "./wire.js";
+
+/**
+ * An answer up to this size is passed on once it is whole, so that one that breaks off can still be repeated or told as a
+ * failure; a larger one goes out as it comes, or a few of them would fill the memory.
+ */
+const mostHeldBytes = 65_536;
+
+/** Passes on an answer that is no stream. */
+export class WholeAnswerRelay implements AnswerRelay {
+    private readonly chunks: Buffer[] = [];
+    private held = 0;
+    private head: TargetAnswerHead | undefined;
+
+    public readonly canResume = false;
+
+    public constructor(
+        private readonly caller: CallerExchange,
+        private readonly codec: HeaderCodec,
+        /** A resumption that the caller itself asked for. */
+        public readonly lastEventId: string | undefined,
+    ) {}
+
+    public get isCommitted(): boolean {
+        return this.caller.hasBegun;
+    }
+
+    public handleHead(head: TargetAnswerHead): boolean {
+        this.head = head;
+        return true;
+    }
+
+    public handleData(chunk: Buffer): boolean {
+        const isFirst = this.held === 0 && !this.isCommitted;
+        if (this.isCommitted) {
+            this.caller.write(chunk);
+            return false;
+        }
+        this.chunks.push(chunk);
+        this.held += chunk.length;
+        if (this.held > mostHeldBytes && this.head !== undefined) {
+            this.caller.writeHead(this.head.status, this.codec.encodeForCaller(this.head.headers));
+            this.caller.write(Buffer.concat(this.chunks.splice(0)));
+        }
+        return isFirst;
+    }
+
+    public handleEnd(): boolean {
+        if (this.isCommitted) {
+            this.caller.end();
+        } else if (this.head !== undefined) {
+            const headers = this.codec.encodeForCaller(this.head.headers);
+            this.caller.answer(this.head.status, headers, Buffer.concat(this.chunks));
+        }
+        return true;
+    }
+
+    public handleBreak(): void {
+        this.chunks.length = 0;
+        this.held = 0;
+        this.head = undefined;
+    }
+}
--- /dev/null
+++ b/src/gateway/wire.ts
@@ -0,0 +1,61 @@
+import type { IncomingHttpHeaders } from "node:http";
+
+/** One part of a prompt, shared with other requests or the request's own. */
+export interface PromptPart {
+    readonly id: string;
+    readonly tokens: number;
+}
+
+/** What a caller's request says of itself. */
+export interface RequestHead {
+    /** Name of this attempt of the caller; undefined when it sent none. */
+    readonly requestId: string | undefined;
+    /** How long the caller waits, from now; milliseconds. */
+    readonly timeLeftMs: number | undefined;
+    readonly apiKey: string | undefined;
+    readonly promptTokens: number;
+    readonly maxOutputTokens: number;
+    /** In the prompt's order; the last part belongs to the request or its session. */
+    readonly promptParts: readonly PromptPart[];
+    /** Where a broken stream goes on; undefined for a new one. */
+    readonly lastEventId: string | undefined;
+}
+
+/** What the router adds to a request for its target. */
+export interface ForwardedFields {
+    readonly timeLeftMs: number;
+    readonly targetId: string;
+    readonly clientAccount: string | undefined;
+    /** Resume behind this event; undefined to begin anew. */
+    readonly lastEventId: string | undefined;
+}
+
+/** What a target's answer says of itself. */
+export interface AnswerHead {
+    /** The request it answers, as the target echoes it. */
+    readonly requestId: string | undefined;
+    /** The target says that it did not run the request. */
+    readonly isNotRun: boolean;
+    /** Another target has the address; it did not run the request either. */
+    readonly isOtherTarget: boolean;
+    /** The answer is signed by the target's engine. */
+    readonly isSigned: boolean;
+    readonly hasEncodedBody: boolean;
+    /** Requests running and waiting at the target; undefined when it does not say. */
+    readonly load: { readonly running: number; readonly waiting: number; readonly slots: number } | undefined;
+    /** How much longer the target is cold; undefined when it does not say. */
+    readonly coldLeftMs: number | undefined;
+}
+
+/** Translates between the HTTP headers of callers and targets and the router's own types. */
+export interface HeaderCodec {
+    /** `rawHeaders`: names and values by turns, as they came. */
+    decodeRequest(rawHeaders: readonly string[]): RequestHead;
+    /** Headers for the target: the caller's own without those that only the router may set. */
+    encodeForTarget(rawHeaders: readonly string[], fields: ForwardedFields): string[];
+    decodeAnswer(status: number, headers: IncomingHttpHeaders): AnswerHead;
+    /** Headers for the caller from those of the target's answer. */
+    encodeForCaller(headers: IncomingHttpHeaders): Record<string, string | string[]>;
+    /** Header of an answer of the router's own that names the request. */
+    encodeOwnAnswer(requestId: string | undefined): Record<string, string>;
+}
--- a/src/platform/logTail.ts
+++ b/src/infrastructure/logTail.ts
@@ -5,7 +5,7 @@
 import type { Random } from "../base/random.js";
 import type { PlatformError } from "./errors.js";
 import type { LogPage, LogService } from "./logService.js";
-import type { Sleep } from "./sleep.js";
+import type { Sleep } from "../base/sleep.js";
 
 /** Takes the pages of a stream in order. */
 export interface LogReader {
--- a/test/cli/racingOperators.property.test.ts
+++ b/test/cli/racingOperators.property.test.ts
@@ -5,7 +5,7 @@
 import type { SnapshotRecord } from "../../src/document/change.js";
 import { DocumentState, type DecidedRecord } from "../../src/document/documentState.js";
 import type { EnvironmentDocument } from "../../src/document/schema.js";
-import type { LogRecord } from "../../src/platform/logService.js";
+import type { LogRecord } from "../../src/infrastructure/logService.js";
 import { buildDocument } from "../document/fixtures.js";
 import { MemoryLogService, type MemoryFault } from "../fakes/platform/memoryLogService.js";
 import { Streams } from "../fakes/platform/streams.js";
--- a/test/fakes/platform/memoryLogService.ts
+++ b/test/fakes/platform/memoryLogService.ts
@@ -1,7 +1,7 @@
 import { ResultAsync } from "neverthrow";
 import type { CancellationToken } from "../../../src/base/cancellation.js";
-import { PlatformError } from "../../../src/platform/errors.js";
-import type { LogPage, LogService } from "../../../src/platform/logService.js";
+import { PlatformError } from "../../../src/infrastructure/errors.js";
+import type { LogPage, LogService } from "../../../src/infrastructure/logService.js";
 import type { Streams } from "./streams.js";
 
 /** What happens to the next call. `late`: the append fails now and takes effect when {@link MemoryLogService.release} is called. */
--- a/test/fakes/platform/streams.ts
+++ b/test/fakes/platform/streams.ts
@@ -1,4 +1,4 @@
-import type { LogPage, LogRecord } from "../../../src/platform/logService.js";
+import type { LogPage, LogRecord } from "../../../src/infrastructure/logService.js";
 
 /** Append-only streams in memory, with offsets that survive retention. */
 export class Streams {
--- a/test/fleet/evictor.test.ts
+++ b/test/fleet/evictor.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock } from "../../src/base/clock.js";
 import { evictAfterMs, Evictor } from "../../src/fleet/evictor.js";
 import type { RosterEntry } from "../../src/fleet/rosterEntry.js";
-import type { Vm } from "../../src/platform/vmList.js";
+import type { Vm } from "../../src/infrastructure/vmList.js";
 
 const member: RosterEntry = {
     daemonId: "agent-1",
--- a/test/platform/httpServices.test.ts
+++ b/test/infrastructure/httpServices.test.ts
@@ -3,8 +3,8 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { CancellationTokenSource } from "../../src/base/cancellation.js";
 import type { Disposable } from "../../src/base/lifecycle.js";
-import { HttpLogService } from "../../src/platform/httpLogService.js";
-import { HttpVmListService } from "../../src/platform/httpVmListService.js";
+import { HttpLogService } from "../../src/infrastructure/httpLogService.js";
+import { HttpVmListService } from "../../src/infrastructure/httpVmListService.js";
 import { startPlatform, type PlatformOptions, type RunningPlatform } from "../fakes/platform/server.js";
 
 const { token } = new CancellationTokenSource();
--- a/test/platform/logTail.test.ts
+++ b/test/infrastructure/logTail.test.ts
@@ -2,9 +2,9 @@
 import { describe, expect, it } from "vitest";
 import { ManualClock } from "../../src/base/clock.js";
 import { SeededRandom } from "../../src/base/random.js";
-import { PlatformError } from "../../src/platform/errors.js";
-import { LogTail } from "../../src/platform/logTail.js";
-import type { LogPage, LogService } from "../../src/platform/logService.js";
+import { PlatformError } from "../../src/infrastructure/errors.js";
+import { LogTail } from "../../src/infrastructure/logTail.js";
+import type { LogPage, LogService } from "../../src/infrastructure/logService.js";
 
 const mostReads = 100;
 
