Let routers tell one another what they have under way

Change: a datagram every 100 ms with loads by target, accounts' use and parts read (src/gateway/peers); cold shares and the slack for repeats are divided by the routers known, and by seeds that were not heard.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,7 @@
 
 /** Verbs a function name may begin with; docs/CONVENTIONS.md says what each one means. */
 const verbs =
-    "add|advance|answer|append|apply|build|cancel|can|charge|check|choose|clear|close|compare|compute|connect|count|create|decode|delete|describe|dispose|drain|encode|end|estimate|explain|fail|fetch|find|fire|format|get|handle|has|hash|increment|is|issue|list|listen|load|main|measure|merge|mix|next|now|observe|offer|on|open|order|parse|pick|print|promote|read|receive|record|refuse|release|remove|render|report|resolve|resume|run|select|send|set|sign|sleep|sort|start|stop|submit|subscribe|take|tick|to|update|verify|wait|watch|withdraw|write";
+    "add|advance|answer|append|apply|build|cancel|can|charge|check|choose|clear|close|compare|compute|connect|count|create|decode|delete|describe|dispose|drain|encode|end|estimate|explain|fail|fetch|find|fire|format|get|handle|has|hash|increment|is|issue|list|listen|load|main|measure|merge|mix|next|now|observe|offer|on|open|order|parse|pick|print|promote|read|receive|record|refuse|release|remove|render|report|resolve|resume|run|select|send|set|sign|sleep|sort|start|stop|submit|subscribe|take|tick|to|update|verify|visit|wait|watch|withdraw|write";
 const verbPattern = `^(${verbs})([A-Z0-9].*)?$`;
 
 const layerRules = layers.flatMap((folders, level) =>
--- a/src/decisions/coldLimit.ts
+++ b/src/decisions/coldLimit.ts
@@ -32,6 +32,8 @@
     readonly ownId: string;
     /** Live routers, this one included. */
     readonly routerIds: readonly string[];
+    /** Routers that should be there and have not been heard. */
+    readonly unheard: number;
     /** Whether this router has had time to hear from its peers. */
     readonly isSettled: boolean;
 }
@@ -43,7 +45,7 @@
     }
     const targetHash = hashToNumber(targetId) >>> 0;
     const weights = view.routerIds.map(id => ({ id, weight: mixHashes(targetHash, hashToNumber(id) >>> 0) }));
-    const sharers = Math.max(leastSharers, Math.min(mostSharers, weights.length));
+    const sharers = Math.max(leastSharers, Math.min(mostSharers, weights.length + view.unheard));
     const own = weights.find(entry => entry.id === view.ownId)?.weight ?? 0;
     const ahead = weights.filter(entry => entry.weight > own).length;
     if (ahead >= sharers) {
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -5,7 +5,8 @@
 import type { FirstTokenModel } from "../decisions/firstTokenModel.js";
 import type { RetryBudget } from "../decisions/retryBudget.js";
 import type { ConfigurationHolder } from "./configurationHolder.js";
-import type { PeerView } from "./peerView.js";
+import type { PeerView } from "./peers/peerView.js";
+import type { Registry } from "./registry.js";
 import type { GatewaySettings } from "./settings.js";
 import type { TargetDirectory } from "./targetDirectory.js";
 import type { HeaderCodec } from "./wire.js";
@@ -22,7 +23,7 @@
     readonly peers: PeerView;
     readonly shares: AccountShares;
     /** Per service. */
-    readonly retryBudgets: { find(service: string): RetryBudget };
+    readonly retryBudgets: Registry<RetryBudget>;
     /** Per service. */
-    readonly firstTokenModels: { find(service: string): FirstTokenModel };
+    readonly firstTokenModels: Registry<FirstTokenModel>;
 }
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -12,7 +12,9 @@
 import type { FleetChange, FleetSource } from "./fleetSource.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService, type EndedRequest } from "./gatewayService.js";
-import { SoloView } from "./peerView.js";
+import { PeerExchange } from "./peers/peerExchange.js";
+import type { PartRead, TargetLoad } from "./peers/peerMessage.js";
+import { Registry } from "./registry.js";
 import { ReadinessServer } from "./readinessServer.js";
 import type { GatewaySettings } from "./settings.js";
 import { TargetDirectory } from "./targetDirectory.js";
@@ -35,12 +37,15 @@
 const openPollMs = 50;
 /** Left of the time to stop for closing sockets and ending the process. */
 const exitMarginMs = 400;
+/** Part of the fleet's slack for repeats that the routers hand out; the rest covers views of the fleet that differ. */
+const usedSlack = 0.6;
 const msPerSecond = 1_000;
 
 /** A router that speaks to targets directly: servers, the platform's news, and the way it stops. */
 export class GatewayDaemon implements Disposable {
     private readonly store = new DisposableStore();
     private readonly context: GatewayContext;
+    private readonly peers: PeerExchange;
     private readonly service: GatewayService;
     private readonly callers: CallerServer;
     private readonly readiness: ReadinessServer;
@@ -51,6 +56,20 @@
         const directory = this.store.add(
             new TargetDirectory({ clock, random, logger, getHealth: () => source.health }),
         );
+        const shares = new AccountShares(settings.shareWindowSeconds * msPerSecond);
+        this.peers = this.store.add(
+            new PeerExchange({
+                routerId: settings.daemonId,
+                ip: settings.ip,
+                port: settings.peerPorts[0],
+                seedIps: settings.seeds.map(seed => parseAddress(seed)[0]),
+                clock,
+                logger,
+                listOwnLoads: () => this.listOwnLoads(),
+                listOwnAccounts: () => shares.listOwn(clock.nowMs()),
+                onDidHear: (loads, reads) => this.applyPeerWord(loads, reads),
+            }),
+        );
         this.context = {
             settings,
             clock,
@@ -59,9 +78,9 @@
             codec,
             directory,
             configuration: new ConfigurationHolder(),
-            peers: new SoloView(settings.daemonId),
-            shares: new AccountShares(settings.shareWindowSeconds * msPerSecond),
-            retryBudgets: new Registry(() => new RetryBudget()),
+            peers: this.peers,
+            shares,
+            retryBudgets: new Registry(() => new RetryBudget({ perAccount: 1, perRouter: 1 })),
             firstTokenModels: new Registry(() => new FirstTokenModel()),
         };
         this.service = this.store.add(new GatewayService(this.context));
@@ -81,6 +100,7 @@
         source.start();
         const [host, port] = parseAddress(settings.callers);
         const [readyHost, readyPort] = parseAddress(settings.readiness);
+        await this.peers.start();
         await Promise.all([this.callers.listen(host, port), this.readiness.listen(readyHost, readyPort)]);
         logger.write("info", "started", { role: "gateway", dataCentre: settings.dataCentre });
     }
@@ -111,6 +131,30 @@
         }
     }
 
+    private listOwnLoads(): readonly TargetLoad[] {
+        return this.context.directory
+            .listAll()
+            .filter(target => target.ownRunning > 0)
+            .map(({ id, ownWaitingTokens, ownRunning }) => ({
+                targetId: id,
+                waitingTokens: ownWaitingTokens,
+                running: ownRunning,
+            }));
+    }
+
+    private applyPeerWord(loads: ReadonlyMap<string, TargetLoad>, reads: readonly PartRead[]): void {
+        const { directory, retryBudgets, settings } = this.context;
+        for (const target of directory.listAll()) {
+            target.peerLoad = loads.get(target.id) ?? { waitingTokens: 0, running: 0 };
+        }
+        for (const read of reads) {
+            directory.find(read.targetId)?.recordPart(read.partId, read.tokens);
+        }
+        const { routerIds, unheard } = this.peers.routers;
+        const perRouter = (settings.retryBudget.slack * usedSlack) / (routerIds.length + unheard);
+        retryBudgets.visitAll(budget => budget.setFloors({ perAccount: perRouter, perRouter }));
+    }
+
     private applyChange(change: FleetChange): void {
         const { configuration, directory, logger } = this.context;
         if (change.kind !== "configuration") {
@@ -148,22 +192,6 @@
     }
 }
 
-/** Makes one object a name, at first use. */
-class Registry<T> {
-    private readonly known = new Map<string, T>();
-
-    public constructor(private readonly create: () => T) {}
-
-    public find(name: string): T {
-        let found = this.known.get(name);
-        if (found === undefined) {
-            found = this.create();
-            this.known.set(name, found);
-        }
-        return found;
-    }
-}
-
 function toWhole(value: number | undefined): number | undefined {
     return value === undefined ? undefined : Math.round(value);
 }
--- /dev/null
+++ b/src/gateway/peers/peerDirectory.ts
@@ -0,0 +1,114 @@
+import type { Clock } from "../../base/clock.js";
+import type { AccountUse } from "../../decisions/accountShares.js";
+import type { RouterView } from "../../decisions/coldLimit.js";
+import type { PeerAddress, PeerMessage, TargetLoad } from "./peerMessage.js";
+
+/** What a router said of its requests under way is worth little after this long; some rounds of messages. */
+export const loadTtlMs = 1_200;
+/**
+ * A router that was not heard for this long may be cut off and still at work, so it keeps its share of cold targets. Kept
+ * too long, the share of a router that is gone is merely not used.
+ */
+export const memberTtlMs = 30_000;
+/** Rounds of messages pass in this time, so that a router which hears nobody is alone, or cut off. */
+const settleMs = 1_500;
+
+interface Peer {
+    message: PeerMessage;
+    heardAtMs: number;
+}
+
+/** What this router has heard from the others. */
+export class PeerDirectory {
+    private readonly peers = new Map<string, Peer>();
+    /** Addresses that were heard of. */
+    private readonly addresses = new Map<string, string>();
+    private readonly startedAtMs: number;
+
+    /** `seedIps`: addresses of some routers, perhaps of this one. */
+    public constructor(
+        private readonly own: PeerAddress,
+        private readonly seedIps: readonly string[],
+        private readonly clock: Clock,
+    ) {
+        this.startedAtMs = clock.nowMs();
+    }
+
+    /** Takes a message; false when it is this router's own or older than what is known. */
+    public apply(message: PeerMessage): boolean {
+        const known = this.peers.get(message.routerId)?.message;
+        const isOlder =
+            known !== undefined &&
+            (message.incarnation < known.incarnation ||
+                (message.incarnation === known.incarnation && message.sequence <= known.sequence));
+        if (message.routerId === this.own.routerId || isOlder) {
+            return false;
+        }
+        this.peers.set(message.routerId, { message, heardAtMs: this.clock.nowMs() });
+        this.addresses.set(message.routerId, message.ip);
+        for (const peer of message.peers) {
+            if (peer.routerId !== this.own.routerId && !this.addresses.has(peer.routerId)) {
+                this.addresses.set(peer.routerId, peer.ip);
+            }
+        }
+        return true;
+    }
+
+    /** Where to send messages: everybody heard of, and the seeds until they are known. */
+    public listAddresses(): readonly string[] {
+        this.removeOld();
+        return [...new Set([...this.addresses.values(), ...this.seedIps])].filter(ip => ip !== this.own.ip);
+    }
+
+    /** Routers heard from lately, for others that don't know them. */
+    public listKnown(): readonly PeerAddress[] {
+        return [...this.peers.values()].map(({ message }) => ({ routerId: message.routerId, ip: message.ip }));
+    }
+
+    public get routers(): RouterView {
+        this.removeOld();
+        const heard = new Set([...this.peers.values()].map(peer => peer.message.ip));
+        const unheardSeeds = this.seedIps.filter(ip => ip !== this.own.ip && !heard.has(ip));
+        const isWaiting = this.clock.nowMs() - this.startedAtMs < settleMs;
+        return {
+            ownId: this.own.routerId,
+            routerIds: [this.own.routerId, ...this.peers.keys()],
+            unheard: unheardSeeds.length,
+            isSettled: !isWaiting,
+        };
+    }
+
+    /** Accounts' use at each router whose word is fresh. */
+    public get accountUses(): readonly ReadonlyMap<string, AccountUse>[] {
+        return this.listFresh().map(message => message.accounts);
+    }
+
+    /** What all other routers have under way, by target. */
+    public computeLoads(): ReadonlyMap<string, TargetLoad> {
+        const sums = new Map<string, TargetLoad>();
+        for (const load of this.listFresh().flatMap(message => message.targets)) {
+            const before = sums.get(load.targetId);
+            sums.set(load.targetId, {
+                targetId: load.targetId,
+                waitingTokens: load.waitingTokens + (before?.waitingTokens ?? 0),
+                running: load.running + (before?.running ?? 0),
+            });
+        }
+        return sums;
+    }
+
+    private listFresh(): readonly PeerMessage[] {
+        const nowMs = this.clock.nowMs();
+        return [...this.peers.values()].filter(peer => nowMs - peer.heardAtMs <= loadTtlMs).map(peer => peer.message);
+    }
+
+    private removeOld(): void {
+        const nowMs = this.clock.nowMs();
+        for (const [id, peer] of this.peers) {
+            if (nowMs - peer.heardAtMs > memberTtlMs) {
+                this.peers.delete(id);
+                this.addresses.delete(id);
+            }
+        }
+    }
+}
--- a/src/gateway/peerView.ts
+++ b/src/gateway/peers/peerView.ts
@@ -1,5 +1,5 @@
-import type { AccountUse } from "../decisions/accountShares.js";
-import type { RouterView } from "../decisions/coldLimit.js";
+import type { AccountUse } from "../../decisions/accountShares.js";
+import type { RouterView } from "../../decisions/coldLimit.js";
 
 /** What this router knows of the other routers. */
 export interface PeerView {
@@ -16,7 +16,7 @@
     public readonly routers: RouterView;
 
     public constructor(routerId: string) {
-        this.routers = { ownId: routerId, routerIds: [routerId], isSettled: true };
+        this.routers = { ownId: routerId, routerIds: [routerId], unheard: 0, isSettled: true };
     }
 
     public recordRead(): void {
