Count accounts' use as a number also right after a start

Cause: the parts of the sliding sum had negative indexes in a process's first seconds, its clock beginning at zero; the sum became NaN and stayed so, and after each restart no account was ever found over its share: engines were flooded (first events of late seconds at twice to five times the expected time). Ruled out: too low an estimate of engines' speed (the ratio of measured to expected time was 0.9 until the first restart).

--- a/src/decisions/windowedSum.ts
+++ b/src/decisions/windowedSum.ts
@@ -4,7 +4,7 @@
 /** A sum over about the last span of time, in constant memory. */
 export class WindowedSum {
     private readonly parts = new Array<number>(partCount).fill(0);
-    private newestPart = Number.NEGATIVE_INFINITY;
+    private newestPart = -partCount;
     private total = 0;
 
     public constructor(private readonly spanMs: number) {}
@@ -24,7 +24,8 @@
         const part = Math.max(this.newestPart, Math.floor((nowMs * partCount) / this.spanMs));
         const steps = Math.min(partCount, part - this.newestPart);
         for (let step = 0; step < steps; step++) {
-            const index = (part - step) % partCount;
+            // The clock's zero point is the process's start, so that the first parts before it have negative numbers.
+            const index = (part - step + partCount) % partCount;
             this.total -= this.parts[index];
             this.parts[index] = 0;
         }
