Keep a flooded router's queue short, and see a caller's leaving before sending on

Connections waited in the accept queue for seconds; when one was read its caller had left, and 467 requests were sent on (GONE). Ruled out: the event loop's delay (timers were 4 ms late at the time: the loop accepts a few connections a turn). Change: the loop's utilization sheds and takes the router out of the balancer; two turns of the loop between reading a request and sending it, so that a close that came with it is seen.

--- a/deploy/router.ts
+++ b/deploy/router.ts
@@ -1,7 +1,8 @@
 import { readFileSync } from "node:fs";
 import sade from "sade";
 import { SystemClock } from "../src/base/clock.js";
-import { RoarrLogger } from "../src/base/log.js";
+import { RoarrLogger, setLogOutput } from "../src/base/log.js";
+import { LogOutput } from "../src/base/logOutput.js";
 import { SystemRandom } from "../src/base/random.js";
 import { sleepOnTimer } from "../src/base/sleep.js";
 import { GatewayDaemon } from "../src/gateway/gatewayDaemon.js";
@@ -54,11 +55,21 @@
 async function start(settings: GatewaySettings): Promise<void> {
     const clock = new SystemClock();
     const random = new SystemRandom();
+    const output = new LogOutput(count =>
+        JSON.stringify({ context: { daemon: settings.daemonId, count }, message: "log lines were dropped" }),
+    );
+    setLogOutput(line => output.write(line));
     const logger = new RoarrLogger(settings.daemonId, settings.logLevel);
     const source = new StoreFeed({ address: settings.store.address, clock, random, sleep: sleepOnTimer, logger });
     const codec = new PlatformHeaders();
     const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, readinessPath });
-    process.on("SIGTERM", () => void daemon.stop().then(() => process.exit(0)));
+    process.on("SIGTERM", () => {
+        void daemon.stop().then(() => {
+            daemon.dispose();
+            output.dispose();
+            process.exit(0);
+        });
+    });
     process.on("SIGHUP", () => logger.write("info", "asked to read the settings again"));
     try {
         await daemon.start();
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -48,7 +48,7 @@
 );
 
 export default tseslint.config(
-    { ignores: ["dist/**", "out/**", "node_modules/**", "eslint.config.js"] },
+    { ignores: ["dist/**", "target/**", "out/**", "node_modules/**", "eslint.config.js"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/src/base/hash.ts
+++ b/src/base/hash.ts
@@ -12,6 +12,15 @@
     return createHash("sha256").update(text).digest().readUIntBE(0, hashPrefixBytes);
 }
 
+/** A 32-bit hash of a text, equal on every machine and cheap (FNV-1a; Fowler, Noll and Vo). */
+export function hashFast(text: string): number {
+    let hash = 0x811c9dc5;
+    for (let index = 0; index < text.length; index++) {
+        hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+    }
+    return hash >>> 0;
+}
+
 /** Mixes two 32-bit hashes into one (finalizer of MurmurHash3; Appleby, public domain). */
 export function mixHashes(first: number, second: number): number {
     let mixed = (first ^ Math.imul(second, 0x9e3779b1)) >>> 0;
--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -38,3 +38,9 @@
         // For tests.
     }
 }
+
+/** Sends roarr's lines through an output of our own; see {@link RoarrLogger}. */
+export function setLogOutput(writeLine: (line: string) => void): void {
+    const state = (globalThis as unknown as { readonly ROARR: { write: (line: string) => void } }).ROARR;
+    state.write = writeLine;
+}
--- a/src/decisions/coldLimit.ts
+++ b/src/decisions/coldLimit.ts
@@ -10,7 +10,7 @@
  * Threshold: three quarters of the rate that the target bears, in any second, since requests are counted when they arrive
  * and two that were sent in different seconds may arrive in one.
  */
-import { mixHashes, hashToNumber } from "../base/hash.js";
+import { hashFast, mixHashes } from "../base/hash.js";
 import { SlidingCount } from "./slidingCount.js";
 
 /** Routers that share a cold target when there are so many; each then gets some whole requests a second of a usual rate. */
@@ -43,8 +43,8 @@
     if (!view.isSettled) {
         return 0;
     }
-    const targetHash = hashToNumber(targetId) >>> 0;
-    const weights = view.routerIds.map(id => ({ id, weight: mixHashes(targetHash, hashToNumber(id) >>> 0) }));
+    const targetHash = hashFast(targetId);
+    const weights = view.routerIds.map(id => ({ id, weight: mixHashes(targetHash, hashFast(id)) }));
     const sharers = Math.max(leastSharers, Math.min(mostSharers, weights.length + view.unheard));
     const own = weights.find(entry => entry.id === view.ownId)?.weight ?? 0;
     const ahead = weights.filter(entry => entry.weight > own).length;
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -69,6 +69,17 @@
         });
     }
 
+    /**
+     * Waits until a close that came with the request has been read. When a request lay unread until its caller gave up,
+     * its bytes and the connection's end arrive together, but Node reads the end a turn of the event loop later; without
+     * the wait each such request is sent to a target, for nobody. A turn takes microseconds in a router that keeps up.
+     */
+    public async waitForClose(): Promise<void> {
+        // The first comes before the next poll for events, the second behind it.
+        await new Promise(resolve => setImmediate(resolve));
+        await new Promise(resolve => setImmediate(resolve));
+    }
+
     /** Sends a whole answer. */
     public answer(status: number, headers: Readonly<Record<string, string | string[]>>, body: Buffer | string): void {
         if (this.ended || this.response.headersSent) {
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -25,6 +25,7 @@
     public constructor(
         private readonly service: GatewayService,
         private readonly logger: Logger,
+        private readonly shouldLeaveBalancer: () => boolean,
         maxDescriptors: number,
     ) {
         this.server = createServer({
@@ -75,7 +76,8 @@
     }
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
-        if (this.closesConnections) {
+        // A caller that keeps its connection keeps its router; told to close it, it is sent to another one.
+        if (this.closesConnections || this.shouldLeaveBalancer()) {
             response.shouldKeepAlive = false;
         }
         this.service.handle(request, response).catch((error: unknown) => {
--- a/src/gateway/fleetSource.ts
+++ b/src/gateway/fleetSource.ts
@@ -34,11 +34,21 @@
     readonly lastFailureAtMs: number | undefined;
 }
 
+/** The platform's newest records as they are, to hand over to a router that can't read them itself. */
+export interface SourceSnapshot {
+    /** `value` in base64; what it means is the platform adapter's matter. */
+    readonly records: readonly { readonly topic: string; readonly key: string; readonly value: string }[];
+}
+
 /** Tells what the platform holds: the configuration, the targets, the data centres that are out. */
 export interface FleetSource extends Disposable {
     readonly onDidChange: Event<FleetChange>;
-    /** Both the configuration and the targets have been read once. */
-    readonly isComplete: boolean;
+    /** The configuration and the targets have been read from the platform, or were taken from a peer. */
+    readonly isUsable: boolean;
     readonly health: SourceHealth;
     start(): void;
+    /** What was read from the platform; undefined before all of it was. */
+    createSnapshot(): SourceSnapshot | undefined;
+    /** Takes what a peer read, where nothing was read from the platform itself. */
+    applySnapshot(snapshot: SourceSnapshot): void;
 }
--- a/src/gateway/flowEndings.ts
+++ b/src/gateway/flowEndings.ts
@@ -7,6 +7,8 @@
 export interface FlowFacts {
     /** Targets it was meant for. */
     readonly attempts: number;
+    /** Targets in the order tried, each with how its attempt ended. */
+    readonly tried: readonly string[];
     /** The last one. */
     readonly target: string | undefined;
     readonly service: string | undefined;
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -21,6 +21,8 @@
     readonly configuration: ConfigurationHolder;
     readonly directory: TargetDirectory;
     readonly peers: PeerView;
+    /** Part of new requests that this router is too slow for, 0 to 1. */
+    readonly load: { readonly shedShare: number };
     readonly shares: AccountShares;
     /** Per service. */
     readonly retryBudgets: Registry<RetryBudget>;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,3 +1,4 @@
+import type { Hono } from "hono";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
 import { DisposableStore, type Disposable } from "../base/lifecycle.js";
@@ -11,11 +12,18 @@
 import { ConfigurationHolder } from "./configurationHolder.js";
 import type { FleetChange, FleetSource } from "./fleetSource.js";
 import type { GatewayContext } from "./gatewayContext.js";
-import { GatewayService, type EndedRequest } from "./gatewayService.js";
+import { GatewayService } from "./gatewayService.js";
 import { PeerExchange } from "./peers/peerExchange.js";
 import type { PartRead, TargetLoad } from "./peers/peerMessage.js";
+import { LoadMonitor } from "./loadMonitor.js";
 import { Registry } from "./registry.js";
-import { ReadinessServer } from "./readinessServer.js";
+import { RequestLog } from "./requestLog.js";
+import { createMetricsApp, createReadinessApp } from "./sideServers.js";
+import { GatewayMetrics } from "./gatewayMetrics.js";
+import { buildFigures, describeState } from "./gatewayState.js";
+import { Handover } from "./peers/handover.js";
+import { createHandoverApp } from "./peers/handoverApi.js";
+import { listenOn } from "../control/server.js";
 import type { GatewaySettings } from "./settings.js";
 import { TargetDirectory } from "./targetDirectory.js";
 import type { HeaderCodec } from "./wire.js";
@@ -36,7 +44,7 @@
 const leaveBalancerMs = 2_500;
 const openPollMs = 50;
 /** Left of the time to stop for closing sockets and ending the process. */
-const exitMarginMs = 400;
+const exitMarginMs = 800;
 /** Part of the fleet's slack for repeats that the routers hand out; the rest covers views of the fleet that differ. */
 const usedSlack = 0.6;
 const msPerSecond = 1_000;
@@ -48,7 +56,9 @@
     private readonly peers: PeerExchange;
     private readonly service: GatewayService;
     private readonly callers: CallerServer;
-    private readonly readiness: ReadinessServer;
+    private readonly load: LoadMonitor;
+    private readonly metrics: GatewayMetrics;
+    private readonly handover: Handover;
     private isStopping = false;
 
     public constructor(private readonly parts: GatewayParts) {
@@ -70,6 +80,7 @@
                 onDidHear: (loads, reads) => this.applyPeerWord(loads, reads),
             }),
         );
+        this.load = this.store.add(new LoadMonitor(clock, logger));
         this.context = {
             settings,
             clock,
@@ -79,29 +90,60 @@
             directory,
             configuration: new ConfigurationHolder(),
             peers: this.peers,
+            load: this.load,
             shares,
             retryBudgets: new Registry(() => new RetryBudget({ perAccount: 1, perRouter: 1 })),
             firstTokenModels: new Registry(() => new FirstTokenModel()),
         };
         this.service = this.store.add(new GatewayService(this.context));
-        this.callers = this.store.add(new CallerServer(this.service, logger, settings.limits.maxDescriptors));
-        this.readiness = this.store.add(new ReadinessServer(parts.readinessPath, () => this.isReady));
+        this.callers = this.store.add(
+            new CallerServer(this.service, logger, () => this.load.shouldLeaveBalancer, settings.limits.maxDescriptors),
+        );
+        this.metrics = new GatewayMetrics(() => buildFigures(this.context, source, this.service.openRequests));
+        this.handover = this.store.add(
+            new Handover({ source, logger, sleep: sleepOnTimer, listAddresses: () => this.listControlAddresses() }),
+        );
+        const requestLog = this.store.add(new RequestLog(logger, clock));
         this.store.add(source);
         this.store.add(source.onDidChange(change => this.applyChange(change)));
-        this.store.add(this.service.onDidEnd(ended => this.writeEnd(ended)));
+        this.store.add(
+            this.service.onDidEnd(ended => {
+                requestLog.write(ended);
+                this.metrics.recordEnd(ended);
+            }),
+        );
     }
 
     public get isReady(): boolean {
-        return !this.isStopping && this.parts.source.isComplete && this.context.configuration.current !== undefined;
+        return (
+            !this.isStopping &&
+            !this.load.shouldLeaveBalancer &&
+            this.parts.source.isUsable &&
+            this.context.configuration.current !== undefined
+        );
     }
 
     public async start(): Promise<void> {
         const { settings, source, logger } = this.parts;
         source.start();
-        const [host, port] = parseAddress(settings.callers);
-        const [readyHost, readyPort] = parseAddress(settings.readiness);
+        this.load.start();
         await this.peers.start();
-        await Promise.all([this.callers.listen(host, port), this.readiness.listen(readyHost, readyPort)]);
+        await this.callers.listen(...parseAddress(settings.callers));
+        await this.listenAside(
+            createReadinessApp(this.parts.readinessPath, () => this.isReady),
+            settings.readiness,
+        );
+        if (settings.control !== undefined) {
+            await this.listenAside(
+                createHandoverApp(() => source.createSnapshot()),
+                settings.control,
+            );
+        }
+        if (settings.metricsPort !== undefined) {
+            const app = createMetricsApp(this.metrics, () => describeState(this.context, source));
+            await this.listenAside(app, `${settings.ip}:${settings.metricsPort}`);
+        }
+        void this.handover.run();
         logger.write("info", "started", { role: "gateway", dataCentre: settings.dataCentre });
     }
 
@@ -172,28 +214,21 @@
         logger.write("info", "configuration in force", { version, before });
     }
 
-    private writeEnd({ requestId, route, account, configurationVersion, tookMs, end }: EndedRequest): void {
-        this.parts.logger.write("info", "request ended", {
-            requestId,
-            route,
-            account,
-            configurationVersion,
-            tookMs: Math.round(tookMs),
-            outcome: end.outcome,
-            reason: end.reason,
-            status: end.status,
-            attempts: end.attempts,
-            target: end.target,
-            expectedMs: toWhole(end.expectedMs),
-            tokensAhead: end.tokensAhead,
-            firstOutputMs: toWhole(end.firstOutputMs),
-            shareUse: end.shareUse === undefined ? undefined : Number(end.shareUse.toFixed(2)),
-        });
+    private async listenAside(app: Hono, address: string): Promise<void> {
+        const [host, port] = parseAddress(address);
+        const listener = await listenOn(app, host, port);
+        if (listener.isErr()) {
+            throw listener.error;
+        }
+        this.store.add(listener.value);
     }
-}
 
-function toWhole(value: number | undefined): number | undefined {
-    return value === undefined ? undefined : Math.round(value);
+    private listControlAddresses(): readonly string[] {
+        const { settings } = this.parts;
+        const port = settings.control === undefined ? undefined : parseAddress(settings.control)[1];
+        const peers = port === undefined ? [] : this.peers.listAddresses().map(ip => `${ip}:${port}`);
+        return [...new Set([...settings.seeds, ...peers])].filter(address => address !== settings.control);
+    }
 }
 
 function parseAddress(address: string): readonly [string, number] {
--- /dev/null
+++ b/src/gateway/gatewayMetrics.ts
@@ -0,0 +1,106 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { EndedRequest } from "./gatewayService.js";
+
+const msPerSecond = 1_000;
+/** Around usual objectives of a fraction of a second, and up to usual timeouts; seconds. */
+const secondsBuckets = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8];
+
+/** Figures that are read when they are asked for. */
+export interface GatewayFigures {
+    readonly openRequests: number;
+    readonly configurationVersion: number;
+    readonly isPlatformConnected: boolean;
+    readonly peers: number;
+    /** Targets of each service by state. */
+    readonly targets: readonly { readonly service: string; readonly state: string; readonly count: number }[];
+}
+
+/**
+ * Counters and histograms as text for Prometheus. Labels are services and outcomes, a few values each; a label with
+ * request ids, routes or accounts would grow without bound.
+ */
+export class GatewayMetrics {
+    private readonly registry = new Registry();
+    private readonly requests = new Counter({
+        name: "lynxarch_requests_total",
+        help: "Requests that ended, by service, outcome and reason.",
+        labelNames: ["service", "outcome", "reason"],
+        registers: [this.registry],
+    });
+    private readonly attempts = new Counter({
+        name: "lynxarch_attempts_total",
+        help: "Sends to targets, by service.",
+        labelNames: ["service"],
+        registers: [this.registry],
+    });
+    private readonly firstOutput = new Histogram({
+        name: "lynxarch_first_output_seconds",
+        help: "Time from a request's arrival to the first output of its target.",
+        labelNames: ["service"],
+        buckets: secondsBuckets,
+        registers: [this.registry],
+    });
+    private readonly duration = new Histogram({
+        name: "lynxarch_request_duration_seconds",
+        help: "Time from a request's arrival to the end of its answer.",
+        labelNames: ["service", "outcome"],
+        buckets: secondsBuckets,
+        registers: [this.registry],
+    });
+
+    public constructor(getFigures: () => GatewayFigures) {
+        const registers = [this.registry];
+        const addGauge = (name: string, help: string, read: (figures: GatewayFigures) => number): void => {
+            new Gauge({
+                name,
+                help,
+                registers,
+                collect(): void {
+                    this.set(read(getFigures()));
+                },
+            });
+        };
+        addGauge("lynxarch_open_requests", "Requests without a final answer.", figures => figures.openRequests);
+        addGauge(
+            "lynxarch_configuration_version",
+            "Version of the configuration in force; 0 before the first.",
+            figures => figures.configurationVersion,
+        );
+        addGauge("lynxarch_platform_connected", "1 while the last call to the platform succeeded.", figures =>
+            figures.isPlatformConnected ? 1 : 0,
+        );
+        addGauge("lynxarch_peers", "Other routers that were heard from.", figures => figures.peers);
+        new Gauge({
+            name: "lynxarch_targets",
+            help: "Targets that are known, by service and state.",
+            labelNames: ["service", "state"],
+            registers,
+            collect(): void {
+                this.reset();
+                for (const { service, state, count } of getFigures().targets) {
+                    this.set({ service, state }, count);
+                }
+            },
+        });
+    }
+
+    public get contentType(): string {
+        return this.registry.contentType;
+    }
+
+    public recordEnd({ tookMs, end }: EndedRequest): void {
+        const service = end.service ?? "none";
+        const isOwnReason = end.outcome === "refused";
+        this.requests.inc({ service, outcome: end.outcome, reason: isOwnReason ? end.reason : "" });
+        this.attempts.inc({ service }, end.attempts ?? 0);
+        this.duration.observe({ service, outcome: end.outcome }, tookMs / msPerSecond);
+        if (end.firstOutputMs !== undefined) {
+            this.firstOutput.observe({ service }, end.firstOutputMs / msPerSecond);
+        }
+    }
+
+    /** All figures as text. */
+    public render(): Promise<string> {
+        return this.registry.metrics();
+    }
+}
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -76,6 +76,10 @@
         this.heldBytes += announced;
         try {
             const body = await caller.readBody(maxBytes);
+            await caller.waitForClose();
+            if (caller.hasLeft) {
+                return;
+            }
             if (body.isOk()) {
                 await this.handleWhole(caller, head, body.value, arrivedAtMs);
             } else if (body.error === "too-large") {
@@ -93,6 +97,11 @@
         arrivedAtMs: number,
     ): Promise<void> {
         const configuration = this.context.configuration.current;
+        const { shedShare } = this.context.load;
+        if (shedShare > 0 && this.context.random.next() < shedShare) {
+            this.answerOwn(caller, head, arrivedAtMs, "busy", busyRetryMs);
+            return;
+        }
         if (this.refusesNew) {
             this.answerOwn(caller, head, arrivedAtMs, "stopping", stoppingRetryMs);
             return;
--- /dev/null
+++ b/src/gateway/gatewayState.ts
@@ -0,0 +1,64 @@
+import type { GatewayFigures } from "./gatewayMetrics.js";
+import type { GatewayContext } from "./gatewayContext.js";
+import type { FleetSource } from "./fleetSource.js";
+import type { Target } from "./target.js";
+
+/** How a target stands in this router's eyes. */
+export type TargetCondition = "ready" | "cold" | "draining" | "paused" | "out";
+
+/** The condition that decides whether a target gets requests; the most restrictive one that holds. */
+export function describeCondition(target: Target, dataCentresOut: readonly string[], nowMs: number): TargetCondition {
+    if (target.entry.state === "draining") {
+        return "draining";
+    }
+    if (dataCentresOut.includes(target.dataCentre)) {
+        return "out";
+    }
+    if (!target.circuit.canStart(nowMs)) {
+        return "paused";
+    }
+    return target.coldUntilMs > nowMs ? "cold" : "ready";
+}
+
+/** Figures for the metrics page. */
+export function buildFigures(context: GatewayContext, source: FleetSource, openRequests: number): GatewayFigures {
+    const nowMs = context.clock.nowMs();
+    const out = context.directory.listDataCentresOut();
+    const counts = new Map<string, { service: string; state: string; count: number }>();
+    for (const target of context.directory.listAll()) {
+        const { service } = target.entry;
+        const state = describeCondition(target, out, nowMs);
+        const known = counts.get(`${service} ${state}`) ?? { service, state, count: 0 };
+        counts.set(`${service} ${state}`, { ...known, count: known.count + 1 });
+    }
+    return {
+        openRequests,
+        configurationVersion: context.configuration.current?.version ?? 0,
+        isPlatformConnected: source.health.isConnected,
+        peers: context.peers.routers.routerIds.length - 1,
+        targets: [...counts.values()],
+    };
+}
+
+/** What the router believes, for people. */
+export function describeState(context: GatewayContext, source: FleetSource): object {
+    const nowMs = context.clock.nowMs();
+    const out = context.directory.listDataCentresOut();
+    return {
+        configurationVersion: context.configuration.current?.version,
+        platform: source.health,
+        peers: context.peers.routers,
+        dataCentresOut: out,
+        accounts: Object.fromEntries(context.shares.listOwn(nowMs)),
+        targets: context.directory.listAll().map(target => ({
+            id: target.id,
+            service: target.entry.service,
+            address: target.entry.address,
+            dataCentre: target.dataCentre,
+            condition: describeCondition(target, out, nowMs),
+            ownRunning: target.ownRunning,
+            running: target.running,
+            waitingTokens: target.waitingTokens,
+        })),
+    };
+}
--- /dev/null
+++ b/src/gateway/loadMonitor.ts
@@ -0,0 +1,52 @@
+import { performance, type EventLoopUtilization } from "node:perf_hooks";
+import type { Clock } from "../base/clock.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { Logger } from "../base/log.js";
+import { OverloadDetector } from "../decisions/overload.js";
+
+/** A wake-up this often costs less than a thousandth of a core. */
+const samplePeriodMs = 50;
+
+/** Measures how the event loop of this process keeps up. */
+export class LoadMonitor implements Disposable {
+    private readonly detector = new OverloadDetector();
+    private lastUtilization: EventLoopUtilization = performance.eventLoopUtilization();
+    private timer: NodeJS.Timeout | undefined;
+
+    public constructor(
+        private readonly clock: Clock,
+        private readonly logger: Logger,
+    ) {}
+
+    public get shedShare(): number {
+        return this.detector.shedShare;
+    }
+
+    public get shouldLeaveBalancer(): boolean {
+        return this.detector.shouldLeaveBalancer;
+    }
+
+    public start(): void {
+        const dueAtMs = this.clock.nowMs() + samplePeriodMs;
+        this.timer = setTimeout(() => {
+            if (this.detector.observe({ delayMs: this.clock.nowMs() - dueAtMs, utilization: this.takeUtilization() })) {
+                const { delayMs, utilization } = this.detector.current;
+                const message = this.shouldLeaveBalancer ? "too slow for what reaches it" : "fast enough again";
+                const fields = { delayMs: Math.round(delayMs), utilization: Number(utilization.toFixed(2)) };
+                this.logger.write("warn", message, fields);
+            }
+            this.start();
+        }, samplePeriodMs);
+    }
+
+    public dispose(): void {
+        clearTimeout(this.timer);
+    }
+
+    private takeUtilization(): number {
+        const current = performance.eventLoopUtilization();
+        const { utilization } = performance.eventLoopUtilization(current, this.lastUtilization);
+        this.lastUtilization = current;
+        return utilization;
+    }
+}
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -67,6 +67,11 @@
         return this.directory.accountUses;
     }
 
+    /** Addresses of the routers heard of, and of seeds. */
+    public listAddresses(): readonly string[] {
+        return this.directory.listAddresses();
+    }
+
     public recordRead(targetId: string, partId: string, tokens: number): void {
         this.recentReads.push({ read: { targetId, partId, tokens }, rounds: 0 });
     }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -45,6 +45,8 @@
     private readonly selector: TargetSelector;
     private readonly relay: AnswerRelay;
     private readonly tried = new Set<Target>();
+    /** Targets tried and how each attempt ended, for the log. */
+    private readonly history: string[] = [];
     private readonly deadlineAtMs: number;
     private readonly isRepeatable: boolean;
     private readonly endings: FlowEndings;
@@ -75,6 +77,7 @@
             : new WholeAnswerRelay(caller, context.codec, head.lastEventId);
         this.endings = new FlowEndings(caller, context.codec, head.requestId, this.relay, () => ({
             attempts: this.tried.size,
+            tried: this.history,
             target: this.selection?.target.id,
             service: this.selection?.service.name,
             expectedMs: this.selection?.expectedMs,
@@ -109,6 +112,7 @@
                 return refusal ?? this.endWithoutTarget();
             }
             const outcome = await this.runAttempt(selection);
+            this.history.push(`${selection.target.id}:${outcome.kind}`);
             const end = this.handleOutcome(outcome);
             if (end !== undefined) {
                 return end;
--- /dev/null
+++ b/src/gateway/requestLog.ts
@@ -0,0 +1,77 @@
+import type { Clock } from "../base/clock.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { LogFields, Logger } from "../base/log.js";
+import { SlidingCount } from "../decisions/slidingCount.js";
+import type { EndedRequest } from "./gatewayService.js";
+
+const spanMs = 1_000;
+/**
+ * Lines a second for requests that were served and for all others. A line costs about 30 microseconds of processor time, so
+ * that both together stay under 1 % of a core; those that were not served are what callers complain of.
+ */
+const mostServedLines = 40;
+const mostOtherLines = 200;
+
+/** Writes one line for each request that ended, up to a rate; what is left out is counted and told. */
+export class RequestLog implements Disposable {
+    private readonly served = new SlidingCount(spanMs);
+    private readonly others = new SlidingCount(spanMs);
+    private leftOut = 0;
+    private timer: NodeJS.Timeout | undefined;
+
+    public constructor(
+        private readonly logger: Logger,
+        private readonly clock: Clock,
+    ) {}
+
+    public write(ended: EndedRequest): void {
+        const nowMs = this.clock.nowMs();
+        const isServed = ended.end.outcome === "answered";
+        const lines = isServed ? this.served : this.others;
+        if (lines.count(nowMs) >= (isServed ? mostServedLines : mostOtherLines)) {
+            this.leftOut += 1;
+            this.timer ??= setTimeout(() => this.writeLeftOut(), spanMs);
+            return;
+        }
+        lines.add(nowMs);
+        this.logger.write("info", "request ended", createFields(ended));
+    }
+
+    public dispose(): void {
+        clearTimeout(this.timer);
+        if (this.leftOut > 0) {
+            this.writeLeftOut();
+        }
+    }
+
+    private writeLeftOut(): void {
+        this.timer = undefined;
+        this.logger.write("info", "request lines were left out", { count: this.leftOut });
+        this.leftOut = 0;
+    }
+}
+
+function createFields({ requestId, route, account, configurationVersion, tookMs, end }: EndedRequest): LogFields {
+    return {
+        requestId,
+        route,
+        account,
+        configurationVersion,
+        tookMs: toWhole(tookMs),
+        outcome: end.outcome,
+        reason: end.reason,
+        status: end.status,
+        attempts: end.attempts,
+        service: end.service,
+        target: end.target,
+        expectedMs: toWhole(end.expectedMs),
+        tokensAhead: end.tokensAhead,
+        firstOutputMs: toWhole(end.firstOutputMs),
+        shareUse: end.shareUse === undefined ? undefined : Number(end.shareUse.toFixed(2)),
+        tried: end.tried?.join(" "),
+    };
+}
+
+function toWhole(value: number | undefined): number | undefined {
+    return value === undefined ? undefined : Math.round(value);
+}
--- /dev/null
+++ b/src/gateway/sideServers.ts
@@ -0,0 +1,23 @@
+import { Hono } from "hono";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+
+/** Path of the metrics page. */
+export const metricsPath = "/metrics";
+
+/** Answers the balancer's question whether the router takes new connections. */
+export function createReadinessApp(path: string, isReady: () => boolean): Hono {
+    const app = new Hono();
+    app.get(path, context => context.text(isReady() ? "ready" : "not ready", isReady() ? 200 : 503));
+    return app;
+}
+
+/** Serves the figures as text, and what the router believes as JSON. */
+export function createMetricsApp(metrics: GatewayMetrics, describeState: () => object): Hono {
+    const app = new Hono();
+    app.get(metricsPath, async context => {
+        const text = await metrics.render();
+        return context.text(text, 200, { "content-type": metrics.contentType });
+    });
+    app.get("/state", context => context.json(describeState()));
+    return app;
+}
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -1,5 +1,5 @@
 import { LRUCache } from "lru-cache";
-import { hashToNumber } from "../base/hash.js";
+import { hashFast } from "../base/hash.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Random } from "../base/random.js";
 import { CircuitBreaker } from "../decisions/circuitBreaker.js";
@@ -46,7 +46,7 @@
         service: ServedService | undefined,
         random: Random,
     ) {
-        this.idHash = hashToNumber(entry.id) >>> 0;
+        this.idHash = hashFast(entry.id);
         this.connections = new TargetConnections(entry.address);
         this.circuit = new CircuitBreaker(random);
         this.applyService(service);
--- /dev/null
+++ b/test/fakes/usersPlatform/storeServer.ts
@@ -0,0 +1,136 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+
+/** How the store behaves towards its callers. */
+export type StoreCondition = "up" | "busy" | "silent" | "reset";
+
+interface Topic {
+    readonly records: Buffer[];
+    readonly newest: Map<string, { readonly value: Buffer; readonly offset: number }>;
+    firstOffset: number;
+    readonly waiting: Set<() => void>;
+}
+
+/** Stand-in for the users' log store: keyed topics with long polls, in memory. */
+export class StoreServer {
+    private readonly topics = new Map<string, Topic>();
+    private readonly server: Server = createServer((request, response) => this.handle(request, response));
+    public condition: StoreCondition = "up";
+    public calls = 0;
+    public pageSize = 500;
+
+    public get address(): string {
+        const address = this.server.address();
+        return typeof address === "object" && address ? `127.0.0.1:${address.port}` : "";
+    }
+
+    public start(): Promise<void> {
+        return new Promise(resolve => this.server.listen(0, "127.0.0.1", () => resolve()));
+    }
+
+    /** Writes a record; undefined drops the key. */
+    public write(topicName: string, key: string, value: object | string | undefined): void {
+        const topic = this.openTopic(topicName);
+        const text = value === undefined ? "" : typeof value === "string" ? value : JSON.stringify(value);
+        const name = Buffer.from(key);
+        const data = Buffer.from(text);
+        topic.records.push(Buffer.concat([Buffer.from([name.length]), name, data]));
+        if (value === undefined) {
+            topic.newest.delete(key);
+        } else {
+            topic.newest.set(key, { value: data, offset: topic.firstOffset + topic.records.length - 1 });
+        }
+        for (const wake of [...topic.waiting]) {
+            wake();
+        }
+    }
+
+    /** Deletes all records; the newest of each key stay. */
+    public removeHistory(topicName: string): void {
+        const topic = this.openTopic(topicName);
+        topic.firstOffset += topic.records.length;
+        topic.records.length = 0;
+    }
+
+    public dispose(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private openTopic(name: string): Topic {
+        let topic = this.topics.get(name);
+        if (topic === undefined) {
+            topic = { records: [], newest: new Map(), firstOffset: 0, waiting: new Set() };
+            this.topics.set(name, topic);
+        }
+        return topic;
+    }
+
+    private handle(request: IncomingMessage, response: ServerResponse): void {
+        this.calls += 1;
+        if (this.condition === "silent") {
+            return;
+        }
+        if (this.condition === "reset") {
+            request.socket.resetAndDestroy();
+            return;
+        }
+        if (this.condition === "busy") {
+            response.writeHead(503).end();
+            return;
+        }
+        const url = new URL(request.url ?? "/", "http://store");
+        const topic = this.openTopic(url.searchParams.get("topic") ?? "");
+        if (url.pathname === "/api/log-newest") {
+            this.answerNewest(topic, url.searchParams.get("after") ?? undefined, response);
+        } else if (url.pathname === "/api/log-read") {
+            const from = Number(url.searchParams.get("from"));
+            this.answerRead(topic, from, Number(url.searchParams.get("wait_ms") ?? 0), response);
+        } else {
+            response.writeHead(404).end();
+        }
+    }
+
+    private answerNewest(topic: Topic, after: string | undefined, response: ServerResponse): void {
+        const keys = [...topic.newest.keys()].sort();
+        const start = after === undefined ? 0 : keys.findIndex(key => key > after);
+        const page = start < 0 ? [] : keys.slice(start, start + this.pageSize);
+        const entries = page.map(key => {
+            const { value, offset } = topic.newest.get(key) ?? { value: Buffer.alloc(0), offset: 0 };
+            return { key, value: value.toString("base64"), offset };
+        });
+        const hasMore = start >= 0 && start + page.length < keys.length;
+        const end = topic.firstOffset + topic.records.length;
+        response.setHeader("content-type", "application/json");
+        response.end(JSON.stringify({ entries, more_pages: hasMore, end_offset: end }));
+    }
+
+    private answerRead(topic: Topic, from: number, waitMs: number, response: ServerResponse): void {
+        if (from < topic.firstOffset) {
+            response.writeHead(410, { "content-type": "application/json" });
+            response.end(JSON.stringify({ first_offset: topic.firstOffset }));
+            return;
+        }
+        const answer = (): void => {
+            topic.waiting.delete(answer);
+            clearTimeout(timer);
+            if (this.condition === "silent" || response.destroyed) {
+                return;
+            }
+            const head = Buffer.alloc(16);
+            head.writeBigUInt64BE(BigInt(topic.firstOffset + topic.records.length), 0);
+            head.writeBigUInt64BE(BigInt(topic.firstOffset), 8);
+            const parts = topic.records.slice(Math.max(0, from - topic.firstOffset)).flatMap(record => {
+                const length = Buffer.alloc(4);
+                length.writeUInt32BE(record.length);
+                return [length, record];
+            });
+            response.end(Buffer.concat([head, ...parts]));
+        };
+        const timer = setTimeout(answer, waitMs);
+        if (from < topic.firstOffset + topic.records.length) {
+            answer();
+        } else {
+            topic.waiting.add(answer);
+        }
+    }
+}
--- /dev/null
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -0,0 +1,175 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+
+/** What a target does with one request. */
+export type TargetScript =
+    | "serve"
+    /** Breaks the connection behind the second event or half of the body. */
+    | "break-off"
+    /** Ends the connection in the middle of the third event. */
+    | "tear-event"
+    /** Answers without a length, and resets the connection before the end. */
+    | "reset-unframed"
+    /** Answers without a length, ended by the connection's end. */
+    | "unframed"
+    /** Says that it did not run the request. */
+    | "shed"
+    | "error"
+    | "hang"
+    /** Answers, and sends a second answer to the same request on the connection once the next request is there. */
+    | "late-extra";
+
+/** A request as the target got it. */
+export interface ReceivedRequest {
+    readonly id: string | undefined;
+    readonly method: string | undefined;
+    readonly url: string | undefined;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+    /** Whether the connection was closed before the answer's end. */
+    isAborted: boolean;
+    ran: boolean;
+}
+
+const eventCount = 5;
+
+/** Stand-in for the users' engines and plain services. */
+export class TargetServer {
+    private readonly server: Server = createServer((request, response) => void this.handle(request, response));
+    public readonly received: ReceivedRequest[] = [];
+    /** Scripts for the next requests, in order; then {@link usual}. */
+    public readonly scripts: TargetScript[] = [];
+    public usual: TargetScript = "serve";
+    /** Pause before each event; milliseconds. */
+    public eventPauseMs = 1;
+
+    public constructor(
+        public instanceId: string,
+        private readonly isModel: boolean,
+    ) {}
+
+    public get address(): string {
+        const address = this.server.address();
+        return typeof address === "object" && address ? `127.0.0.1:${address.port}` : "";
+    }
+
+    public get ran(): readonly ReceivedRequest[] {
+        return this.received.filter(request => request.ran);
+    }
+
+    public start(port = 0): Promise<void> {
+        this.server.keepAliveTimeout = 5_000;
+        return new Promise(resolve => this.server.listen(port, "127.0.0.1", () => resolve()));
+    }
+
+    public dispose(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of request) {
+            chunks.push(chunk as Buffer);
+        }
+        const received: ReceivedRequest = {
+            id: toText(request.headers["x-lynxarch-attempt-id"]),
+            method: request.method,
+            url: request.url,
+            headers: request.headers,
+            body: Buffer.concat(chunks).toString(),
+            isAborted: false,
+            ran: false,
+        };
+        this.received.push(received);
+        response.on("close", () => {
+            received.isAborted = !response.writableFinished;
+        });
+        const expected = request.headers["x-lynxarch-expect-instance"];
+        if (expected !== undefined && expected !== this.instanceId) {
+            response.writeHead(421, { "X-Lynxarch-Instance-Id": this.instanceId }).end();
+            return;
+        }
+        const script = this.scripts.shift() ?? this.usual;
+        if (script === "shed") {
+            response.writeHead(503, { "X-Lynxarch-Not-Executed": "1" }).end();
+            return;
+        }
+        received.ran = true;
+        if (script === "hang") {
+            return;
+        }
+        response.setHeader("X-Lynxarch-Attempt-Id", received.id ?? "");
+        response.setHeader("X-Lynxarch-Engine-Stamp", `stamp.${this.instanceId}`);
+        if (script === "error") {
+            response.writeHead(500).end("engine error");
+            return;
+        }
+        await (this.isModel
+            ? this.answerStream(request, response, script)
+            : this.answerPlain(response, script, received));
+    }
+
+    private async answerStream(
+        request: IncomingMessage,
+        response: ServerResponse,
+        script: TargetScript,
+    ): Promise<void> {
+        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        response.writeHead(200, { "Content-Type": "text/event-stream" });
+        for (let id = first; id <= eventCount; id++) {
+            await new Promise(resolve => setTimeout(resolve, this.eventPauseMs));
+            const event = `id: ${id}\ndata: piece ${id}\n\n`;
+            if (script === "tear-event" && id === first + 2) {
+                response.write(event.slice(0, 9));
+                await new Promise(resolve => setTimeout(resolve, 5));
+                request.socket.destroy();
+                return;
+            }
+            response.write(event);
+            if (script === "break-off" && id === first + 1) {
+                await new Promise(resolve => setTimeout(resolve, 5));
+                request.socket.resetAndDestroy();
+                return;
+            }
+        }
+        response.end();
+    }
+
+    private async answerPlain(
+        response: ServerResponse,
+        script: TargetScript,
+        received: ReceivedRequest,
+    ): Promise<void> {
+        const body = `answer to ${received.id}`;
+        const { socket } = response;
+        if (script === "serve" || !socket) {
+            response.writeHead(200, { "Content-Length": body.length }).end(body);
+            return;
+        }
+        const head = `HTTP/1.1 200 OK\r\nX-Lynxarch-Attempt-Id: ${received.id}\r\nX-Lynxarch-Engine-Stamp: s\r\n`;
+        if (script === "late-extra") {
+            const whole = `${head}Content-Length: ${body.length}\r\nKeep-Alive: timeout=5\r\n\r\n${body}`;
+            socket.write(whole);
+            // Not idle while the answer is read, but there when the next request is sent on this connection.
+            setTimeout(() => socket.write(whole), 60);
+            return;
+        }
+        if (script === "unframed" || script === "reset-unframed") {
+            socket.write(`${head}Connection: close\r\n\r\n${script === "unframed" ? body : body.slice(0, 6)}`);
+            await new Promise(resolve => setTimeout(resolve, 10));
+            if (script === "unframed") {
+                socket.end();
+            } else {
+                socket.resetAndDestroy();
+            }
+            return;
+        }
+        socket.write(`${head}Content-Length: ${body.length}\r\n\r\n${body.slice(0, 6)}`);
+        await new Promise(resolve => setTimeout(resolve, 10));
+        socket.destroy();
+    }
+}
+
+function toText(value: string | string[] | undefined): string | undefined {
+    return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/test/gateway/gatewayFixture.ts
@@ -0,0 +1,215 @@
+import { createServer } from "node:net";
+import { request as sendHttp, type IncomingHttpHeaders } from "node:http";
+import { SystemClock } from "../../src/base/clock.js";
+import { NoopLogger } from "../../src/base/log.js";
+import { SeededRandom } from "../../src/base/random.js";
+import { sleepOnTimer } from "../../src/base/sleep.js";
+import { GatewayDaemon } from "../../src/gateway/gatewayDaemon.js";
+import { gatewaySettingsSchema, type GatewaySettings } from "../../src/gateway/settings.js";
+import { PlatformHeaders } from "../../platform/headers.js";
+import { StoreFeed } from "../../platform/storeFeed.js";
+import { StoreServer } from "../fakes/usersPlatform/storeServer.js";
+import { TargetServer } from "../fakes/usersPlatform/targetServer.js";
+
+/** What a caller got. */
+export interface CallerAnswer {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+    /** The answer broke off before its end. */
+    readonly isBroken: boolean;
+}
+
+/** A caller's request. */
+export interface CallerCall {
+    readonly path: string;
+    readonly method?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+    /** Leaves after this time; milliseconds. */
+    readonly leaveAfterMs?: number;
+}
+
+export const host = "fleet.example";
+export const key = "key-of-north";
+const seed = 7;
+const readinessPath = "/api/readyz";
+const deadlineMs = "4000";
+
+/** The configuration that most tests run with, in the platform's form. */
+export function createConfiguration(version: number, changes: object = {}): Record<string, unknown> {
+    const model = { host, type: "streaming", timeout_ms: 4_000, goal_ms: 800, service: "engines", sticky: true };
+    const plain = { host, timeout_ms: 1_000, goal_ms: 300, service: "app", public: true };
+    return {
+        version,
+        routes: [
+            { ...model, name: "r-plan", path_prefix: "/plan/", max_attempts: 2, resumable: true, gap_target_ms: 600 },
+            { ...model, name: "r-once", path_prefix: "/once/", max_attempts: 1, resumable: false, gap_target_ms: 600 },
+            { ...plain, name: "r-book", path_prefix: "/book/", type: "non_idempotent", max_attempts: 1 },
+            { ...plain, name: "r-find", path_prefix: "/find/", type: "idempotent", max_attempts: 2 },
+        ],
+        services: [
+            {
+                name: "engines",
+                max_conns: 100,
+                cold_start_s: 3,
+                cold_per_s: 6,
+                engine: { slots: 8, kv_capacity: 100_000 },
+            },
+            { name: "app", max_conns: 50 },
+        ],
+        limits: { max_body_bytes: 100_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000, tokens_per_s: 350_000 },
+        tenants: [{ name: "north", api_keys: [key] }],
+        ...changes,
+    };
+}
+
+/** A store, targets and routers on loopback. */
+export class GatewayFixture {
+    public readonly store = new StoreServer();
+    public readonly targets: TargetServer[] = [];
+    public readonly routers: { daemon: GatewayDaemon; settings: GatewaySettings }[] = [];
+    private peerPort = 0;
+    private controlPort = 0;
+
+    public async start(configuration: object = createConfiguration(1)): Promise<void> {
+        await this.store.start();
+        this.store.write("keyed.op", "config", configuration);
+        this.peerPort = await findFreePort();
+        this.controlPort = await findFreePort();
+    }
+
+    public async addTarget(service: "engines" | "app", id: string, changes: object = {}): Promise<TargetServer> {
+        const target = new TargetServer(id, service === "engines");
+        await target.start();
+        this.targets.push(target);
+        this.addEntry(target, service, changes);
+        return target;
+    }
+
+    public addEntry(target: TargetServer, service: "engines" | "app", changes: object = {}): void {
+        this.store.write("keyed.servers", target.instanceId, {
+            service,
+            address: target.address,
+            zone: "dc-a",
+            version: "v1",
+            slots: 8,
+            state: "ready",
+            cold_left_ms: 0,
+            seqno: 1,
+            born: 1_700_000_000_000,
+            ...changes,
+        });
+    }
+
+    /** Starts a router on a loopback address of its own and waits until it is ready. */
+    public async addRouter(changes: object = {}, mustBeReady = true): Promise<GatewayDaemon> {
+        const ip = `127.0.0.${this.routers.length + 1}`;
+        const settings = gatewaySettingsSchema.parse({
+            daemonId: `router-${this.routers.length + 1}`,
+            ip,
+            dataCentre: "dc-a",
+            callers: `${ip}:${await findFreePort()}`,
+            readiness: `${ip}:${await findFreePort()}`,
+            control: `${ip}:${this.controlPort}`,
+            peerPorts: [this.peerPort, this.peerPort],
+            seeds: this.routers.map(router => router.settings.control),
+            store: { address: this.store.address },
+            limits: { memoryMb: 350, maxDescriptors: 1_000 },
+            retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 54 },
+            coldLimit: { overage: 1.5, slack: 5 },
+            stopGraceSeconds: 4,
+            ...changes,
+        });
+        const clock = new SystemClock();
+        const random = new SeededRandom(seed);
+        const logger = new NoopLogger();
+        const source = new StoreFeed({ address: settings.store.address, clock, random, sleep: sleepOnTimer, logger });
+        const codec = new PlatformHeaders();
+        const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, readinessPath });
+        await daemon.start();
+        this.routers.push({ daemon, settings });
+        if (mustBeReady) {
+            await waitUntil(() => daemon.isReady);
+        }
+        return daemon;
+    }
+
+    /** Sends a caller's request to a router, the first one if none is named. */
+    public send(call: CallerCall, router = 0): Promise<CallerAnswer> {
+        const [address, port] = this.routers[router].settings.callers.split(":");
+        return new Promise((resolve, reject) => {
+            const request = sendHttp(
+                {
+                    host: address,
+                    port: Number(port),
+                    path: call.path,
+                    method: call.method ?? "POST",
+                    headers: {
+                        host,
+                        authorization: `Bearer ${key}`,
+                        "x-lynxarch-deadline-ms": deadlineMs,
+                        ...call.headers,
+                    },
+                },
+                response => {
+                    const chunks: Buffer[] = [];
+                    response.on("data", (chunk: Buffer) => chunks.push(chunk));
+                    response.on("error", () => undefined);
+                    response.on("close", () =>
+                        resolve({
+                            status: response.statusCode ?? 0,
+                            headers: response.headers,
+                            body: Buffer.concat(chunks).toString(),
+                            isBroken: !response.complete,
+                        }),
+                    );
+                },
+            );
+            request.on("error", reject);
+            request.end(call.body);
+            if (call.leaveAfterMs !== undefined) {
+                setTimeout(() => request.destroy(new Error("left")), call.leaveAfterMs);
+            }
+        });
+    }
+
+    public dispose(): void {
+        for (const { daemon } of this.routers) {
+            daemon.dispose();
+        }
+        for (const target of this.targets) {
+            target.dispose();
+        }
+        this.store.dispose();
+    }
+}
+
+/** Headers of a request for a model engine. */
+export function createPromptHeaders(id: string, changes: Record<string, string> = {}): Record<string, string> {
+    return {
+        "x-lynxarch-attempt-id": id,
+        "x-lynxarch-model": "m",
+        "x-lynxarch-token-count": "1000,50",
+        "x-lynxarch-prefix-hash": "aa:800,bb:200",
+        ...changes,
+    };
+}
+
+/** Waits until a condition holds; the test's own time limit ends a wait in vain. */
+export async function waitUntil(check: () => boolean | Promise<boolean>): Promise<void> {
+    while (!(await check())) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+}
+
+function findFreePort(): Promise<number> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.listen(0, "127.0.0.1", () => {
+            const address = server.address();
+            const port = typeof address === "object" && address ? address.port : 0;
+            server.close(() => resolve(port));
+        });
+    });
+}
