Tell an answer without a length whose connection was reset as broken

Ruled out: undici's own rule for resets (guarded by the socket's error, which never came). Change: at such an end the kernel is asked for the peer; a connection that was reset has none.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -7,7 +7,7 @@
 import { sleepOnTimer } from "../base/sleep.js";
 import { AccountShares } from "../decisions/accountShares.js";
 import { FirstTokenModel } from "../decisions/firstTokenModel.js";
-import { RetryBudget } from "../decisions/retryBudget.js";
+import { RetryBudget, type RetryFloors } from "../decisions/retryBudget.js";
 import { CallerServer } from "./callerServer.js";
 import { ConfigurationHolder } from "./configurationHolder.js";
 import type { FleetChange, FleetSource } from "./fleetSource.js";
@@ -92,7 +92,7 @@
             peers: this.peers,
             load: this.load,
             shares,
-            retryBudgets: new Registry(() => new RetryBudget({ perAccount: 1, perRouter: 1 })),
+            retryBudgets: new Registry(() => new RetryBudget(this.computeRetryFloors())),
             firstTokenModels: new Registry(() => new FirstTokenModel()),
         };
         this.service = this.store.add(new GatewayService(this.context));
@@ -185,16 +185,23 @@
     }
 
     private applyPeerWord(loads: ReadonlyMap<string, TargetLoad>, reads: readonly PartRead[]): void {
-        const { directory, retryBudgets, settings } = this.context;
+        const { directory, retryBudgets } = this.context;
         for (const target of directory.listAll()) {
             target.peerLoad = loads.get(target.id) ?? { waitingTokens: 0, running: 0 };
         }
         for (const read of reads) {
             directory.find(read.targetId)?.recordPart(read.partId, read.tokens);
         }
+        const floors = this.computeRetryFloors();
+        retryBudgets.visitAll(budget => budget.setFloors(floors));
+    }
+
+    /** This router's part of what the fleet may send once more beyond the ratio. */
+    private computeRetryFloors(): RetryFloors {
         const { routerIds, unheard } = this.peers.routers;
-        const perRouter = (settings.retryBudget.slack * usedSlack) / (routerIds.length + unheard);
-        retryBudgets.visitAll(budget => budget.setFloors({ perAccount: perRouter, perRouter }));
+        const { slack } = this.parts.settings.retryBudget;
+        const perRouter = (slack * usedSlack) / (routerIds.length + unheard);
+        return { perAccount: perRouter, perRouter };
     }
 
     private applyChange(change: FleetChange): void {
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -93,6 +93,7 @@
         this.carrying = true;
         const exchange = new Exchange(listener, {
             hasSocketError: () => this.hasSocketError,
+            hasPeer: () => this.socket?.remotePort !== undefined,
             release: () => {
                 this.carrying = false;
             },
@@ -136,6 +137,8 @@
 
 interface ExchangeOwner {
     hasSocketError(): boolean;
+    /** Whether the kernel still knows the peer; asked once at most, as Node remembers the answer. */
+    hasPeer(): boolean;
     release(): void;
     close(): void;
 }
@@ -144,6 +147,8 @@
 class Exchange implements Dispatcher.DispatchHandler {
     private controller: Dispatcher.DispatchController | undefined;
     private isSent = false;
+    /** Only the connection's end tells where the answer ends. */
+    private isUnframed = false;
     private isOver = false;
 
     public constructor(
@@ -164,6 +169,7 @@
     public onResponseStart(...head: [Dispatcher.DispatchController, number, IncomingHttpHeaders]): void {
         const [, status, headers] = head;
         if (!this.isOver && status >= 200) {
+            this.isUnframed = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
             this.listener.handleHead(status, headers);
         }
     }
@@ -179,7 +185,9 @@
         if (this.isOver) {
             return;
         }
-        if (this.owner.hasSocketError()) {
+        // A reset right behind the last bytes is told as a clean end: libuv reads the bytes, sees the hang-up and does not
+        // ask for the error. A connection that was reset has no peer any more, while one that the peer closed still has.
+        if (this.owner.hasSocketError() || (this.isUnframed && !this.owner.hasPeer())) {
             this.fail("broken", "the connection was reset");
             return;
         }
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -9,6 +9,8 @@
     | "tear-event"
     /** Answers without a length, and resets the connection before the end. */
     | "reset-unframed"
+    /** The same, with the reset right behind the bytes. */
+    | "reset-unframed-at-once"
     /** Answers without a length, ended by the connection's end. */
     | "unframed"
     /** Says that it did not run the request. */
@@ -154,9 +156,11 @@
             setTimeout(() => socket.write(whole), 60);
             return;
         }
-        if (script === "unframed" || script === "reset-unframed") {
+        if (script === "unframed" || script === "reset-unframed" || script === "reset-unframed-at-once") {
             socket.write(`${head}Connection: close\r\n\r\n${script === "unframed" ? body : body.slice(0, 6)}`);
-            await new Promise(resolve => setTimeout(resolve, 10));
+            if (script !== "reset-unframed-at-once") {
+                await new Promise(resolve => setTimeout(resolve, 10));
+            }
             if (script === "unframed") {
                 socket.end();
             } else {
