--- a/src/decisions/promptAdmission.ts
+++ b/src/decisions/promptAdmission.ts
@@ -5,6 +5,11 @@
  * until every first token is late, and work that nobody waits for any more crowds out what could still be in time. A
  * request whose first token would be late is therefore refused while its caller can still come back in time; and
  * what lies beyond an account's fair share goes first, since the others are owed that capacity.
+ *
+ * Several accounts may be beyond their share at once. With one bound for all of them, what is left over goes to whoever
+ * asks most, and an account that is just above its share gets a quarter of what a flooding one gets. So the wait that such
+ * a request may find falls with the account's use: the further beyond, the emptier the engine must be, and what is
+ * left over levels out. An engine where nothing waits takes anybody's request.
  */
 
 /** What is known when a request arrives. */
@@ -29,25 +34,30 @@
  * time is late every other time, and it holds up those behind it.
  */
 const usableShare = 0.75;
-/** The same for an account that has had its fair share: it takes only what would otherwise stay idle. */
-const overShareUsable = 0.4;
+/** Part of the objective that a request may wait behind others when its account has just had its fair share. */
+const overShareWait = 0.4;
+/** Falls faster than in proportion: in proportion, twice the use would still find half of the places. */
+const overShareExponent = 1.5;
 /** From here on an account counts as having had its share; the sums of the fleet are late by a round of messages. */
 const overShareFrom = 1;
 const leastRetryAfterMs = 80;
 
 /** Decides on one request. */
 export function checkPromptAdmission(view: PromptAdmissionView): PromptAdmission {
-    const isOverShare = view.shareUse >= overShareFrom;
-    const usableMs = Math.min(view.objectiveMs, view.timeLeftMs) * (isOverShare ? overShareUsable : usableShare);
+    const usableMs = Math.min(view.objectiveMs, view.timeLeftMs) * usableShare;
+    const waitMs = view.expectedMs - view.aloneMs;
+    if (view.shareUse >= overShareFrom) {
+        const allowedWaitMs = (view.objectiveMs * overShareWait) / view.shareUse ** overShareExponent;
+        if (waitMs > allowedWaitMs) {
+            return refuseUntil("over-share", waitMs - allowedWaitMs);
+        }
+    }
     // A prompt that takes long by itself is never in time; refusing it would only bring it back, so it may be late by
     // its own length, though not by that of a queue.
-    const allowedMs = Math.max(usableMs, isOverShare ? 0 : view.aloneMs + usableMs / 2);
-    if (view.expectedMs <= allowedMs) {
-        return { admitted: true };
-    }
-    return {
-        admitted: false,
-        reason: isOverShare ? "over-share" : "late",
-        retryAfterMs: Math.max(leastRetryAfterMs, view.expectedMs - usableMs),
-    };
+    const allowedMs = Math.max(usableMs, view.aloneMs + usableMs / 2);
+    return view.expectedMs <= allowedMs ? { admitted: true } : refuseUntil("late", view.expectedMs - usableMs);
+}
+
+function refuseUntil(reason: "late" | "over-share", ms: number): PromptAdmission {
+    return { admitted: false, reason, retryAfterMs: Math.max(leastRetryAfterMs, ms) };
 }
