--- a/deploy/router.ts
+++ b/deploy/router.ts
@@ -6,6 +6,7 @@
 import { SystemRandom } from "../src/base/random.js";
 import { sleepOnTimer } from "../src/base/sleep.js";
 import { GatewayDaemon } from "../src/gateway/gatewayDaemon.js";
+import { SettingsWatcher } from "../src/gateway/settingsWatcher.js";
 import { parseGatewaySettings, type GatewaySettings } from "../src/gateway/settings.js";
 import { PlatformHeaders } from "../platform/headers.js";
 import { readinessPath, settingsPathVariable } from "../platform/settingsFile.js";
@@ -41,7 +42,7 @@
             if (options["check-settings"] !== undefined) {
                 process.stdout.write(`${file}: ok\n`);
             } else {
-                void start(settings);
+                void start(settings, file);
             }
         },
         error => printFault(error.message),
@@ -52,7 +53,7 @@
     return parseGatewaySettings(() => readFileSync(file, "utf8"), file);
 }
 
-async function start(settings: GatewaySettings): Promise<void> {
+async function start(settings: GatewaySettings, file: string): Promise<void> {
     const clock = new SystemClock();
     const random = new SystemRandom();
     const output = new LogOutput(count =>
@@ -70,9 +71,14 @@
             process.exit(0);
         });
     });
-    process.on("SIGHUP", () => logger.write("info", "asked to read the settings again"));
+    const watcher = new SettingsWatcher(file, logger, changed => daemon.applySettings(changed));
+    process.on("SIGHUP", () => {
+        logger.write("info", "asked to read the settings again");
+        watcher.read();
+    });
     try {
         await daemon.start();
+        watcher.start();
     } catch (error) {
         logger.write("error", "the daemon cannot start", {
             detail: error instanceof Error ? error.message : String(error),
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -59,9 +59,11 @@
     private readonly load: LoadMonitor;
     private readonly metrics: GatewayMetrics;
     private readonly handover: Handover;
+    private settings: GatewaySettings;
     private isStopping = false;
 
     public constructor(private readonly parts: GatewayParts) {
+        this.settings = parts.settings;
         const { settings, clock, random, logger, codec, source } = parts;
         const directory = this.store.add(
             new TargetDirectory({ clock, random, logger, getHealth: () => source.health }),
@@ -72,7 +74,7 @@
                 routerId: settings.daemonId,
                 ip: settings.ip,
                 port: settings.peerPorts[0],
-                seedIps: settings.seeds.map(seed => parseAddress(seed)[0]),
+                seedIps: listSeedIps(settings),
                 clock,
                 logger,
                 listOwnLoads: () => this.listOwnLoads(),
@@ -81,8 +83,11 @@
             }),
         );
         this.load = this.store.add(new LoadMonitor(clock, logger));
+        const getSettings = (): GatewaySettings => this.settings;
         this.context = {
-            settings,
+            get settings() {
+                return getSettings();
+            },
             clock,
             random,
             logger,
@@ -147,9 +152,25 @@
         logger.write("info", "started", { role: "gateway", dataCentre: settings.dataCentre });
     }
 
+    /**
+     * Takes changed settings without a break in service: bounds, limits and seeds are in force with the next request.
+     * Addresses that the process listens on can't change while it runs; such a change waits for the next start.
+     */
+    public applySettings(settings: GatewaySettings): void {
+        const { logger } = this.parts;
+        const before = this.settings;
+        this.settings = settings;
+        this.peers.setSeeds(listSeedIps(settings));
+        if (before.callers !== settings.callers || before.readiness !== settings.readiness) {
+            logger.write("warn", "changed addresses are in force after the next start", { callers: settings.callers });
+        }
+        logger.write("info", "settings in force");
+    }
+
     /** Graceful shutdown: leaves the balancer, ends what is open, and is done within the platform's time. */
     public async stop(): Promise<void> {
-        const { logger, settings } = this.parts;
+        const { logger } = this.parts;
+        const { settings } = this;
         this.isStopping = true;
         logger.write("info", "stopping", { openRequests: this.service.openRequests });
         const cancellation = new CancellationTokenSource();
@@ -199,7 +220,7 @@
     /** This router's part of what the fleet may send once more beyond the ratio. */
     private computeRetryFloors(): RetryFloors {
         const { routerIds, unheard } = this.peers.routers;
-        const { slack } = this.parts.settings.retryBudget;
+        const { slack } = this.settings.retryBudget;
         const perRouter = (slack * usedSlack) / (routerIds.length + unheard);
         return { perAccount: perRouter, perRouter };
     }
@@ -231,7 +252,7 @@
     }
 
     private listControlAddresses(): readonly string[] {
-        const { settings } = this.parts;
+        const { settings } = this;
         const port = settings.control === undefined ? undefined : parseAddress(settings.control)[1];
         const peers = port === undefined ? [] : this.peers.listAddresses().map(ip => `${ip}:${port}`);
         return [...new Set([...settings.seeds, ...peers])].filter(address => address !== settings.control);
@@ -242,3 +263,7 @@
     const [host, port] = address.split(":");
     return [host, Number(port)];
 }
+
+function listSeedIps(settings: GatewaySettings): readonly string[] {
+    return settings.seeds.map(seed => parseAddress(seed)[0]);
+}
--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -28,12 +28,16 @@
     /** `seedIps`: addresses of some routers, perhaps of this one. */
     public constructor(
         private readonly own: PeerAddress,
-        private readonly seedIps: readonly string[],
+        private seedIps: readonly string[],
         private readonly clock: Clock,
     ) {
         this.startedAtMs = clock.nowMs();
     }
 
+    public setSeeds(seedIps: readonly string[]): void {
+        this.seedIps = seedIps;
+    }
+
     /** Takes a message; false when it is this router's own or older than what is known. */
     public apply(message: PeerMessage): boolean {
         const known = this.peers.get(message.routerId)?.message;
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -72,6 +72,10 @@
         return this.directory.listAddresses();
     }
 
+    public setSeeds(seedIps: readonly string[]): void {
+        this.directory.setSeeds(seedIps);
+    }
+
     public recordRead(targetId: string, partId: string, tokens: number): void {
         this.recentReads.push({ read: { targetId, partId, tokens }, rounds: 0 });
     }
--- a/test/decisions/promptAdmission.test.ts
+++ b/test/decisions/promptAdmission.test.ts
@@ -17,7 +17,7 @@
 }
 
 /** Plays accounts' requests against one engine that reads in order; returns the tokens each account got. */
-function playLoad(loads: readonly Load[], tokensPerSecond: number): Record<string, { asked: number; got: number }> {
+function runLoad(loads: readonly Load[], tokensPerSecond: number): Record<string, { asked: number; got: number }> {
     const random = new SeededRandom(5);
     const shares = new AccountShares(windowMs);
     const results = Object.fromEntries(loads.map(load => [load.account, { asked: 0, got: 0 }]));
@@ -49,7 +49,7 @@
     // now and then; what the engine has left over went to the flooding one by a ratio of four, and the other account
     // saw each second a refusal while it got a quarter of what its neighbour got.
     it("levels out what accounts beyond their share get", () => {
-        const results = playLoad(
+        const results = runLoad(
             [
                 { account: "flood", rate: 20 },
                 { account: "large", rate: 5 },
@@ -63,7 +63,7 @@
     });
 
     it("keeps the engine busy when only one account asks, beyond its share", () => {
-        const { flood } = playLoad([{ account: "flood", rate: 30 }], 16_000);
+        const { flood } = runLoad([{ account: "flood", rate: 30 }], 16_000);
         expect(flood.got / (tokensPerMs * runMs)).toBeGreaterThan(0.85);
     });
 
--- /dev/null
+++ b/test/gateway/fleet.test.ts
@@ -0,0 +1,185 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { createConfiguration, createPromptHeaders, GatewayFixture, host, waitUntil } from "./gatewayFixture.js";
+
+const fixture = { current: new GatewayFixture() };
+
+beforeEach(async () => {
+    fixture.current = new GatewayFixture();
+    await fixture.current.start();
+});
+
+afterEach(() => fixture.current.dispose());
+
+/** Status of a request that may be repeated, so that asking for it changes nothing. */
+async function fetchStatus(path = "/find/x", headers: Record<string, string> = {}, router = 0): Promise<number> {
+    const all = { "x-lynxarch-attempt-id": "a1", ...headers };
+    return (await fixture.current.send({ path, method: "GET", headers: all }, router)).status;
+}
+
+describe("the configuration", () => {
+    it("is in force with the next request after its record, and a key that it takes away names nobody", async () => {
+        await fixture.current.addTarget("engines", "engine-1");
+        await fixture.current.addTarget("app", "app-1");
+        await fixture.current.addRouter();
+        const before = await fetchStatus("/plan/x", createPromptHeaders("a1"));
+        fixture.current.store.write("keyed.op", "config", createConfiguration(2, { tenants: [] }));
+        fixture.current.store.write(
+            "keyed.op",
+            "config",
+            createConfiguration(5, { tenants: [{ name: "x", api_keys: [] }] }),
+        );
+        await waitUntil(async () => (await fetchStatus("/plan/x", createPromptHeaders("a1"))) === 401);
+        expect(before).toBe(200);
+        expect(await fetchStatus("/nowhere/")).toBe(404);
+    });
+
+    // An older record is read after a newer one: a reader that takes what comes last would bring back a route that the
+    // operators have taken away.
+    it("never goes back, whatever is read later", async () => {
+        await fixture.current.addTarget("app", "app-1");
+        await fixture.current.addRouter();
+        const kept = createConfiguration(7).routes as { readonly name: string }[];
+        const without = kept.filter(route => route.name !== "r-find");
+        fixture.current.store.write("keyed.op", "config", createConfiguration(8, { routes: without }));
+        await waitUntil(async () => (await fetchStatus()) === 404);
+        fixture.current.store.write("keyed.op", "config", createConfiguration(7));
+        fixture.current.store.write("keyed.op", "evacuate/nowhere", {});
+        await new Promise(resolve => setTimeout(resolve, 100));
+        expect(await fetchStatus()).toBe(404);
+    });
+
+    it.each(["no JSON", { version: "seven" }, { version: 9, routes: [{ host }] }])(
+        "that can't be read is left aside (%j)",
+        async record => {
+            await fixture.current.addTarget("app", "app-1");
+            await fixture.current.addRouter();
+            fixture.current.store.write("keyed.op", "config", record);
+            await new Promise(resolve => setTimeout(resolve, 100));
+            expect(await fetchStatus()).toBe(200);
+        },
+    );
+
+    // The store drops its history while changes are made; a reader that asks for what it missed is told that it is gone,
+    // and must read all keys anew, those that were dropped meanwhile included.
+    it("is read anew where the store has dropped its history", async () => {
+        await fixture.current.addTarget("app", "app-1");
+        await fixture.current.addRouter();
+        const { store } = fixture.current;
+        store.pageSize = 1;
+        store.condition = "reset";
+        await new Promise(resolve => setTimeout(resolve, 200));
+        const moved = await fixture.current.addTarget("app", "app-2");
+        store.write("keyed.servers", "app-1", undefined);
+        store.removeHistory("keyed.servers");
+        store.removeHistory("keyed.op");
+        store.condition = "up";
+        await waitUntil(async () => {
+            await fetchStatus();
+            return moved.ran.length > 0;
+        });
+        expect(moved.ran.length).toBeGreaterThan(0);
+    });
+});
+
+describe("targets", () => {
+    // A target drains. Requests that are sent to it after the bound would be cut off when it goes.
+    it("that leave get nothing more", async () => {
+        const leaving = await fixture.current.addTarget("app", "app-1");
+        const staying = await fixture.current.addTarget("app", "app-2");
+        await fixture.current.addRouter();
+        fixture.current.addEntry(leaving, "app", { state: "draining" });
+        await new Promise(resolve => setTimeout(resolve, 700));
+        leaving.received.length = 0;
+        for (let index = 0; index < 6; index++) {
+            expect(await fetchStatus()).toBe(200);
+        }
+        expect([leaving.received.length, staying.received.length >= 6]).toEqual([0, true]);
+    });
+
+    it("in a data centre that is out get nothing, and what comes back is taken for cold", async () => {
+        const target = await fixture.current.addTarget("app", "app-1");
+        await fixture.current.addRouter();
+        fixture.current.store.write("keyed.op", "evacuate/dc-a", {});
+        await waitUntil(async () => (await fetchStatus()) === 503);
+        target.received.length = 0;
+        expect(await fetchStatus()).toBe(503);
+        expect(target.received.length).toBe(0);
+        fixture.current.store.write("keyed.op", "evacuate/dc-a", undefined);
+        await waitUntil(async () => (await fetchStatus()) === 200);
+    });
+
+    // The address of a target that is gone belongs to another one by now. That one says so and runs nothing; the request
+    // goes to a target of its own service.
+    it("whose address belongs to another one are given up, and the request goes elsewhere", async () => {
+        const moved = await fixture.current.addTarget("app", "app-1");
+        const other = await fixture.current.addTarget("app", "app-2");
+        await fixture.current.addRouter();
+        moved.instanceId = "somebody-else";
+        const statuses = [];
+        for (let index = 0; index < 6; index++) {
+            statuses.push(await fetchStatus("/book/x"));
+        }
+        expect(statuses).toEqual([200, 200, 200, 200, 200, 200]);
+        expect([moved.ran.length, other.ran.length, moved.received.length <= 1]).toEqual([0, 6, true]);
+    });
+
+    it.each(["\u0000", { service: 7 }, { service: "app", address: "nowhere" }])(
+        "with entries that can't be read are no targets, and the others hold (%j)",
+        async entry => {
+            const target = await fixture.current.addTarget("app", "app-1");
+            await fixture.current.addRouter();
+            fixture.current.store.write("keyed.servers", "app-9", entry);
+            await new Promise(resolve => setTimeout(resolve, 500));
+            expect(await fetchStatus()).toBe(200);
+            expect(target.ran.length).toBe(1);
+        },
+    );
+
+    // Entries lapse while the store is away although their targets live. Dropped at once, the service would have no target
+    // until they are back.
+    it("whose entries lapse while the store is away are kept until they are back", async () => {
+        await fixture.current.addTarget("app", "app-1");
+        await fixture.current.addRouter();
+        fixture.current.store.condition = "busy";
+        await new Promise(resolve => setTimeout(resolve, 300));
+        fixture.current.store.write("keyed.servers", "app-1", undefined);
+        fixture.current.store.condition = "up";
+        await new Promise(resolve => setTimeout(resolve, 900));
+        expect(await fetchStatus()).toBe(200);
+    });
+});
+
+describe("a router that starts", () => {
+    it("while the store is away takes the records from a peer", async () => {
+        await fixture.current.addTarget("app", "app-1");
+        await fixture.current.addRouter();
+        fixture.current.store.condition = "silent";
+        await fixture.current.addRouter();
+        expect(await fetchStatus("/find/x", {}, 1)).toBe(200);
+    });
+
+    // It knows no route yet. A 404 would make callers give up for good; it says that nothing ran, and to come back.
+    it("without any configuration tells callers to come back", async () => {
+        fixture.current.store.condition = "busy";
+        const daemon = await fixture.current.addRouter({}, false);
+        const answer = await fixture.current.send({ path: "/find/x", method: "GET" });
+        expect([answer.status, answer.headers["retry-after"], daemon.isReady]).toEqual([503, "0.50", false]);
+    });
+});
+
+describe("a router that stops", () => {
+    // Callers keep their connections while the router is told to stop. Requests that are there are answered, and each
+    // answer tells its caller to connect anew; later ones are told to go elsewhere, and none is cut off.
+    it("answers what it has read and takes nothing new", async () => {
+        const target = await fixture.current.addTarget("engines", "engine-1");
+        const daemon = await fixture.current.addRouter();
+        target.eventPauseMs = 300;
+        const open = fixture.current.send({ path: "/plan/x", headers: createPromptHeaders("a1") });
+        await waitUntil(() => target.received.length > 0);
+        const stopped = daemon.stop();
+        const late = await fixture.current.send({ path: "/nowhere/" });
+        expect([daemon.isReady, late.headers.connection]).toEqual([false, "close"]);
+        expect((await open).body.match(/id: \d/g)?.length).toBe(5);
+        await stopped;
+    });
+});
