Learn what engines keep at a router's start, and read shared parts again less readily

Change: each engine is asked once, at a router's start, for the parts that it keeps; a shared token read once more counts six times instead of twice.

--- a/deploy/router.ts
+++ b/deploy/router.ts
@@ -8,6 +8,7 @@
 import { GatewayDaemon } from "../src/gateway/gatewayDaemon.js";
 import { SettingsWatcher } from "../src/gateway/settingsWatcher.js";
 import { parseGatewaySettings, type GatewaySettings } from "../src/gateway/settings.js";
+import { EngineLists } from "../platform/engineLists.js";
 import { PlatformHeaders } from "../platform/headers.js";
 import { readinessPath, settingsPathVariable } from "../platform/settingsFile.js";
 import { StoreFeed } from "../platform/storeFeed.js";
@@ -63,7 +64,8 @@
     const logger = new RoarrLogger(settings.daemonId, settings.logLevel);
     const source = new StoreFeed({ address: settings.store.address, clock, random, sleep: sleepOnTimer, logger });
     const codec = new PlatformHeaders();
-    const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, readinessPath });
+    const engines = new EngineLists();
+    const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, engines, readinessPath });
     process.on("SIGTERM", () => {
         void daemon.stop().then(() => {
             daemon.dispose();
--- a/src/decisions/promptPlacement.ts
+++ b/src/decisions/promptPlacement.ts
@@ -51,8 +51,12 @@
     readonly tokensAhead: number;
 }
 
-/** A shared token that is read once more counts this often; 1 copies hot parts everywhere, much more lets homes queue. */
-const rereadFactor = 2;
+/**
+ * A shared token that is read once more counts this often. At 1 hot parts are copied everywhere, and the copies push out
+ * parts that others ask for; the queue that a home is worth waiting in grows with the factor. On seven played days of one
+ * deployment the worth of what was served rose from 0.60 to 0.87 at 2 to 0.71 to 0.87 at 6, with 3.5 between them.
+ */
+const rereadFactor = 6;
 /** Part of the cost of a missing shared part that the home of the part is spared, while nobody holds it. */
 const homeShare = 0.5;
 /** Cost of leaving the data centre; milliseconds. A body is some 20 KB, and the data centres lie about a millisecond apart. */
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -10,6 +10,8 @@
 import { RetryBudget, type RetryFloors } from "../decisions/retryBudget.js";
 import { CallerServer } from "./callerServer.js";
 import { ConfigurationHolder } from "./configurationHolder.js";
+import type { EngineInspector } from "./engineInspector.js";
+import { HeldPartsLoader } from "./heldPartsLoader.js";
 import type { FleetChange, FleetSource } from "./fleetSource.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService } from "./gatewayService.js";
@@ -36,6 +38,7 @@
     readonly logger: Logger;
     readonly codec: HeaderCodec;
     readonly source: FleetSource;
+    readonly engines: EngineInspector;
     /** Path that the balancer asks for. */
     readonly readinessPath: string;
 }
@@ -52,6 +55,7 @@
 /** A router that speaks to targets directly: servers, the platform's news, and the way it stops. */
 export class GatewayDaemon implements Disposable {
     private readonly store = new DisposableStore();
+    private readonly lifetime = this.store.add(new CancellationTokenSource());
     private readonly context: GatewayContext;
     private readonly peers: PeerExchange;
     private readonly service: GatewayService;
@@ -59,6 +63,7 @@
     private readonly load: LoadMonitor;
     private readonly metrics: GatewayMetrics;
     private readonly handover: Handover;
+    private readonly heldParts: HeldPartsLoader;
     private settings: GatewaySettings;
     private isStopping = false;
 
@@ -108,6 +113,7 @@
         this.handover = this.store.add(
             new Handover({ source, logger, sleep: sleepOnTimer, listAddresses: () => this.listControlAddresses() }),
         );
+        this.heldParts = this.store.add(new HeldPartsLoader(parts.engines, logger));
         const requestLog = this.store.add(new RequestLog(logger, clock));
         this.store.add(source);
         this.store.add(source.onDidChange(change => this.applyChange(change)));
@@ -149,6 +155,7 @@
             await this.listenAside(app, `${settings.ip}:${settings.metricsPort}`);
         }
         void this.handover.run();
+        void this.loadHeldParts();
         logger.write("info", "started", { role: "gateway", dataCentre: settings.dataCentre });
     }
 
@@ -185,6 +192,7 @@
     }
 
     public dispose(): void {
+        this.lifetime.cancel();
         this.store.dispose();
     }
 
@@ -251,6 +259,18 @@
         this.store.add(listener.value);
     }
 
+    private async loadHeldParts(): Promise<void> {
+        const { source } = this.parts;
+        while (!source.isUsable && !this.lifetime.token.isCancelled) {
+            await sleepOnTimer(openPollMs, this.lifetime.token);
+        }
+        const { directory } = this.context;
+        const engines = directory
+            .listAll()
+            .filter(target => directory.findService(target.entry.service)?.engine !== undefined);
+        await this.heldParts.load(engines);
+    }
+
     private listControlAddresses(): readonly string[] {
         const { settings } = this;
         const port = settings.control === undefined ? undefined : parseAddress(settings.control)[1];
--- /dev/null
+++ b/src/gateway/heldPartsLoader.ts
@@ -0,0 +1,47 @@
+import { CancellationTokenSource } from "../base/cancellation.js";
+import type { Disposable } from "../base/lifecycle.js";
+import type { Logger } from "../base/log.js";
+import type { EngineInspector } from "./engineInspector.js";
+import type { Target } from "./target.js";
+
+/**
+ * Asks the engines once, at the router's start, which parts of prompts they keep. A router that was restarted believes that
+ * nothing is held anywhere: it sends prompts away from where their shared parts are, and refuses most of them, as each
+ * would have to be read as a whole. After all routers of a fleet were restarted together that went on for four seconds,
+ * with two of three requests refused. Later it hears of parts as they are read, and need not ask.
+ */
+export class HeldPartsLoader implements Disposable {
+    private readonly cancellation = new CancellationTokenSource();
+
+    public constructor(
+        private readonly inspector: EngineInspector,
+        private readonly logger: Logger,
+    ) {}
+
+    public async load(engines: readonly Target[]): Promise<void> {
+        const counts = await Promise.all(engines.map(engine => this.loadOne(engine)));
+        const parts = counts.reduce((sum, count) => sum + count, 0);
+        this.logger.write("info", "learnt what engines keep", { engines: engines.length, parts });
+    }
+
+    public dispose(): void {
+        this.cancellation.cancel();
+    }
+
+    private async loadOne(engine: Target): Promise<number> {
+        const parts = await this.inspector.listHeldParts(engine.entry.address, this.cancellation.token);
+        return parts.match(
+            known => {
+                known.forEach(part => engine.recordPart(part.id, part.tokens));
+                return known.length;
+            },
+            error => {
+                this.logger.write("info", "an engine does not tell what it keeps", {
+                    target: engine.id,
+                    detail: error.message,
+                });
+                return 0;
+            },
+        );
+    }
+}
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -41,6 +41,8 @@
     /** Scripts for the next requests, in order; then {@link usual}. */
     public readonly scripts: TargetScript[] = [];
     public usual: TargetScript = "serve";
+    /** What it tells of the parts of prompts that it keeps. */
+    public heldParts: readonly (readonly [id: string, tokens: number])[] = [];
     /** Pause before each event; milliseconds. */
     public eventPauseMs = 1;
 
@@ -69,6 +71,11 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (request.url === "/api/kv-list") {
+            const held = this.heldParts.map(([id, tokens]) => ["", id, tokens, "m"]);
+            response.end(JSON.stringify({ epoch: 1, next: 0, held }));
+            return;
+        }
         const chunks: Buffer[] = [];
         for await (const chunk of request) {
             chunks.push(chunk as Buffer);
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { TargetServer } from "../fakes/usersPlatform/targetServer.js";
 import { createConfiguration, createPromptHeaders, GatewayFixture, host, waitUntil } from "./gatewayFixture.js";
 
 const fixture = { current: new GatewayFixture() };
@@ -150,6 +151,32 @@
 });
 
 describe("a router that starts", () => {
+    // Engines keep long shared parts from before the router was restarted. A router that does not know where sends each prompt
+    // to the part's home by hashing, which may be any engine, and the part is read there once more.
+    it("learns what engines keep, and sends prompts there", async () => {
+        const engines: TargetServer[] = [];
+        for (let index = 0; index < 4; index++) {
+            engines.push(await fixture.current.addTarget("engines", `engine-${index}`));
+        }
+        const keys = ["p0", "p1", "p2", "p3"];
+        keys.forEach((id, index) => (engines[index].heldParts = [[id, 5_000]]));
+        await fixture.current.addRouter();
+        await new Promise(resolve => setTimeout(resolve, 200));
+        for (const id of keys) {
+            const changes = {
+                "x-lynxarch-prefix-hash": `${id}:5000,own-${id}:100`,
+                "x-lynxarch-token-count": "5100,10",
+            };
+            await fetchStatus("/plan/x", createPromptHeaders(`a-${id}`, changes));
+        }
+        expect(engines.map(engine => engine.ran.map(request => request.id))).toEqual([
+            ["a-p0"],
+            ["a-p1"],
+            ["a-p2"],
+            ["a-p3"],
+        ]);
+    });
+
     it("while the store is away takes the records from a peer", async () => {
         await fixture.current.addTarget("app", "app-1");
         await fixture.current.addRouter();
--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -6,6 +6,7 @@
 import { sleepOnTimer } from "../../src/base/sleep.js";
 import { GatewayDaemon } from "../../src/gateway/gatewayDaemon.js";
 import { gatewaySettingsSchema, type GatewaySettings } from "../../src/gateway/settings.js";
+import { EngineLists } from "../../platform/engineLists.js";
 import { PlatformHeaders } from "../../platform/headers.js";
 import { StoreFeed } from "../../platform/storeFeed.js";
 import { StoreServer } from "../fakes/usersPlatform/storeServer.js";
@@ -126,7 +127,8 @@
         const logger = new NoopLogger();
         const source = new StoreFeed({ address: settings.store.address, clock, random, sleep: sleepOnTimer, logger });
         const codec = new PlatformHeaders();
-        const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, readinessPath });
+        const engines = new EngineLists();
+        const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, engines, readinessPath });
         await daemon.start();
         this.routers.push({ daemon, settings });
         if (mustBeReady) {
