--- /dev/null
+++ b/src/events/explainFromLogs.ts
@@ -0,0 +1,119 @@
+/** One line of a daemon's log. */
+export interface LogLine {
+    readonly daemon: string;
+    /** Wall-clock time; milliseconds since 1970. */
+    readonly timeMs: number;
+    readonly message: string;
+    readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** What log files tell of one request. */
+export interface LogExplanation {
+    readonly requestId: string;
+    /** The request's own lines. */
+    readonly own: readonly LogLine[];
+    /** What the same daemon came to believe shortly before and after, about the targets that were tried or about the platform. */
+    readonly around: readonly LogLine[];
+    /** In words. */
+    readonly cause: string;
+}
+
+/** Beliefs older than this seldom decide a request that ran for seconds at most. */
+const aroundMs = 5_000;
+
+const causes: Readonly<Record<string, string>> = {
+    late: "the engines had too much to read for it to be in time; it did not run",
+    "over-share": "its client account had had its fair share, and others were waiting; it did not run",
+    "no-target": "no target could take it: gone, leaving, cold, paused or in a data centre that is out; it did not run",
+    "no-configuration": "the router had no configuration yet; it did not run",
+    busy: "the router was too slow for what reached it; it did not run",
+    stopping: "the router was stopping; it did not run",
+    "no-route": "no route of the configuration in force takes it",
+    "unknown-key": "the configuration in force has no client account with its key",
+    "body-too-large": "its body is larger than the configuration allows",
+    "target-broke": "its target broke off; it may have run",
+};
+
+/** Reads JSON lines; text before the first brace, as a collector puts it, and lines of other forms are left aside. */
+export function parseLogLines(text: string): readonly LogLine[] {
+    return text.split("\n").flatMap(line => {
+        const start = line.indexOf("{");
+        const parsed = start < 0 ? undefined : parseLine(line.slice(start));
+        return parsed === undefined ? [] : [parsed];
+    });
+}
+
+/** Tells a request's way by the logs of several daemons; undefined when no line names it. */
+export function explainFromLogs(lines: readonly LogLine[], requestId: string): LogExplanation | undefined {
+    const own = lines.filter(line => line.fields["requestId"] === requestId);
+    const last = own[own.length - 1];
+    if (last === undefined) {
+        return undefined;
+    }
+    const tried = String(last.fields["tried"] ?? "");
+    const target = String(last.fields["target"] ?? "");
+    const tookMs = Number(last.fields["tookMs"] ?? 0);
+    const around = lines.filter(line => {
+        const named = line.fields["target"];
+        const concerns =
+            named === undefined
+                ? line.fields["route"] === undefined
+                : named === target || tried.includes(String(named));
+        const isNear = line.timeMs >= last.timeMs - tookMs - aroundMs && line.timeMs <= last.timeMs + aroundMs;
+        return line.daemon === last.daemon && line.fields["requestId"] === undefined && concerns && isNear;
+    });
+    return { requestId, own, around, cause: describeCause(last) };
+}
+
+/** The explanation for people. */
+export function renderLogExplanation(explanation: LogExplanation): readonly string[] {
+    const format = (line: LogLine): string => {
+        const time = new Date(line.timeMs).toISOString();
+        const fields = Object.entries(line.fields).map(([name, value]) => `${name}=${String(value)}`);
+        return `  ${time} ${line.daemon}: ${line.message} ${fields.join(" ")}`;
+    };
+    return [
+        `${explanation.requestId}: ${explanation.cause}`,
+        "its own lines:",
+        ...explanation.own.map(format),
+        "what its router came to believe around that time:",
+        ...explanation.around.map(format),
+    ];
+}
+
+function describeCause(line: LogLine): string {
+    const { outcome, reason, target, tried, expectedMs, tokensAhead, shareUse } = line.fields;
+    const numbers = `expected ${String(expectedMs)} ms behind ${String(tokensAhead)} prompt tokens, share used ${String(shareUse)}`;
+    switch (outcome) {
+        case "answered":
+            return `answered by ${String(target)} (tried ${String(tried)})`;
+        case "refused":
+            return `refused: ${causes[String(reason)] ?? String(reason)} (${numbers})`;
+        case "left":
+            return `its caller left while ${String(target)} worked on it (${numbers})`;
+        case "timeout":
+            return `not answered in time by ${String(target)}: ${String(reason)} (tried ${String(tried)}; ${numbers})`;
+        default:
+            return `${String(outcome)}: ${String(reason)} (tried ${String(tried)})`;
+    }
+}
+
+function parseLine(text: string): LogLine | undefined {
+    try {
+        const { context, message, time } = JSON.parse(text) as {
+            readonly context?: Record<string, unknown>;
+            readonly message?: unknown;
+            readonly time?: unknown;
+        };
+        if (context === undefined || typeof message !== "string" || typeof time !== "number") {
+            return undefined;
+        }
+        const fields = Object.fromEntries(
+            Object.entries(context).filter(([name]) => name !== "daemon" && name !== "logLevel"),
+        );
+        return { daemon: String(context["daemon"]), timeMs: time, message, fields };
+    } catch {
+        // Not a line of a daemon, or one that was cut off when its process was killed.
+        return undefined;
+    }
+}
