Make the gateway's tests independent of how busy the machine is

Ruled out: a fault of the router (shedding is what it should do there). No decision of the router changed.

--- a/deploy/router.ts
+++ b/deploy/router.ts
@@ -6,6 +6,7 @@
 import { SystemRandom } from "../src/base/random.js";
 import { sleepOnTimer } from "../src/base/sleep.js";
 import { GatewayDaemon } from "../src/gateway/gatewayDaemon.js";
+import { LoadMonitor } from "../src/gateway/loadMonitor.js";
 import { SettingsWatcher } from "../src/gateway/settingsWatcher.js";
 import { parseGatewaySettings, type GatewaySettings } from "../src/gateway/settings.js";
 import { EngineLists } from "../platform/engineLists.js";
@@ -65,7 +66,8 @@
     const source = new StoreFeed({ address: settings.store.address, clock, random, sleep: sleepOnTimer, logger });
     const codec = new PlatformHeaders();
     const engines = new EngineLists();
-    const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, engines, readinessPath });
+    const load = new LoadMonitor(clock, logger);
+    const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, engines, load, readinessPath });
     process.on("SIGTERM", () => {
         void daemon.stop().then(() => {
             daemon.dispose();
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -17,7 +17,7 @@
 import { GatewayService } from "./gatewayService.js";
 import { PeerExchange } from "./peers/peerExchange.js";
 import type { PartRead, TargetLoad } from "./peers/peerMessage.js";
-import { LoadMonitor } from "./loadMonitor.js";
+import type { LoadSource } from "./loadMonitor.js";
 import { Registry } from "./registry.js";
 import { RequestLog } from "./requestLog.js";
 import { createMetricsApp, createReadinessApp } from "./sideServers.js";
@@ -39,6 +39,7 @@
     readonly codec: HeaderCodec;
     readonly source: FleetSource;
     readonly engines: EngineInspector;
+    readonly load: LoadSource;
     /** Path that the balancer asks for. */
     readonly readinessPath: string;
 }
@@ -60,7 +61,7 @@
     private readonly peers: PeerExchange;
     private readonly service: GatewayService;
     private readonly callers: CallerServer;
-    private readonly load: LoadMonitor;
+    private readonly load: LoadSource;
     private readonly metrics: GatewayMetrics;
     private readonly handover: Handover;
     private readonly heldParts: HeldPartsLoader;
@@ -71,7 +72,13 @@
         this.settings = parts.settings;
         const { settings, clock, random, logger, codec, source } = parts;
         const directory = this.store.add(
-            new TargetDirectory({ clock, random, logger, getHealth: () => source.health }),
+            new TargetDirectory({
+                clock,
+                random,
+                logger,
+                connectTimeoutMs: settings.connectTimeoutMs,
+                getHealth: () => source.health,
+            }),
         );
         const shares = new AccountShares(settings.shareWindowSeconds * msPerSecond);
         this.peers = this.store.add(
@@ -87,7 +94,7 @@
                 onDidHear: (loads, reads) => this.applyPeerWord(loads, reads),
             }),
         );
-        this.load = this.store.add(new LoadMonitor(clock, logger));
+        this.load = this.store.add(parts.load);
         const getSettings = (): GatewaySettings => this.settings;
         this.context = {
             get settings() {
--- a/src/gateway/loadMonitor.ts
+++ b/src/gateway/loadMonitor.ts
@@ -7,8 +7,17 @@
 /** A wake-up this often costs less than a thousandth of a core. */
 const samplePeriodMs = 50;
 
+/** Tells whether this router keeps up. */
+export interface LoadSource extends Disposable {
+    /** Part of new requests that it is too slow for, 0 to 1. */
+    readonly shedShare: number;
+    /** Whether the balancer should leave it out. */
+    readonly shouldLeaveBalancer: boolean;
+    start(): void;
+}
+
 /** Measures how the event loop of this process keeps up. */
-export class LoadMonitor implements Disposable {
+export class LoadMonitor implements LoadSource {
     private readonly detector = new OverloadDetector();
     private lastUtilization: EventLoopUtilization = performance.eventLoopUtilization();
     private timer: NodeJS.Timeout | undefined;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -34,6 +34,11 @@
     drainMs: z.number().positive().default(2_000),
     /** The address of a target that is gone may go to another service after this time. */
     addressReuseSeconds: z.number().positive().default(2),
+    /**
+     * A connection to a target that is not up by then is not worth waiting for: a lost opening packet is sent again only
+     * after a second, and another target is at hand.
+     */
+    connectTimeoutMs: z.number().positive().default(350),
     /** Requests sent once more, over all routers: `ratio` of the first sends within the window, and `slack` on top. */
     retryBudget: z.object({
         ratio: z.number().min(0).default(0.1),
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -45,9 +45,10 @@
         public entry: TargetEntry,
         service: ServedService | undefined,
         random: Random,
+        connectTimeoutMs: number,
     ) {
         this.idHash = hashFast(entry.id);
-        this.connections = new TargetConnections(entry.address);
+        this.connections = new TargetConnections(entry.address, connectTimeoutMs);
         this.circuit = new CircuitBreaker(random);
         this.applyService(service);
     }
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -3,8 +3,6 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Disposable } from "../base/lifecycle.js";
 
-/** A connection that is not up by then is not worth waiting for; a lost opening packet is sent again after a second only. */
-const connectTimeoutMs = 350;
 /** Without a hint a target may close an idle connection within a second. */
 const idleWithoutHintMs = 400;
 /** Taken off the idle time that a target announces, so that a request does not cross its close. */
@@ -55,6 +53,7 @@
     /** `onDidClose`: the connection can't be used any more. */
     public constructor(
         address: string,
+        connectTimeoutMs: number,
         private readonly onDidClose: (connection: TargetConnection) => void,
     ) {
         const connect = buildConnector({ timeout: connectTimeoutMs });
--- a/src/gateway/targetConnections.ts
+++ b/src/gateway/targetConnections.ts
@@ -6,7 +6,10 @@
     private readonly connections = new Set<TargetConnection>();
     private disposed = false;
 
-    public constructor(private readonly address: string) {}
+    public constructor(
+        private readonly address: string,
+        private readonly connectTimeoutMs: number,
+    ) {}
 
     public get size(): number {
         return this.connections.size;
@@ -29,7 +32,9 @@
         if (this.connections.size >= limit && !this.closeOneIdle()) {
             return undefined;
         }
-        const connection = new TargetConnection(this.address, closed => this.connections.delete(closed));
+        const connection = new TargetConnection(this.address, this.connectTimeoutMs, closed =>
+            this.connections.delete(closed),
+        );
         this.connections.add(connection);
         return connection;
     }
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -17,6 +17,8 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: Logger;
+    /** Longest wait for a connection to a target. */
+    readonly connectTimeoutMs: number;
     /** How the link to the platform stands; undefined without one. */
     readonly getHealth: () => SourceHealth | undefined;
 }
@@ -153,7 +155,8 @@
     }
 
     private addTarget(entry: TargetEntry): void {
-        const target = new Target(entry, this.services.get(entry.service), this.options.random);
+        const { random, connectTimeoutMs } = this.options;
+        const target = new Target(entry, this.services.get(entry.service), random, connectTimeoutMs);
         this.setCold(target, entry.coldLeftMs);
         this.targets.set(entry.id, target);
         const known = this.byService.get(entry.service) ?? [];
