--- a/test/fakes/usersPlatform/storeServer.ts
+++ b/test/fakes/usersPlatform/storeServer.ts
@@ -16,6 +16,8 @@
     private readonly server: Server = createServer((request, response) => this.handle(request, response));
     public condition: StoreCondition = "up";
     public calls = 0;
+    /** Calls that got 503. */
+    public refused = 0;
     public pageSize = 500;
 
     public get address(): string {
@@ -75,6 +77,7 @@
             return;
         }
         if (this.condition === "busy") {
+            this.refused += 1;
             response.writeHead(503).end();
             return;
         }
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -142,7 +142,8 @@
         await fixture.current.addTarget("app", "app-1");
         await fixture.current.addRouter();
         fixture.current.store.condition = "busy";
-        await new Promise(resolve => setTimeout(resolve, 300));
+        // A long poll that was under way goes on; only a call that was refused tells the router that the store is away.
+        await waitUntil(() => fixture.current.store.refused >= 2);
         fixture.current.store.write("keyed.servers", "app-1", undefined);
         fixture.current.store.condition = "up";
         await new Promise(resolve => setTimeout(resolve, 900));
