Count by account what was asked for and served

Operators could not tell from metrics who got how much: refusals are counted by reason, and an account's use stands only in the lines of single requests, of which a part is left out under load.

--- a/src/gateway/accountCharge.ts
+++ b/src/gateway/accountCharge.ts
@@ -6,14 +6,24 @@
 
 /** What one request counts against its account's share, from its arrival to its end. */
 export class AccountCharge {
-    private askedTokens = 0;
-    private servedTokens = 0;
+    private asked = 0;
+    private served = 0;
 
     public constructor(
         private readonly context: Pick<GatewayContext, "shares" | "outputLengths" | "clock">,
         private readonly routed: RoutedRequest,
     ) {}
 
+    /** Tokens that it counts as asked for: its prompt, and what it is expected to generate. */
+    public get askedTokens(): number {
+        return this.asked;
+    }
+
+    /** The same once a target has it; 0 if none ran it. */
+    public get servedTokens(): number {
+        return this.served;
+    }
+
     /** Tokens that it is expected to generate. */
     public get outputTokens(): number {
         const { head, route } = this.routed;
@@ -23,25 +33,26 @@
     public recordAsked(): void {
         const { account, head } = this.routed;
         if (account !== undefined && head.promptTokens > 0) {
-            this.askedTokens = head.promptTokens + outputTokenWeight * this.outputTokens;
-            this.context.shares.recordAsked(account, this.askedTokens, this.context.clock.nowMs());
+            this.asked = head.promptTokens + outputTokenWeight * this.outputTokens;
+            this.context.shares.recordAsked(account, this.asked, this.context.clock.nowMs());
         }
     }
 
     /** It is sent to a target; sent once more, it counts once all the same. */
     public recordServed(): void {
         const { account } = this.routed;
-        if (account !== undefined && this.askedTokens > 0 && this.servedTokens === 0) {
-            this.servedTokens = this.askedTokens;
-            this.context.shares.recordServed(account, this.servedTokens, this.context.clock.nowMs());
+        if (account !== undefined && this.asked > 0 && this.served === 0) {
+            this.served = this.asked;
+            this.context.shares.recordServed(account, this.served, this.context.clock.nowMs());
         }
     }
 
     /** No target ran it: the account got nothing, and must not be held back for it. */
     public removeServed(): void {
         const { account } = this.routed;
-        if (account !== undefined && this.servedTokens > 0) {
-            this.context.shares.recordServed(account, -this.servedTokens, this.context.clock.nowMs());
+        if (account !== undefined && this.served > 0) {
+            this.context.shares.recordServed(account, -this.served, this.context.clock.nowMs());
+            this.served = 0;
         }
     }
 
--- a/src/gateway/flowEndings.ts
+++ b/src/gateway/flowEndings.ts
@@ -32,6 +32,9 @@
     readonly timeliness: Timeliness | undefined;
     /** What its account had got, over what it may have. */
     readonly shareUse: ShareUse;
+    /** What it counts against its account's share: asked for, and given to it by a target. */
+    readonly askedTokens: number;
+    readonly servedTokens: number;
 }
 
 /** How a request ended, for the log and the figures. */
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -17,9 +17,13 @@
     readonly targets: readonly { readonly service: string; readonly state: string; readonly count: number }[];
 }
 
+/** Accounts that are counted by name; a fleet's steady ones several times over on one router. */
+const mostNamedAccounts = 100;
+const otherAccounts = "other";
+
 /**
  * Counters and histograms as text for Prometheus. Labels are services and outcomes, a few values each; a label with
- * request ids, routes or accounts would grow without bound.
+ * request ids or routes would grow without bound, and accounts beyond a number are counted together.
  */
 export class GatewayMetrics {
     private readonly registry = new Registry();
@@ -61,6 +65,13 @@
         labelNames: ["service", "source"],
         registers: [this.registry],
     });
+    private readonly accountTokens = new Counter({
+        name: "lynxarch_account_tokens_total",
+        help: "Tokens of ended requests by account: asked for, and given by targets.",
+        labelNames: ["account", "kind"],
+        registers: [this.registry],
+    });
+    private readonly namedAccounts = new Set<string>();
     private readonly duration = new Histogram({
         name: "lynxarch_request_duration_seconds",
         help: "Time from a request's arrival to the end of its answer.",
@@ -115,12 +126,15 @@
         return this.registry.contentType;
     }
 
-    public recordEnd({ tookMs, end }: EndedRequest): void {
+    public recordEnd({ account, tookMs, end }: EndedRequest): void {
         const service = end.service ?? "none";
         const isOwnReason = end.outcome === "refused";
         this.requests.inc({ service, outcome: end.outcome, reason: isOwnReason ? end.reason : "" });
         this.attempts.inc({ service }, end.attempts ?? 0);
         this.duration.observe({ service, outcome: end.outcome }, tookMs / msPerSecond);
+        if (account !== undefined && (end.askedTokens ?? 0) > 0) {
+            this.recordAccount(account, end.askedTokens ?? 0, end.servedTokens ?? 0);
+        }
         if (end.firstOutputMs !== undefined) {
             this.firstOutput.observe({ service }, end.firstOutputMs / msPerSecond);
             this.longestPause.observe({ service }, (end.longestPauseMs ?? 0) / msPerSecond);
@@ -136,4 +150,13 @@
     public render(): Promise<string> {
         return this.registry.metrics();
     }
+
+    private recordAccount(account: string, askedTokens: number, servedTokens: number): void {
+        if (this.namedAccounts.size < mostNamedAccounts) {
+            this.namedAccounts.add(account);
+        }
+        const label = this.namedAccounts.has(account) ? account : otherAccounts;
+        this.accountTokens.inc({ account: label, kind: "asked" }, askedTokens);
+        this.accountTokens.inc({ account: label, kind: "served" }, servedTokens);
+    }
 }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -87,6 +87,8 @@
             longestPauseMs: this.timing.longestPauseMs,
             timeliness: this.timing.timeliness,
             shareUse: this.shareUse,
+            askedTokens: this.charge.askedTokens,
+            servedTokens: this.charge.servedTokens,
         }));
         this.isRepeatable = route.kind === "idempotent" || (isStream && route.isResumable);
         this.deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, head.timeLeftMs ?? route.timeoutMs);
