--- a/test/decisions/admission.test.ts
+++ b/test/decisions/admission/admission.test.ts
@@ -3,8 +3,8 @@
     checkAdmission,
     computeDynamicThreshold,
     type AdmissionView,
-} from "../../src/decisions/admission/admission.js";
-import { DrainRate } from "../../src/decisions/admission/drainRate.js";
+} from "../../../src/decisions/admission/admission.js";
+import { DrainRate } from "../../../src/decisions/admission/drainRate.js";
 
 const limits = { maxWaitingTotal: 900, maxWaiting: 10_000, maxOpen: 10_000 };
 const calm: AdmissionView = {
--- a/test/decisions/backlog.test.ts
+++ b/test/decisions/admission/backlog.test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { Backlog } from "../../src/decisions/admission/backlog.js";
+import { Backlog } from "../../../src/decisions/admission/backlog.js";
 
 const takeAll = (backlog: Backlog, count: number): readonly string[] =>
     Array.from({ length: count }, () => {
--- a/test/decisions/overload.test.ts
+++ b/test/decisions/admission/overload.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { OverloadDetector, type LoopSample } from "../../src/decisions/admission/overload.js";
+import { OverloadDetector, type LoopSample } from "../../../src/decisions/admission/overload.js";
 
 /** Takes the same sample for a time, at one each 50 ms. */
 function observeFor(detector: OverloadDetector, ms: number, sample: LoopSample): string {
--- a/test/decisions/promptAdmission.test.ts
+++ b/test/decisions/admission/promptAdmission.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "vitest";
-import { SeededRandom } from "../../src/base/random.js";
-import { AccountShares, computeFairLevel, noUse } from "../../src/decisions/shares/accountShares.js";
-import { IdleShare } from "../../src/decisions/shares/idleShare.js";
-import { checkPromptAdmission } from "../../src/decisions/admission/promptAdmission.js";
+import { SeededRandom } from "../../../src/base/random.js";
+import { AccountShares, computeFairLevel, noUse } from "../../../src/decisions/shares/accountShares.js";
+import { IdleShare } from "../../../src/decisions/shares/idleShare.js";
+import { checkPromptAdmission } from "../../../src/decisions/admission/promptAdmission.js";
 
 const tokensPerMs = 40;
 const fixedMs = 50;
--- /dev/null
+++ b/test/decisions/health/circuitBreaker.test.ts
@@ -0,0 +1,38 @@
+import { describe, expect, it } from "vitest";
+import { SeededRandom } from "../../../src/base/random.js";
+import { CircuitBreaker } from "../../../src/decisions/health/circuitBreaker.js";
+
+describe("CircuitBreaker", () => {
+    // The callers see: errors from one bad target end after five. The target fails at once and so always has room; the
+    // circuit opens, lets one probe through after each pause, and closes on the first that works.
+    it("opens after five failures, probes alone with growing pauses, and closes on output", () => {
+        const circuit = new CircuitBreaker(new SeededRandom(1));
+        const log: string[] = [];
+        for (let index = 0; index < 5; index += 1) {
+            log.push(circuit.observeFailure(`r${index}`, 1_000) ? "open" : "closed");
+        }
+        const firstProbeMs = circuit.probeAtMs ?? 0;
+        log.push(`${circuit.canStart(1_000)} ${circuit.canStart(firstProbeMs)}`);
+        circuit.observeStart("probe-1");
+        log.push(`second at once ${circuit.canStart(firstProbeMs)}`);
+        circuit.observeFailure("late-one", firstProbeMs);
+        circuit.observeFailure("probe-1", firstProbeMs);
+        log.push(`pauses ${Math.round(firstProbeMs - 1_000)} ${Math.round((circuit.probeAtMs ?? 0) - firstProbeMs)}`);
+        circuit.observeStart("probe-2");
+        circuit.observeFirstOutput();
+        log.push(`after output ${circuit.canStart(firstProbeMs)}`);
+        expect(log).toMatchInlineSnapshot(`
+          [
+            "closed",
+            "closed",
+            "closed",
+            "closed",
+            "open",
+            "false true",
+            "second at once false",
+            "pauses 407 501",
+            "after output true",
+          ]
+        `);
+    });
+});
--- a/test/decisions/coldLimit.property.test.ts
+++ b/test/decisions/limits/coldLimit.property.test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { ColdLimiter, computeColdShare, type RouterView } from "../../src/decisions/limits/coldLimit.js";
+import { ColdLimiter, computeColdShare, type RouterView } from "../../../src/decisions/limits/coldLimit.js";
 
 const seed = 20_261_203;
 const secondMs = 1_000;
--- /dev/null
+++ b/test/decisions/limits/weightLoadBucket.test.ts
@@ -0,0 +1,35 @@
+import { describe, expect, it } from "vitest";
+import { SeededRandom } from "../../../src/base/random.js";
+import { WeightLoadBucket } from "../../../src/decisions/limits/weightLoadBucket.js";
+
+describe("WeightLoadBucket", () => {
+    // The operators see: the weight store answers. A data centre with 30 targets comes back and all ask for weights at once,
+    // again as soon as they are told to; the fleet's loads stay at the store's rate.
+    it("keeps a fleet that starts at once to the store's rate", () => {
+        const agents = [...Array(30).keys()].map(index => ({
+            bucket: new WeightLoadBucket(index / 30, new SeededRandom(index)),
+            askAtMs: 0,
+            done: false,
+        }));
+        const perMinute = Array.from({ length: 6 }, () => 0);
+        for (let nowMs = 0; nowMs < 360_000; nowMs += 100) {
+            for (const agent of agents.filter(entry => !entry.done && entry.askAtMs <= nowMs)) {
+                const decision = agent.bucket.take(6, 30, nowMs);
+                agent.done = decision.allowed;
+                agent.askAtMs = decision.allowed ? 0 : nowMs + decision.retryAfterMs;
+                perMinute[Math.floor(nowMs / 60_000)] =
+                    (perMinute[Math.floor(nowMs / 60_000)] ?? 0) + (decision.allowed ? 1 : 0);
+            }
+        }
+        expect(perMinute).toMatchInlineSnapshot(`
+          [
+            5,
+            6,
+            6,
+            6,
+            4,
+            3,
+          ]
+        `);
+    });
+});
--- a/test/decisions/placement.test.ts
+++ b/test/decisions/placement/placement.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from "vitest";
-import { SeededRandom } from "../../src/base/random.js";
+import { SeededRandom } from "../../../src/base/random.js";
 import {
     choosePlacement,
     computeAffinityHash,
     computeNameHash,
     type PlacementCandidate,
-} from "../../src/decisions/placement/placement.js";
+} from "../../../src/decisions/placement/placement.js";
 
 const createCandidate = (agentId: string, changes: Partial<PlacementCandidate> = {}): PlacementCandidate => ({
     agentId,
--- a/test/decisions/promptPlacement.test.ts
+++ b/test/decisions/placement/promptPlacement.test.ts
@@ -1,12 +1,12 @@
 import { describe, expect, it } from "vitest";
-import { hashFast } from "../../src/base/hash.js";
-import { SeededRandom } from "../../src/base/random.js";
-import { HeldParts } from "../../src/decisions/placement/heldParts.js";
+import { hashFast } from "../../../src/base/hash.js";
+import { SeededRandom } from "../../../src/base/random.js";
+import { HeldParts } from "../../../src/decisions/placement/heldParts.js";
 import {
     choosePromptPlacement,
     type PromptCandidate,
     type PromptRequest,
-} from "../../src/decisions/placement/promptPlacement.js";
+} from "../../../src/decisions/placement/promptPlacement.js";
 
 interface Engine extends PromptCandidate {
     readonly parts: readonly string[];
--- a/test/decisions/subset.test.ts
+++ b/test/decisions/placement/subset.test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { chooseSubset, type SubsetMember } from "../../src/decisions/placement/subset.js";
+import { chooseSubset, type SubsetMember } from "../../../src/decisions/placement/subset.js";
 
 const listNames = (prefix: string, count: number): readonly string[] =>
     Array.from({ length: count }, (...[, index]) => `${prefix}${index}`);
--- a/test/decisions/retries.test.ts
+++ b/test/decisions/retries/retries.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "vitest";
-import { SeededRandom } from "../../src/base/random.js";
-import { computeBackoffMs } from "../../src/decisions/retries/backoff.js";
-import { RetryBudget } from "../../src/decisions/retries/retryBudget.js";
-import { canRetry } from "../../src/decisions/retries/retryPolicy.js";
+import { SeededRandom } from "../../../src/base/random.js";
+import { computeBackoffMs } from "../../../src/decisions/retries/backoff.js";
+import { RetryBudget } from "../../../src/decisions/retries/retryBudget.js";
+import { canRetry } from "../../../src/decisions/retries/retryPolicy.js";
 
 describe("RetryBudget", () => {
     it("keeps an outage from becoming a retry storm, and one account from using up the others' retries", () => {
--- a/test/decisions/accountShares.test.ts
+++ b/test/decisions/shares/accountShares.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { AccountShares } from "../../src/decisions/shares/accountShares.js";
+import { AccountShares } from "../../../src/decisions/shares/accountShares.js";
 
 const windowMs = 4_000;
 const tokensPerSecond = 2_200_000;
--- a/test/decisions/fairFloods.test.ts
+++ b/test/decisions/shares/fairFloods.test.ts
@@ -5,7 +5,7 @@
     type AccountLoad,
     type AccountSecond,
     type PromptFleetOptions,
-} from "./promptFleet.js";
+} from "../promptFleet.js";
 
 /** Fairness is looked at over spans of this length. */
 const spanSeconds = 6;
--- a/test/decisions/fairQueue.test.ts
+++ b/test/decisions/shares/fairQueue.test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { FairQueue, type QueuedItem } from "../../src/decisions/shares/fairQueue.js";
+import { FairQueue, type QueuedItem } from "../../../src/decisions/shares/fairQueue.js";
 
 const names = ["a", "b", "c", "d"];
 
--- /dev/null
+++ b/test/decisions/shares/idleShare.test.ts
@@ -0,0 +1,21 @@
+import { describe, expect, it } from "vitest";
+import { IdleShare } from "../../../src/decisions/shares/idleShare.js";
+
+describe("the share of idle engines", () => {
+    // An engine that is always asked for is idle now and then, between two prompts; one look must not make it seem free.
+    it("forgets within seconds and is not decided by one look", () => {
+        const share = new IdleShare();
+        const seen: number[] = [];
+        const observe = (idle: number, fromMs: number, toMs: number): void => {
+            for (let nowMs = fromMs; nowMs < toMs; nowMs += 10) {
+                share.observe(idle, 8, nowMs);
+            }
+            seen.push(Number(share.current.toFixed(1)));
+        };
+        observe(0, 0, 1_000);
+        observe(8, 1_000, 1_050);
+        observe(8, 1_050, 5_000);
+        observe(0, 5_000, 9_000);
+        expect(seen).toEqual([0, 0, 1, 0]);
+    });
+});
--- a/test/decisions/peerEstimate.test.ts
+++ b/test/decisions/shares/peerEstimate.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { PeerEstimate, type OwnSample } from "../../src/decisions/shares/peerEstimate.js";
+import { PeerEstimate, type OwnSample } from "../../../src/decisions/shares/peerEstimate.js";
 
 const spans = { windowMs: 4_000, recentMs: 1_500 };
 const ageMs = 500;
--- a/test/decisions/serviceLedger.test.ts
+++ b/test/decisions/shares/serviceLedger.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { CatchUpCap } from "../../src/decisions/shares/catchUpCap.js";
-import { ServiceLedger, type ServiceClaim } from "../../src/decisions/shares/serviceLedger.js";
+import { CatchUpCap } from "../../../src/decisions/shares/catchUpCap.js";
+import { ServiceLedger, type ServiceClaim } from "../../../src/decisions/shares/serviceLedger.js";
 
 const claim = fc.record({ charged: fc.nat(1_000), refunded: fc.nat(1_000), lift: fc.nat(1_000) });
 
--- a/test/decisions/windowedSum.test.ts
+++ b/test/decisions/structures/windowedSum.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { WindowedSum } from "../../src/decisions/structures/windowedSum.js";
+import { WindowedSum } from "../../../src/decisions/structures/windowedSum.js";
 
 const spanMs = 4_000;
 
--- /dev/null
+++ b/test/gateway/answerTiming.test.ts
@@ -0,0 +1,41 @@
+import { describe, expect, it } from "vitest";
+import { AnswerTiming } from "../../src/gateway/answerTiming.js";
+
+describe("the timing of an answer", () => {
+    const route = { kind: "stream", objectiveMs: 800, pauseObjectiveMs: 400 } as const;
+
+    /** What is known of an answer whose outputs come at these times after the request. */
+    function describeTiming(atMs: readonly number[]): unknown {
+        const timing = new AnswerTiming(route, 1_000);
+        atMs.forEach(time => timing.recordOutput(1_000 + time));
+        const { firstOutputMs, longestPauseMs, timeliness } = timing;
+        return [firstOutputMs, longestPauseMs, timeliness];
+    }
+
+    it("tells what the caller had to wait for", () => {
+        expect([[], [700, 800], [900, 950], [100, 300, 800, 900]].map(describeTiming)).toMatchInlineSnapshot(`
+          [
+            [
+              undefined,
+              0,
+              undefined,
+            ],
+            [
+              700,
+              100,
+              "in-time",
+            ],
+            [
+              900,
+              50,
+              "late-first-output",
+            ],
+            [
+              100,
+              500,
+              "late-pause",
+            ],
+          ]
+        `);
+    });
+});
