--- a/test/gateway/peers/peerDirectory.test.ts
+++ b/test/gateway/peers/peerDirectory.test.ts
@@ -33,6 +33,18 @@
         expect([before, directory.listAddresses()]).toEqual([["10.0.0.2", "10.0.0.3", "10.0.0.9"], ["10.0.0.9"]]);
     });
 
+    // What happened since a peer spoke is estimated from the age of its word; taken for new, accounts that it let in since would
+    // be let in once more everywhere else.
+    it("tells how old accounts' sums are", () => {
+        const clock = new ManualClock();
+        const directory = new PeerDirectory(own, [], clock);
+        directory.apply(createMessage());
+        clock.advance(300);
+        directory.apply(createMessage({ routerId: "router-3" }));
+        clock.advance(50);
+        expect(directory.accountUses.map(router => router.ageMs)).toEqual([350, 50]);
+    });
+
     // Datagrams overtake each other, and a router that was restarted begins to count anew.
     it("takes no message that is older than the last one, and a restarted router's first one", () => {
         const directory = new PeerDirectory(own, [], new ManualClock());
