--- a/test/decisions/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -4,7 +4,7 @@
 import { choosePromptPlacement, type PromptCandidate } from "../../src/decisions/placement/promptPlacement.js";
 import { AccountShares, type HeardRouter, type RouterAccounts } from "../../src/decisions/shares/accountShares.js";
 import { IdleShare } from "../../src/decisions/shares/idleShare.js";
-import { ChunkedEngine, type ChunkedEngineOptions, type EngineStream } from "../fakes/engine/chunkedEngine.js";
+import { ChunkedEngine, type ChunkedEngineOptions, type EngineStream } from "./chunkedEngine.js";
 
 const objectiveMs = 800;
 const windowMs = 4_000;
@@ -36,10 +36,20 @@
     readonly promisedShare: number;
     /** Engines that take no more requests from a time on. */
     readonly lost?: { readonly count: number; readonly atMs: number };
+    /** News that is never late, to tell what late news costs. */
+    readonly exactNews?: ExactNews;
     readonly runMs: number;
     readonly seed: number;
 }
 
+/** Kinds of news between routers that are never late. */
+export interface ExactNews {
+    /** What accounts asked and got. */
+    readonly accounts: boolean;
+    /** What waits at engines. */
+    readonly load: boolean;
+}
+
 /** What an account asked and got in one second, in tokens. */
 export interface AccountSecond {
     asked: number;
@@ -144,8 +154,12 @@
     }
 
     private listHeard(router: Router, nowMs: number): readonly HeardRouter[] {
-        return this.routers.flatMap(({ told, toldAtMs }) =>
-            told === undefined || told === router.told ? [] : [{ ...told, ageMs: nowMs - toldAtMs }],
+        const others = this.routers.filter(other => other !== router);
+        if (this.options.exactNews?.accounts === true) {
+            return others.map(other => ({ ...other.shares.listOwn(nowMs), ageMs: 0 }));
+        }
+        return others.flatMap(({ told, toldAtMs }) =>
+            told === undefined ? [] : [{ ...told, ageMs: nowMs - toldAtMs }],
         );
     }
 
@@ -204,14 +218,15 @@
     }
 
     private listCandidates(router: Router, nowMs: number): readonly Candidate[] {
-        const { lost } = this.options;
+        const { lost, exactNews } = this.options;
+        const hasExactLoad = this.routers.length === 1 || exactNews?.load === true;
         const lostCount = lost === undefined || nowMs < lost.atMs ? 0 : lost.count;
         return this.engines
             .map((engine, index) => ({
                 id: `e${index}`,
                 idHash: hashFast(`e${index}`),
                 dataCentre: "a",
-                waitingTokens: this.routers.length === 1 ? engine.waitingTokens : router.waiting[index],
+                waitingTokens: hasExactLoad ? engine.waitingTokens : router.waiting[index],
                 running: engine.load,
                 slots: 64,
                 hasPart: () => false,
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,8 @@
 import { BaselineSystem } from "./baseline/baseline.js";
 import { costSizes, measureCycleMicroseconds } from "./cost.js";
 import { Driver } from "./driver.js";
+import { measureFloods, printFloodFigures } from "./gateway/floodReport.js";
+import { floodScenarios } from "./gateway/floods.js";
 import { ProductSystem } from "./product.js";
 import { scenarios } from "./scenarios.js";
 import { printFigures } from "./table.js";
@@ -9,6 +11,8 @@
 interface Options {
     readonly list?: boolean;
     readonly cost?: boolean;
+    readonly floods?: boolean;
+    readonly seeds: string | number;
     readonly scenario?: string;
     readonly seed: string | number;
     readonly json?: boolean;
@@ -19,7 +23,12 @@
 
 function main(options: Options): void {
     if (options.list === true) {
-        scenarios.forEach(scenario => console.log(`${scenario.name.padEnd(26)}${scenario.description}`));
+        const all = [...scenarios, ...floodScenarios];
+        all.forEach(({ name, description }) => console.log(`${name.padEnd(28)}${description}`));
+        return;
+    }
+    if (options.floods === true) {
+        runFloods(options);
         return;
     }
     if (options.cost === true) {
@@ -45,12 +54,27 @@
     }
 }
 
+function runFloods({ scenario: wanted, seeds, json }: Options): void {
+    const seedCount = Number(seeds);
+    const chosen = floodScenarios.filter(({ name }) => wanted === undefined || name === wanted);
+    if (chosen.length === 0 || !Number.isSafeInteger(seedCount) || seedCount < 1) {
+        console.error(`no scenario of floods "${wanted}" or number of seeds "${seeds}"; see --list`);
+        process.exitCode = usageError;
+        return;
+    }
+    for (const figures of chosen.flatMap(scenario => measureFloods(scenario, seedCount))) {
+        console.log(json === true ? JSON.stringify(figures) : printFloodFigures(figures));
+    }
+}
+
 sade("bench", true)
     .describe("Measures the decisions against round robin with first-in-first-out queues, on a fake clock.")
     .option("--list", "List the scenarios")
     .option("--cost", "Measure the processor time of a router's decisions by size")
     .option("--scenario", "Run one scenario; all when left out")
     .option("--seed", "Seed of arrivals and chances; the same seed gives the same line", 1)
+    .option("--floods", "Play accounts that flood routers whose news of one another is late, and exact")
+    .option("--seeds", "With --floods: plays seeds 1 to this", 10)
     .option("--json", "Print one JSON line per scenario")
     .action(main)
     .parse(process.argv);
--- a/test/decisions/admission/promptLoad.test.ts
+++ b/test/decisions/admission/promptLoad.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { computeSum, isInTime, runPromptFleet } from "../promptFleet.js";
+import { computeSum, isInTime, runPromptFleet } from "../../../bench/gateway/promptFleet.js";
 
 /** An engine's figures; two kinds, so that no decision hangs on one. */
 const engines = {
