--- a/test/decisions/shares/fairFloods.test.ts
+++ b/test/decisions/shares/fairFloods.test.ts
@@ -1,11 +1,12 @@
 import { describe, expect, it } from "vitest";
 import { findLeastPart } from "../../../bench/gateway/fairness.js";
-import { floodedFleet, threeFloods } from "../../../bench/gateway/floods.js";
+import { floodedFleet, floodScenarios, threeFloods } from "../../../bench/gateway/floods.js";
 import { runPromptFleet } from "../../../bench/gateway/promptFleet.js";
 
 /** Of what an account asked, or of what the best served one got, whichever is less. */
 const leastPart = 0.5;
 const seeds = [1, 2, 3, 4, 5];
+const twentySeeds = Array.from({ length: 20 }, (...[, index]) => index + 1);
 
 /** The least part over all seeds. */
 function computeLeastPart(routerCount: number, peerPeriodMs: number): number {
@@ -28,4 +29,13 @@
     ])("all get their part while %s tell one another what they gave", (...[, routerCount, peerPeriodMs]) => {
         expect(computeLeastPart(routerCount, peerPeriodMs)).toBeGreaterThanOrEqual(leastPart);
     });
+
+    // A quarter of the engines is lost, and what is left gives less than was promised. The level of the shares is then above what
+    // accounts get, so that none of them counts as beyond its share and what is given goes to who asks first: in one of
+    // twenty plays an account got 0.44 of its part. It fails today, with news that is never late too: see KNOWN-RED.txt.
+    it.fails("all get their part while the fleet gives less than was promised", () => {
+        const { fleet, loads } = floodScenarios.find(({ name }) => name === "three-floods-large-promise")!;
+        const parts = twentySeeds.map(seed => findLeastPart(runPromptFleet({ ...fleet, seed }, loads).seconds));
+        expect(Math.min(...parts)).toBeGreaterThanOrEqual(leastPart);
+    });
 });
