--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -1,7 +1,11 @@
 import { hashFast } from "../../src/base/hash.js";
 import { SeededRandom } from "../../src/base/random.js";
 import { checkPromptAdmission } from "../../src/decisions/admission/promptAdmission.js";
-import { choosePromptPlacement, type PromptCandidate } from "../../src/decisions/placement/promptPlacement.js";
+import {
+    choosePromptPlacement,
+    type PromptCandidate,
+    type PromptPlacement,
+} from "../../src/decisions/placement/promptPlacement.js";
 import { AccountShares, type HeardRouter, type RouterAccounts } from "../../src/decisions/shares/accountShares.js";
 import { IdleShare } from "../../src/decisions/shares/idleShare.js";
 import { ChunkedEngine, type ChunkedEngineOptions, type EngineStream } from "./chunkedEngine.js";
@@ -140,7 +144,10 @@
         return { seconds: this.seconds, ended: this.engines.flatMap(engine => engine.ended) };
     }
 
-    /** Each router speaks once in a period, at a moment of its own. */
+    /**
+     * Each router speaks once in a period, at a moment of its own. For simplicity it then hears of all that waits at engines, and
+     * of accounts what each of the others told at its own moment.
+     */
     private sendNews(nowMs: number): void {
         const { peerPeriodMs, routerCount } = this.options;
         for (const [index, router] of this.routers.entries()) {
@@ -164,47 +171,52 @@
     }
 
     private offer({ account, promptTokens: meanTokens }: AccountLoad, nowMs: number): void {
-        const { engine, pauseObjectiveMs } = this.options;
         const router = this.chooseRouter();
         const promptTokens = Math.round(meanTokens * (0.2 + 2 * this.random.next() ** 2));
         const second = this.seconds.get(account)![Math.floor(nowMs / msPerSecond)];
         second.asked += promptTokens;
         second.requests += 1;
         router.shares.recordAsked(account, promptTokens, nowMs);
+        const placement = this.placePrompt(router, promptTokens, nowMs);
+        if (placement !== undefined && this.isAdmitted(router, account, placement, nowMs)) {
+            second.admitted += 1;
+            second.served += promptTokens;
+            router.shares.recordServed(account, promptTokens, nowMs);
+            router.waiting[placement.candidate.index] += promptTokens;
+            placement.candidate.engine.submit(account, promptTokens, eventCount, nowMs);
+        }
+    }
+
+    private placePrompt(router: Router, promptTokens: number, nowMs: number): PromptPlacement<Candidate> | undefined {
         const candidates = this.listCandidates(router, nowMs);
         const idle = candidates.filter(candidate => candidate.waitingTokens === 0).length;
         router.idle.observe(idle, candidates.length, nowMs);
-        const placement = choosePromptPlacement(candidates, {
+        return choosePromptPlacement(candidates, {
             parts: [{ id: `own-${nowMs}`, tokens: promptTokens }],
             promptTokens,
             dataCentre: "a",
-            tokensPerMs: engine.tokensPerMs,
+            tokensPerMs: this.options.engine.tokensPerMs,
             transfer: undefined,
         });
-        if (placement === undefined) {
-            return;
-        }
-        const admission = checkPromptAdmission({
-            expectedMs: placement.tokensAhead / engine.tokensPerMs,
-            aloneMs: placement.newTokens / engine.tokensPerMs,
+    }
+
+    private isAdmitted(
+        router: Router,
+        account: string,
+        { tokensAhead, newTokens }: PromptPlacement<Candidate>,
+        nowMs: number,
+    ): boolean {
+        const { engine, pauseObjectiveMs } = this.options;
+        const heard = this.listHeard(router, nowMs);
+        return checkPromptAdmission({
+            expectedMs: tokensAhead / engine.tokensPerMs,
+            aloneMs: newTokens / engine.tokensPerMs,
             objectiveMs,
             pauseObjectiveMs,
             timeLeftMs,
-            shareUse: router.shares.computeUse(
-                account,
-                this.listHeard(router, nowMs),
-                this.promisedTokensPerSecond,
-                nowMs,
-            ),
+            shareUse: router.shares.computeUse(account, heard, this.promisedTokensPerSecond, nowMs),
             idleShare: router.idle.current,
-        });
-        if (admission.admitted) {
-            second.admitted += 1;
-            second.served += promptTokens;
-            router.shares.recordServed(account, promptTokens, nowMs);
-            router.waiting[placement.candidate.index] += promptTokens;
-            placement.candidate.engine.submit(account, promptTokens, eventCount, nowMs);
-        }
+        }).admitted;
     }
 
     private get promisedTokensPerSecond(): number {
