--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -177,7 +177,7 @@
         second.asked += promptTokens;
         second.requests += 1;
         router.shares.recordAsked(account, promptTokens, nowMs);
-        const placement = this.placePrompt(router, promptTokens, nowMs);
+        const placement = this.selectEngine(router, promptTokens, nowMs);
         if (placement !== undefined && this.isAdmitted(router, account, placement, nowMs)) {
             second.admitted += 1;
             second.served += promptTokens;
@@ -187,7 +187,7 @@
         }
     }
 
-    private placePrompt(router: Router, promptTokens: number, nowMs: number): PromptPlacement<Candidate> | undefined {
+    private selectEngine(router: Router, promptTokens: number, nowMs: number): PromptPlacement<Candidate> | undefined {
         const candidates = this.listCandidates(router, nowMs);
         const idle = candidates.filter(candidate => candidate.waitingTokens === 0).length;
         router.idle.observe(idle, candidates.length, nowMs);
