--- /dev/null
+++ b/bench/gateway/modelRouter.ts
@@ -0,0 +1,131 @@
+import type { Clock } from "../../src/base/clock.js";
+import { NoopLogger } from "../../src/base/log.js";
+import type { Random } from "../../src/base/random.js";
+import { AccountShares, type HeardRouter } from "../../src/decisions/shares/accountShares.js";
+import { FirstTokenModel } from "../../src/decisions/placement/firstTokenModel.js";
+import { IdleShare } from "../../src/decisions/shares/idleShare.js";
+import { OutputLength } from "../../src/decisions/shares/outputLength.js";
+import { RetryBudget } from "../../src/decisions/retries/retryBudget.js";
+import type { ServedConfiguration } from "../../src/gateway/configuration.js";
+import { ConfigurationHolder } from "../../src/gateway/configurationHolder.js";
+import type { TargetEntry } from "../../src/gateway/fleetSource.js";
+import type { GatewayContext } from "../../src/gateway/gatewayContext.js";
+import { PeerState } from "../../src/gateway/peers/peerState.js";
+import type { PeerView } from "../../src/gateway/peers/peerView.js";
+import { TargetLoads } from "../../src/gateway/peers/targetLoads.js";
+import { Registry } from "../../src/gateway/registry.js";
+import { gatewaySettingsSchema } from "../../src/gateway/settings.js";
+import { TargetDirectory } from "../../src/gateway/targetDirectory.js";
+import { PlatformHeaders } from "../../platform/headers.js";
+
+/** What a {@link ModelRouter} is put together from. */
+export interface ModelRouterOptions {
+    readonly index: number;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly configuration: ServedConfiguration;
+    readonly targets: readonly TargetEntry[];
+    /** Span of the accounts' shares; milliseconds. */
+    readonly windowMs: number;
+    /** Replaces what peers reported of accounts; undefined: as received. */
+    readonly getExactUses: (() => readonly HeardRouter[]) | undefined;
+}
+
+const seedRouters = 3;
+const callersPort = 8_783;
+const readinessPort = 8_780;
+
+/** One router of a modelled fleet: the daemon's own decisions and state, without its sockets. */
+export class ModelRouter {
+    public readonly context: GatewayContext;
+    public readonly peers: PeerState;
+    public readonly directory: TargetDirectory;
+    public readonly shares: AccountShares;
+
+    public constructor(options: ModelRouterOptions) {
+        const { index, clock, random, windowMs } = options;
+        const logger = new NoopLogger();
+        this.directory = new TargetDirectory({
+            clock,
+            random,
+            logger,
+            connectTimeoutMs: 1,
+            getHealth: () => undefined,
+        });
+        this.shares = new AccountShares(windowMs);
+        const loads = new TargetLoads(this.directory);
+        this.peers = new PeerState({
+            own: { routerId: formatRouterId(index), ip: formatRouterIp(index) },
+            seedIps: Array.from({ length: seedRouters }, (...[, seed]) => formatRouterIp(seed)),
+            clock,
+            listOwnLoads: () => loads.listOwn(),
+            listOwnAccounts: () => this.shares.listOwn(clock.nowMs()),
+            onDidSumLoads: sums => loads.applySums(sums),
+            onDidReceive: message => loads.applyMessage(message),
+        });
+        this.context = {
+            settings: createSettings(index),
+            clock,
+            random,
+            logger,
+            codec: new PlatformHeaders(),
+            configuration: new ConfigurationHolder(),
+            directory: this.directory,
+            peers: createPeerView(this.peers, options.getExactUses),
+            load: { shedShare: 0 },
+            shares: this.shares,
+            retryBudgets: new Registry(() => new RetryBudget()),
+            firstTokenModels: new Registry(() => new FirstTokenModel()),
+            idleShares: new Registry(() => new IdleShare()),
+            outputLengths: new Registry(() => new OutputLength()),
+        };
+        this.applyFleet(options.configuration, options.targets);
+    }
+
+    private applyFleet(configuration: ServedConfiguration, targets: readonly TargetEntry[]): void {
+        this.context.configuration.apply(configuration);
+        this.directory.applyConfiguration(configuration);
+        targets.forEach(entry => this.directory.applyChange({ kind: "target", id: entry.id, entry }));
+    }
+}
+
+/** Address of the router with this index. */
+export function formatRouterIp(index: number): string {
+    return `10.0.${Math.floor(index / 250)}.${(index % 250) + 1}`;
+}
+
+function formatRouterId(index: number): string {
+    return `edge-dc-central-a-${index}`;
+}
+
+function createPeerView(peers: PeerState, getExactUses: ModelRouterOptions["getExactUses"]): PeerView {
+    return {
+        get routers() {
+            return peers.routers;
+        },
+        get accountUses() {
+            return getExactUses === undefined ? peers.accountUses : getExactUses();
+        },
+        get round() {
+            return peers.round;
+        },
+        recordRead: (targetHash, partId, tokens) => peers.recordRead(targetHash, partId, tokens),
+    };
+}
+
+function createSettings(index: number): GatewayContext["settings"] {
+    const ip = formatRouterIp(index);
+    return gatewaySettingsSchema.parse({
+        daemonId: formatRouterId(index),
+        ip,
+        dataCentre: "a",
+        callers: `${ip}:${callersPort}`,
+        readiness: `${ip}:${readinessPort}`,
+        peerPorts: [7_400, 7_415],
+        seeds: [],
+        store: { address: "10.200.0.1:1" },
+        limits: { memoryMb: 250, maxDescriptors: 4_096 },
+        retryBudget: { slack: 0 },
+        coldLimit: { slack: 0 },
+    });
+}
--- a/scripts/measurePeers.ts
+++ b/scripts/measurePeers.ts
@@ -8,6 +8,7 @@
 import { NoopLogger } from "../src/base/log.js";
 import { SeededRandom } from "../src/base/random.js";
 import { PeerExchange } from "../src/gateway/peers/peerExchange.js";
+import { PeerState } from "../src/gateway/peers/peerState.js";
 
 interface Options {
     readonly seconds: number;
@@ -40,10 +41,10 @@
         await sleepFor(seconds * 1_000);
         const used = process.cpuUsage(before);
         const usedMs = (used.user + used.system) / 1_000;
-        const mean = (read: (exchange: PeerExchange) => number): number =>
-            fleet.reduce((sum, exchange) => sum + read(exchange), 0) / size;
-        const messageBytes = mean(exchange => exchange.round.messageBytes);
-        const periodMs = mean(exchange => exchange.round.periodMs);
+        const mean = (read: (state: PeerState) => number): number =>
+            fleet.reduce((sum, state) => sum + read(state), 0) / size;
+        const messageBytes = mean(state => state.round.messageBytes);
+        const periodMs = mean(state => state.round.periodMs);
         const sentPerSecond = ((size - 1) * messageBytes * 1_000) / periodMs;
         process.stdout.write(
             `${size} routers: ${messageBytes.toFixed(0)} B a message, a round each ${periodMs.toFixed(0)} ms, ` +
@@ -55,7 +56,7 @@
     process.exit(0);
 }
 
-async function startFleet(size: number, store: DisposableStore): Promise<readonly PeerExchange[]> {
+async function startFleet(size: number, store: DisposableStore): Promise<readonly PeerState[]> {
     const random = new SeededRandom(seed);
     const clock = new SystemClock();
     const engines = Array.from({ length: Math.ceil(size * enginesPerRouter) }, () =>
@@ -66,13 +67,10 @@
         (...[, index]) => `127.99.${Math.floor(index / 200)}.${(index % 200) + 1}`,
     );
     const fleet = ips.map((ip, index) => {
-        const exchange = new PeerExchange({
-            routerId: `edge-dc-central-a-${index}`,
-            ip,
-            port,
+        const state = new PeerState({
+            own: { routerId: `edge-dc-central-a-${index}`, ip },
             seedIps: ips.slice(0, 3),
             clock,
-            logger: new NoopLogger(),
             listOwnLoads: () =>
                 engines.slice(0, requestsUnderWay).map(targetHash => ({
                     targetHash,
@@ -94,16 +92,27 @@
                 ),
             }),
             onDidSumLoads: () => undefined,
-            onDidHear: () => undefined,
+            onDidReceive: () => undefined,
         });
         const timer = setInterval(() => {
-            exchange.recordRead(engines[0], Math.floor(random.next() * 2 ** 32).toString(16), windowTokens);
+            state.recordRead(engines[0], Math.floor(random.next() * 2 ** 32).toString(16), windowTokens);
         }, 1_000 / readsPerSecond);
         store.add({ dispose: () => clearInterval(timer) });
-        return store.add(exchange);
+        return {
+            state,
+            exchange: store.add(
+                new PeerExchange({
+                    ip,
+                    port,
+                    state,
+                    clock,
+                    logger: new NoopLogger(),
+                }),
+            ),
+        };
     });
-    await Promise.all(fleet.map(exchange => exchange.start()));
-    return fleet;
+    await Promise.all(fleet.map(({ exchange }) => exchange.start()));
+    return fleet.map(({ state }) => state);
 }
 
 function sleepFor(ms: number): Promise<void> {
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -18,7 +18,8 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService } from "./gatewayService.js";
 import { PeerExchange } from "./peers/peerExchange.js";
-import type { PeerMessage, TargetLoad } from "./peers/peerMessage.js";
+import { PeerState } from "./peers/peerState.js";
+import { TargetLoads } from "./peers/targetLoads.js";
 import type { LoadSource } from "./loadMonitor.js";
 import { Registry } from "./registry.js";
 import { RequestLog } from "./requestLog.js";
@@ -29,7 +30,6 @@
 import { createHandoverApp } from "./peers/handoverApi.js";
 import { listenOn } from "../control/server.js";
 import type { GatewaySettings } from "./settings.js";
-import type { PeerLoad } from "./target.js";
 import { TargetDirectory } from "./targetDirectory.js";
 import type { HeaderCodec } from "./wire.js";
 
@@ -61,7 +61,8 @@
     private readonly store = new DisposableStore();
     private readonly lifetime = this.store.add(new CancellationTokenSource());
     private readonly context: GatewayContext;
-    private readonly peers: PeerExchange;
+    private readonly peers: PeerState;
+    private readonly exchange: PeerExchange;
     private readonly service: GatewayService;
     private readonly callers: CallerServer;
     private readonly load: LoadSource;
@@ -84,19 +85,21 @@
             }),
         );
         const shares = new AccountShares(settings.shareWindowSeconds * msPerSecond);
-        this.peers = this.store.add(
-            new PeerExchange({
-                routerId: settings.daemonId,
-                ip: settings.ip,
-                port: settings.peerPorts[0],
-                seedIps: listSeedIps(settings),
-                clock,
-                logger,
-                listOwnLoads: () => this.listOwnLoads(),
-                listOwnAccounts: () => shares.listOwn(clock.nowMs()),
-                onDidSumLoads: loads => this.applyPeerLoads(loads),
-                onDidHear: message => this.applyPeerMessage(message),
-            }),
+        const loads = new TargetLoads(directory);
+        this.peers = new PeerState({
+            own: { routerId: settings.daemonId, ip: settings.ip },
+            seedIps: listSeedIps(settings),
+            clock,
+            listOwnLoads: () => loads.listOwn(),
+            listOwnAccounts: () => shares.listOwn(clock.nowMs()),
+            onDidSumLoads: sums => {
+                loads.applySums(sums);
+                this.updateRetryFloors();
+            },
+            onDidReceive: message => loads.applyMessage(message),
+        });
+        this.exchange = this.store.add(
+            new PeerExchange({ ip: settings.ip, port: settings.peerPorts[0], state: this.peers, clock, logger }),
         );
         this.load = this.store.add(parts.load);
         const getSettings = (): GatewaySettings => this.settings;
@@ -153,7 +156,7 @@
         const { settings, source, logger } = this.parts;
         source.start();
         this.load.start();
-        await this.peers.start();
+        await this.exchange.start();
         await this.callers.listen(...parseAddress(settings.callers));
         await this.listenAside(
             createReadinessApp(this.parts.readinessPath, () => this.isReady),
@@ -217,35 +220,9 @@
         }
     }
 
-    private listOwnLoads(): readonly TargetLoad[] {
-        return this.context.directory
-            .listAll()
-            .filter(target => target.ownRunning > 0 || target.hasUntold)
-            .map(target => ({
-                targetHash: target.idHash,
-                waitingTokens: target.ownWaitingTokens,
-                running: target.ownRunning,
-                writtenTokens: target.takeWritten(),
-            }));
-    }
-
-    private applyPeerLoads(loads: ReadonlyMap<number, PeerLoad>): void {
-        const { directory, retryBudgets } = this.context;
-        for (const target of directory.listAll()) {
-            target.peerLoad = loads.get(target.idHash) ?? { waitingTokens: 0, running: 0 };
-        }
+    private updateRetryFloors(): void {
         const floors = this.computeRetryFloors();
-        retryBudgets.visitAll(budget => budget.setFloors(floors));
-    }
-
-    private applyPeerMessage({ targets, reads }: PeerMessage): void {
-        const { directory } = this.context;
-        for (const load of targets) {
-            directory.findByHash(load.targetHash)?.recordPeerWritten(load.writtenTokens);
-        }
-        for (const read of reads) {
-            directory.findByHash(read.targetHash)?.recordPart(read.partId, read.tokens);
-        }
+        this.context.retryBudgets.visitAll(budget => budget.setFloors(floors));
     }
 
     /** This router's part of what the fleet may send once more beyond the ratio. */
