Grant prompts at one place per engine; learn the limit from pauses

Cause: each router chose engines by loads that 67 others had reported up to four rounds ago, counted in full. All sent to the engine that was believed idle; those that were not were refused at it. Above saturation an engine got a prompt whenever it had nothing to read, so its streams stood still.

Change: an engine is owned by the first live router by rendezvous hashing (targetOwners). Before its first send a prompt is asked for there with one datagram each way (grants/); the owner's books (engineBudget) hold what the engine is given within any span of the pause objective below a learnt part of what it reads in that time (readingShare), and say when there is room. A denied request asks at most two other engines; denials are kept until their time, so that what can't be served is refused without asking. No answer within 40 ms: the router decides by its own beliefs, and the next one in the ranking is the owner for a while. Two owners at once grant at most twice the limit. Grants expire with the span; progress is reported. Accounts beyond their share use less of the limit the more of the surplus they have had, in place of a wait bound on beliefs; accounts within it use half as much again. Engines are compared in a sample (holders, home, three at random). Reported loads expire after 600 ms; accounts' sums as before. Reading speed is the fastest of prompts' rates (firstTokenModel).

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -1,6 +1,8 @@
 import type { Clock } from "../../src/base/clock.js";
+import type { SetTimer } from "../../src/base/timers.js";
 import { NoopLogger } from "../../src/base/log.js";
 import type { Random } from "../../src/base/random.js";
+import { ReadingShare } from "../../src/decisions/admission/readingShare.js";
 import { AccountShares, type HeardRouter } from "../../src/decisions/shares/accountShares.js";
 import { FirstTokenModel } from "../../src/decisions/placement/firstTokenModel.js";
 import { IdleShare } from "../../src/decisions/shares/idleShare.js";
@@ -10,6 +12,9 @@
 import { ConfigurationHolder } from "../../src/gateway/configurationHolder.js";
 import type { TargetEntry } from "../../src/gateway/fleetSource.js";
 import type { GatewayContext } from "../../src/gateway/gatewayContext.js";
+import { createGrants } from "../../src/gateway/grants/createGrants.js";
+import type { GrantTransport } from "../../src/gateway/grants/grantClient.js";
+import type { GrantExchange } from "../../src/gateway/grants/grantExchange.js";
 import { PeerState } from "../../src/gateway/peers/peerState.js";
 import type { PeerView } from "../../src/gateway/peers/peerView.js";
 import { TargetLoads } from "../../src/gateway/peers/targetLoads.js";
@@ -29,6 +34,8 @@
     readonly windowMs: number;
     /** Replaces what peers reported of accounts; undefined: as received. */
     readonly getExactUses: (() => readonly HeardRouter[]) | undefined;
+    readonly transport: GrantTransport;
+    readonly setTimer: SetTimer;
 }
 
 const seedRouters = 3;
@@ -41,6 +48,7 @@
     public readonly peers: PeerState;
     public readonly directory: TargetDirectory;
     public readonly shares: AccountShares;
+    public readonly grants: GrantExchange;
 
     public constructor(options: ModelRouterOptions) {
         const { index, clock, random, windowMs } = options;
@@ -63,6 +71,19 @@
             onDidSumLoads: sums => loads.applySums(sums),
             onDidReceive: message => loads.applyMessage(message),
         });
+        const firstTokenModels = new Registry(() => new FirstTokenModel());
+        const readingShares = new Registry(() => new ReadingShare());
+        const grants = createGrants({
+            ownId: formatRouterId(index),
+            peers: this.peers,
+            directory: this.directory,
+            firstTokenModels,
+            readingShares,
+            transport: options.transport,
+            clock,
+            setTimer: options.setTimer,
+        });
+        this.grants = grants.exchange;
         this.context = {
             settings: createSettings(index),
             clock,
@@ -72,10 +93,12 @@
             configuration: new ConfigurationHolder(),
             directory: this.directory,
             peers: createPeerView(this.peers, options.getExactUses),
+            grants: grants.client,
             load: { shedShare: 0 },
             shares: this.shares,
             retryBudgets: new Registry(() => new RetryBudget()),
-            firstTokenModels: new Registry(() => new FirstTokenModel()),
+            firstTokenModels,
+            readingShares,
             idleShares: new Registry(() => new IdleShare()),
             outputLengths: new Registry(() => new OutputLength()),
         };
@@ -94,7 +117,8 @@
     return `10.0.${Math.floor(index / 250)}.${(index % 250) + 1}`;
 }
 
-function formatRouterId(index: number): string {
+/** Name of the router with this index. */
+export function formatRouterId(index: number): string {
     return `edge-dc-central-a-${index}`;
 }
 
--- a/scripts/measurePeers.ts
+++ b/scripts/measurePeers.ts
@@ -107,6 +107,7 @@
                     state,
                     clock,
                     logger: new NoopLogger(),
+                    onDidReceiveGrantMessage: () => undefined,
                 }),
             ),
         };
--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -79,28 +79,86 @@
  * requests of three played days were refused in place of 0.62 to 0.65.
  */
 const overShareRetry = 0.4;
+/**
+ * Times the limit that accounts within their share may use: they are few, and floods that fill engines up to the limit must not keep
+ * them out.
+ */
+const withinShareUse = 1.5;
+/** Part of the pause objective that a request beyond its account's share may wait: those within it find less ahead of them. */
+const overShareWaitShare = 0.35;
+/** Part of an engine's limit that accounts beyond their share may use; the rest is for those within it. */
+const mostOverShareUse = 0.95;
+/** The same for an account at the even level of the surplus: accounts below it find room where it finds none. */
+const levelUse = 0.85;
+/** By how much an account finds less room for each part of the even level that it has had more. */
+const surplusGain = 2.5;
+/** However much an account has had, it may use what would otherwise lie idle. */
+const leastOverShareUse = 0;
 /** Shortest pause before a caller comes back; below it he meets the same queue, for the price of one more request. */
 const leastRetryAfterMs = 80;
 
-/** Decides on one request. */
+/** What a request may find at its engine and still be sent there. */
+export interface PromptBounds {
+    /** Longest wait behind others; milliseconds. */
+    readonly mostWaitMs: number;
+    /** Part of what the engine may be given that may be in use, 0 to 1. */
+    readonly mostUse: number;
+    /** Why it is refused where an engine is beyond the bounds. */
+    readonly reason: "late" | "over-share";
+}
+
+/** The bounds that the owner of an engine holds a request to. */
+export function computePromptBounds(view: Omit<PromptAdmissionView, "expectedMs" | "idleShare">): PromptBounds {
+    const usableMs = computeUsableMs(view);
+    const mostWaitMs = Math.max(usableMs - view.aloneMs, usableMs / 2);
+    if (view.shareUse.share < overShareFrom) {
+        return { mostWaitMs, mostUse: withinShareUse, reason: "late" };
+    }
+    return {
+        mostWaitMs: Math.min(mostWaitMs, view.pauseObjectiveMs * overShareWaitShare),
+        mostUse: computeSurplusUse(view.shareUse.surplus),
+        reason: "over-share",
+    };
+}
+
+/** Part of an engine's limit for an account beyond its share: less the more of the surplus it has had. */
+function computeSurplusUse(surplus: number): number {
+    return Math.min(mostOverShareUse, Math.max(leastOverShareUse, levelUse + (1 - surplus) * surplusGain));
+}
+
+/** When a caller does best to come back; `roomMs`: when the engine would have taken the request. */
+export function computePromptRetry(reason: PromptBounds["reason"], objectiveMs: number, roomMs: number): number {
+    const leastMs = reason === "over-share" ? objectiveMs * overShareRetry : leastRetryAfterMs;
+    return Math.max(leastMs, roomMs);
+}
+
+/** Decides on one request by what this router believes of the engine, where its owner does not answer. */
 export function checkPromptAdmission(view: PromptAdmissionView): PromptAdmission {
-    const usableMs = Math.min(view.objectiveMs, view.timeLeftMs) * usableShare;
     const waitMs = view.expectedMs - view.aloneMs;
     if (view.shareUse.share >= overShareFrom) {
         const allowedWaitMs = view.objectiveMs * computeOverShareWait(view);
         if (waitMs > allowedWaitMs) {
-            const retryAfterMs = Math.max(view.objectiveMs * overShareRetry, waitMs - allowedWaitMs);
+            const retryAfterMs = computePromptRetry("over-share", view.objectiveMs, waitMs - allowedWaitMs);
             return { admitted: false, reason: "over-share", retryAfterMs };
         }
     }
-    // A prompt that takes long by itself is never in time; refusing it would only bring it back, so it may be late by
-    // its own length, though not by that of a queue.
-    const allowedMs = Math.min(
-        Math.max(usableMs, view.aloneMs + usableMs / 2),
-        view.aloneMs + view.pauseObjectiveMs * pauseWait,
-    );
-    const retryAfterMs = Math.max(leastRetryAfterMs, view.expectedMs - usableMs);
-    return view.expectedMs <= allowedMs ? { admitted: true } : { admitted: false, reason: "late", retryAfterMs };
+    const retryAfterMs = Math.max(leastRetryAfterMs, view.expectedMs - computeUsableMs(view));
+    return view.expectedMs <= computeAllowedMs(view)
+        ? { admitted: true }
+        : { admitted: false, reason: "late", retryAfterMs };
+}
+
+function computeUsableMs({ objectiveMs, timeLeftMs }: Pick<PromptAdmissionView, "objectiveMs" | "timeLeftMs">): number {
+    return Math.min(objectiveMs, timeLeftMs) * usableShare;
+}
+
+/**
+ * Time to the first event that is let in. A prompt that takes long by itself is never in time; refusing it would only bring
+ * it back, so it may be late by its own length, though not by that of a queue.
+ */
+function computeAllowedMs(view: Omit<PromptAdmissionView, "expectedMs" | "idleShare">): number {
+    const usableMs = computeUsableMs(view);
+    return Math.min(Math.max(usableMs, view.aloneMs + usableMs / 2), view.aloneMs + view.pauseObjectiveMs * pauseWait);
 }
 
 /** Part of the objective; below 0: not even at an engine with nothing to do. */
--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -94,16 +94,19 @@
 /** Fewer tokens than these are read in about the time that a copy takes to begin. */
 const leastFetchTokens = 256;
 
-/** The cheapest candidate; undefined without candidates. `sources`: engines that tokens may be copied from. */
+/**
+ * The cheapest candidate; undefined without candidates. `sources`: engines that tokens may be copied from; `home`: where the last
+ * shared part belongs while no engine keeps it.
+ */
 export function choosePromptPlacement<T extends PromptCandidate>(
     candidates: readonly T[],
     request: PromptRequest,
     sources: readonly T[] = candidates,
+    home: T | undefined = findHome(candidates, request.parts[request.parts.length - 2]?.id),
 ): PromptPlacement<T> | undefined {
     const shared = request.parts.slice(0, -1);
     const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
     const ownTokens = Math.max(0, request.promptTokens - sharedTokens);
-    const home = findHome(candidates, shared[shared.length - 1]?.id);
     const source = request.transfer === undefined ? undefined : findSource(sources, shared);
     let best: PromptPlacement<T> | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
@@ -114,11 +117,9 @@
         const newTokens = ownTokens + missing;
         const reread = missing * (rereadFactor - 1) * (candidate === home ? 1 - homeShare : 1);
         const costMs =
-            (candidate.waitingTokens + newTokens + reread + (fetch?.tokens ?? 0) * copyFactor) / request.tokensPerMs +
+            (newTokens + reread + (fetch?.tokens ?? 0) * copyFactor) / request.tokensPerMs +
             (fetch?.ms ?? 0) +
-            candidate.running * batchMs +
-            (candidate.running >= candidate.slots ? fullBatchMs : 0) +
-            (candidate.dataCentre === request.dataCentre ? 0 : distanceMs);
+            computeLoadMs(candidate, request);
         if (costMs < bestCost) {
             bestCost = costMs;
             best = { candidate, fetch, newTokens, tokensAhead: candidate.waitingTokens + newTokens };
@@ -127,6 +128,16 @@
     return best;
 }
 
+/** What the candidate's load and distance cost a request, whatever it holds. */
+function computeLoadMs(candidate: PromptCandidate, { tokensPerMs, dataCentre }: PromptRequest): number {
+    return (
+        candidate.waitingTokens / tokensPerMs +
+        candidate.running * batchMs +
+        (candidate.running >= candidate.slots ? fullBatchMs : 0) +
+        (candidate.dataCentre === dataCentre ? 0 : distanceMs)
+    );
+}
+
 interface Source<T> {
     readonly engine: T;
     readonly tokens: number;
@@ -170,7 +181,11 @@
     return missing;
 }
 
-function findHome<T extends PromptCandidate>(candidates: readonly T[], partId: string | undefined): T | undefined {
+/** The engine that a shared part belongs to while none keeps it, the same for all routers that know the same engines. */
+export function findHome<T extends PromptCandidate>(
+    candidates: readonly T[],
+    partId: string | undefined,
+): T | undefined {
     if (partId === undefined) {
         return undefined;
     }
--- a/src/gateway/flowEndings.ts
+++ b/src/gateway/flowEndings.ts
@@ -22,6 +22,10 @@
     readonly newTokens: number | undefined;
     /** Prompt tokens that the target was to copy from another one. */
     readonly fetchedTokens: number | undefined;
+    /** Part of the target's reading time that its owner had given away with this request; undefined without a grant. */
+    readonly engineUse: number | undefined;
+    /** Part that owners may give away, as learnt by this router. */
+    readonly readingShare: number | undefined;
     readonly objectiveMs: number;
     readonly pauseObjectiveMs: number;
     /** Time from its arrival to its first output; milliseconds. */
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -1,12 +1,14 @@
 import type { Clock } from "../base/clock.js";
 import type { Logger } from "../base/log.js";
 import type { Random } from "../base/random.js";
+import type { ReadingShare } from "../decisions/admission/readingShare.js";
 import type { AccountShares } from "../decisions/shares/accountShares.js";
 import type { FirstTokenModel } from "../decisions/placement/firstTokenModel.js";
 import type { IdleShare } from "../decisions/shares/idleShare.js";
 import type { OutputLength } from "../decisions/shares/outputLength.js";
 import type { RetryBudget } from "../decisions/retries/retryBudget.js";
 import type { ConfigurationHolder } from "./configurationHolder.js";
+import type { GrantClient } from "./grants/grantClient.js";
 import type { PeerView } from "./peers/peerView.js";
 import type { Registry } from "./registry.js";
 import type { GatewaySettings } from "./settings.js";
@@ -23,6 +25,7 @@
     readonly configuration: ConfigurationHolder;
     readonly directory: TargetDirectory;
     readonly peers: PeerView;
+    readonly grants: GrantClient;
     /** Part of new requests that this router is too slow for, 0 to 1. */
     readonly load: { readonly shedShare: number };
     readonly shares: AccountShares;
@@ -31,6 +34,8 @@
     /** Per service. */
     readonly firstTokenModels: Registry<FirstTokenModel>;
     /** Per service. */
+    readonly readingShares: Registry<ReadingShare>;
+    /** Per service. */
     readonly idleShares: Registry<IdleShare>;
     /** Per route. */
     readonly outputLengths: Registry<OutputLength>;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -5,6 +5,8 @@
 import type { Logger } from "../base/log.js";
 import type { Random } from "../base/random.js";
 import { sleepOnTimer } from "../base/sleep.js";
+import { setRuntimeTimer } from "../base/timers.js";
+import { ReadingShare } from "../decisions/admission/readingShare.js";
 import { AccountShares } from "../decisions/shares/accountShares.js";
 import { FirstTokenModel } from "../decisions/placement/firstTokenModel.js";
 import { IdleShare } from "../decisions/shares/idleShare.js";
@@ -17,6 +19,7 @@
 import type { FleetChange, FleetSource } from "./fleetSource.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService } from "./gatewayService.js";
+import { createGrants } from "./grants/createGrants.js";
 import { PeerExchange } from "./peers/peerExchange.js";
 import { PeerState } from "./peers/peerState.js";
 import { TargetLoads } from "./peers/targetLoads.js";
@@ -98,8 +101,28 @@
             },
             onDidReceive: message => loads.applyMessage(message),
         });
+        const firstTokenModels = new Registry(() => new FirstTokenModel());
+        const readingShares = new Registry(() => new ReadingShare());
+        const grants = createGrants({
+            ownId: settings.daemonId,
+            peers: this.peers,
+            directory,
+            firstTokenModels,
+            readingShares,
+            transport: { send: (routerId, message) => this.exchange.send(routerId, message) },
+            clock,
+            setTimer: setRuntimeTimer,
+        });
+        this.store.add(grants.client);
         this.exchange = this.store.add(
-            new PeerExchange({ ip: settings.ip, port: settings.peerPorts[0], state: this.peers, clock, logger }),
+            new PeerExchange({
+                ip: settings.ip,
+                port: settings.peerPorts[0],
+                state: this.peers,
+                clock,
+                logger,
+                onDidReceiveGrantMessage: (senderId, message) => grants.exchange.handleMessage(senderId, message),
+            }),
         );
         this.load = this.store.add(parts.load);
         const getSettings = (): GatewaySettings => this.settings;
@@ -114,12 +137,14 @@
             directory,
             configuration: new ConfigurationHolder(),
             peers: this.peers,
+            grants: grants.client,
             load: this.load,
             shares,
             retryBudgets: new Registry(
                 () => new RetryBudget(this.computeRetryFloors(), settings.retryBudget.windowSeconds * msPerSecond),
             ),
-            firstTokenModels: new Registry(() => new FirstTokenModel()),
+            firstTokenModels,
+            readingShares,
             outputLengths: new Registry(() => new OutputLength()),
             idleShares: new Registry(() => new IdleShare()),
         };
--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -4,12 +4,13 @@
 import type { PeerLoad } from "../target.js";
 import type { PeerAddress, PeerMessage } from "./peerMessage.js";
 
-/** What a router said of its requests under way is worth little after this long. */
-export const loadTtlMs = 1_200;
 /**
- * It counts for so many rounds all the same. In a large fleet rounds are rare; with a fixed time alone most of what routers
- * had told was left out as old, and accounts that had three times their share seemed to have had one.
+ * Reported loads expire after the time in which engines read what usually waits there. Counted in full for longer, loads of
+ * several rounds add up, and engines look busy that have nothing to read.
  */
+export const loadTtlMs = 600;
+/** Reported uses of accounts are over seconds, and estimated up to now; they expire after this long, or so many rounds. */
+const useTtlMs = 1_200;
 const roundsToLive = 4;
 /**
  * A router that was not heard for this long may be cut off and still at work, so it keeps its share of cold targets. Kept
@@ -29,6 +30,7 @@
     private readonly peers = new Map<string, Peer>();
     /** Addresses that were heard of, and when they were last named. */
     private readonly addresses = new Map<string, { readonly ip: string; readonly namedAtMs: number }>();
+    private readonly routerByIp = new Map<string, string>();
     private readonly startedAtMs: number;
 
     /** `seedIps`: addresses of some routers, perhaps of this one. */
@@ -57,6 +59,7 @@
         this.peers.set(message.routerId, { message, heardAtMs: this.clock.nowMs() });
         const namedAtMs = this.clock.nowMs();
         this.addresses.set(message.routerId, { ip: message.ip, namedAtMs });
+        this.routerByIp.set(message.ip, message.routerId);
         for (const { routerId, ip } of message.peers) {
             if (routerId !== this.own.routerId && !this.peers.has(routerId)) {
                 this.addresses.set(routerId, { ip, namedAtMs });
@@ -73,6 +76,16 @@
         );
     }
 
+    /** Address of a router that a message was received of. */
+    public findAddress(routerId: string): string | undefined {
+        return this.peers.get(routerId)?.message.ip;
+    }
+
+    /** The router that last sent from this address; an address may be reused by a later router. */
+    public findRouter(ip: string): string | undefined {
+        return this.routerByIp.get(ip);
+    }
+
     /** Routers heard from lately, for others that don't know them. */
     public listKnown(): readonly PeerAddress[] {
         return [...this.peers.values()].map(({ message }) => ({ routerId: message.routerId, ip: message.ip }));
@@ -94,17 +107,19 @@
     /** Accounts' use at each router whose word is fresh. */
     public get accountUses(): readonly HeardRouter[] {
         const nowMs = this.clock.nowMs();
-        return this.listFresh().map(({ message, heardAtMs }) => ({
-            coveredMs: message.coveredMs,
-            accounts: message.accounts,
-            ageMs: nowMs - heardAtMs,
-        }));
+        return this.listPeers(message => Math.max(useTtlMs, roundsToLive * message.periodMs)).map(
+            ({ message, heardAtMs }) => ({
+                coveredMs: message.coveredMs,
+                accounts: message.accounts,
+                ageMs: nowMs - heardAtMs,
+            }),
+        );
     }
 
     /** What all other routers have under way, by the hash of the target's id. */
     public computeLoads(): ReadonlyMap<number, PeerLoad> {
         const sums = new Map<number, PeerLoad>();
-        for (const load of this.listFresh().flatMap(peer => peer.message.targets)) {
+        for (const load of this.listPeers(() => loadTtlMs).flatMap(peer => peer.message.targets)) {
             const before = sums.get(load.targetHash);
             sums.set(load.targetHash, {
                 waitingTokens: load.waitingTokens + (before?.waitingTokens ?? 0),
@@ -114,11 +129,10 @@
         return sums;
     }
 
-    private listFresh(): readonly Peer[] {
+    /** Peers whose last message is not older than the given time. */
+    private listPeers(getTtlMs: (message: PeerMessage) => number): readonly Peer[] {
         const nowMs = this.clock.nowMs();
-        return [...this.peers.values()].filter(
-            ({ heardAtMs, message }) => nowMs - heardAtMs <= Math.max(loadTtlMs, roundsToLive * message.periodMs),
-        );
+        return [...this.peers.values()].filter(({ heardAtMs, message }) => nowMs - heardAtMs <= getTtlMs(message));
     }
 
     private removeOld(): void {
@@ -126,6 +140,7 @@
         for (const [id, peer] of this.peers) {
             if (nowMs - peer.heardAtMs > memberTtlMs) {
                 this.peers.delete(id);
+                this.routerByIp.delete(peer.message.ip);
             }
         }
         // Also those that others named and that were never heard: thousands of VMs are replaced a day, and messages to those
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -2,6 +2,8 @@
 import type { Clock } from "../../base/clock.js";
 import { DisposableStore, type Disposable } from "../../base/lifecycle.js";
 import type { Logger } from "../../base/log.js";
+import type { GrantTransport } from "../grants/grantClient.js";
+import { decodeGrantMessage, encodeGrantMessage, isGrantDatagram, type GrantMessage } from "../grants/grantMessage.js";
 import { decodePeerMessage, encodePeerMessage } from "./peerMessage.js";
 import type { PeerState } from "./peerState.js";
 
@@ -15,6 +17,8 @@
     readonly state: PeerState;
     readonly clock: Clock;
     readonly logger: Logger;
+    /** A message about a grant from a router that is known. */
+    readonly onDidReceiveGrantMessage: (senderId: string, message: GrantMessage) => void;
 }
 
 /**
@@ -22,7 +26,7 @@
  *
  * Datagrams and not calls: no message needs a repeat, and a peer that is gone costs nothing but the send.
  */
-export class PeerExchange implements Disposable {
+export class PeerExchange implements GrantTransport, Disposable {
     private readonly store = new DisposableStore();
     private timer: NodeJS.Timeout | undefined;
     private socket: Socket | undefined;
@@ -36,7 +40,7 @@
         const socket = createSocket("udp4");
         this.socket = socket;
         this.store.add({ dispose: () => socket.close() });
-        socket.on("message", data => this.handleDatagram(data));
+        socket.on("message", (data, sender) => this.handleDatagram(data, sender.address));
         return new Promise((resolve, reject) => {
             socket.once("error", reject);
             socket.bind(port, ip, () => {
@@ -55,13 +59,40 @@
         this.store.dispose();
     }
 
-    private handleDatagram(data: Buffer): void {
+    public send(routerId: string, message: GrantMessage): boolean {
+        const { state, port } = this.options;
+        const ip = state.findAddress(routerId);
+        if (ip === undefined || this.socket === undefined) {
+            return false;
+        }
+        this.socket.send(encodeGrantMessage(message), port, ip, () => undefined);
+        return true;
+    }
+
+    private handleDatagram(data: Buffer, senderIp: string): void {
+        if (isGrantDatagram(data)) {
+            this.handleGrantDatagram(data, senderIp);
+            return;
+        }
         decodePeerMessage(data).match(
             message => this.options.state.applyMessage(message),
             error => this.reportFault(error.message),
         );
     }
 
+    private handleGrantDatagram(data: Buffer, senderIp: string): void {
+        const { state, onDidReceiveGrantMessage } = this.options;
+        const senderId = state.findRouter(senderIp);
+        if (senderId === undefined) {
+            this.reportFault("from an unknown router");
+            return;
+        }
+        decodeGrantMessage(data).match(
+            message => onDidReceiveGrantMessage(senderId, message),
+            error => this.reportFault(error.message),
+        );
+    }
+
     private reportFault(detail: string): void {
         const { clock, logger } = this.options;
         if (clock.nowMs() - this.lastFaultLogAtMs > faultLogPeriodMs) {
--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -71,6 +71,16 @@
         return this.directory.listAddresses();
     }
 
+    /** Address of a router that this one has received a message of; undefined: none. */
+    public findAddress(routerId: string): string | undefined {
+        return this.directory.findAddress(routerId);
+    }
+
+    /** The router that sends from this address; undefined: unknown. */
+    public findRouter(ip: string): string | undefined {
+        return this.directory.findRouter(ip);
+    }
+
     public setSeeds(seedIps: readonly string[]): void {
         this.directory.setSeeds(seedIps);
     }
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -1,9 +1,17 @@
+import {
+    checkPromptAdmission,
+    computePromptBounds,
+    computePromptRetry,
+    type PromptBounds,
+} from "../decisions/admission/promptAdmission.js";
 import { noUse, type ShareUse } from "../decisions/shares/accountShares.js";
-import { checkPromptAdmission } from "../decisions/admission/promptAdmission.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import type { GrantDemand } from "./grants/grantClient.js";
+import type { GrantReply } from "./grants/grantMessage.js";
 import type { OwnAnswerReason } from "./ownAnswer.js";
 import type { RoutedRequest } from "./routedRequest.js";
-import type { Selection } from "./targetSelector.js";
+import type { Target } from "./target.js";
+import type { Selection, TargetFilter, TargetSelector } from "./targetSelector.js";
 
 /** Where a request goes first, or why it is refused. */
 export type AdmittedSelection = { readonly shareUse: ShareUse } & (
@@ -15,50 +23,173 @@
 export const noTargetRetryMs = 300;
 /** Part of the objective that a plain request may wait. */
 const plainUsableShare = 0.6;
+/** Owners that are asked for one request: further ones would cost more than the little that is left after three denials. */
+const mostDemands = 3;
 
-/** Decides whether a request is sent on, before its first send. */
+/** What a {@link RequestAdmission} needs. */
+export interface RequestAdmissionOptions {
+    readonly context: GatewayContext;
+    readonly routed: RoutedRequest;
+    readonly selector: TargetSelector;
+    /** Tokens that the request is expected to generate. */
+    readonly outputTokens: number;
+    /** Targets that it was already sent to. */
+    readonly isTried: TargetFilter;
+    readonly getTimeLeftMs: () => number;
+}
+
+/** A refusal that stands unless another target grants the request. */
+interface Denial {
+    readonly reason: PromptBounds["reason"];
+    readonly roomMs: number;
+}
+
+/** Decides whether a request is sent on and where to, before its first send; asks the owners of model engines. */
 export class RequestAdmission {
-    public constructor(
-        private readonly context: GatewayContext,
-        private readonly routed: RoutedRequest,
-        private readonly getTimeLeftMs: () => number,
-    ) {}
-
-    /** `selection`: the best target, if there is one. */
-    public check(selection: Selection | undefined): AdmittedSelection {
-        if (selection === undefined) {
-            return { selection, reason: "no-target", retryAfterMs: noTargetRetryMs, shareUse: noUse };
+    private readonly denied = new Set<Target>();
+    private shareUse = noUse;
+
+    public constructor(private readonly options: RequestAdmissionOptions) {}
+
+    /** The outcome always comes, at once or after the owners' answers. */
+    public check(services: readonly string[], handleOutcome: (outcome: AdmittedSelection) => void): void {
+        const { routed, selector, isTried } = this.options;
+        const first = selector.select(services, routed.head, routed.route.hasPrompts, isTried);
+        if (first === undefined) {
+            handleOutcome(this.createRefusal("no-target", noTargetRetryMs));
+        } else if (first.tokensAhead === 0) {
+            handleOutcome(this.checkPlain(first));
+        } else {
+            this.shareUse = this.computeShareUse();
+            this.checkFirst(services, first, handleOutcome);
         }
-        return selection.tokensAhead === 0 ? this.checkPlain(selection) : this.checkPrompt(selection);
+    }
+
+    /** Passes over a target whose owner has said that it is full. */
+    private checkFirst(
+        services: readonly string[],
+        first: Selection,
+        handleOutcome: (outcome: AdmittedSelection) => void,
+    ): void {
+        const { mostUse, reason } = this.computeBounds(first);
+        const roomMs = first.target.computeDeniedMs(mostUse, this.options.context.clock.nowMs());
+        const open = roomMs === 0 ? first : this.selectOpen(services, mostUse);
+        this.checkPrompt(services, open, { reason, roomMs }, handleOutcome);
     }
 
     private checkPlain(selection: Selection): AdmittedSelection {
-        const isLate = selection.expectedMs > this.routed.route.objectiveMs * plainUsableShare;
-        return isLate
-            ? { selection: undefined, reason: "late", retryAfterMs: selection.expectedMs, shareUse: noUse }
-            : { selection, shareUse: noUse };
+        const isLate = selection.expectedMs > this.options.routed.route.objectiveMs * plainUsableShare;
+        return isLate ? this.createRefusal("late", selection.expectedMs) : { selection, shareUse: noUse };
+    }
+
+    /** Asks the owner of the selected target, and of the next best one after a denial. */
+    private checkPrompt(
+        services: readonly string[],
+        selection: Selection | undefined,
+        denial: Denial,
+        handleOutcome: (outcome: AdmittedSelection) => void,
+    ): void {
+        if (selection === undefined) {
+            handleOutcome(this.createDenial(denial));
+            return;
+        }
+        const bounds = this.computeBounds(selection);
+        this.options.context.grants.submit(this.createDemand(selection, bounds), outcome => {
+            if (outcome.kind === "unanswered") {
+                handleOutcome(this.checkByBelief(selection));
+                return;
+            }
+            const { mostUse, reason } = bounds;
+            selection.target.applyGrantReply(outcome.reply, mostUse, this.options.context.clock.nowMs());
+            if (outcome.kind === "granted") {
+                const granted = this.applyReply(selection, outcome.reply);
+                handleOutcome({ selection: { ...granted, grant: outcome.grant }, shareUse: this.shareUse });
+                return;
+            }
+            this.denied.add(selection.target);
+            const roomMs = Math.min(denial.roomMs > 0 ? denial.roomMs : Infinity, outcome.reply.retryAfterMs);
+            const next = this.denied.size < mostDemands ? this.selectOpen(services, mostUse) : undefined;
+            this.checkPrompt(services, next, { reason, roomMs }, handleOutcome);
+        });
     }
 
-    private checkPrompt(selection: Selection): AdmittedSelection {
-        const shareUse = this.computeShareUse();
+    /** The best target whose owner has not said that it is full. */
+    private selectOpen(services: readonly string[], mostUse: number): Selection | undefined {
+        const { context, routed, selector, isTried } = this.options;
+        const nowMs = context.clock.nowMs();
+        return selector.select(
+            services,
+            routed.head,
+            routed.route.hasPrompts,
+            target => isTried(target) || this.denied.has(target) || target.computeDeniedMs(mostUse, nowMs) > 0,
+        );
+    }
+
+    /** Without an owner this router goes by what it believes of the target. */
+    private checkByBelief(selection: Selection): AdmittedSelection {
+        const { context, routed, getTimeLeftMs } = this.options;
         const admission = checkPromptAdmission({
             expectedMs: selection.expectedMs,
             aloneMs: selection.aloneMs,
-            objectiveMs: this.routed.route.objectiveMs,
-            pauseObjectiveMs: this.routed.route.pauseObjectiveMs,
-            timeLeftMs: this.getTimeLeftMs(),
-            shareUse,
-            idleShare: this.context.idleShares.find(selection.service.name).current,
+            objectiveMs: routed.route.objectiveMs,
+            pauseObjectiveMs: routed.route.pauseObjectiveMs,
+            timeLeftMs: getTimeLeftMs(),
+            shareUse: this.shareUse,
+            idleShare: context.idleShares.find(selection.service.name).current,
         });
         return admission.admitted
-            ? { selection, shareUse }
-            : { selection: undefined, reason: admission.reason, retryAfterMs: admission.retryAfterMs, shareUse };
+            ? { selection, shareUse: this.shareUse }
+            : this.createRefusal(admission.reason, admission.retryAfterMs);
+    }
+
+    private computeBounds({ aloneMs }: Selection): PromptBounds {
+        const { routed, getTimeLeftMs } = this.options;
+        return computePromptBounds({
+            aloneMs,
+            objectiveMs: routed.route.objectiveMs,
+            pauseObjectiveMs: routed.route.pauseObjectiveMs,
+            timeLeftMs: getTimeLeftMs(),
+            shareUse: this.shareUse,
+        });
+    }
+
+    private createDemand({ target, fetch }: Selection, bounds: PromptBounds): GrantDemand {
+        const { routed, outputTokens } = this.options;
+        return {
+            target,
+            head: routed.head,
+            copiedTokens: fetch?.tokens ?? 0,
+            outputTokens,
+            bounds,
+            spanMs: routed.route.pauseObjectiveMs,
+        };
+    }
+
+    /** The selection with the owner's figures in place of this router's beliefs. */
+    private applyReply(selection: Selection, { newTokens, aheadTokens }: GrantReply): Selection {
+        const model = this.options.context.firstTokenModels.find(selection.service.name);
+        const fetchMs = selection.fetch?.ms ?? 0;
+        return {
+            ...selection,
+            newTokens,
+            tokensAhead: aheadTokens + newTokens,
+            expectedMs: fetchMs + model.estimateMs(aheadTokens + newTokens),
+            aloneMs: fetchMs + model.estimateMs(newTokens),
+        };
+    }
+
+    private createDenial({ reason, roomMs }: Denial): AdmittedSelection {
+        return this.createRefusal(reason, computePromptRetry(reason, this.options.routed.route.objectiveMs, roomMs));
+    }
+
+    private createRefusal(reason: OwnAnswerReason, retryAfterMs: number): AdmittedSelection {
+        return { selection: undefined, reason, retryAfterMs, shareUse: this.shareUse };
     }
 
     private computeShareUse(): ShareUse {
-        const { configuration, shares, peers, clock } = this.context;
+        const { configuration, shares, peers, clock } = this.options.context;
         const tokensPerSecond = configuration.current?.limits.tokensPerSecond;
-        const { account } = this.routed;
+        const { account } = this.options.routed;
         return account === undefined || tokensPerSecond === undefined
             ? noUse
             : shares.computeUse(account, peers.accountUses, tokensPerSecond, clock.nowMs());
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,7 +1,8 @@
 import { DisposableStore } from "../base/lifecycle.js";
+import type { ReadingShare } from "../decisions/admission/readingShare.js";
 import { noUse } from "../decisions/shares/accountShares.js";
 import { AccountCharge } from "./accountCharge.js";
-import { noTargetRetryMs, RequestAdmission } from "./requestAdmission.js";
+import { noTargetRetryMs, RequestAdmission, type AdmittedSelection } from "./requestAdmission.js";
 import { AnswerTiming } from "./answerTiming.js";
 import { Attempt, type AttemptOutcome, type StopReason } from "./attempt.js";
 import type { CallerExchange } from "./callerExchange.js";
@@ -27,6 +28,8 @@
  * different first tries, and the fleet's slack is handed out besides.
  */
 const usedRetryRatio = 0.5;
+/** A send that is not asked for is booked whatever the target has to do. */
+const anyBounds = { mostWaitMs: 0, mostUse: 1 };
 /** Requests on routes without a key share one budget. */
 const noAccount = "";
 /** Attempts that surely did not run cost nothing, but their number is bounded all the same. */
@@ -54,7 +57,6 @@
     private lastFailure: StoredAnswer | undefined;
     private selection: Selection | undefined;
     private readonly timing: AnswerTiming;
-    private readonly admission: RequestAdmission;
     private readonly charge: AccountCharge;
     private shareUse = noUse;
 
@@ -65,7 +67,6 @@
     ) {
         const { route, head, arrivedAtMs } = routed;
         this.selector = new TargetSelector(context);
-        this.admission = new RequestAdmission(context, routed, () => this.deadlineAtMs - context.clock.nowMs());
         this.timing = new AnswerTiming(route, arrivedAtMs);
         this.charge = new AccountCharge(context, routed);
         const isStream = route.kind === "stream";
@@ -81,6 +82,8 @@
             tokensAhead: this.selection?.tokensAhead,
             newTokens: this.selection?.newTokens,
             fetchedTokens: this.selection?.fetch?.tokens,
+            engineUse: this.selection?.grant?.use,
+            readingShare: this.findReadingShare()?.current,
             objectiveMs: route.objectiveMs,
             pauseObjectiveMs: route.pauseObjectiveMs,
             firstOutputMs: this.timing.firstOutputMs,
@@ -115,7 +118,7 @@
         const services = this.selector.orderServices(this.routed.route);
         this.recordFirst(services[0]);
         for (;;) {
-            const selection = this.sent === 0 ? this.selectFirst(services) : this.select(services);
+            const selection = this.sent === 0 ? await this.selectFirst(services) : this.selectNext(services);
             if (selection === undefined) {
                 return this.endWithoutTarget();
             }
@@ -131,11 +134,24 @@
         }
     }
 
-    private select(services: readonly string[]): Selection | undefined {
+    /** The target for a further send; its owner is told of it, and not asked. */
+    private selectNext(services: readonly string[]): Selection | undefined {
         const { head, route } = this.routed;
-        const selection = this.selector.select(services, head, route.hasPrompts, this.tried);
-        this.selection = selection ?? this.selection;
-        return selection;
+        const selection = this.selector.select(services, head, route.hasPrompts, target => this.tried.has(target));
+        if (selection === undefined || selection.tokensAhead === 0) {
+            this.selection = selection ?? this.selection;
+            return selection;
+        }
+        const grant = this.context.grants.record({
+            target: selection.target,
+            head,
+            copiedTokens: selection.fetch?.tokens ?? 0,
+            outputTokens: this.charge.outputTokens,
+            bounds: anyBounds,
+            spanMs: route.pauseObjectiveMs,
+        });
+        this.selection = { ...selection, grant };
+        return this.selection;
     }
 
     /** Counts what is asked: the request at the service it goes to first, and its tokens with its account. */
@@ -148,10 +164,23 @@
     }
 
     /** The target for the first send, or the refusal. */
-    private selectFirst(services: readonly string[]): Selection | FlowEnd {
-        const admission = this.admission.check(this.select(services));
-        this.shareUse = admission.shareUse;
-        return admission.selection ?? this.endings.refuse(admission.reason, admission.retryAfterMs);
+    private async selectFirst(services: readonly string[]): Promise<Selection | FlowEnd> {
+        const { context, routed, selector } = this;
+        const admission = new RequestAdmission({
+            context,
+            routed,
+            selector,
+            outputTokens: this.charge.outputTokens,
+            isTried: target => this.tried.has(target),
+            getTimeLeftMs: () => this.deadlineAtMs - context.clock.nowMs(),
+        });
+        const admitted = await new Promise<AdmittedSelection>(resolve => admission.check(services, resolve));
+        this.shareUse = admitted.shareUse;
+        if (admitted.selection === undefined) {
+            return this.endings.refuse(admitted.reason, admitted.retryAfterMs);
+        }
+        this.selection = admitted.selection;
+        return admitted.selection;
     }
 
     private async runAttempt(selection: Selection): Promise<AttemptOutcome> {
@@ -163,6 +192,7 @@
         const connection = target.connections.open(limit, maxIdleMs, nowMs);
         this.tried.add(target);
         if (connection === undefined) {
+            selection.grant?.report("not-run");
             return { kind: "not-run", reason: "not-sent", detail: "no connection is free" };
         }
         const { method, url } = this.caller.request;
@@ -215,7 +245,7 @@
     private handleOutcome(outcome: AttemptOutcome): FlowEnd | undefined {
         switch (outcome.kind) {
             case "answered":
-                this.charge.observeOutput(this.relay.passedEvents, this.selection?.service.engine?.tokensPerEvent);
+                this.observeAnswer();
                 return this.endings.createEnd("answered", "", 200);
             case "not-run":
                 this.unrun += 1;
@@ -236,6 +266,22 @@
         }
     }
 
+    /** Learns from a whole answer. */
+    private observeAnswer(): void {
+        const { selection, timing, routed } = this;
+        this.charge.observeOutput(this.relay.passedEvents, selection?.service.engine?.tokensPerEvent);
+        if (selection?.grant !== undefined) {
+            const isLate = timing.longestPauseMs > routed.route.pauseObjectiveMs;
+            this.findReadingShare()?.observe(isLate, selection.grant.use);
+        }
+    }
+
+    /** What is learnt of the service's engines; undefined for plain services. */
+    private findReadingShare(): ReadingShare | undefined {
+        const { selection } = this;
+        return selection?.grant === undefined ? undefined : this.context.readingShares.find(selection.service.name);
+    }
+
     private handleStopped(reason: StopReason): FlowEnd | undefined {
         if (reason === "left") {
             return this.endings.createEnd("left", "the caller left", undefined);
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -7,6 +7,7 @@
 import type { PromptCandidate } from "../decisions/placement/promptPlacement.js";
 import type { ServedService } from "./configuration.js";
 import type { TargetEntry } from "./fleetSource.js";
+import type { GrantReply } from "./grants/grantMessage.js";
 import { TargetConnections } from "./targetConnections.js";
 
 /** What other routers have under way at a target. */
@@ -15,6 +16,19 @@
     readonly running: number;
 }
 
+/** What a target's owner turned away. */
+interface OwnerDenial {
+    /** Part of the limit that the request might have used; one that may use more has not been turned away. */
+    readonly mostUse: number;
+    readonly untilMs: number;
+}
+
+/** What a target's owner said of it. */
+interface OwnerReport {
+    readonly aheadTokens: number;
+    readonly atMs: number;
+}
+
 const serviceTimeSmoothing = 0.1;
 const nothing: PeerLoad = { waitingTokens: 0, running: 0 };
 
@@ -32,6 +46,9 @@
     /** This router's requests under way. */
     public ownRunning = 0;
     public peerLoad: PeerLoad = nothing;
+    private ownerReport: OwnerReport | undefined;
+    private reportedTokens = 0;
+    private denial: OwnerDenial | undefined;
     /** Smoothed time of a whole plain answer; milliseconds; 0 before the first. */
     public serviceTimeMs = 0;
     public coldUntilMs = Number.NEGATIVE_INFINITY;
@@ -60,8 +77,34 @@
         return this.entry.slots;
     }
 
+    /** Prompt tokens that wait there, as routers reported or as its owner did, whichever is more. */
     public get waitingTokens(): number {
-        return this.ownWaitingTokens + this.peerLoad.waitingTokens;
+        return Math.max(this.ownWaitingTokens + this.peerLoad.waitingTokens, this.reportedTokens);
+    }
+
+    /** Brings the owner's report up to date: what waited then has been read at the given speed since. */
+    public updateWaiting(tokensPerMs: number, nowMs: number): void {
+        const { ownerReport } = this;
+        this.reportedTokens =
+            ownerReport === undefined
+                ? 0
+                : Math.max(0, ownerReport.aheadTokens - (nowMs - ownerReport.atMs) * tokensPerMs);
+    }
+
+    /** Takes what the target's owner answered to a request that may use the given part of the limit. */
+    public applyGrantReply(reply: GrantReply, mostUse: number, nowMs: number): void {
+        const granted = reply.granted ? reply.newTokens : 0;
+        this.ownerReport = { aheadTokens: reply.aheadTokens + granted, atMs: nowMs };
+        const isWider = mostUse >= (this.denial?.mostUse ?? 0) || nowMs >= (this.denial?.untilMs ?? 0);
+        if (!reply.granted && isWider) {
+            this.denial = { mostUse, untilMs: nowMs + reply.retryAfterMs };
+        }
+    }
+
+    /** How long its owner goes on turning such requests away; milliseconds, 0 if it does not. */
+    public computeDeniedMs(mostUse: number, nowMs: number): number {
+        const { denial } = this;
+        return denial === undefined || mostUse > denial.mostUse ? 0 : Math.max(0, denial.untilMs - nowMs);
     }
 
     public get running(): number {
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -1,8 +1,15 @@
 import { choosePlacement } from "../decisions/placement/placement.js";
 import { computeColdShare } from "../decisions/limits/coldLimit.js";
-import { choosePromptPlacement, type CacheTransfer, type PromptFetch } from "../decisions/placement/promptPlacement.js";
+import { pickCandidates } from "../decisions/placement/candidateSample.js";
+import {
+    choosePromptPlacement,
+    findHome,
+    type CacheTransfer,
+    type PromptFetch,
+} from "../decisions/placement/promptPlacement.js";
 import type { EngineCapacity, ServedRoute, ServedService } from "./configuration.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import type { Grant } from "./grants/grantClient.js";
 import type { Target } from "./target.js";
 import type { RequestHead } from "./wire.js";
 
@@ -20,8 +27,13 @@
     readonly expectedMs: number;
     /** The same at a target with nothing to do. */
     readonly aloneMs: number;
+    /** What the target's owner granted; undefined for plain services, and where no owner answered. */
+    readonly grant: Grant | undefined;
 }
 
+/** Whether a target is left out of a selection. */
+export type TargetFilter = (target: Target) => boolean;
+
 /** A full target of a plain service lets this many slots' worth of requests wait before others are better told to go. */
 const plainTargetWindowFactor = 1;
 /** Share of a target's connections that routers use; the rest covers closes that are under way and uneven routers. */
@@ -49,11 +61,11 @@
         services: readonly string[],
         head: RequestHead,
         hasPrompts: boolean,
-        tried: ReadonlySet<Target>,
+        isLeftOut: TargetFilter,
     ): Selection | undefined {
         for (const name of services) {
             const service = this.context.directory.findService(name);
-            const candidates = service === undefined ? [] : this.listCandidates(service, tried);
+            const candidates = service === undefined ? [] : this.listCandidates(service, isLeftOut);
             if (service !== undefined && candidates.length > 0) {
                 const isModel = hasPrompts && service.engine !== undefined;
                 return isModel
@@ -70,13 +82,13 @@
         return Math.max(1, Math.floor((service.maxConnections * connectionShare) / Math.max(1, routers)));
     }
 
-    private listCandidates(service: ServedService, tried: ReadonlySet<Target>): readonly Target[] {
+    private listCandidates(service: ServedService, isLeftOut: TargetFilter): readonly Target[] {
         const nowMs = this.context.clock.nowMs();
         return this.context.directory
             .listOpen(service.name)
             .filter(
                 target =>
-                    !tried.has(target) &&
+                    !isLeftOut(target) &&
                     target.circuit.canStart(nowMs) &&
                     (target.coldUntilMs <= nowMs || this.canSendCold(target, service, nowMs)),
             );
@@ -103,9 +115,14 @@
             tokensPerMs: model.tokensPerMs,
             transfer: createTransfer(service.engine),
         };
-        const idle = candidates.reduce((count, target) => count + (target.waitingTokens === 0 ? 1 : 0), 0);
-        this.context.idleShares.find(service.name).observe(idle, candidates.length, this.context.clock.nowMs());
-        const placement = choosePromptPlacement(candidates, request, this.listSources(service));
+        const nowMs = this.context.clock.nowMs();
+        const shared = head.promptParts.slice(0, -1);
+        const home = findHome(candidates, shared[shared.length - 1]?.id);
+        const compared = pickCandidates(candidates, home, shared, this.context.random);
+        compared.forEach(target => target.updateWaiting(model.tokensPerMs, nowMs));
+        const idle = compared.reduce((count, target) => count + (target.waitingTokens === 0 ? 1 : 0), 0);
+        this.context.idleShares.find(service.name).observe(idle, compared.length, nowMs);
+        const placement = choosePromptPlacement(compared, request, this.listSources(service), home);
         if (placement === undefined) {
             return undefined;
         }
@@ -118,6 +135,7 @@
             tokensAhead: placement.tokensAhead,
             expectedMs: fetchMs + model.estimateMs(placement.tokensAhead),
             aloneMs: fetchMs + model.estimateMs(placement.newTokens),
+            grant: undefined,
         };
     }
 
@@ -155,6 +173,7 @@
             tokensAhead: 0,
             expectedMs,
             aloneMs: 0,
+            grant: undefined,
         };
     }
 }
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -28,12 +28,13 @@
     }
 
     public handleFirstOutput(): void {
-        const { target, tokensAhead, service, fetch } = this.selection;
+        const { target, tokensAhead, newTokens, service, fetch, grant } = this.selection;
         this.endWaiting();
+        grant?.report("started");
         target.circuit.observeFirstOutput();
         if (tokensAhead > 0) {
             const tookMs = this.context.clock.nowMs() - this.startedAtMs - (fetch?.ms ?? 0);
-            this.context.firstTokenModels.find(service.name).observe(tokensAhead, Math.max(0, tookMs));
+            this.context.firstTokenModels.find(service.name).observe(tokensAhead, newTokens, Math.max(0, tookMs));
         }
     }
 
@@ -56,6 +57,7 @@
                 // An answer of its own, such as a caller's fault, says nothing of whether the target can be reached.
                 this.selection.target.circuit.observeNeutralEnd(this.sendId);
         }
+        this.selection.grant?.report(outcome.kind === "not-run" ? "not-run" : "ended");
         this.end();
     }
 
--- /dev/null
+++ b/test/gateway/grants/grantMessage.property.test.ts
@@ -0,0 +1,92 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+    decodeGrantMessage,
+    encodeGrantMessage,
+    isGrantDatagram,
+    type GrantMessage,
+} from "../../../src/gateway/grants/grantMessage.js";
+import { encodePeerMessage } from "../../../src/gateway/peers/peerMessage.js";
+
+const count = fc.nat();
+const hash = fc.integer({ min: 0, max: 0xffffffff });
+const part = fc.record({ id: fc.string({ minLength: 1, maxLength: 16 }), tokens: count });
+const message: fc.Arbitrary<GrantMessage> = fc.oneof(
+    fc.record({
+        kind: fc.constant("request" as const),
+        grantId: count,
+        incarnation: count,
+        targetHash: hash,
+        sharedParts: fc.array(part, { maxLength: 4 }),
+        ownTokens: count,
+        copiedTokens: count,
+        outputTokens: count,
+        mostWaitMs: count,
+        mostUse: fc.nat({ max: 2_000 }).map(value => value / 1_000),
+        spanMs: fc.integer({ min: 1, max: 2_000 }),
+        isBinding: fc.boolean(),
+    }),
+    fc.record({
+        kind: fc.constant("reply" as const),
+        grantId: count,
+        isKnown: fc.boolean(),
+        granted: fc.boolean(),
+        newTokens: count,
+        aheadTokens: count,
+        use: fc.nat({ max: 5_000 }).map(value => value / 1_000),
+        retryAfterMs: count,
+    }),
+    fc.record({
+        kind: fc.constant("report" as const),
+        grantId: count,
+        incarnation: count,
+        targetHash: hash,
+        progress: fc.constantFrom("started" as const, "ended" as const, "not-run" as const),
+    }),
+);
+const runs = { seed: 5, numRuns: 300 };
+
+describe("messages about grants", () => {
+    it("survive the wire, and are told from messages between peers", () => {
+        fc.assert(
+            fc.property(message, sent => {
+                const data = encodeGrantMessage(sent);
+                expect([isGrantDatagram(data), decodeGrantMessage(data)._unsafeUnwrap()]).toEqual([true, sent]);
+            }),
+            runs,
+        );
+        const peerMessage = encodePeerMessage({
+            routerId: "router-2",
+            incarnation: 1,
+            sequence: 1,
+            ip: "10.0.0.2",
+            periodMs: 100,
+            targets: [],
+            coveredMs: 0,
+            accounts: new Map(),
+            reads: [],
+            peers: [],
+        });
+        expect(isGrantDatagram(peerMessage)).toBe(false);
+    });
+
+    // A datagram can hold anything: cut short, changed on the way, or of a later version.
+    it("that can't be read are an error and never raise", () => {
+        const changed = fc
+            .tuple(message, fc.nat(), fc.nat({ max: 255 }), fc.boolean())
+            .map(([sent, place, byte, isCut]) => {
+                const data = Buffer.from(encodeGrantMessage(sent));
+                data[place % data.length] = byte;
+                return isCut ? data.subarray(0, place % data.length) : data;
+            });
+        fc.assert(
+            fc.property(fc.oneof(changed, fc.uint8Array({ maxLength: 200 })), data => {
+                const decoded = decodeGrantMessage(data);
+                expect(decoded.isOk() ? decoded.value.kind : decoded.error.code).toMatch(
+                    /^(request|reply|report|grant-message-invalid)$/,
+                );
+            }),
+            runs,
+        );
+    });
+});
