Level accounts at engines; keep shared parts at their holders

Change: an engine's owner keeps what accounts asked and got there for four seconds (engineShares); beyond the limit go only the small ones there, and one with 1.75 times the level is held back. An account between 0.75 and 1 of its share yields only if it has had half of its part of the surplus, or the sums are older than 600 ms (sumsAgeMs, in the request's line).

Change: while an owner turns requests away the time until it has room counts as a queue, twice for accounts within their share, so that copying must be worth it. Prompts within a share need no room for their own tokens, so that long ones are not kept out.

--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -307,6 +307,7 @@
             routed,
             selector,
             outputTokens: charge.outputTokens,
+            chargedTokens: charge.askedTokens,
             isTried: () => false,
             getTimeLeftMs: () => call.askedAtMs + timeLeftMs - nowMs,
         });
--- a/src/decisions/admission/engineBudget.ts
+++ b/src/decisions/admission/engineBudget.ts
@@ -59,7 +59,10 @@
 const runTtlMs = 20_000;
 /** A prompt without output so long after it should have been read is held up by an engine that stalls. */
 const stalledMs = 1_000;
-/** Part of a request's own tokens that must find room: with all of them long prompts would wait for a room that short ones take first. */
+/**
+ * Part of a request's own tokens that must find room: with all of them long prompts would wait for a room that short ones take first.
+ * Requests that may go beyond the limit need room for none of theirs.
+ */
 const ownWeight = 0.5;
 /** A full engine is asked again after this long; about the time in which one of its streams ends. */
 const fullRetryMs = 100;
@@ -140,12 +143,13 @@
     /**
      * Time until the request finds room; a prompt larger than the limit finds it once nothing is in use.
      */
-    private computeRoomMs({ spanMs, tokens }: ReadingRequest, limit: number, nowMs: number): number {
+    private computeRoomMs({ spanMs, tokens, mostUse }: ReadingRequest, limit: number, nowMs: number): number {
         const used = this.entries.filter(entry => nowMs - entry.grantedAtMs < spanMs);
         let left = used.reduce((sum, entry) => sum + entry.tokens, 0);
         let roomMs = 0;
+        const ownTokens = mostUse > 1 ? 0 : tokens * ownWeight;
         for (const entry of used) {
-            if (left + tokens * ownWeight <= limit) {
+            if (left + ownTokens <= limit) {
                 break;
             }
             left -= entry.tokens;
--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -84,6 +84,10 @@
  * them out.
  */
 const withinShareUse = 1.5;
+/** From this use of the surplus on an account yields before it has used its whole share. */
+const yieldingSurplus = 0.5;
+/** Sums older than this may miss most of a flood. */
+const trustedAgeMs = 600;
 /** Part of the pause objective that a request beyond its account's share may wait: those within it find less ahead of them. */
 const overShareWaitShare = 0.35;
 /** Part of an engine's limit that accounts beyond their share may use; the rest is for those within it. */
@@ -92,6 +96,12 @@
 const levelUse = 0.85;
 /** By how much an account finds less room for each part of the even level that it has had more. */
 const surplusGain = 2.5;
+/** Up to this part of the even level of an engine an account is a small one there. */
+const smallSurplus = 0.45;
+/** From this part on it is one of those that share the engine evenly. */
+const levelSurplus = 0.9;
+/** An account that has had so many times the level is held back. */
+const unevenSurplus = 1.75;
 /** However much an account has had, it may use what would otherwise lie idle. */
 const leastOverShareUse = 0;
 /** Shortest pause before a caller comes back; below it he meets the same queue, for the price of one more request. */
@@ -111,7 +121,7 @@
 export function computePromptBounds(view: Omit<PromptAdmissionView, "expectedMs" | "idleShare">): PromptBounds {
     const usableMs = computeUsableMs(view);
     const mostWaitMs = Math.max(usableMs - view.aloneMs, usableMs / 2);
-    if (view.shareUse.share < overShareFrom) {
+    if (!isBeyondShare(view.shareUse)) {
         return { mostWaitMs, mostUse: withinShareUse, reason: "late" };
     }
     return {
@@ -121,11 +131,32 @@
     };
 }
 
+/**
+ * Whether an account yields to others: before its whole share is used only if it has had much of what is left over, or if the sums
+ * are too old to tell.
+ */
+function isBeyondShare({ share, surplus, sumsAgeMs }: ShareUse): boolean {
+    const mayHaveMore = surplus >= yieldingSurplus || sumsAgeMs > trustedAgeMs;
+    return share >= 1 || (share >= overShareFrom && mayHaveMore);
+}
+
 /** Part of an engine's limit for an account beyond its share: less the more of the surplus it has had. */
 function computeSurplusUse(surplus: number): number {
     return Math.min(mostOverShareUse, Math.max(leastOverShareUse, levelUse + (1 - surplus) * surplusGain));
 }
 
+/**
+ * Part of an engine's limit for an account by what it had there over the even level of that engine, whatever the fleet's sums say:
+ * beyond the limit for the small ones alone, and little for one that has had much more than the others.
+ */
+export function computeEngineUse(surplus: number): number {
+    if (surplus > unevenSurplus) {
+        return computeSurplusUse(surplus);
+    }
+    const part = Math.min(1, Math.max(0, (surplus - smallSurplus) / (levelSurplus - smallSurplus)));
+    return withinShareUse + (mostOverShareUse - withinShareUse) * part;
+}
+
 /** When a caller does best to come back; `roomMs`: when the engine would have taken the request. */
 export function computePromptRetry(reason: PromptBounds["reason"], objectiveMs: number, roomMs: number): number {
     const leastMs = reason === "over-share" ? objectiveMs * overShareRetry : leastRetryAfterMs;
--- a/src/decisions/admission/readingShare.ts
+++ b/src/decisions/admission/readingShare.ts
@@ -12,7 +12,7 @@
  */
 
 /** Used until streams were observed: engines generate in the rest of the time. */
-const initialShare = 0.7;
+const initialShare = 0.8;
 /** Bounds that keep a fault that stalls all streams, or a wrong speed, from moving the part out of reach. */
 const leastShare = 0.3;
 const mostShare = 1.5;
--- a/src/decisions/shares/accountShares.ts
+++ b/src/decisions/shares/accountShares.ts
@@ -41,10 +41,12 @@
     readonly share: number;
     /** Of the even level of what the fleet gives just now. */
     readonly surplus: number;
+    /** Mean age of the other routers' sums that both come of; milliseconds. */
+    readonly sumsAgeMs: number;
 }
 
 /** An account that has asked for nothing yet. */
-export const noUse: ShareUse = { share: 0, surplus: 0 };
+export const noUse: ShareUse = { share: 0, surplus: 0, sumsAgeMs: 0 };
 
 /** Accounts that were quiet for this many windows are forgotten. */
 const forgetAfterWindows = 4;
@@ -85,6 +87,7 @@
     readonly coveredMs: number;
     readonly uses: ReadonlyMap<string, AccountUse>;
     readonly recentlyServed: number;
+    readonly ageMs: number;
 }
 
 interface OwnUse {
@@ -142,7 +145,7 @@
         tokensPerSecond: number,
         nowMs: number,
     ): ShareUse {
-        const { coveredMs, uses, recentlyServed } = this.findSums(peers, nowMs);
+        const { coveredMs, uses, recentlyServed, ageMs } = this.findSums(peers, nowMs);
         const use = uses.get(account);
         if (use === undefined) {
             return noUse;
@@ -159,6 +162,7 @@
         return {
             share: Math.max(windowUse, burstUse * burstWeight),
             surplus: use.recentlyServed / Math.max(1, recentLevel, level * recentPart),
+            sumsAgeMs: ageMs,
         };
     }
 
@@ -185,7 +189,7 @@
         }
         // A router that was just started knows little; the others' sums cover their whole window all the same.
         const coveredMs = Math.max(leastCoveredMs, own.coveredMs, ...peers.map(peer => peer.coveredMs));
-        return { atMs: nowMs, coveredMs, uses, recentlyServed };
+        return { atMs: nowMs, coveredMs, uses, recentlyServed, ageMs: estimate.meanAgeMs };
     }
 
     private takeSample(account: string, sinceMs: number, nowMs: number): OwnSample {
--- a/src/gateway/grants/grantClient.ts
+++ b/src/gateway/grants/grantClient.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../base/clock.js";
+import { hashFast } from "../../base/hash.js";
 import type { Disposable } from "../../base/lifecycle.js";
 import type { SetTimer } from "../../base/timers.js";
 import type { PromptBounds } from "../../decisions/admission/promptAdmission.js";
@@ -14,6 +15,10 @@
     readonly head: RequestHead;
     readonly copiedTokens: number;
     readonly outputTokens: number;
+    /** The request's client account; undefined on public routes. */
+    readonly account: string | undefined;
+    /** What the request counts against its account's share. */
+    readonly chargedTokens: number;
     readonly bounds: Pick<PromptBounds, "mostWaitMs" | "mostUse">;
     readonly spanMs: number;
 }
@@ -146,6 +151,8 @@
             ownTokens: Math.max(0, head.promptTokens - sharedTokens),
             copiedTokens,
             outputTokens: demand.outputTokens,
+            accountHash: demand.account === undefined ? 0 : hashFast(demand.account),
+            chargedTokens: demand.chargedTokens,
             mostWaitMs: demand.bounds.mostWaitMs,
             mostUse: demand.bounds.mostUse,
             spanMs: demand.spanMs,
--- a/src/gateway/grants/grantMessage.ts
+++ b/src/gateway/grants/grantMessage.ts
@@ -26,6 +26,10 @@
     readonly copiedTokens: number;
     /** Tokens that the request is expected to generate. */
     readonly outputTokens: number;
+    /** 32-bit hash of the client account's name; 0 without one. */
+    readonly accountHash: number;
+    /** What the request counts against its account's share. */
+    readonly chargedTokens: number;
     /** Longest wait behind others; milliseconds. */
     readonly mostWaitMs: number;
     /** Part of the engine's limit that may be in use. */
@@ -88,6 +92,8 @@
         count,
         count,
         count,
+        count,
+        count,
         count.min(1),
         z.boolean(),
     ]),
@@ -131,6 +137,8 @@
                 Math.round(message.ownTokens),
                 Math.round(message.copiedTokens),
                 Math.round(message.outputTokens),
+                message.accountHash,
+                Math.round(message.chargedTokens),
                 Math.round(message.mostWaitMs),
                 Math.round(message.mostUse * useScale),
                 Math.max(1, Math.round(message.spanMs)),
@@ -173,10 +181,12 @@
                       ownTokens: wire[5],
                       copiedTokens: wire[6],
                       outputTokens: wire[7],
-                      mostWaitMs: wire[8],
-                      mostUse: wire[9] / useScale,
-                      spanMs: wire[10],
-                      isBinding: wire[11],
+                      accountHash: wire[8],
+                      chargedTokens: wire[9],
+                      mostWaitMs: wire[10],
+                      mostUse: wire[11] / useScale,
+                      spanMs: wire[12],
+                      isBinding: wire[13],
                   });
         }
         case codes.reply:
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -1,9 +1,11 @@
 import { LRUCache } from "lru-cache";
 import type { Clock } from "../../base/clock.js";
 import { EngineBudget, type EngineRate } from "../../decisions/admission/engineBudget.js";
+import { computeEngineUse } from "../../decisions/admission/promptAdmission.js";
 import type { ReadingShare } from "../../decisions/admission/readingShare.js";
 import type { FirstTokenModel } from "../../decisions/placement/firstTokenModel.js";
 import { countMissingTokens } from "../../decisions/placement/promptPlacement.js";
+import { EngineShares } from "../../decisions/shares/engineShares.js";
 import type { Registry } from "../registry.js";
 import type { Target } from "../target.js";
 import type { TargetDirectory } from "../targetDirectory.js";
@@ -20,11 +22,17 @@
 }
 
 /** Engines whose books are kept; several times those that one router of a large fleet owns. */
-const mostBudgets = 4_096;
+const mostBooks = 4_096;
+
+/** What is kept of one engine. */
+interface EngineBooks {
+    readonly budget: EngineBudget;
+    readonly shares: EngineShares;
+}
 
 /** Decides on sends to the engines that this router owns, for all routers. */
 export class GrantOwner {
-    private readonly budgets = new LRUCache<number, EngineBudget>({ max: mostBudgets });
+    private readonly books = new LRUCache<number, EngineBooks>({ max: mostBooks });
 
     public constructor(private readonly options: GrantOwnerOptions) {}
 
@@ -41,22 +49,24 @@
             id: formatGrantKey(senderId, request),
             tokens: newTokens,
             mostAheadTokens: request.mostWaitMs * rate.tokensPerMs,
-            mostUse: request.mostUse,
+            mostUse: this.computeMostUse(request, nowMs),
             spanMs: request.spanMs,
         };
-        const budget = this.findBudget(request.targetHash);
+        const { budget, shares } = this.findBooks(request.targetHash);
+        shares.recordAsked(request.accountHash, request.chargedTokens, nowMs);
         const decision = budget.check(reading, rate, nowMs);
         if (request.isBinding) {
             budget.record(reading, rate, nowMs);
         }
         if (decision.granted || request.isBinding) {
+            shares.recordGranted(request.accountHash, request.chargedTokens, nowMs);
             recordParts(target, request, newTokens);
         }
         return { kind: "reply", grantId: request.grantId, isKnown: true, newTokens, ...decision };
     }
 
     public applyReport(senderId: string, report: GrantReport): void {
-        const budget = this.findBudget(report.targetHash);
+        const { budget } = this.findBooks(report.targetHash);
         const key = formatGrantKey(senderId, report);
         if (report.progress === "started") {
             budget.recordStart(key);
@@ -65,13 +75,19 @@
         }
     }
 
-    private findBudget(targetHash: number): EngineBudget {
-        let budget = this.budgets.get(targetHash);
-        if (budget === undefined) {
-            budget = new EngineBudget();
-            this.budgets.set(targetHash, budget);
+    /** The part of the limit that the asking router named, or less where the account has had much at this engine. */
+    private computeMostUse({ targetHash, accountHash, chargedTokens, mostUse }: GrantRequest, nowMs: number): number {
+        const surplus = this.findBooks(targetHash).shares.computeSurplus(accountHash, chargedTokens, nowMs);
+        return Math.min(mostUse, computeEngineUse(surplus));
+    }
+
+    private findBooks(targetHash: number): EngineBooks {
+        let books = this.books.get(targetHash);
+        if (books === undefined) {
+            books = { budget: new EngineBudget(), shares: new EngineShares() };
+            this.books.set(targetHash, books);
         }
-        return budget;
+        return books;
     }
 
     private createRate({ entry }: Target): EngineRate {
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -10,7 +10,6 @@
 import type { GrantReply } from "./grants/grantMessage.js";
 import type { OwnAnswerReason } from "./ownAnswer.js";
 import type { RoutedRequest } from "./routedRequest.js";
-import type { Target } from "./target.js";
 import type { Selection, TargetFilter, TargetSelector } from "./targetSelector.js";
 
 /** Where a request goes first, or why it is refused. */
@@ -33,96 +32,75 @@
     readonly selector: TargetSelector;
     /** Tokens that the request is expected to generate. */
     readonly outputTokens: number;
+    /** What it counts against its account's share. */
+    readonly chargedTokens: number;
     /** Targets that it was already sent to. */
     readonly isTried: TargetFilter;
     readonly getTimeLeftMs: () => number;
 }
 
-/** A refusal that stands unless another target grants the request. */
-interface Denial {
-    readonly reason: PromptBounds["reason"];
-    readonly roomMs: number;
-}
-
 /** Decides whether a request is sent on and where to, before its first send; asks the owners of model engines. */
 export class RequestAdmission {
-    private readonly denied = new Set<Target>();
+    private demands = 0;
     private shareUse = noUse;
 
     public constructor(private readonly options: RequestAdmissionOptions) {}
 
     /** The outcome always comes, at once or after the owners' answers. */
     public check(services: readonly string[], handleOutcome: (outcome: AdmittedSelection) => void): void {
-        const { routed, selector, isTried } = this.options;
-        const first = selector.select(services, routed.head, routed.route.hasPrompts, isTried);
+        const first = this.select(services, 1);
         if (first === undefined) {
             handleOutcome(this.createRefusal("no-target", noTargetRetryMs));
         } else if (first.tokensAhead === 0) {
             handleOutcome(this.checkPlain(first));
         } else {
             this.shareUse = this.computeShareUse();
-            this.checkFirst(services, first, handleOutcome);
+            const { mostUse } = this.computeBounds(first);
+            this.checkPrompt(services, this.select(services, mostUse) ?? first, handleOutcome);
         }
     }
 
-    /** Passes over a target whose owner has said that it is full. */
-    private checkFirst(
-        services: readonly string[],
-        first: Selection,
-        handleOutcome: (outcome: AdmittedSelection) => void,
-    ): void {
-        const { mostUse, reason } = this.computeBounds(first);
-        const roomMs = first.target.computeDeniedMs(mostUse, this.options.context.clock.nowMs());
-        const open = roomMs === 0 ? first : this.selectOpen(services, mostUse);
-        this.checkPrompt(services, open, { reason, roomMs }, handleOutcome);
-    }
-
     private checkPlain(selection: Selection): AdmittedSelection {
         const isLate = selection.expectedMs > this.options.routed.route.objectiveMs * plainUsableShare;
         return isLate ? this.createRefusal("late", selection.expectedMs) : { selection, shareUse: noUse };
     }
 
-    /** Asks the owner of the selected target, and of the next best one after a denial. */
+    /**
+     * Asks the owner of the selected target, and after a denial that of the next one. A target that turns requests away may still be
+     * the best choice: to read or copy shared parts elsewhere would cost more than to come back when it has room.
+     */
     private checkPrompt(
         services: readonly string[],
-        selection: Selection | undefined,
-        denial: Denial,
+        selection: Selection,
         handleOutcome: (outcome: AdmittedSelection) => void,
     ): void {
-        if (selection === undefined) {
-            handleOutcome(this.createDenial(denial));
+        const { clock, grants } = this.options.context;
+        const { target } = selection;
+        const bounds = this.computeBounds(selection);
+        const deniedMs = target.computeDeniedMs(bounds.mostUse, clock.nowMs());
+        if (deniedMs > 0 || this.demands >= mostDemands) {
+            handleOutcome(this.createDenial(bounds.reason, deniedMs));
             return;
         }
-        const bounds = this.computeBounds(selection);
-        this.options.context.grants.submit(this.createDemand(selection, bounds), outcome => {
+        this.demands += 1;
+        grants.submit(this.createDemand(selection, bounds), outcome => {
             if (outcome.kind === "unanswered") {
                 handleOutcome(this.checkByBelief(selection));
                 return;
             }
-            const { mostUse, reason } = bounds;
-            selection.target.applyGrantReply(outcome.reply, mostUse, this.options.context.clock.nowMs());
+            target.applyGrantReply(outcome.reply, bounds.mostUse, clock.nowMs());
             if (outcome.kind === "granted") {
                 const granted = this.applyReply(selection, outcome.reply);
                 handleOutcome({ selection: { ...granted, grant: outcome.grant }, shareUse: this.shareUse });
-                return;
+            } else {
+                this.checkPrompt(services, this.select(services, bounds.mostUse) ?? selection, handleOutcome);
             }
-            this.denied.add(selection.target);
-            const roomMs = Math.min(denial.roomMs > 0 ? denial.roomMs : Infinity, outcome.reply.retryAfterMs);
-            const next = this.denied.size < mostDemands ? this.selectOpen(services, mostUse) : undefined;
-            this.checkPrompt(services, next, { reason, roomMs }, handleOutcome);
         });
     }
 
-    /** The best target whose owner has not said that it is full. */
-    private selectOpen(services: readonly string[], mostUse: number): Selection | undefined {
-        const { context, routed, selector, isTried } = this.options;
-        const nowMs = context.clock.nowMs();
-        return selector.select(
-            services,
-            routed.head,
-            routed.route.hasPrompts,
-            target => isTried(target) || this.denied.has(target) || target.computeDeniedMs(mostUse, nowMs) > 0,
-        );
+    private select(services: readonly string[], mostUse: number): Selection | undefined {
+        const { routed, selector, isTried } = this.options;
+        return selector.select(services, routed.head, routed.route.hasPrompts, isTried, mostUse);
     }
 
     /** Without an owner this router goes by what it believes of the target. */
@@ -154,12 +132,14 @@
     }
 
     private createDemand({ target, fetch }: Selection, bounds: PromptBounds): GrantDemand {
-        const { routed, outputTokens } = this.options;
+        const { routed, outputTokens, chargedTokens } = this.options;
         return {
             target,
             head: routed.head,
             copiedTokens: fetch?.tokens ?? 0,
             outputTokens,
+            account: routed.account,
+            chargedTokens,
             bounds,
             spanMs: routed.route.pauseObjectiveMs,
         };
@@ -178,7 +158,7 @@
         };
     }
 
-    private createDenial({ reason, roomMs }: Denial): AdmittedSelection {
+    private createDenial(reason: PromptBounds["reason"], roomMs: number): AdmittedSelection {
         return this.createRefusal(reason, computePromptRetry(reason, this.options.routed.route.objectiveMs, roomMs));
     }
 
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -147,6 +147,8 @@
             head,
             copiedTokens: selection.fetch?.tokens ?? 0,
             outputTokens: this.charge.outputTokens,
+            account: this.routed.account,
+            chargedTokens: 0,
             bounds: anyBounds,
             spanMs: route.pauseObjectiveMs,
         });
@@ -171,6 +173,7 @@
             routed,
             selector,
             outputTokens: this.charge.outputTokens,
+            chargedTokens: this.charge.askedTokens,
             isTried: target => this.tried.has(target),
             getTimeLeftMs: () => this.deadlineAtMs - context.clock.nowMs(),
         });
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -79,6 +79,7 @@
         servedTokens: toWhole(end.servedTokens),
         shareUse: toRatio(end.shareUse?.share),
         surplusUse: toRatio(end.shareUse?.surplus),
+        sumsAgeMs: toWhole(end.shareUse?.sumsAgeMs),
         tried: end.tried?.join(" "),
     };
 }
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -82,13 +82,19 @@
         return Math.max(this.ownWaitingTokens + this.peerLoad.waitingTokens, this.reportedTokens);
     }
 
-    /** Brings the owner's report up to date: what waited then has been read at the given speed since. */
-    public updateWaiting(tokensPerMs: number, nowMs: number): void {
+    /**
+     * Brings the owner's report up to date: what waited then has been read at the given speed since. While the owner turns such
+     * requests away, the time until it has room counts as a queue.
+     */
+    public updateWaiting(tokensPerMs: number, mostUse: number, nowMs: number): void {
         const { ownerReport } = this;
-        this.reportedTokens =
-            ownerReport === undefined
-                ? 0
-                : Math.max(0, ownerReport.aheadTokens - (nowMs - ownerReport.atMs) * tokensPerMs);
+        const waitingTokens =
+            ownerReport === undefined ? 0 : ownerReport.aheadTokens - (nowMs - ownerReport.atMs) * tokensPerMs;
+        this.reportedTokens = Math.max(
+            0,
+            waitingTokens,
+            this.computeDeniedMs(mostUse, nowMs) * tokensPerMs * (mostUse > 1 ? 2 : 1.5),
+        );
     }
 
     /** Takes what the target's owner answered to a request that may use the given part of the limit. */
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -56,12 +56,16 @@
             : [first.service, ...open.filter(other => other !== first).map(other => other.service)];
     }
 
-    /** The best target of the first service that has one; undefined: none can take a request now. */
+    /**
+     * The best target of the first service that has one; undefined: none can take a request now. `mostUse`: part of an engine's
+     * limit that the request may use.
+     */
     public select(
         services: readonly string[],
         head: RequestHead,
         hasPrompts: boolean,
         isLeftOut: TargetFilter,
+        mostUse = 1,
     ): Selection | undefined {
         for (const name of services) {
             const service = this.context.directory.findService(name);
@@ -69,7 +73,7 @@
             if (service !== undefined && candidates.length > 0) {
                 const isModel = hasPrompts && service.engine !== undefined;
                 return isModel
-                    ? this.selectForPrompt(service, candidates, head)
+                    ? this.selectForPrompt(service, candidates, head, mostUse)
                     : this.selectPlain(service, candidates);
             }
         }
@@ -106,6 +110,7 @@
         service: ServedService,
         candidates: readonly Target[],
         head: RequestHead,
+        mostUse: number,
     ): Selection | undefined {
         const model = this.context.firstTokenModels.find(service.name);
         const request = {
@@ -119,7 +124,7 @@
         const shared = head.promptParts.slice(0, -1);
         const home = findHome(candidates, shared[shared.length - 1]?.id);
         const compared = pickCandidates(candidates, home, shared, this.context.random);
-        compared.forEach(target => target.updateWaiting(model.tokensPerMs, nowMs));
+        compared.forEach(target => target.updateWaiting(model.tokensPerMs, mostUse, nowMs));
         const idle = compared.reduce((count, target) => count + (target.waitingTokens === 0 ? 1 : 0), 0);
         this.context.idleShares.find(service.name).observe(idle, compared.length, nowMs);
         const placement = choosePromptPlacement(compared, request, this.listSources(service), home);
--- a/test/gateway/grants/grantMessage.property.test.ts
+++ b/test/gateway/grants/grantMessage.property.test.ts
@@ -21,6 +21,8 @@
         ownTokens: count,
         copiedTokens: count,
         outputTokens: count,
+        accountHash: hash,
+        chargedTokens: count,
         mostWaitMs: count,
         mostUse: fc.nat({ max: 2_000 }).map(value => value / 1_000),
         spanMs: fc.integer({ min: 1, max: 2_000 }),
