--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -1,18 +1,15 @@
 /**
- * Whether a request for a model engine is sent on, or refused at once with a time to come back.
+ * Whether a prompt is sent to a model engine, or refused at once with a time to come back.
  *
- * Load pattern: more prompt tokens are asked for than the engines read. Sent on all the same, requests queue at the engines
- * until every first token is late, and work that nobody waits for any more crowds out what could still be in time. A
- * request whose first token would be late is therefore refused while its caller can still come back in time; and
- * what lies beyond an account's fair share goes first, since the others are owed that capacity.
+ * Load pattern: more prompt tokens are demanded than the engines read. Sent on all the same, requests queue at the engines
+ * until every first token is late, and work that nobody waits for any more crowds out what could still be in time. A request
+ * whose first token would be late is therefore refused while its caller can still come back in time, and what lies beyond an
+ * account's fair share goes first.
  *
- * What is left over beyond the shares is worth little to those who get it late, and much to the streams that already run:
- * each prompt that is read lets all streams at its engine stand still. Requests beyond a share therefore go only where
- * hardly anything waits: with 200 ms of waiting 58 to 69 of 100 streams were late on a day with floods, with 40 ms 31 to 39.
- *
- * Several accounts may be beyond their share at once. With one bound for all of them, what is left over goes to whoever
- * asks most. So the wait that such a request may find falls with what the account got of the surplus just now, to nothing
- * for one that is above the even level; above it an account gets only what would otherwise lie idle.
+ * The router states bounds ({@link computePromptBounds}): how long the request may wait behind others, and up to which part of
+ * the engine's limit it may use. The engine's owner decides by its books. Accounts beyond their share may use the less of the
+ * limit the more of the surplus they have had: with one bound for all, what is left over goes to whoever asks most often. Where
+ * no owner answers, the router decides by its own beliefs ({@link checkPromptAdmission}).
  */
 import type { ShareUse } from "../shares/accountShares.js";
 
@@ -42,11 +39,7 @@
  * time is late every other time, and it holds up those behind it.
  */
 const usableShare = 0.75;
-/**
- * Part of the objective that a request may wait behind others when its account has had its fair share: about the time of one
- * usual prompt. At a quarter of the objective the mean worth over five played days was 0.44, at 0.05 0.57 and at 0.02 0.59,
- * but 0.04 less on a quiet day.
- */
+/** Part of the objective that a request beyond its account's share may wait by beliefs: about the time of one usual prompt. */
 const overShareWait = 0.07;
 /** The same for each part of the surplus that the account has not used: accounts near the even level wait for those below. */
 const levelWait = 0.15;
@@ -55,28 +48,18 @@
  * can rise when there is room: it is the mean of what was given, and would only ever fall if all were held to it.
  */
 const mostSurplusUse = 1.25;
-/**
- * With so many engines idle there is room for everybody, and nothing to be levelled: refusals on a quiet day fell from 0.38 to 0.25
- * of its requests at equal worth.
- */
+/** With so many engines idle there is room for everybody. */
 const slackIdleShare = 0.5;
 /**
- * From here on an account counts as having had its share: the fleet's sums are late by a round of messages, and an account that
- * yields only when all of it is used has filled the engines by then. Worth of a quiet day with floods 0.74 at 1, 0.79 at
- * 0.75 and at 0.5; of days with trouble 0.618, 0.622 and 0.616 (mean of five played days each). The price: an account between
- * 0.75 and 1 may be told to come back while engines are busy.
+ * From here on an account may count as beyond its share: the sums are late by a round of messages, and an account that yields only
+ * when all of its share is used has filled the engines by then.
  */
 const overShareFrom = 0.75;
-/**
- * Part of the pause objective that any request may wait behind others. What waits there is read without a break, and streams
- * that run at the engine get no token in the meantime. Its gain is not shown: mean worth of five played days 0.624 without it,
- * 0.613 to 0.643 with it.
- */
+/** Part of the pause objective that a request may wait by beliefs: streams at the engine get no token in the meantime. */
 const pauseWait = 0.5;
 /**
- * Part of the objective after which a caller beyond his share does best to come back: by then what is read now has been read, and
- * the rest of the objective is enough for his own prompt. After 80 ms he met the same queue; with this 0.54 to 0.64 of the
- * requests of three played days were refused in place of 0.62 to 0.65.
+ * Part of the objective after which a caller beyond its share does best to come back: by then what is read now has been read, and
+ * the rest of the objective is enough for its own prompt.
  */
 const overShareRetry = 0.4;
 /**
@@ -104,7 +87,7 @@
 const unevenSurplus = 1.75;
 /** However much an account has had, it may use what would otherwise lie idle. */
 const leastOverShareUse = 0;
-/** Shortest pause before a caller comes back; below it he meets the same queue, for the price of one more request. */
+/** Shortest pause before a caller comes back; below it the caller meets the same queue. */
 const leastRetryAfterMs = 80;
 
 /** What a request may find at its engine and still be sent there. */
--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -70,9 +70,8 @@
 }
 
 /**
- * A shared token that is read once more counts this often. At 1 hot parts are copied everywhere, and the copies push out
- * parts that others ask for; the queue that a home is worth waiting in grows with the factor. On seven played days of one
- * deployment the worth of what was served rose from 0.60 to 0.87 at 2 to 0.71 to 0.87 at 6, with 3.5 between them.
+ * A shared token that is read once more counts this often: copies of hot parts push out parts that others ask for. The queue that a
+ * home is worth waiting in grows with the factor.
  */
 const rereadFactor = 6;
 /** Part of the cost of a missing shared part that the home of the part is spared, while nobody holds it. */
@@ -84,12 +83,7 @@
 /** A request too many for the batch waits for another one to end; milliseconds. */
 const fullBatchMs = 1_000;
 
-/**
- * A copied token counts this often. Nobody waits for its reading, but it pushes other parts out of the engine's memory and
- * takes two links. At 0.5 parts were copied everywhere (prices of copies above those of reading anew), at 3 queues grew at
- * their homes: mean worth over the days with trouble of two deployments 0.603 to 0.635 and 0.737 at 0.5, 0.640 and
- * 0.762 at 1.5, 0.614 and 0.743 at 3.
- */
+/** A copied token counts this often: nobody waits for its reading, but it pushes out other parts and takes two links. */
 const copyFactor = 1.5;
 /** Fewer tokens than these are read in about the time that a copy takes to begin. */
 const leastFetchTokens = 256;
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -71,6 +71,12 @@
         labelNames: ["account", "kind"],
         registers: [this.registry],
     });
+    private readonly sumsAge = new Histogram({
+        name: "lynxarch_account_sums_age_seconds",
+        help: "Mean age of the other routers' account sums when a prompt's share was checked.",
+        buckets: secondsBuckets,
+        registers: [this.registry],
+    });
     private readonly namedAccounts = new Set<string>();
     private readonly duration = new Histogram({
         name: "lynxarch_request_duration_seconds",
@@ -132,9 +138,7 @@
         this.requests.inc({ service, outcome: end.outcome, reason: isOwnReason ? end.reason : "" });
         this.attempts.inc({ service }, end.attempts ?? 0);
         this.duration.observe({ service, outcome: end.outcome }, tookMs / msPerSecond);
-        if (account !== undefined && (end.askedTokens ?? 0) > 0) {
-            this.recordAccount(account, end.askedTokens ?? 0, end.servedTokens ?? 0);
-        }
+        this.recordShare(account, end);
         if (end.firstOutputMs !== undefined) {
             this.firstOutput.observe({ service }, end.firstOutputMs / msPerSecond);
             this.longestPause.observe({ service }, (end.longestPauseMs ?? 0) / msPerSecond);
@@ -151,6 +155,21 @@
         return this.registry.metrics();
     }
 
+    private recordShare(
+        account: string | undefined,
+        { askedTokens = 0, servedTokens = 0, shareUse }: EndedRequest["end"],
+    ): void {
+        if (askedTokens === 0) {
+            return;
+        }
+        if (account !== undefined) {
+            this.recordAccount(account, askedTokens, servedTokens);
+        }
+        if (shareUse !== undefined) {
+            this.sumsAge.observe(shareUse.sumsAgeMs / msPerSecond);
+        }
+    }
+
     private recordAccount(account: string, askedTokens: number, servedTokens: number): void {
         if (this.namedAccounts.size < mostNamedAccounts) {
             this.namedAccounts.add(account);
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -29,6 +29,12 @@
     readonly atMs: number;
 }
 
+/**
+ * Times that the wait for room at a target that turns requests away counts against it. Above 1, as the wait may be for nothing; more
+ * for accounts within their share, whose prompts are rather copied elsewhere than refused.
+ */
+const deniedWeight = 1.5;
+const deniedWeightWithinShare = 2;
 const serviceTimeSmoothing = 0.1;
 const nothing: PeerLoad = { waitingTokens: 0, running: 0 };
 
@@ -93,7 +99,7 @@
         this.reportedTokens = Math.max(
             0,
             waitingTokens,
-            this.computeDeniedMs(mostUse, nowMs) * tokensPerMs * (mostUse > 1 ? 2 : 1.5),
+            this.computeDeniedMs(mostUse, nowMs) * tokensPerMs * (mostUse > 1 ? deniedWeightWithinShare : deniedWeight),
         );
     }
 
--- /dev/null
+++ b/test/gateway/grants/grantClient.test.ts
@@ -0,0 +1,128 @@
+import { describe, expect, it } from "vitest";
+import { ManualClock } from "../../../src/base/clock.js";
+import { SeededRandom } from "../../../src/base/random.js";
+import { TargetOwners } from "../../../src/decisions/placement/targetOwners.js";
+import { ReadingShare } from "../../../src/decisions/admission/readingShare.js";
+import { FirstTokenModel } from "../../../src/decisions/placement/firstTokenModel.js";
+import { NoopLogger } from "../../../src/base/log.js";
+import { GrantClient, type GrantDemand, type GrantOutcome } from "../../../src/gateway/grants/grantClient.js";
+import type { GrantMessage } from "../../../src/gateway/grants/grantMessage.js";
+import { GrantOwner } from "../../../src/gateway/grants/grantOwner.js";
+import { Registry } from "../../../src/gateway/registry.js";
+import { TargetDirectory } from "../../../src/gateway/targetDirectory.js";
+
+const ownId = "router-1";
+const ownerId = "router-2";
+
+/** A router that asks `router-2`, which answers only through {@link GrantClient.applyReply}. */
+function createFixture(): {
+    client: GrantClient;
+    demand: GrantDemand;
+    sent: GrantMessage[];
+    outcomes: GrantOutcome[];
+    fireTimers: () => void;
+} {
+    const clock = new ManualClock();
+    const directory = new TargetDirectory({
+        clock,
+        random: new SeededRandom(1),
+        logger: new NoopLogger(),
+        connectTimeoutMs: 1,
+        getHealth: () => undefined,
+    });
+    directory.applyChange({
+        kind: "target",
+        id: "engine",
+        entry: {
+            id: "engine",
+            service: "engines",
+            address: "10.1.0.1:1",
+            dataCentre: "a",
+            slots: 8,
+            state: "ready",
+            coldLeftMs: 0,
+            startedAtMs: undefined,
+        },
+    });
+    const sent: GrantMessage[] = [];
+    const outcomes: GrantOutcome[] = [];
+    const timers: (() => void)[] = [];
+    const client = new GrantClient({
+        ownId,
+        incarnation: 1,
+        owners: new TargetOwners(() => [ownerId]),
+        ownBooks: new GrantOwner({
+            directory,
+            clock,
+            firstTokenModels: new Registry(() => new FirstTokenModel()),
+            readingShares: new Registry(() => new ReadingShare()),
+        }),
+        transport: { send: (...[, message]) => sent.push(message) > 0 },
+        clock,
+        setTimer: (...[, action]) => {
+            timers.push(action);
+            return { dispose: () => timers.splice(timers.indexOf(action), 1) };
+        },
+    });
+    const demand: GrantDemand = {
+        target: directory.find("engine")!,
+        head: {
+            requestId: "r",
+            timeLeftMs: 1_000,
+            apiKey: undefined,
+            promptTokens: 100,
+            maxOutputTokens: 10,
+            promptParts: [],
+            lastEventId: undefined,
+        },
+        copiedTokens: 0,
+        outputTokens: 10,
+        account: "north",
+        chargedTokens: 120,
+        bounds: { mostWaitMs: 100, mostUse: 1 },
+        spanMs: 400,
+    };
+    return { client, demand, sent, outcomes, fireTimers: () => timers.splice(0).forEach(action => action()) };
+}
+
+const reply = {
+    kind: "reply",
+    isKnown: true,
+    granted: true,
+    newTokens: 100,
+    aheadTokens: 0,
+    use: 0.1,
+    retryAfterMs: 0,
+};
+
+describe("a router that asks an engine's owner", () => {
+    // A request must not wait for a router that is frozen or gone; a grant that comes after all would hold up others.
+    it("goes on without an owner that is silent, and gives back what it may have granted", () => {
+        const { client, demand, sent, outcomes, fireTimers } = createFixture();
+        client.submit(demand, outcome => outcomes.push(outcome));
+        fireTimers();
+        client.applyReply(ownerId, { ...reply, kind: "reply", grantId: 1 });
+        expect(outcomes.map(outcome => outcome.kind)).toEqual(["unanswered"]);
+        expect(sent.map(message => (message.kind === "report" ? message.progress : message.kind))).toEqual([
+            "request",
+            "not-run",
+        ]);
+    });
+
+    // A datagram of another router, or one that comes twice, must not decide a request.
+    it("takes the owner's answer once, and nobody else's", () => {
+        const { client, demand, outcomes } = createFixture();
+        client.submit(demand, outcome => outcomes.push(outcome));
+        client.applyReply("router-3", { ...reply, kind: "reply", grantId: 1, granted: false });
+        client.applyReply(ownerId, { ...reply, kind: "reply", grantId: 1 });
+        client.applyReply(ownerId, { ...reply, kind: "reply", grantId: 1, granted: false });
+        expect(outcomes.map(outcome => outcome.kind)).toEqual(["granted"]);
+    });
+
+    it("decides by itself while the owner does not know the target", () => {
+        const { client, demand, outcomes } = createFixture();
+        client.submit(demand, outcome => outcomes.push(outcome));
+        client.applyReply(ownerId, { ...reply, kind: "reply", grantId: 1, isKnown: false, granted: false });
+        expect(outcomes.map(outcome => outcome.kind)).toEqual(["unanswered"]);
+    });
+});
