A denial of one account at an engine no longer holds for the others

Cause: an owner may let an account use less of an engine's limit than its router asked for. The router kept the denial under the part it had asked for, so that all accounts there went without asking until its time; small ones lost what a flood was denied for.

Change: the reply names the part that the request might use; a denial is kept under it, and the request itself goes on with it. Small accounts are those up to 0.35 of the level at an engine, from 0.6 on an account stays below the limit (0.45 and 0.9 before).

--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -80,9 +80,9 @@
 /** By how much an account finds less room for each part of the even level that it has had more. */
 const surplusGain = 2.5;
 /** Up to this part of the even level of an engine an account is a small one there. */
-const smallSurplus = 0.45;
+const smallSurplus = 0.35;
 /** From this part on it is one of those that share the engine evenly. */
-const levelSurplus = 0.9;
+const levelSurplus = 0.6;
 /** An account that has had so many times the level is held back. */
 const unevenSurplus = 1.75;
 /** However much an account has had, it may use what would otherwise lie idle. */
--- a/src/gateway/grants/grantMessage.ts
+++ b/src/gateway/grants/grantMessage.ts
@@ -53,6 +53,8 @@
     readonly aheadTokens: number;
     /** Part of the engine's reading time that is given away. */
     readonly use: number;
+    /** Part of the limit that the request might use: what it asked for, or less where its account has had much at the engine. */
+    readonly mostUse: number;
     /** When a request like this could be granted; milliseconds. */
     readonly retryAfterMs: number;
 }
@@ -97,7 +99,7 @@
         count.min(1),
         z.boolean(),
     ]),
-    z.tuple([z.literal(codes.reply), count, z.boolean(), z.boolean(), count, count, count, count]),
+    z.tuple([z.literal(codes.reply), count, z.boolean(), z.boolean(), count, count, count, count, count]),
     z.tuple([z.literal(codes.report), count, count, count, count.max(progressCodes.length - 1)]),
 ]);
 
@@ -153,6 +155,7 @@
                 Math.round(message.newTokens),
                 Math.round(message.aheadTokens),
                 Math.round(message.use * useScale),
+                Math.round(message.mostUse * useScale),
                 Math.ceil(message.retryAfterMs),
             ];
         case "report":
@@ -198,7 +201,8 @@
                 newTokens: wire[4],
                 aheadTokens: wire[5],
                 use: wire[6] / useScale,
-                retryAfterMs: wire[7],
+                mostUse: wire[7] / useScale,
+                retryAfterMs: wire[8],
             });
         case codes.report:
             return ok({
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -62,7 +62,8 @@
             shares.recordGranted(request.accountHash, request.chargedTokens, nowMs);
             recordParts(target, request, newTokens);
         }
-        return { kind: "reply", grantId: request.grantId, isKnown: true, newTokens, ...decision };
+        const { mostUse } = reading;
+        return { kind: "reply", grantId: request.grantId, isKnown: true, newTokens, mostUse, ...decision };
     }
 
     public applyReport(senderId: string, report: GrantReport): void {
@@ -101,7 +102,7 @@
 }
 
 function createUnknownReply({ grantId }: GrantRequest): GrantReply {
-    const nothing = { newTokens: 0, aheadTokens: 0, use: 0, retryAfterMs: 0 };
+    const nothing = { newTokens: 0, aheadTokens: 0, use: 0, mostUse: 0, retryAfterMs: 0 };
     return { kind: "reply", grantId, isKnown: false, granted: false, ...nothing };
 }
 
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -42,6 +42,8 @@
 /** Decides whether a request is sent on and where to, before its first send; asks the owners of model engines. */
 export class RequestAdmission {
     private demands = 0;
+    /** Part of an engine's limit that owners let the request use at most; one account's denial is not another one's. */
+    private mostUse = Number.POSITIVE_INFINITY;
     private shareUse = noUse;
 
     public constructor(private readonly options: RequestAdmissionOptions) {}
@@ -88,12 +90,13 @@
                 handleOutcome(this.checkByBelief(selection));
                 return;
             }
-            target.applyGrantReply(outcome.reply, bounds.mostUse, clock.nowMs());
+            target.applyGrantReply(outcome.reply, clock.nowMs());
+            this.mostUse = Math.min(this.mostUse, outcome.reply.mostUse);
             if (outcome.kind === "granted") {
                 const granted = this.applyReply(selection, outcome.reply);
                 handleOutcome({ selection: { ...granted, grant: outcome.grant }, shareUse: this.shareUse });
             } else {
-                this.checkPrompt(services, this.select(services, bounds.mostUse) ?? selection, handleOutcome);
+                this.checkPrompt(services, this.select(services, this.mostUse) ?? selection, handleOutcome);
             }
         });
     }
@@ -122,13 +125,14 @@
 
     private computeBounds({ aloneMs }: Selection): PromptBounds {
         const { routed, getTimeLeftMs } = this.options;
-        return computePromptBounds({
+        const bounds = computePromptBounds({
             aloneMs,
             objectiveMs: routed.route.objectiveMs,
             pauseObjectiveMs: routed.route.pauseObjectiveMs,
             timeLeftMs: getTimeLeftMs(),
             shareUse: this.shareUse,
         });
+        return { ...bounds, mostUse: Math.min(bounds.mostUse, this.mostUse) };
     }
 
     private createDemand({ target, fetch }: Selection, bounds: PromptBounds): GrantDemand {
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -103,8 +103,9 @@
         );
     }
 
-    /** Takes what the target's owner answered to a request that may use the given part of the limit. */
-    public applyGrantReply(reply: GrantReply, mostUse: number, nowMs: number): void {
+    /** Takes what the target's owner answered. */
+    public applyGrantReply(reply: GrantReply, nowMs: number): void {
+        const { mostUse } = reply;
         const granted = reply.granted ? reply.newTokens : 0;
         this.ownerReport = { aheadTokens: reply.aheadTokens + granted, atMs: nowMs };
         const isWider = mostUse >= (this.denial?.mostUse ?? 0) || nowMs >= (this.denial?.untilMs ?? 0);
--- a/test/decisions/shares/fairFloods.test.ts
+++ b/test/decisions/shares/fairFloods.test.ts
@@ -26,16 +26,12 @@
         ["six routers each 400 ms", 6, 400],
         ["six routers each second", 6, 1_000],
         ["24 routers each 600 ms", 24, 600],
+        ["40 routers each 2,900 ms", 40, 2_900],
         ["68 routers each 2,900 ms", 68, 2_900],
     ])("all get their part while %s tell one another what they gave", (...[, routerCount, peerPeriodMs]) => {
         expect(computeLeastPart(routerCount, peerPeriodMs)).toBeGreaterThanOrEqual(leastPart);
     });
 
-    // Sums are older than a flood's first seconds, and few of an engine's requests come by each router: small accounts are refused.
-    it.fails("all get their part while 40 routers each 2,900 ms tell one another what they gave", () => {
-        expect(computeLeastPart(40, 2_900)).toBeGreaterThanOrEqual(leastPart);
-    });
-
     // A quarter of the engines is lost, and what is left gives less than was promised. The level of the shares is then above what
     // accounts get, so that none of them counts as beyond its share and what is given goes to who asks first: in one of
     // twenty plays an account got 0.44 of its part. It fails today, with news that is never late too: see KNOWN-RED.txt.
--- a/test/gateway/grants/grantClient.test.ts
+++ b/test/gateway/grants/grantClient.test.ts
@@ -92,6 +92,7 @@
     newTokens: 100,
     aheadTokens: 0,
     use: 0.1,
+    mostUse: 1,
     retryAfterMs: 0,
 };
 
--- a/test/gateway/grants/grantMessage.property.test.ts
+++ b/test/gateway/grants/grantMessage.property.test.ts
@@ -36,6 +36,7 @@
         newTokens: count,
         aheadTokens: count,
         use: fc.nat({ max: 5_000 }).map(value => value / 1_000),
+        mostUse: fc.nat({ max: 2_000 }).map(value => value / 1_000),
         retryAfterMs: count,
     }),
     fc.record({
