Check and book a send in one step, after the owner's answer

Cause: a target was checked (cold rate, circuit, drain, data centre) when it was selected, and the send booked after the owner had been asked. Requests that waited together all found room at a cold target and were sent together. Before grants nothing lay between the two.

Change: openTargetSend checks the target again and books the send in the same synchronous step (TargetSelector.canSend); a send that finds no room gives its grant back and goes to another target as one that was not sent.

Test first: coldTarget.test.ts has three requests granted at once at a target that bears one: 3 sent before, 1 with the change. An earlier try put the check into RequestAdmission; requests decided in one turn of the event loop would still have passed it together.

--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -339,13 +339,13 @@
         second.admitted += 1;
         second.served += call.promptTokens;
         charge.recordServed();
-        const send = new TargetSend(
-            router.context,
+        const send = new TargetSend({
+            context: router.context,
             selection,
-            routed.head,
-            routed.head.requestId ?? "",
-            charge.outputTokens,
-        );
+            head: routed.head,
+            sendId: routed.head.requestId ?? "",
+            outputTokens: charge.outputTokens,
+        });
         const copyMs = Math.round(selection.fetch?.ms ?? 0);
         this.events.add(nowMs + copyMs, () =>
             this.engines.get(selection.target.id)!.submit(
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -13,7 +13,7 @@
 import type { RoutedRequest } from "./routedRequest.js";
 import { computeSilenceLimit, SilenceTimer } from "./silenceTimer.js";
 import type { Target } from "./target.js";
-import { TargetSend } from "./targetSend.js";
+import { openTargetSend, type TargetSend } from "./targetSend.js";
 import { TargetSelector, type Selection } from "./targetSelector.js";
 import { WholeAnswerRelay } from "./wholeAnswerRelay.js";
 
@@ -206,13 +206,18 @@
             lastEventId: this.relay.lastEventId,
             fetchFrom: selection.fetch?.from.entry.address,
         });
-        const send = new TargetSend(
+        const send = openTargetSend(this.selector, {
             context,
             selection,
-            routed.head,
-            `${routed.head.requestId ?? ""}#${this.tried.size}`,
-            this.charge.outputTokens,
-        );
+            head: routed.head,
+            sendId: `${routed.head.requestId ?? ""}#${this.tried.size}`,
+            outputTokens: this.charge.outputTokens,
+        });
+        if (send === undefined) {
+            selection.grant?.report("not-run");
+            target.connections.release(connection, nowMs);
+            return { kind: "not-run", reason: "not-sent", detail: "the target can't take it any more" };
+        }
         const attempt = new Attempt(routed.head.requestId, context.codec, this.relay, {
             handleSent: () => this.watchSilence(),
             handleData: () => this.watchSilence(),
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -72,8 +72,12 @@
 
     /** Targets of a service that may get requests: not leaving, not in a data centre that is out. */
     public listOpen(service: string): readonly Target[] {
-        const known = this.byService.get(service) ?? [];
-        return known.filter(({ entry }) => entry.state === "ready" && !this.dataCentresOut.has(entry.dataCentre));
+        return (this.byService.get(service) ?? []).filter(target => this.isReady(target));
+    }
+
+    /** Whether the target is known and may get requests. */
+    public isOpen(target: Target): boolean {
+        return this.targets.get(target.id) === target && this.isReady(target);
     }
 
     /** Another target has the address: the one that was known there is gone, whatever its entry says. */
@@ -93,6 +97,10 @@
         this.byService.clear();
     }
 
+    private isReady({ entry }: Target): boolean {
+        return entry.state === "ready" && !this.dataCentresOut.has(entry.dataCentre);
+    }
+
     private applyEntry(id: string, entry: TargetEntry | undefined): void {
         clearTimeout(this.lapsing.get(id));
         this.lapsing.delete(id);
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -80,6 +80,15 @@
         return undefined;
     }
 
+    /**
+     * Whether a target that was selected may still get the request. While an owner is asked, other requests are sent: a cold target
+     * would get more than its rate and crash, a paused one more than its probe, one that leaves a request after its time.
+     */
+    public canSend({ target, service }: Pick<Selection, "target" | "service">): boolean {
+        const { directory, clock } = this.context;
+        return directory.isOpen(target) && this.canStart(target, service, clock.nowMs());
+    }
+
     /** Connections that this router may hold to one target of the service. */
     public computeConnectionLimit(service: ServedService): number {
         const routers = this.context.peers.routers.routerIds.length;
@@ -90,12 +99,13 @@
         const nowMs = this.context.clock.nowMs();
         return this.context.directory
             .listOpen(service.name)
-            .filter(
-                target =>
-                    !isLeftOut(target) &&
-                    target.circuit.canStart(nowMs) &&
-                    (target.coldUntilMs <= nowMs || this.canSendCold(target, service, nowMs)),
-            );
+            .filter(target => !isLeftOut(target) && this.canStart(target, service, nowMs));
+    }
+
+    private canStart(target: Target, service: ServedService, nowMs: number): boolean {
+        return (
+            target.circuit.canStart(nowMs) && (target.coldUntilMs <= nowMs || this.canSendCold(target, service, nowMs))
+        );
     }
 
     private canSendCold(target: Target, service: ServedService, nowMs: number): boolean {
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -1,22 +1,38 @@
 import type { AttemptOutcome, StopReason } from "./attempt.js";
 import type { GatewayContext } from "./gatewayContext.js";
-import type { Selection } from "./targetSelector.js";
+import type { Selection, TargetSelector } from "./targetSelector.js";
 import type { RequestHead } from "./wire.js";
 
+/** What a {@link TargetSend} is put together from. */
+export interface TargetSendOptions {
+    readonly context: GatewayContext;
+    readonly selection: Selection;
+    readonly head: RequestHead;
+    readonly sendId: string;
+    /** Tokens that it is expected to generate. */
+    readonly outputTokens: number;
+}
+
+/** Checks that the target may still get the request, and books the send in the same step; undefined: it may not. */
+export function openTargetSend(selector: TargetSelector, options: TargetSendOptions): TargetSend | undefined {
+    return selector.canSend(options.selection) ? new TargetSend(options) : undefined;
+}
+
 /** Keeps the books of one send: what waits and runs at its target, and what is learnt from how it ends. */
 export class TargetSend {
     private readonly startedAtMs: number;
     private readonly newParts: readonly string[];
     private isWaiting = true;
 
-    public constructor(
-        private readonly context: GatewayContext,
-        private readonly selection: Selection,
-        head: RequestHead,
-        private readonly sendId: string,
-        /** Tokens that it is expected to generate. */
-        outputTokens: number,
-    ) {
+    private readonly context: GatewayContext;
+    private readonly selection: Selection;
+    private readonly sendId: string;
+
+    /** Use {@link openTargetSend}, which checks first. */
+    public constructor({ context, selection, head, sendId, outputTokens }: TargetSendOptions) {
+        this.context = context;
+        this.selection = selection;
+        this.sendId = sendId;
         const { target, newTokens } = selection;
         this.startedAtMs = context.clock.nowMs();
         target.ownRunning += 1;
--- /dev/null
+++ b/test/gateway/coldTarget.test.ts
@@ -0,0 +1,159 @@
+import { describe, expect, it } from "vitest";
+import { ModelRouter } from "../../bench/gateway/modelRouter.js";
+import { ManualClock } from "../../src/base/clock.js";
+import { SeededRandom } from "../../src/base/random.js";
+import type { ServedRoute } from "../../src/gateway/configuration.js";
+import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
+import { RequestAdmission } from "../../src/gateway/requestAdmission.js";
+import { TargetSelector } from "../../src/gateway/targetSelector.js";
+import { openTargetSend } from "../../src/gateway/targetSend.js";
+
+const service = "engines";
+const ownerId = "owner";
+const route: ServedRoute = {
+    name: "stream",
+    host: "fleet.example",
+    pathPrefix: "/",
+    kind: "stream",
+    destinations: [{ service, weight: 1 }],
+    timeoutMs: 8_000,
+    objectiveMs: 800,
+    maxAttempts: 1,
+    priority: 1,
+    isPublic: true,
+    isResumable: false,
+    hasPrompts: true,
+    pauseObjectiveMs: 600,
+};
+const engine = {
+    slots: 8,
+    cacheTokens: 1_000,
+    tokensPerEvent: 1,
+    bytesPerToken: undefined,
+    transferBytesPerMs: undefined,
+};
+const limits = {
+    maxHeaderBytes: 1_000,
+    maxBodyBytes: 1_000,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+    tokensPerSecond: undefined,
+};
+const head = {
+    requestId: "r",
+    timeLeftMs: 8_000,
+    apiKey: undefined,
+    promptTokens: 100,
+    maxOutputTokens: 10,
+    promptParts: [],
+    lastEventId: undefined,
+};
+/** Of four sharers each may send one request a second. */
+const coldRequestsPerSecond = 6;
+const targetIds = Array.from({ length: 40 }, (...[, index]) => `e${index}`);
+
+/** A router that knows another one, before a cold target; what it asks the other one goes to `sent`. */
+function createRouter(targetId: string, sent: GrantMessage[]): ModelRouter {
+    const clock = new ManualClock();
+    const router = new ModelRouter({
+        index: 0,
+        clock,
+        random: new SeededRandom(1),
+        windowMs: 4_000,
+        getExactUses: undefined,
+        transport: { send: (...[, message]) => sent.push(message) > 0 },
+        setTimer: () => ({ dispose: () => undefined }),
+        targets: [
+            {
+                id: targetId,
+                service,
+                address: "10.1.0.1:1",
+                dataCentre: "a",
+                slots: 8,
+                state: "ready",
+                coldLeftMs: 60_000,
+                startedAtMs: undefined,
+            },
+        ],
+        configuration: {
+            version: 1,
+            routes: [route],
+            services: [{ name: service, maxConnections: 100, coldStartMs: 0, coldRequestsPerSecond, engine }],
+            accounts: [],
+            limits,
+        },
+    });
+    router.peers.applyMessage({
+        routerId: ownerId,
+        incarnation: 1,
+        sequence: 1,
+        ip: "10.9.9.9",
+        periodMs: 100,
+        targets: [],
+        coveredMs: 0,
+        accounts: new Map(),
+        reads: [],
+        peers: [],
+    });
+    clock.advance(5_000);
+    return router;
+}
+
+/** Asks for a send, and books it as the request flow does once it is admitted. */
+function submitRequest({ context }: ModelRouter, outcomes: boolean[]): void {
+    const selector = new TargetSelector(context);
+    const admission = new RequestAdmission({
+        context,
+        routed: { head, route, account: undefined, body: undefined, arrivedAtMs: context.clock.nowMs() },
+        selector,
+        outputTokens: 10,
+        chargedTokens: 0,
+        isTried: () => false,
+        getTimeLeftMs: () => 8_000,
+    });
+    admission.check([service], outcome => {
+        const { selection } = outcome;
+        const send =
+            selection === undefined
+                ? undefined
+                : openTargetSend(selector, { context, selection, head, sendId: "r", outputTokens: 10 });
+        outcomes.push(send !== undefined);
+    });
+}
+
+/** A router and its first request, at a target that the other router owns. */
+function findOwnedElsewhere(): { router: ModelRouter; sent: GrantMessage[]; outcomes: boolean[] } {
+    for (const targetId of targetIds) {
+        const sent: GrantMessage[] = [];
+        const outcomes: boolean[] = [];
+        const router = createRouter(targetId, sent);
+        submitRequest(router, outcomes);
+        if (sent.length > 0 && outcomes.length === 0) {
+            return { router, sent, outcomes };
+        }
+    }
+    throw new Error("no target has the other router as its owner and room for a request");
+}
+
+const reply = {
+    kind: "reply",
+    isKnown: true,
+    newTokens: 100,
+    aheadTokens: 0,
+    use: 0.1,
+    mostUse: 1,
+    retryAfterMs: 0,
+} as const;
+
+describe("a target that has just started", () => {
+    // Requests that wait for the owner's answer all found room at the cold target; sent together they crash it.
+    it("gets no more than its rate when several requests are granted at once", () => {
+        const { router, sent, outcomes } = findOwnedElsewhere();
+        submitRequest(router, outcomes);
+        submitRequest(router, outcomes);
+        for (const { grantId } of sent.slice()) {
+            router.context.grants.applyReply(ownerId, { ...reply, granted: true, grantId });
+        }
+        expect(outcomes).toEqual([true, false, false]);
+    });
+});
