Select a prompt's target once, with its account's part of the limit

Cause: the target was selected twice for each prompt, first without the account's part of the limit, since the bounds were computed from the first selection; each selection goes over all engines. Change: the part depends on the shares alone (computeMostUse) and is known before the selection. Its processor time was not measured alone.

--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -104,14 +104,19 @@
 export function computePromptBounds(view: Omit<PromptAdmissionView, "expectedMs" | "idleShare">): PromptBounds {
     const usableMs = computeUsableMs(view);
     const mostWaitMs = Math.max(usableMs - view.aloneMs, usableMs / 2);
-    if (!isBeyondShare(view.shareUse)) {
-        return { mostWaitMs, mostUse: withinShareUse, reason: "late" };
-    }
-    return {
-        mostWaitMs: Math.min(mostWaitMs, view.pauseObjectiveMs * overShareWaitShare),
-        mostUse: computeSurplusUse(view.shareUse.surplus),
-        reason: "over-share",
-    };
+    const mostUse = computeMostUse(view.shareUse);
+    return isBeyondShare(view.shareUse)
+        ? {
+              mostWaitMs: Math.min(mostWaitMs, view.pauseObjectiveMs * overShareWaitShare),
+              mostUse,
+              reason: "over-share",
+          }
+        : { mostWaitMs, mostUse, reason: "late" };
+}
+
+/** Part of an engine's limit that a request of the account may use. */
+export function computeMostUse(shareUse: ShareUse): number {
+    return isBeyondShare(shareUse) ? computeSurplusUse(shareUse.surplus) : withinShareUse;
 }
 
 /**
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -1,5 +1,6 @@
 import {
     checkPromptAdmission,
+    computeMostUse,
     computePromptBounds,
     computePromptRetry,
     type PromptBounds,
@@ -50,15 +51,14 @@
 
     /** The outcome always comes, at once or after the owners' answers. */
     public check(services: readonly string[], handleOutcome: (outcome: AdmittedSelection) => void): void {
-        const first = this.select(services, 1);
-        if (first === undefined) {
+        this.shareUse = this.options.routed.route.hasPrompts ? this.computeShareUse() : noUse;
+        const selection = this.select(services, computeMostUse(this.shareUse));
+        if (selection === undefined) {
             handleOutcome(this.createRefusal("no-target", noTargetRetryMs));
-        } else if (first.tokensAhead === 0) {
-            handleOutcome(this.checkPlain(first));
+        } else if (selection.tokensAhead === 0) {
+            handleOutcome(this.checkPlain(selection));
         } else {
-            this.shareUse = this.computeShareUse();
-            const { mostUse } = this.computeBounds(first);
-            this.checkPrompt(services, this.select(services, mostUse) ?? first, handleOutcome);
+            this.checkPrompt(services, selection, handleOutcome);
         }
     }
 
