Name account and route of shed and unread requests; count owners' answers

Change: routes are found before a request is shed, so that its line and the account figures name it; ownersAsked and ownersSilent in a request's line; counters first on the metrics page. No decision changes.

--- a/src/gateway/flowEndings.ts
+++ b/src/gateway/flowEndings.ts
@@ -1,12 +1,12 @@
 import type { CallerExchange } from "./callerExchange.js";
 import { createOwnAnswer, type OwnAnswerReason } from "./ownAnswer.js";
-import type { ShareUse } from "../decisions/shares/accountShares.js";
+import type { AdmissionFacts } from "./requestAdmission.js";
 import type { Timeliness } from "./answerTiming.js";
 import type { AnswerRelay, StoredAnswer } from "./relay.js";
 import type { HeaderCodec } from "./wire.js";
 
 /** What is known of a request's way when it ends. */
-export interface FlowFacts {
+export interface FlowFacts extends AdmissionFacts {
     /** Targets it was meant for. */
     readonly attempts: number;
     /** Targets in the order tried, each with how its attempt ended. */
@@ -34,8 +34,6 @@
     readonly longestPauseMs: number;
     /** Undefined without output. */
     readonly timeliness: Timeliness | undefined;
-    /** What its account had got, over what it may have. */
-    readonly shareUse: ShareUse;
     /** What it counts against its account's share: asked for, and given to it by a target. */
     readonly askedTokens: number;
     readonly servedTokens: number;
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -23,7 +23,8 @@
 
 /**
  * Counters and histograms as text for Prometheus. Labels are services and outcomes, a few values each; a label with
- * request ids or routes would grow without bound, and accounts beyond a number are counted together.
+ * request ids or routes would grow without bound, and accounts beyond a number are counted together. Counters come first:
+ * collectors that cut long pages keep them.
  */
 export class GatewayMetrics {
     private readonly registry = new Registry();
@@ -33,24 +34,22 @@
         labelNames: ["service", "outcome", "reason"],
         registers: [this.registry],
     });
-    private readonly attempts = new Counter({
-        name: "lynxarch_attempts_total",
-        help: "Sends to targets, by service.",
-        labelNames: ["service"],
+    private readonly accountTokens = new Counter({
+        name: "lynxarch_account_tokens_total",
+        help: "Tokens of ended requests by account: asked for, and given by targets.",
+        labelNames: ["account", "kind"],
         registers: [this.registry],
     });
-    private readonly firstOutput = new Histogram({
-        name: "lynxarch_first_output_seconds",
-        help: "Time from a request's arrival to the first output of its target.",
-        labelNames: ["service"],
-        buckets: secondsBuckets,
+    private readonly owners = new Counter({
+        name: "lynxarch_owner_answers_total",
+        help: "Grants that owners of engines were asked for, by whether they answered.",
+        labelNames: ["outcome"],
         registers: [this.registry],
     });
-    private readonly longestPause = new Histogram({
-        name: "lynxarch_longest_pause_seconds",
-        help: "Longest pause between two outputs of an answer.",
+    private readonly attempts = new Counter({
+        name: "lynxarch_attempts_total",
+        help: "Sends to targets, by service.",
         labelNames: ["service"],
-        buckets: secondsBuckets,
         registers: [this.registry],
     });
     private readonly timeliness = new Counter({
@@ -65,19 +64,26 @@
         labelNames: ["service", "source"],
         registers: [this.registry],
     });
-    private readonly accountTokens = new Counter({
-        name: "lynxarch_account_tokens_total",
-        help: "Tokens of ended requests by account: asked for, and given by targets.",
-        labelNames: ["account", "kind"],
-        registers: [this.registry],
-    });
     private readonly sumsAge = new Histogram({
         name: "lynxarch_account_sums_age_seconds",
         help: "Mean age of the other routers' account sums when a prompt's share was checked.",
         buckets: secondsBuckets,
         registers: [this.registry],
     });
-    private readonly namedAccounts = new Set<string>();
+    private readonly firstOutput = new Histogram({
+        name: "lynxarch_first_output_seconds",
+        help: "Time from a request's arrival to the first output of its target.",
+        labelNames: ["service"],
+        buckets: secondsBuckets,
+        registers: [this.registry],
+    });
+    private readonly longestPause = new Histogram({
+        name: "lynxarch_longest_pause_seconds",
+        help: "Longest pause between two outputs of an answer.",
+        labelNames: ["service"],
+        buckets: secondsBuckets,
+        registers: [this.registry],
+    });
     private readonly duration = new Histogram({
         name: "lynxarch_request_duration_seconds",
         help: "Time from a request's arrival to the end of its answer.",
@@ -85,6 +91,7 @@
         buckets: secondsBuckets,
         registers: [this.registry],
     });
+    private readonly namedAccounts = new Set<string>();
 
     public constructor(getFigures: () => GatewayFigures) {
         const registers = [this.registry];
@@ -138,6 +145,8 @@
         this.requests.inc({ service, outcome: end.outcome, reason: isOwnReason ? end.reason : "" });
         this.attempts.inc({ service }, end.attempts ?? 0);
         this.duration.observe({ service, outcome: end.outcome }, tookMs / msPerSecond);
+        this.owners.inc({ outcome: "answered" }, (end.ownersAsked ?? 0) - (end.ownersSilent ?? 0));
+        this.owners.inc({ outcome: "silent" }, end.ownersSilent ?? 0);
         this.recordShare(account, end);
         if (end.firstOutputMs !== undefined) {
             this.firstOutput.observe({ service }, end.firstOutputMs / msPerSecond);
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -2,7 +2,6 @@
 import type { Disposable } from "../base/lifecycle.js";
 import { Emitter } from "../base/event.js";
 import { CallerExchange } from "./callerExchange.js";
-import type { ConfigurationInForce } from "./configurationHolder.js";
 import type { FlowEnd } from "./flowEndings.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { createOwnAnswer, type OwnAnswerReason } from "./ownAnswer.js";
@@ -20,6 +19,11 @@
     readonly end: Pick<FlowEnd, "outcome" | "reason" | "status"> & Partial<FlowEnd>;
 }
 
+/** A request with its route and account, or why it has none, by the configuration in force. */
+type RouteOutcome = { readonly version: number | undefined; readonly arrivedAtMs: number } & (
+    { readonly request: RoutedRequest } | { readonly request: undefined; readonly problem: OwnAnswerReason }
+);
+
 /** A configuration is read within seconds of a start; callers come back then. */
 const noConfigurationRetryMs = 500;
 const stoppingRetryMs = 100;
@@ -81,13 +85,14 @@
             await caller.waitForClose();
             if (caller.hasLeft) {
                 const end = { outcome: "left" as const, reason: "the caller left unread", status: undefined };
-                this.fireEnd(head, arrivedAtMs, end, undefined, undefined, undefined);
+                this.fireEnd(head, arrivedAtMs, end, this.findRoute(caller, head, undefined, arrivedAtMs));
             } else if (body.isOk()) {
                 await this.handleWhole(caller, head, body.value, arrivedAtMs);
             } else if (body.error !== "left") {
                 const isTooLarge = body.error === "too-large";
                 const retryAfterMs = isTooLarge ? undefined : busyRetryMs;
-                this.answerOwn(caller, head, arrivedAtMs, isTooLarge ? "body-too-large" : "busy", retryAfterMs);
+                const routed = this.findRoute(caller, head, undefined, arrivedAtMs);
+                this.answerOwn(caller, head, routed, isTooLarge ? "body-too-large" : "busy", retryAfterMs);
             }
         } finally {
             this.heldBytes -= held;
@@ -100,57 +105,60 @@
         body: Buffer | undefined,
         arrivedAtMs: number,
     ): Promise<void> {
-        const configuration = this.context.configuration.current;
         const { shedShare } = this.context.load;
+        const routed = this.findRoute(caller, head, body, arrivedAtMs);
         if (shedShare > 0 && this.context.random.next() < shedShare) {
-            this.answerOwn(caller, head, arrivedAtMs, "busy", busyRetryMs);
-            return;
-        }
-        if (this.refusesNew) {
-            this.answerOwn(caller, head, arrivedAtMs, "stopping", stoppingRetryMs);
-            return;
-        }
-        if (configuration === undefined) {
-            this.answerOwn(caller, head, arrivedAtMs, "no-configuration", noConfigurationRetryMs);
-            return;
+            this.answerOwn(caller, head, routed, "busy", busyRetryMs);
+        } else if (this.refusesNew) {
+            this.answerOwn(caller, head, routed, "stopping", stoppingRetryMs);
+        } else if (routed.request === undefined) {
+            const retryAfterMs = routed.problem === "no-configuration" ? noConfigurationRetryMs : undefined;
+            this.answerOwn(caller, head, routed, routed.problem, retryAfterMs);
+        } else {
+            const end = await new RequestFlow(this.context, caller, routed.request).run();
+            this.fireEnd(head, arrivedAtMs, end, routed);
         }
-        const routed = this.findRoute(configuration, caller, head, body, arrivedAtMs);
-        if (typeof routed === "string") {
-            this.answerOwn(caller, head, arrivedAtMs, routed, undefined);
-            return;
-        }
-        const end = await new RequestFlow(this.context, caller, routed).run();
-        this.fireEnd(head, arrivedAtMs, end, routed.route.name, routed.account, configuration.version);
     }
 
     private findRoute(
-        configuration: ConfigurationInForce,
         caller: CallerExchange,
         head: RequestHead,
         body: Buffer | undefined,
         arrivedAtMs: number,
-    ): RoutedRequest | OwnAnswerReason {
+    ): RouteOutcome {
         const { request } = caller;
+        const configuration = this.context.configuration.current;
+        const version = configuration?.version;
+        const createProblem = (problem: OwnAnswerReason): RouteOutcome => ({
+            request: undefined,
+            problem,
+            version,
+            arrivedAtMs,
+        });
+        if (configuration === undefined) {
+            return createProblem("no-configuration");
+        }
         const route = configuration.routes.find(request.headers.host ?? "", request.url ?? "/");
         if (route === undefined) {
-            return "no-route";
+            return createProblem("no-route");
         }
         // Engines turn such requests away, and an answer to one could not be told from an answer to another.
         if (head.requestId === undefined) {
-            return "bad-request";
+            return createProblem("bad-request");
         }
         const needsKey = configuration.hasAccounts && !route.isPublic;
         const account = head.apiKey === undefined ? undefined : configuration.accountsByKey.get(head.apiKey);
         if (needsKey && account === undefined) {
-            return "unknown-key";
+            return createProblem("unknown-key");
         }
-        return { head, route, account: needsKey ? account?.name : undefined, body, arrivedAtMs };
+        const routed = { head, route, account: needsKey ? account?.name : undefined, body, arrivedAtMs };
+        return { request: routed, version, arrivedAtMs };
     }
 
     private answerOwn(
         caller: CallerExchange,
         head: RequestHead,
-        arrivedAtMs: number,
+        routed: RouteOutcome,
         reason: OwnAnswerReason,
         retryAfterMs: number | undefined,
     ): void {
@@ -159,20 +167,24 @@
         // What is left of an unread body would be taken for the next request on the connection.
         const closes = !caller.request.complete || this.refusesNew;
         caller.answer(own.status, closes ? { ...headers, connection: "close" } : headers, own.body);
-        const end = { outcome: "refused" as const, reason, status: own.status };
-        const version = this.context.configuration.current?.version;
-        this.fireEnd(head, arrivedAtMs, end, undefined, undefined, version);
+        const askedTokens = routed.request === undefined ? undefined : head.promptTokens;
+        const end = { outcome: "refused" as const, reason, status: own.status, askedTokens };
+        this.fireEnd(head, routed.arrivedAtMs, end, routed);
     }
 
     private fireEnd(
         head: RequestHead,
         arrivedAtMs: number,
         end: EndedRequest["end"],
-        route: string | undefined,
-        account: string | undefined,
-        configurationVersion: number | undefined,
+        { request, version }: RouteOutcome,
     ): void {
-        const tookMs = this.context.clock.nowMs() - arrivedAtMs;
-        this.endEmitter.fire({ requestId: head.requestId, route, account, configurationVersion, tookMs, end });
+        this.endEmitter.fire({
+            requestId: head.requestId,
+            route: request?.route.name,
+            account: request?.account,
+            configurationVersion: version,
+            tookMs: this.context.clock.nowMs() - arrivedAtMs,
+            end,
+        });
     }
 }
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -13,8 +13,20 @@
 import type { RoutedRequest } from "./routedRequest.js";
 import type { Selection, TargetFilter, TargetSelector } from "./targetSelector.js";
 
+/** What an admission went by. */
+export interface AdmissionFacts {
+    /** What its account had got, over what it may have. */
+    readonly shareUse: ShareUse;
+    /** Owners of engines that were asked for a grant, and those among them that did not answer. */
+    readonly ownersAsked: number;
+    readonly ownersSilent: number;
+}
+
+/** Facts of a request that was not looked at. */
+export const noAdmission: AdmissionFacts = { shareUse: noUse, ownersAsked: 0, ownersSilent: 0 };
+
 /** Where a request goes first, or why it is refused. */
-export type AdmittedSelection = { readonly shareUse: ShareUse } & (
+export type AdmittedSelection = { readonly facts: AdmissionFacts } & (
     | { readonly selection: Selection }
     | { readonly selection: undefined; readonly reason: OwnAnswerReason; readonly retryAfterMs: number }
 );
@@ -43,6 +55,7 @@
 /** Decides whether a request is sent on and where to, before its first send; asks the owners of model engines. */
 export class RequestAdmission {
     private demands = 0;
+    private silences = 0;
     /** Part of an engine's limit that owners let the request use at most; one account's denial is not another one's. */
     private mostUse = Number.POSITIVE_INFINITY;
     private shareUse = noUse;
@@ -64,7 +77,7 @@
 
     private checkPlain(selection: Selection): AdmittedSelection {
         const isLate = selection.expectedMs > this.options.routed.route.objectiveMs * plainUsableShare;
-        return isLate ? this.createRefusal("late", selection.expectedMs) : { selection, shareUse: noUse };
+        return isLate ? this.createRefusal("late", selection.expectedMs) : this.createSelected(selection);
     }
 
     /**
@@ -87,6 +100,7 @@
         this.demands += 1;
         grants.submit(this.createDemand(selection, bounds), outcome => {
             if (outcome.kind === "unanswered") {
+                this.silences += 1;
                 handleOutcome(this.checkByBelief(selection));
                 return;
             }
@@ -94,7 +108,7 @@
             this.mostUse = Math.min(this.mostUse, outcome.reply.mostUse);
             if (outcome.kind === "granted") {
                 const granted = this.applyReply(selection, outcome.reply);
-                handleOutcome({ selection: { ...granted, grant: outcome.grant }, shareUse: this.shareUse });
+                handleOutcome(this.createSelected({ ...granted, grant: outcome.grant }));
             } else {
                 this.checkPrompt(services, this.select(services, this.mostUse) ?? selection, handleOutcome);
             }
@@ -119,7 +133,7 @@
             idleShare: context.idleShares.find(selection.service.name).current,
         });
         return admission.admitted
-            ? { selection, shareUse: this.shareUse }
+            ? this.createSelected(selection)
             : this.createRefusal(admission.reason, admission.retryAfterMs);
     }
 
@@ -166,8 +180,16 @@
         return this.createRefusal(reason, computePromptRetry(reason, this.options.routed.route.objectiveMs, roomMs));
     }
 
+    private createSelected(selection: Selection): AdmittedSelection {
+        return { selection, facts: this.createFacts() };
+    }
+
     private createRefusal(reason: OwnAnswerReason, retryAfterMs: number): AdmittedSelection {
-        return { selection: undefined, reason, retryAfterMs, shareUse: this.shareUse };
+        return { selection: undefined, reason, retryAfterMs, facts: this.createFacts() };
+    }
+
+    private createFacts(): AdmissionFacts {
+        return { shareUse: this.shareUse, ownersAsked: this.demands, ownersSilent: this.silences };
     }
 
     private computeShareUse(): ShareUse {
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,8 +1,7 @@
 import { DisposableStore } from "../base/lifecycle.js";
 import type { ReadingShare } from "../decisions/admission/readingShare.js";
-import { noUse } from "../decisions/shares/accountShares.js";
 import { AccountCharge } from "./accountCharge.js";
-import { noTargetRetryMs, RequestAdmission, type AdmittedSelection } from "./requestAdmission.js";
+import { noAdmission, noTargetRetryMs, RequestAdmission, type AdmittedSelection } from "./requestAdmission.js";
 import { AnswerTiming } from "./answerTiming.js";
 import { Attempt, type AttemptOutcome, type StopReason } from "./attempt.js";
 import type { CallerExchange } from "./callerExchange.js";
@@ -58,7 +57,7 @@
     private selection: Selection | undefined;
     private readonly timing: AnswerTiming;
     private readonly charge: AccountCharge;
-    private shareUse = noUse;
+    private admission = noAdmission;
 
     public constructor(
         private readonly context: GatewayContext,
@@ -89,7 +88,7 @@
             firstOutputMs: this.timing.firstOutputMs,
             longestPauseMs: this.timing.longestPauseMs,
             timeliness: this.timing.timeliness,
-            shareUse: this.shareUse,
+            ...this.admission,
             askedTokens: this.charge.askedTokens,
             servedTokens: this.charge.servedTokens,
         }));
@@ -178,7 +177,7 @@
             getTimeLeftMs: () => this.deadlineAtMs - context.clock.nowMs(),
         });
         const admitted = await new Promise<AdmittedSelection>(resolve => admission.check(services, resolve));
-        this.shareUse = admitted.shareUse;
+        this.admission = admitted.facts;
         if (admitted.selection === undefined) {
             return this.endings.refuse(admitted.reason, admitted.retryAfterMs);
         }
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -80,6 +80,8 @@
         shareUse: toRatio(end.shareUse?.share),
         surplusUse: toRatio(end.shareUse?.surplus),
         sumsAgeMs: toWhole(end.shareUse?.sumsAgeMs),
+        ownersAsked: end.ownersAsked,
+        ownersSilent: end.ownersSilent,
         tried: end.tried?.join(" "),
     };
 }
