--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -35,6 +35,8 @@
     /** Replaces what peers reported of accounts; undefined: as received. */
     readonly getExactUses: (() => readonly HeardRouter[]) | undefined;
     readonly transport: GrantTransport;
+    /** Whether the router keeps up; undefined: always. */
+    readonly load?: GatewayContext["load"];
     readonly setTimer: SetTimer;
 }
 
@@ -94,7 +96,7 @@
             directory: this.directory,
             peers: createPeerView(this.peers, options.getExactUses),
             grants: grants.client,
-            load: { shedShare: 0 },
+            load: options.load ?? { shedShare: 0 },
             shares: this.shares,
             retryBudgets: new Registry(() => new RetryBudget()),
             firstTokenModels,
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -2,7 +2,8 @@
  * A fleet of routers before model engines, played on a fake clock: the daemons' own classes decide (`src/gateway`), engines
  * are {@link ChunkedEngine}s, and messages between routers arrive late or not at all.
  *
- * Left out: sockets and processor time, engines that fail, callers who leave.
+ * Routers have the processor time that is given ({@link ProcessorOptions}), or any. Left out: sockets, engines that fail, callers
+ * who leave a stream.
  */
 import { ManualClock } from "../../src/base/clock.js";
 import type { Disposable } from "../../src/base/lifecycle.js";
@@ -15,12 +16,14 @@
 import { encodePeerMessage } from "../../src/gateway/peers/peerMessage.js";
 import { controlBytesPerSecond } from "../../src/gateway/peers/peerState.js";
 import { RequestAdmission } from "../../src/gateway/requestAdmission.js";
+import { RequestShedder } from "../../src/gateway/requestShedder.js";
 import type { RoutedRequest } from "../../src/gateway/routedRequest.js";
 import { TargetSelector, type Selection } from "../../src/gateway/targetSelector.js";
 import { TargetSend } from "../../src/gateway/targetSend.js";
 import type { PromptPart } from "../../src/gateway/wire.js";
 import { ChunkedEngine, type ChunkedEngineOptions, type EngineStream } from "./chunkedEngine.js";
 import { EventQueue } from "./eventQueue.js";
+import { RouterProcessor, type ProcessorOptions } from "./routerProcessor.js";
 import { formatRouterId, formatRouterIp, ModelRouter } from "./modelRouter.js";
 
 const service = "engines";
@@ -30,6 +33,10 @@
 const timeLeftMs = 8_000;
 const engineSlots = 64;
 const msPerSecond = 1_000;
+/** A caller whose request is unread for so long leaves. */
+const unreadMs = 1_000;
+/** When a caller returns whom a router shed. */
+const shedRetryMs = 500;
 /** Most of the time that is left in which a refused caller waits before it returns. */
 const mostReturnShare = 1 / 3;
 
@@ -45,6 +52,8 @@
     /** A flood sends `rate` within this time alone; always without it. */
     readonly fromMs?: number;
     readonly toMs?: number;
+    /** Routers that its callers reach, the first ones; all when left out. */
+    readonly reach?: number;
 }
 
 /** A fleet of engines behind routers, and what happens to it. */
@@ -67,6 +76,8 @@
     readonly exactNews?: ExactNews;
     /** Time that an engine takes to copy a token from another one; engines can't copy when left out. */
     readonly copyMsPerToken?: number;
+    /** Processor time of routers; as much as they need when left out. */
+    readonly processor?: ProcessorOptions;
     /** How often a refused caller returns; never when left out. */
     readonly returns?: number;
     readonly runMs: number;
@@ -106,6 +117,7 @@
     readonly account: string;
     readonly parts: readonly PromptPart[];
     readonly promptTokens: number;
+    readonly reach: number;
     readonly askedAtMs: number;
     readonly returnsLeft: number;
 }
@@ -132,6 +144,8 @@
     private readonly events = new EventQueue();
     private readonly engines: ReadonlyMap<string, ChunkedEngine>;
     private readonly routers: readonly ModelRouter[];
+    private readonly processors: readonly (RouterProcessor | undefined)[];
+    private readonly shedders: readonly RequestShedder[];
     private readonly routersById: ReadonlyMap<string, ModelRouter>;
     private readonly seconds: ReadonlyMap<string, AccountSecond[]>;
     private readonly ended: EngineStream[] = [];
@@ -150,6 +164,11 @@
         this.route = createRoute(pauseObjectiveMs);
         const configuration = this.createConfiguration();
         const targets = [...this.engines.keys()].map(createTargetEntry);
+        this.processors = Array.from({ length: routerCount }, () =>
+            options.processor === undefined
+                ? undefined
+                : new RouterProcessor(options.processor, this.events, this.clock.nowMs()),
+        );
         this.routers = Array.from(
             { length: routerCount },
             (...[, index]) =>
@@ -161,10 +180,12 @@
                     targets,
                     windowMs,
                     transport: { send: (routerId, message) => this.sendGrantMessage(index, routerId, message) },
+                    load: this.processors[index]?.detector,
                     setTimer: (ms, action) => this.setTimer(ms, action),
                     getExactUses: options.exactNews?.accounts === true ? () => this.listExactUses(index) : undefined,
                 }),
         );
+        this.shedders = this.routers.map(router => new RequestShedder(router.context));
         this.routersById = new Map(this.routers.map((router, index) => [formatRouterId(index), router]));
         const secondCount = Math.ceil(runMs / msPerSecond);
         this.seconds = new Map(
@@ -227,12 +248,15 @@
     private sendGrantMessage(senderIndex: number, routerId: string, message: GrantMessage): boolean {
         const { peerDelayMs = 1, peerLoss = 0 } = this.options;
         const receiver = this.routersById.get(routerId);
+        this.processors[senderIndex]?.charge("message", this.clock.nowMs());
         if (receiver === undefined || this.routers[senderIndex].peers.findAddress(routerId) === undefined) {
             return false;
         }
         if (this.random.next() >= peerLoss) {
             this.events.add(this.clock.nowMs() + peerDelayMs, () =>
-                receiver.grants.handleMessage(formatRouterId(senderIndex), message),
+                this.runWork(this.routers.indexOf(receiver), "message", () =>
+                    receiver.grants.handleMessage(formatRouterId(senderIndex), message),
+                ),
             );
         }
         return true;
@@ -268,7 +292,7 @@
         }
     }
 
-    private createCall({ account, promptTokens, shared }: AccountLoad, nowMs: number): Call {
+    private createCall({ account, promptTokens, shared, reach }: AccountLoad, nowMs: number): Call {
         const ownTokens = Math.round(promptTokens * (0.2 + 2 * this.random.next() ** 2));
         const own = { id: `own-${++this.lastRequest}`, tokens: ownTokens };
         const parts =
@@ -285,6 +309,7 @@
             account,
             parts,
             promptTokens: computeSum(parts.map(part => part.tokens)),
+            reach: reach ?? this.routers.length,
             askedAtMs: nowMs,
             returnsLeft: this.options.returns ?? 0,
         };
@@ -294,9 +319,33 @@
         return call;
     }
 
+    /** Does the action once the router's processor has done the work. */
+    private runWork(routerIndex: number, kind: "read" | "serve" | "message", action: () => void): void {
+        const processor = this.processors[routerIndex];
+        if (processor === undefined) {
+            action();
+        } else {
+            processor.submit(kind, this.clock.nowMs(), action);
+        }
+    }
+
     private offer(call: Call): void {
+        const index = this.chooseRouter(call);
+        const arrivedAtMs = this.clock.nowMs();
+        this.runWork(index, "read", () => {
+            if (this.clock.nowMs() - arrivedAtMs <= unreadMs) {
+                this.handle(call, index);
+            }
+        });
+    }
+
+    private handle(call: Call, routerIndex: number): void {
         const nowMs = this.clock.nowMs();
-        const router = this.chooseRouter();
+        const router = this.routers[routerIndex];
+        if (this.shedders[routerIndex].check()) {
+            this.addReturn(call, shedRetryMs);
+            return;
+        }
         const routed = this.createRouted(call);
         const charge = new AccountCharge(router.context, routed);
         charge.recordAsked();
@@ -312,15 +361,19 @@
             getTimeLeftMs: () => call.askedAtMs + timeLeftMs - nowMs,
         });
         admission.check([service], admitted => {
-            if (admitted.selection !== undefined) {
-                this.send(call, router, routed, charge, admitted.selection);
-            } else if (call.returnsLeft > 0) {
+            const { selection } = admitted;
+            if (selection !== undefined) {
+                this.runWork(routerIndex, "serve", () => this.send(call, router, routed, charge, selection));
+            } else {
                 this.addReturn(call, admitted.retryAfterMs);
             }
         });
     }
 
     private addReturn(call: Call, retryAfterMs: number): void {
+        if (call.returnsLeft === 0) {
+            return;
+        }
         const nowMs = this.clock.nowMs();
         const leftMs = call.askedAtMs + timeLeftMs - nowMs;
         const waitMs = Math.max(1, Math.round(Math.min(retryAfterMs, leftMs * mostReturnShare)));
@@ -388,9 +441,8 @@
         return this.seconds.get(account)![Math.floor(atMs / msPerSecond)];
     }
 
-    private chooseRouter(): ModelRouter {
-        const { routers } = this;
-        return routers.length === 1 ? routers[0] : routers[Math.floor(this.random.next() * routers.length)];
+    private chooseRouter({ reach }: Call): number {
+        return reach === 1 ? 0 : Math.floor(this.random.next() * reach);
     }
 
     private createRouted({ account, parts, promptTokens }: Call): RoutedRequest {
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { createOwnAnswer, type OwnAnswerReason } from "./ownAnswer.js";
 import { RequestFlow } from "./requestFlow.js";
+import { RequestShedder } from "./requestShedder.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { RequestHead } from "./wire.js";
 
@@ -38,10 +39,13 @@
     private open = 0;
     private heldBytes = 0;
     private refusesNew = false;
+    private readonly shedder: RequestShedder;
 
     public readonly onDidEnd = this.endEmitter.onDidFire;
 
-    public constructor(private readonly context: GatewayContext) {}
+    public constructor(private readonly context: GatewayContext) {
+        this.shedder = new RequestShedder(context);
+    }
 
     /** Requests that have no final answer yet. */
     public get openRequests(): number {
@@ -105,9 +109,8 @@
         body: Buffer | undefined,
         arrivedAtMs: number,
     ): Promise<void> {
-        const { shedShare } = this.context.load;
         const routed = this.findRoute(caller, head, body, arrivedAtMs);
-        if (shedShare > 0 && this.context.random.next() < shedShare) {
+        if (this.shedder.check()) {
             this.answerOwn(caller, head, routed, "busy", busyRetryMs);
         } else if (this.refusesNew) {
             this.answerOwn(caller, head, routed, "stopping", stoppingRetryMs);
