A saturated router sheds until its event loop has breaks again

Cause: by utilization at most half of the requests were shed, whatever came; the queue before the process grew. Change: the share that follows from utilization is integrated, up to 0.95, and falls with the first breaks.

--- a/src/decisions/admission/overload.ts
+++ b/src/decisions/admission/overload.ts
@@ -11,6 +11,10 @@
  * that goes on, the router asks the balancer to leave it out: others have processor time to spare while one VM is slow
  * or one data centre's router is flooded.
  *
+ * The share that follows from utilization is integrated: any fixed share leaves a router that gets more than it can refuse with a
+ * queue that never drains, where requests stay unread until their callers leave. It rises for as long as the loop has no
+ * break, and falls once it has.
+ *
  * Thresholds: a twentieth of usual objectives is no matter; at a quarter of a second of delay every request would be
  * refused, well before callers give up on a connection that does not answer (a second). A loop that is busy for more than
  * nine tenths of the time has queues behind it. The way back lies far below the way out, so that a router does not go in
@@ -23,8 +27,11 @@
 const shedFromUtilization = 0.93;
 const leaveAboveUtilization = 0.9;
 const returnBelowUtilization = 0.6;
-/** Of requests at a loop that is always busy: without it the queue before the process never becomes shorter. */
-const shedWhenSaturated = 0.5;
+/** Most that utilization alone has refused: a loop that is always busy tells nothing of how little would be enough. */
+const mostShedByUtilization = 0.95;
+/** Change of the share by one sample of a loop without a break, and of one that is idle. */
+const shedRise = 0.02;
+const shedFall = 0.3;
 /** Weights of the newest sample, at one each 50 ms: one pause for garbage collection or one burst decides nothing. */
 const delaySmoothing = 0.25;
 const utilizationSmoothing = 0.08;
@@ -41,6 +48,7 @@
 export class OverloadDetector {
     private delayMs = 0;
     private utilization = 0;
+    private shedByUtilization = 0;
     private leaves = false;
 
     /** The smoothed figures. */
@@ -51,9 +59,7 @@
     /** Share of new requests to refuse, 0 to 1. */
     public get shedShare(): number {
         const byDelay = (this.delayMs - shedFromMs) / (shedAllMs - shedFromMs);
-        const byUtilization =
-            ((this.utilization - shedFromUtilization) / (1 - shedFromUtilization)) * shedWhenSaturated;
-        return Math.min(1, Math.max(0, byDelay, byUtilization));
+        return Math.min(1, Math.max(0, byDelay, this.shedByUtilization));
     }
 
     /** Whether the balancer should leave this router out. */
@@ -65,6 +71,10 @@
     public observe(sample: LoopSample): boolean {
         this.delayMs += (Math.max(0, sample.delayMs) - this.delayMs) * delaySmoothing;
         this.utilization += (sample.utilization - this.utilization) * utilizationSmoothing;
+        this.shedByUtilization = Math.min(
+            mostShedByUtilization,
+            Math.max(0, this.shedByUtilization + computeShedChange(sample.utilization)),
+        );
         const before = this.leaves;
         const isOver = this.delayMs > leaveAboveMs || this.utilization > leaveAboveUtilization;
         const isWell = this.delayMs < returnBelowMs && this.utilization < returnBelowUtilization;
@@ -72,3 +82,9 @@
         return before !== this.leaves;
     }
 }
+
+function computeShedChange(utilization: number): number {
+    return utilization > shedFromUtilization
+        ? ((utilization - shedFromUtilization) / (1 - shedFromUtilization)) * shedRise
+        : ((utilization - shedFromUtilization) / shedFromUtilization) * shedFall;
+}
