Overloaded routers shed accounts that have had about the even level first

Cause: requests were shed at random before their account was looked at. Change: FairShedding refuses requests of accounts from 0.8 of the even level on first and others only if that is not enough; what is shed counts as asked for, as it would otherwise make its account look small.

--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -342,11 +342,11 @@
     private handle(call: Call, routerIndex: number): void {
         const nowMs = this.clock.nowMs();
         const router = this.routers[routerIndex];
-        if (this.shedders[routerIndex].check()) {
+        const routed = this.createRouted(call);
+        if (this.shedders[routerIndex].check(routed)) {
             this.addReturn(call, shedRetryMs);
             return;
         }
-        const routed = this.createRouted(call);
         const charge = new AccountCharge(router.context, routed);
         charge.recordAsked();
         this.applyExactLoad(router);
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -110,7 +110,7 @@
         arrivedAtMs: number,
     ): Promise<void> {
         const routed = this.findRoute(caller, head, body, arrivedAtMs);
-        if (this.shedder.check()) {
+        if (this.shedder.check(routed.request)) {
             this.answerOwn(caller, head, routed, "busy", busyRetryMs);
         } else if (this.refusesNew) {
             this.answerOwn(caller, head, routed, "stopping", stoppingRetryMs);
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -6,6 +6,7 @@
     type PromptBounds,
 } from "../decisions/admission/promptAdmission.js";
 import { noUse, type ShareUse } from "../decisions/shares/accountShares.js";
+import { computeShareUse } from "./accountUse.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { GrantDemand } from "./grants/grantClient.js";
 import type { GrantReply } from "./grants/grantMessage.js";
@@ -64,7 +65,7 @@
 
     /** The outcome always comes, at once or after the owners' answers. */
     public check(services: readonly string[], handleOutcome: (outcome: AdmittedSelection) => void): void {
-        this.shareUse = this.options.routed.route.hasPrompts ? this.computeShareUse() : noUse;
+        this.shareUse = this.computeUse();
         const selection = this.select(services, computeMostUse(this.shareUse));
         if (selection === undefined) {
             handleOutcome(this.createRefusal("no-target", noTargetRetryMs));
@@ -192,12 +193,8 @@
         return { shareUse: this.shareUse, ownersAsked: this.demands, ownersSilent: this.silences };
     }
 
-    private computeShareUse(): ShareUse {
-        const { configuration, shares, peers, clock } = this.options.context;
-        const tokensPerSecond = configuration.current?.limits.tokensPerSecond;
-        const { account } = this.options.routed;
-        return account === undefined || tokensPerSecond === undefined
-            ? noUse
-            : shares.computeUse(account, peers.accountUses, tokensPerSecond, clock.nowMs());
+    private computeUse(): ShareUse {
+        const { context, routed } = this.options;
+        return routed.route.hasPrompts ? computeShareUse(context, routed.account) : noUse;
     }
 }
--- a/src/gateway/requestShedder.ts
+++ b/src/gateway/requestShedder.ts
@@ -1,12 +1,27 @@
+import { FairShedding } from "../decisions/admission/fairShedding.js";
+import { AccountCharge } from "./accountCharge.js";
+import { computeShareUse } from "./accountUse.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import type { RoutedRequest } from "./routedRequest.js";
 
 /** Decides which requests a router refuses unexamined while it is too slow for all of them. */
 export class RequestShedder {
-    public constructor(private readonly context: Pick<GatewayContext, "load" | "random">) {}
+    private readonly shedding = new FairShedding();
 
-    /** Whether to refuse the request. */
-    public check(): boolean {
+    public constructor(private readonly context: GatewayContext) {}
+
+    /** Whether to refuse the request; `routed` is undefined without a route. */
+    public check(routed: RoutedRequest | undefined): boolean {
         const { load, random } = this.context;
-        return load.shedShare > 0 && random.next() < load.shedShare;
+        const isShed = this.shedding.check(load.shedShare, this.computeSurplus(routed), random);
+        if (isShed && routed !== undefined) {
+            // Left out of the sums, an account that is shed would look like one that asks for little.
+            new AccountCharge(this.context, routed).recordAsked();
+        }
+        return isShed;
+    }
+
+    private computeSurplus(routed: RoutedRequest | undefined): number {
+        return routed?.route.hasPrompts === true ? computeShareUse(this.context, routed.account).surplus : 0;
     }
 }
