--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -179,6 +179,11 @@
         );
     }
 
+    /** Routers that this one knows of, itself included. */
+    public get knownRouters(): number {
+        return this.peers.routers.routerIds.length;
+    }
+
     public async start(): Promise<void> {
         const { settings, source, logger } = this.parts;
         source.start();
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -43,6 +43,7 @@
         // The request's end may never come: its connection was reset in the middle of it.
         this.handle(request, response).catch(() => response.destroy());
     });
+    private readonly sockets = new Set<Socket>();
     public readonly received: ReceivedRequest[] = [];
     /** Scripts for the next requests, in order; then {@link usual}. */
     public readonly scripts: TargetScript[] = [];
@@ -57,6 +58,9 @@
     public eventPauseMs = 1;
     /** Time that a plain request takes; milliseconds. */
     public workMs = 0;
+    /** A request with this body ends the target as soon as it runs: all connections are reset, and new ones refused. */
+    public fatalBody: string | undefined;
+    public hasEnded = false;
 
     public constructor(
         public instanceId: string,
@@ -74,6 +78,10 @@
 
     public start(port = 0): Promise<void> {
         this.server.keepAliveTimeout = 5_000;
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
         return new Promise(resolve => this.server.listen(port, "127.0.0.1", () => resolve()));
     }
 
@@ -82,6 +90,13 @@
         this.server.closeAllConnections();
     }
 
+    /** Ends as a process that crashes does. */
+    private end(): void {
+        this.hasEnded = true;
+        this.server.close();
+        this.sockets.forEach(socket => socket.resetAndDestroy());
+    }
+
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         if (request.url === "/api/kv-list") {
             const held = this.heldParts.map(([id, tokens]) => ["", id, tokens, "m"]);
@@ -121,6 +136,10 @@
             return;
         }
         received.ran = true;
+        if (this.fatalBody !== undefined && received.body === this.fatalBody) {
+            this.end();
+            return;
+        }
         if (script === "hang") {
             return;
         }
