Try held requests after ten minutes, not one

Cause: each trial may crash a target with all streams that run there; what such a request needs is usually a new release of the targets, which takes longer than a minute. Change: first hold ten minutes, doubled up to six hours; evidence that is not followed by more is kept an hour. Result: tests of the ledger, with the times changed.

--- a/src/decisions/quarantine/crashLedger.ts
+++ b/src/decisions/quarantine/crashLedger.ts
@@ -46,10 +46,11 @@
 export const provenRunWeight = 0.5;
 /** Evidence from which on a request is held. */
 const heldFrom = 3;
-const firstHoldMs = 60_000;
-const longestHoldMs = 3_600_000;
+/** A trial may cost a target and all its streams, so that it comes rarely. */
+const firstHoldMs = 600_000;
+const longestHoldMs = 21_600_000;
 /** Evidence that is not followed by more is forgotten. */
-const evidenceTtlMs = 600_000;
+const evidenceTtlMs = 3_600_000;
 /** Requests that are remembered; beyond it the ones that were seen least lately are forgotten. */
 const mostRequests = 2_000;
 /** A cleared request ignores evidence that was reported before it was cleared for so long. */
--- a/test/decisions/quarantine/crashLedger.test.ts
+++ b/test/decisions/quarantine/crashLedger.test.ts
@@ -9,7 +9,7 @@
 import { SeededRandom } from "../../../src/base/random.js";
 
 const digest = "d".repeat(32);
-const minuteMs = 60_000;
+const firstHoldMs = 600_000;
 
 function createEvidence(incarnation: number, weight = freshRunWeight): CrashEvidence {
     return { digest, prefixHash: 7, incarnation, weight };
@@ -36,12 +36,12 @@
         `);
     });
 
-    it("is tried after a minute, and held twice as long if that ends a target", () => {
+    it("is tried after ten minutes, and held twice as long if that ends a target", () => {
         const ledger = new CrashLedger();
         [1, 2, 3].forEach(incarnation => ledger.record(createEvidence(incarnation), 0));
-        const before = [ledger.check(digest, minuteMs - 1), ledger.check(digest, minuteMs)];
-        const isHeldAgain = ledger.record(createEvidence(4), minuteMs);
-        const after = [ledger.check(digest, 3 * minuteMs - 1), ledger.check(digest, 3 * minuteMs)];
+        const before = [ledger.check(digest, firstHoldMs - 1), ledger.check(digest, firstHoldMs)];
+        const isHeldAgain = ledger.record(createEvidence(4), firstHoldMs);
+        const after = [ledger.check(digest, 3 * firstHoldMs - 1), ledger.check(digest, 3 * firstHoldMs)];
         expect({ before, isHeldAgain, after }).toEqual({
             before: ["held", "probe"],
             isHeldAgain: true,
@@ -77,7 +77,7 @@
         const ledger = new CrashLedger();
         [1, 2, 3].forEach(incarnation => ledger.record(createEvidence(incarnation), 0));
         const later = new CrashLedger();
-        ledger.listHeld(20_000).forEach(held => later.applyStored(held, 500));
+        ledger.listHeld(560_000).forEach(held => later.applyStored(held, 500));
         expect([later.check(digest, 40_499), later.check(digest, 40_500), later.hasPrefix(7)]).toEqual([
             "held",
             "probe",
