A saturated router goes on serving a quarter of what it reads

Cause: the share that follows from utilization went up to 0.95, which does not end the overload there. Change: at most 0.75.

--- a/src/decisions/admission/overload.ts
+++ b/src/decisions/admission/overload.ts
@@ -27,8 +27,8 @@
 const shedFromUtilization = 0.93;
 const leaveAboveUtilization = 0.9;
 const returnBelowUtilization = 0.6;
-/** Most that utilization alone has refused: a loop that is always busy tells nothing of how little would be enough. */
-const mostShedByUtilization = 0.95;
+/** Most that utilization alone has refused: a router that refuses all that it reads serves nobody, and is as busy. */
+const mostShedByUtilization = 0.75;
 /** Change of the share by one sample of a loop without a break, and of one that is idle. */
 const shedRise = 0.02;
 const shedFall = 0.3;
