--- a/test/fakes/usersPlatform/storeServer.ts
+++ b/test/fakes/usersPlatform/storeServer.ts
@@ -19,6 +19,8 @@
     /** Calls that got 503. */
     public refused = 0;
     public pageSize = 500;
+    /** Rises each time that the store comes back from an older copy. */
+    private era = 1;
 
     public get address(): string {
         const address = this.server.address();
@@ -53,6 +55,24 @@
         topic.records.length = 0;
     }
 
+    /** Comes back from a copy in which the last records of a topic are missing; their offsets are given out again. */
+    public removeLast(topicName: string, recordCount: number): void {
+        const topic = this.openTopic(topicName);
+        const kept = topic.records.slice(0, topic.records.length - recordCount);
+        topic.records.length = 0;
+        topic.newest.clear();
+        this.era += 1;
+        for (const record of kept) {
+            const keyEnd = 1 + record[0];
+            const value = record.subarray(keyEnd);
+            this.write(
+                topicName,
+                record.subarray(1, keyEnd).toString(),
+                value.length === 0 ? undefined : value.toString(),
+            );
+        }
+    }
+
     public dispose(): void {
         this.server.close();
         this.server.closeAllConnections();
@@ -81,6 +101,7 @@
             response.writeHead(503).end();
             return;
         }
+        response.setHeader("Store-Era", this.era);
         const url = new URL(request.url ?? "/", "http://store");
         const topic = this.openTopic(url.searchParams.get("topic") ?? "");
         if (url.pathname === "/api/log-newest") {
@@ -123,7 +144,8 @@
     }
 
     private answerRead(topic: Topic, from: number, waitMs: number, response: ServerResponse): void {
-        if (from < topic.firstOffset) {
+        const endOffset = topic.firstOffset + topic.records.length;
+        if (from < topic.firstOffset || from > endOffset) {
             response.writeHead(410, { "content-type": "application/json" });
             response.end(JSON.stringify({ first_offset: topic.firstOffset }));
             return;
@@ -134,6 +156,7 @@
             if (this.condition === "silent" || response.destroyed) {
                 return;
             }
+            response.setHeader("Store-Era", this.era);
             const head = Buffer.alloc(16);
             head.writeBigUInt64BE(BigInt(topic.firstOffset + topic.records.length), 0);
             head.writeBigUInt64BE(BigInt(topic.firstOffset), 8);
