Names and comments of replicated state in the field's terms

No decision changes. Result: type check, lint, tests of decisions and of peers as before. Left: 'told' and 'tells' in some comments of src/router, src/fleet and others.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -5,7 +5,7 @@
 import type { Random } from "../../src/base/random.js";
 import { DenialMemory } from "../../src/decisions/admission/denialMemory.js";
 import { ReadingShare } from "../../src/decisions/admission/readingShare.js";
-import { AccountShares, type HeardRouter } from "../../src/decisions/shares/accountShares.js";
+import { AccountShares, type ReportedRouter } from "../../src/decisions/shares/accountShares.js";
 import { FirstTokenModel } from "../../src/decisions/placement/firstTokenModel.js";
 import { IdleShare } from "../../src/decisions/shares/idleShare.js";
 import { OutputLength } from "../../src/decisions/shares/outputLength.js";
@@ -36,7 +36,7 @@
     /** Span of the accounts' shares; milliseconds. */
     readonly windowMs: number;
     /** Replaces what peers reported of accounts; undefined: as received. */
-    readonly getExactUses: (() => readonly HeardRouter[]) | undefined;
+    readonly getExactUses: (() => readonly ReportedRouter[]) | undefined;
     readonly transport: GrantTransport;
     /** Whether the router keeps up; undefined: always. */
     readonly load?: GatewayContext["load"];
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -8,7 +8,7 @@
 import { ManualClock } from "../../src/base/clock.js";
 import type { Disposable } from "../../src/base/lifecycle.js";
 import { SeededRandom } from "../../src/base/random.js";
-import type { HeardRouter } from "../../src/decisions/shares/accountShares.js";
+import type { ReportedRouter } from "../../src/decisions/shares/accountShares.js";
 import { AccountCharge } from "../../src/gateway/accountCharge.js";
 import type { ServedConfiguration, ServedRoute } from "../../src/gateway/configuration.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
@@ -273,7 +273,7 @@
         return { dispose: () => (isSet = false) };
     }
 
-    private listExactUses(index: number): readonly HeardRouter[] {
+    private listExactUses(index: number): readonly ReportedRouter[] {
         return this.routers
             .filter((...[, other]) => other !== index)
             .map(router => ({ ...router.shares.listOwn(this.clock.nowMs()), ageMs: 0 }));
--- a/scripts/measureShares.ts
+++ b/scripts/measureShares.ts
@@ -2,7 +2,7 @@
  * What it takes a router to sum up accounts' use over the fleet, by the number of routers and accounts: `npm run measure:shares`.
  * One JSON line a size, processor time of the whole process. A sum is made each 20 ms at most, while prompts arrive.
  */
-import { AccountShares, type HeardRouter } from "../src/decisions/shares/accountShares.js";
+import { AccountShares, type ReportedRouter } from "../src/decisions/shares/accountShares.js";
 
 const sizes = [
     { routers: 4, accounts: 16 },
@@ -19,7 +19,7 @@
 /** Steps before the measurement: the runtime compiles the code, and the window fills. */
 const warmUpSteps = 200;
 
-function createPeers(routers: number, accounts: readonly string[]): readonly HeardRouter[] {
+function createPeers(routers: number, accounts: readonly string[]): readonly ReportedRouter[] {
     return Array.from({ length: routers - 1 }, (...[, index]) => ({
         coveredMs: windowMs,
         ageMs: 10 + index,
--- a/src/agent/peerCounter.ts
+++ b/src/agent/peerCounter.ts
@@ -3,22 +3,22 @@
 
 /** Counts the routers that exchange with this agent. */
 export class PeerCounter {
-    private readonly heardAtMs = new Map<string, number>();
+    private readonly receivedAtMs = new Map<string, number>();
 
     /** Number of routers heard of lately. */
     public get size(): number {
-        return this.heardAtMs.size;
+        return this.receivedAtMs.size;
     }
 
     /** Notes that a router was heard of; the one that was silent longest is first in the map. */
     public observe(routerId: string, nowMs: number): void {
-        this.heardAtMs.delete(routerId);
-        this.heardAtMs.set(routerId, nowMs);
-        for (const [other, heardAtMs] of this.heardAtMs) {
-            if (nowMs - heardAtMs <= goneAfterMs) {
+        this.receivedAtMs.delete(routerId);
+        this.receivedAtMs.set(routerId, nowMs);
+        for (const [other, receivedAtMs] of this.receivedAtMs) {
+            if (nowMs - receivedAtMs <= goneAfterMs) {
                 return;
             }
-            this.heardAtMs.delete(other);
+            this.receivedAtMs.delete(other);
         }
     }
 }
--- a/src/decisions/admission/overload.ts
+++ b/src/decisions/admission/overload.ts
@@ -5,7 +5,7 @@
  * unread, in the process or in the queue of connections that it has not accepted; by the time one is read its caller may
  * have left, and it is sent to a target all the same. The event loop's delay shows the first kind of wait. It does not
  * show the second, as the loop accepts few connections a turn and its turns stay short; there the loop's utilization
- * tells, the share of time in which it had something to do.
+ * shows it, the share of time in which it had something to do.
  *
  * Above the first threshold a growing share of new requests is refused at once, which costs a fraction of serving them. When
  * that goes on, the router asks the balancer to leave it out: others have processor time to spare while one VM is slow
--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -121,7 +121,7 @@
 
 /**
  * Whether an account yields to others: before its whole share is used only if it has had much of what is left over, or if the sums
- * are too old to tell.
+ * are too old to decide by.
  */
 function isBeyondShare({ share, surplus, sumsAgeMs }: ShareUse): boolean {
     const mayHaveMore = surplus >= yieldingSurplus || sumsAgeMs > trustedAgeMs;
--- a/src/decisions/limits/coldLimit.ts
+++ b/src/decisions/limits/coldLimit.ts
@@ -6,7 +6,7 @@
  * part: a few routers, the same in everybody's view (rendezvous over target and router), share a target's rate, and the
  * others send it nothing. Views of who is there differ for seconds after a start or a cut; a router that knows fewer
  * peers than there are would take too much, so it divides by no fewer than `leastSharers` and stays out of cold
- * targets for as long as it has not heard from peers (see `isSettled`).
+ * targets for as long as it has no message of peers (see `isSettled`).
  * Threshold: three quarters of the rate that the target bears, in any second, since requests are counted when they arrive
  * and two that were sent in different seconds may arrive in one.
  */
@@ -32,7 +32,7 @@
     readonly ownId: string;
     /** Live routers, this one included. */
     readonly routerIds: readonly string[];
-    /** Routers that should be there and have not been heard. */
+    /** Routers that should be there and have sent no message. */
     readonly unheard: number;
     /** Whether this router has had time to hear from its peers. */
     readonly isSettled: boolean;
--- a/src/decisions/placement/heldParts.ts
+++ b/src/decisions/placement/heldParts.ts
@@ -18,7 +18,7 @@
 
 /** Part of an engine's memory that is counted on; the margin covers what was written since the last word of other routers. */
 const cacheShare = 0.9;
-/** A use is worth telling others when it is this part of a part's life after the last one that was told. */
+/** A use is reported when it is this part of a part's life after the last one that was. */
 const refreshShare = 0.25;
 /** A plain service's targets hold no parts; the cache wants a size all the same. */
 const leastCacheTokens = 1;
--- a/src/decisions/shares/accountShares.ts
+++ b/src/decisions/shares/accountShares.ts
@@ -11,10 +11,10 @@
  * the even level of what the fleet gives in fact, which may be twice as much: without it, what is left over goes to
  * whoever asks most often, and an account that pays back an earlier flood gets nothing beside one that begins its own.
  *
- * Routers tell each other what accounts asked of them and got, so that the sums are the fleet's; what has happened since
+ * Routers report to each other what accounts asked of them and got, so that the sums are the fleet's; what has happened since
  * is estimated ({@link PeerEstimate}).
  */
-import { PeerEstimate, type HeardAccounts, type OwnSample } from "./peerEstimate.js";
+import { PeerEstimate, type ReportedAccounts, type OwnSample } from "./peerEstimate.js";
 import { WindowedSum } from "../structures/windowedSum.js";
 
 /** What an account asked for and got within the window, in tokens. */
@@ -33,7 +33,7 @@
 }
 
 /** What another router said of its accounts, and when. */
-export interface HeardRouter extends RouterAccounts, HeardAccounts {}
+export interface ReportedRouter extends RouterAccounts, ReportedAccounts {}
 
 /** An account's use of what it may have; 1 is all of it. */
 export interface ShareUse {
@@ -51,8 +51,8 @@
 /** Accounts that were quiet for this many windows are forgotten. */
 const forgetAfterWindows = 4;
 /**
- * Span over which surplus is levelled: long enough that one long prompt does not decide it, and short enough that nobody pays
- * for what he took seconds ago.
+ * Span over which surplus is levelled: long enough that one long prompt does not decide it, and short enough that an
+ * account is not held back for what it got seconds ago.
  */
 const recentSpanMs = 1_500;
 /**
@@ -63,7 +63,7 @@
 const burstWeight = 0.6;
 /** Least time that sums count for: right after a start one prompt would be more than everybody's share. */
 const leastCoveredMs = 500;
-/** The fleet's sums are made anew this often: going over all routers' accounts for each request costs more than it tells. */
+/** The fleet's sums are made anew this often: going over all routers' accounts for each request costs more than it gains. */
 const sumTtlMs = 20;
 const msPerSecond = 1_000;
 
@@ -141,7 +141,7 @@
      */
     public computeUse(
         account: string,
-        peers: readonly HeardRouter[],
+        peers: readonly ReportedRouter[],
         tokensPerSecond: number,
         nowMs: number,
     ): ShareUse {
@@ -166,14 +166,14 @@
         };
     }
 
-    private findSums(peers: readonly HeardRouter[], nowMs: number): FleetSums {
+    private findSums(peers: readonly ReportedRouter[], nowMs: number): FleetSums {
         if (this.sums === undefined || nowMs - this.sums.atMs >= sumTtlMs) {
             this.sums = this.computeSums(peers, nowMs);
         }
         return this.sums;
     }
 
-    private computeSums(peers: readonly HeardRouter[], nowMs: number): FleetSums {
+    private computeSums(peers: readonly ReportedRouter[], nowMs: number): FleetSums {
         const own = this.listOwn(nowMs);
         const askedOfThis = [...own.accounts.values()].reduce((sum, use) => sum + use.asked, 0);
         const estimate = new PeerEstimate(peers, { windowMs: this.windowMs, recentMs: recentSpanMs }, askedOfThis);
--- a/src/decisions/shares/idleShare.ts
+++ b/src/decisions/shares/idleShare.ts
@@ -2,8 +2,8 @@
  * How much of a service's capacity lies idle, as requests that arrive find it.
  *
  * Load pattern: accounts beyond their share ask for more than is left over. Whether there is anything to be levelled among them
- * can't be told from one look: an engine that is always asked for is idle now and then, between two prompts. The
- * share of engines with nothing to read, smoothed over about a second, tells a fleet with room from one without.
+ * can't be known from one look: an engine that is always asked for is idle now and then, between two prompts. The
+ * share of engines with nothing to read, smoothed over about a second, distinguishes a fleet with room from one without.
  */
 
 /** Time constant: some prompts' reading, so that one pause of the traffic decides nothing; milliseconds. */
--- a/src/decisions/shares/peerEstimate.ts
+++ b/src/decisions/shares/peerEstimate.ts
@@ -1,10 +1,10 @@
 /**
- * What accounts asked of the other routers and got there by now, though those told it a while ago.
+ * What accounts asked of the other routers and got there by now, though those reported it a while ago.
  *
  * Load pattern: several accounts flood, and routers level them by sums that are as old as the last round of messages. All
  * routers let in the account that looks furthest behind, for a whole round; then all find it far ahead and let in
  * another one. Accounts swing between all and nothing, and one that begins to flood has the engines for itself until the
- * first round tells of it.
+ * first round reports it.
  *
  * So each router takes what it sees itself as a sample. An account goes on asking the others as it did; where it asks this
  * router for more than before, it asks the others for more too, since the balancer spreads callers over all routers; and what
@@ -13,9 +13,9 @@
 import type { AccountUse } from "./accountShares.js";
 
 /** What another router said of its accounts. */
-export interface HeardAccounts {
+export interface ReportedAccounts {
     readonly accounts: ReadonlyMap<string, AccountUse>;
-    /** Time since it was heard; milliseconds. */
+    /** Time since it was received; milliseconds. */
     readonly ageMs: number;
 }
 
@@ -34,26 +34,26 @@
     readonly recentMs: number;
 }
 
-/** Sums of what was told, split by whether it still lies within its span or has left it by now. */
-interface ToldUse {
-    askedStill: number;
-    askedBefore: number;
-    servedStill: number;
-    servedBefore: number;
-    recentStill: number;
-    recentBefore: number;
+/** Sums of what was reported, split by whether it still lies within its span or has left it by now. */
+interface ReportedUse {
+    askedWithin: number;
+    askedExpired: number;
+    servedWithin: number;
+    servedExpired: number;
+    recentWithin: number;
+    recentExpired: number;
 }
 
 /** Estimates accounts' use at all other routers together. */
 export class PeerEstimate {
-    private readonly told = new Map<string, ToldUse>();
+    private readonly reported = new Map<string, ReportedUse>();
     /** Of what the others said; milliseconds; 0 without others. */
     public readonly meanAgeMs: number;
     private askedOfPeers = 0;
 
     /** `askedOfThis`: tokens that all accounts asked of this router within the window. */
     public constructor(
-        peers: readonly HeardAccounts[],
+        peers: readonly ReportedAccounts[],
         private readonly spans: UseSpans,
         private readonly askedOfThis: number,
     ) {
@@ -65,41 +65,41 @@
 
     /** Accounts that the others named. */
     public get accounts(): Iterable<string> {
-        return this.told.keys();
+        return this.reported.keys();
     }
 
     /** What the account asked of the others and got by now. */
     public estimate(account: string, own: OwnSample): AccountUse {
-        const told = this.told.get(account) ?? createToldUse();
+        const reported = this.reported.get(account) ?? createReportedUse();
         if (own.askedSince <= 0) {
             return {
-                asked: told.askedStill + told.askedBefore,
-                served: told.servedStill + told.servedBefore,
-                recentlyServed: told.recentStill + told.recentBefore,
+                asked: reported.askedWithin + reported.askedExpired,
+                served: reported.servedWithin + reported.servedExpired,
+                recentlyServed: reported.recentWithin + reported.recentExpired,
             };
         }
-        const askedSince = told.askedBefore + this.computeExcess(own) * this.computeTrafficRatio();
+        const askedSince = reported.askedExpired + this.computeExcess(own) * this.computeTrafficRatio();
         const servedSince = askedSince * (own.servedSince / own.askedSince);
         const recentPart = Math.min(1, this.spans.recentMs / this.meanAgeMs);
         return {
-            asked: told.askedStill + askedSince,
-            served: told.servedStill + servedSince,
-            recentlyServed: told.recentStill + servedSince * recentPart,
+            asked: reported.askedWithin + askedSince,
+            served: reported.servedWithin + servedSince,
+            recentlyServed: reported.recentWithin + servedSince * recentPart,
         };
     }
 
-    private addPeer({ accounts, ageMs }: HeardAccounts): void {
+    private addPeer({ accounts, ageMs }: ReportedAccounts): void {
         const windowPart = Math.min(1, ageMs / this.spans.windowMs);
         const recentPart = Math.min(1, ageMs / this.spans.recentMs);
         for (const [account, use] of accounts) {
-            const told = this.told.get(account) ?? createToldUse();
-            told.askedStill += use.asked * (1 - windowPart);
-            told.askedBefore += use.asked * windowPart;
-            told.servedStill += use.served * (1 - windowPart);
-            told.servedBefore += use.served * windowPart;
-            told.recentStill += use.recentlyServed * (1 - recentPart);
-            told.recentBefore += use.recentlyServed * recentPart;
-            this.told.set(account, told);
+            const reported = this.reported.get(account) ?? createReportedUse();
+            reported.askedWithin += use.asked * (1 - windowPart);
+            reported.askedExpired += use.asked * windowPart;
+            reported.servedWithin += use.served * (1 - windowPart);
+            reported.servedExpired += use.served * windowPart;
+            reported.recentWithin += use.recentlyServed * (1 - recentPart);
+            reported.recentExpired += use.recentlyServed * recentPart;
+            this.reported.set(account, reported);
             this.askedOfPeers += use.asked;
         }
     }
@@ -117,6 +117,6 @@
     }
 }
 
-function createToldUse(): ToldUse {
-    return { askedStill: 0, askedBefore: 0, servedStill: 0, servedBefore: 0, recentStill: 0, recentBefore: 0 };
+function createReportedUse(): ReportedUse {
+    return { askedWithin: 0, askedExpired: 0, servedWithin: 0, servedExpired: 0, recentWithin: 0, recentExpired: 0 };
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -19,7 +19,7 @@
 /** Why this router stops an attempt. */
 export type StopReason = "silent" | "deadline" | "left" | "stopping";
 
-/** Tells what the target does while it works. */
+/** Observes what the target does while it works. */
 export interface AttemptObserver {
     handleSent(): void;
     /** The target says something, perhaps only a part of an event. */
@@ -78,7 +78,7 @@
     private handleHead(status: number, headers: IncomingHttpHeaders): void {
         const decoded = this.codec.decodeAnswer(status, headers);
         const head = { status, headers, decoded };
-        // An answer that a target sends late or twice comes where the next one is expected. Its id tells it apart; taken for
+        // An answer that a target sends late or twice comes where the next one is expected. Its id identifies it; taken for
         // this request's answer, one caller would get what belongs to another.
         const isAnonymousRefusal = decoded.requestId === undefined && (decoded.isNotRun || decoded.isOtherTarget);
         if (decoded.requestId !== this.requestId && !isAnonymousRefusal) {
--- a/src/gateway/fleetSource.ts
+++ b/src/gateway/fleetSource.ts
@@ -15,7 +15,7 @@
     readonly state: "ready" | "draining";
     /** How much longer the target is cold, as it said when the entry was written; milliseconds. */
     readonly coldLeftMs: number;
-    /** When the target started, by its own clock; undefined when it does not say. Tells restarts under one id apart. */
+    /** When the target started, by its own clock; undefined when it does not say. Distinguishes restarts under one id. */
     readonly startedAtMs: number | undefined;
 }
 
@@ -41,7 +41,7 @@
     readonly records: readonly { readonly topic: string; readonly key: string; readonly value: string }[];
 }
 
-/** Tells what the platform holds: the configuration, the targets, the data centres that are out. */
+/** Provides what the platform holds: the configuration, the targets, the data centres that are out. */
 export interface FleetSource extends Disposable {
     readonly onDidChange: Event<FleetChange>;
     /** The configuration and the targets have been read from the platform, or were taken from a peer. */
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -119,7 +119,7 @@
         addGauge("lynxarch_held_requests", "Requests that are held because targets crashed under them.", figures => {
             return figures.heldRequests;
         });
-        addGauge("lynxarch_peers", "Other routers that were heard from.", figures => figures.peers);
+        addGauge("lynxarch_peers", "Other routers with a recent message.", figures => figures.peers);
         addGauge("lynxarch_peer_message_bytes", "Size of the newest message to other routers.", figures => {
             return figures.peerRound.messageBytes;
         });
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -53,7 +53,7 @@
         return this.open;
     }
 
-    /** From here on new requests are told to go elsewhere. */
+    /** From here on new requests are refused. */
     public refuseNew(): void {
         this.refusesNew = true;
     }
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -111,7 +111,7 @@
     return ownTokens + Math.max(0, countMissingTokens(target, sharedParts) - copiedTokens);
 }
 
-/** The engine keeps what it is about to read; other routers' messages tell it to this one a round later. */
+/** The engine keeps what it is about to read; other routers report it a round later. */
 function recordParts(target: Target, { sharedParts, outputTokens }: GrantRequest, newTokens: number): void {
     sharedParts.forEach(part => target.recordPart(part.id, part.tokens));
     target.recordPeerWritten(newTokens + outputTokens);
--- a/src/gateway/loadMonitor.ts
+++ b/src/gateway/loadMonitor.ts
@@ -7,7 +7,7 @@
 /** Several samples within the time in which callers begin to leave, and few wake-ups for an idle process. */
 const samplePeriodMs = 50;
 
-/** Tells whether this router keeps up. */
+/** Whether this router keeps up with its load. */
 export interface LoadSource extends Disposable {
     /** Part of new requests that it is too slow for, 0 to 1. */
     readonly shedShare: number;
--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../../base/clock.js";
-import type { HeardRouter } from "../../decisions/shares/accountShares.js";
+import type { ReportedRouter } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
 import type { PeerAddress, PeerMessage } from "./peerMessage.js";
@@ -13,7 +13,7 @@
 const useTtlMs = 1_200;
 const roundsToLive = 4;
 /**
- * A router that was not heard for this long may be cut off and still at work, so it keeps its share of cold targets. Kept
+ * A router without a message for this long may be cut off and still at work, so it keeps its share of cold targets. Kept
  * too long, the share of a router that is gone is merely not used.
  */
 export const memberTtlMs = 30_000;
@@ -22,13 +22,13 @@
 
 interface Peer {
     message: PeerMessage;
-    heardAtMs: number;
+    receivedAtMs: number;
 }
 
-/** What this router has heard from the others. */
+/** The newest state received from each peer. */
 export class PeerDirectory {
     private readonly peers = new Map<string, Peer>();
-    /** Addresses that were heard of, and when they were last named. */
+    /** Addresses that messages named, and when they last did. */
     private readonly addresses = new Map<string, { readonly ip: string; readonly namedAtMs: number }>();
     private readonly routerByIp = new Map<string, string>();
     private readonly startedAtMs: number;
@@ -56,7 +56,7 @@
         if (message.routerId === this.own.routerId || isOlder) {
             return false;
         }
-        this.peers.set(message.routerId, { message, heardAtMs: this.clock.nowMs() });
+        this.peers.set(message.routerId, { message, receivedAtMs: this.clock.nowMs() });
         const namedAtMs = this.clock.nowMs();
         this.addresses.set(message.routerId, { ip: message.ip, namedAtMs });
         this.routerByIp.set(message.ip, message.routerId);
@@ -68,7 +68,7 @@
         return true;
     }
 
-    /** Where to send messages: everybody heard of, and the seeds until they are known. */
+    /** Where to send messages: all known addresses, and the seeds until they are known. */
     public listAddresses(): readonly string[] {
         this.removeOld();
         return [...new Set([...[...this.addresses.values()].map(address => address.ip), ...this.seedIps])].filter(
@@ -86,15 +86,15 @@
         return this.routerByIp.get(ip);
     }
 
-    /** Routers heard from lately, for others that don't know them. */
-    public listKnown(): readonly PeerAddress[] {
+    /** Routers with a recent message, for others that don't know them. */
+    public listMembers(): readonly PeerAddress[] {
         return [...this.peers.values()].map(({ message }) => ({ routerId: message.routerId, ip: message.ip }));
     }
 
     public get routers(): RouterView {
         this.removeOld();
-        const heard = new Set([...this.peers.values()].map(peer => peer.message.ip));
-        const unheardSeeds = this.seedIps.filter(ip => ip !== this.own.ip && !heard.has(ip));
+        const received = new Set([...this.peers.values()].map(peer => peer.message.ip));
+        const unheardSeeds = this.seedIps.filter(ip => ip !== this.own.ip && !received.has(ip));
         const isWaiting = this.clock.nowMs() - this.startedAtMs < settleMs;
         return {
             ownId: this.own.routerId,
@@ -105,13 +105,13 @@
     }
 
     /** Accounts' use at each router whose word is fresh. */
-    public get accountUses(): readonly HeardRouter[] {
+    public get accountUses(): readonly ReportedRouter[] {
         const nowMs = this.clock.nowMs();
         return this.listPeers(message => Math.max(useTtlMs, roundsToLive * message.periodMs)).map(
-            ({ message, heardAtMs }) => ({
+            ({ message, receivedAtMs }) => ({
                 coveredMs: message.coveredMs,
                 accounts: message.accounts,
-                ageMs: nowMs - heardAtMs,
+                ageMs: nowMs - receivedAtMs,
             }),
         );
     }
@@ -132,18 +132,20 @@
     /** Peers whose last message is not older than the given time. */
     private listPeers(getTtlMs: (message: PeerMessage) => number): readonly Peer[] {
         const nowMs = this.clock.nowMs();
-        return [...this.peers.values()].filter(({ heardAtMs, message }) => nowMs - heardAtMs <= getTtlMs(message));
+        return [...this.peers.values()].filter(
+            ({ receivedAtMs, message }) => nowMs - receivedAtMs <= getTtlMs(message),
+        );
     }
 
     private removeOld(): void {
         const nowMs = this.clock.nowMs();
         for (const [id, peer] of this.peers) {
-            if (nowMs - peer.heardAtMs > memberTtlMs) {
+            if (nowMs - peer.receivedAtMs > memberTtlMs) {
                 this.peers.delete(id);
                 this.routerByIp.delete(peer.message.ip);
             }
         }
-        // Also those that others named and that were never heard: thousands of VMs are replaced a day, and messages to those
+        // Also those that others named and that never sent a message: thousands of VMs are replaced a day, and messages to those
         // that are gone would take a growing part of the traffic.
         for (const [id, address] of this.addresses) {
             if (nowMs - address.namedAtMs > memberTtlMs) {
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -139,7 +139,7 @@
         const data = encodePeerMessage(state.createMessage());
         const addresses = state.listAddresses();
         for (const ip of addresses) {
-            // A peer that is gone answers with an error or not at all; the directory's times tell what that means.
+            // A peer that is gone answers with an error or not at all; the directory's times show what that means.
             this.socket?.send(data, port, ip, () => undefined);
         }
         state.recordRound(data.length, addresses.length);
--- a/src/gateway/peers/peerMessage.ts
+++ b/src/gateway/peers/peerMessage.ts
@@ -33,7 +33,7 @@
     readonly writtenTokens: number;
 }
 
-/** What a router tells the others, whole each time: a lost message is made good by the next one. */
+/** The state that a router replicates to its peers, whole each time: the next message makes up for a lost one. */
 export interface PeerMessage {
     readonly routerId: string;
     /** Larger for later starts of the same router. */
--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../../base/clock.js";
-import type { HeardRouter, RouterAccounts } from "../../decisions/shares/accountShares.js";
+import type { ReportedRouter, RouterAccounts } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
 import { PeerDirectory } from "./peerDirectory.js";
@@ -58,7 +58,7 @@
         return this.directory.routers;
     }
 
-    public get accountUses(): readonly HeardRouter[] {
+    public get accountUses(): readonly ReportedRouter[] {
         return this.directory.accountUses;
     }
 
@@ -129,7 +129,7 @@
 
     /** A few of the known peers by turns, so that all are named within some rounds. */
     private takePeers(): readonly PeerAddress[] {
-        const known = this.directory.listKnown();
+        const known = this.directory.listMembers();
         const start = (this.sequence * peersInMessage) % Math.max(1, known.length);
         return [...known.slice(start), ...known.slice(0, start)].slice(0, peersInMessage);
     }
--- a/src/gateway/peers/peerView.ts
+++ b/src/gateway/peers/peerView.ts
@@ -1,4 +1,4 @@
-import type { HeardRouter } from "../../decisions/shares/accountShares.js";
+import type { ReportedRouter } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 
 /** What telling the other routers takes. */
@@ -11,9 +11,9 @@
 export interface PeerView {
     readonly routers: RouterView;
     /** What accounts asked and got at each of the other routers. */
-    readonly accountUses: readonly HeardRouter[];
+    readonly accountUses: readonly ReportedRouter[];
     /** Bytes of the newest message, and the time from it to the next one. */
     readonly round: PeerRound;
-    /** Tells the others that a target has read a part of a prompt. */
+    /** Reports to the peers that a target has read a part of a prompt. */
     recordRead(targetHash: number, partId: string, tokens: number): void;
 }
--- a/src/gateway/peers/targetLoads.ts
+++ b/src/gateway/peers/targetLoads.ts
@@ -32,7 +32,7 @@
 }
 
 function isReported(target: Target): boolean {
-    return target.ownRunning > 0 || target.hasUntold;
+    return target.ownRunning > 0 || target.hasUnreported;
 }
 
 function createLoad(target: Target): TargetLoad {
--- a/src/gateway/quarantine/targetProbe.ts
+++ b/src/gateway/quarantine/targetProbe.ts
@@ -3,9 +3,9 @@
 /** Longest wait for a connection; a caller waits for it before its stream is resumed. */
 const probeTimeoutMs = 150;
 
-/** Tells whether a target's process has ended. */
+/** Finds out whether a target's process has ended. */
 export interface TargetProbe {
-    /** `address`: `IP:PORT`. False also if that can't be told. */
+    /** `address`: `IP:PORT`. False also if that can't be known. */
     hasEnded(address: string): Promise<boolean>;
 }
 
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -28,7 +28,7 @@
     readonly lastEventId: string | undefined;
     /** A successful answer begins. False: it can't follow what has been passed on. */
     handleHead(head: TargetAnswerHead): boolean;
-    /** More of its body; tells whether output has come with it. */
+    /** More of its body; returns whether output has come with it. */
     handleData(chunk: Buffer): RelayedOutput;
     /** Its end was seen. False: it stops in the middle all the same. */
     handleEnd(): boolean;
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -134,7 +134,7 @@
         }
     }
 
-    /** The target for a further send; its owner is told of it, and not asked. */
+    /** The target for a further send; its owner is informed, and not asked. */
     private selectNext(services: readonly string[]): Selection | undefined {
         const { head, route } = this.routed;
         const selection = this.selector.select(services, head, route.hasPrompts, target => this.tried.has(target));
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -16,7 +16,7 @@
 const mostShedLines = 10;
 const shedReason: OwnAnswerReason = "busy";
 
-/** Writes one line for each request that ended, up to a rate; what is left out is counted and told. */
+/** Writes one line for each request that ended, up to a rate; what is left out is counted and logged. */
 export class RequestLog implements Disposable {
     private readonly served = new SlidingCount(spanMs);
     private readonly shed = new SlidingCount(spanMs);
--- a/src/gateway/silenceTimer.ts
+++ b/src/gateway/silenceTimer.ts
@@ -17,7 +17,7 @@
     return streamObjectives * (hasBegun ? route.pauseObjectiveMs : route.objectiveMs);
 }
 
-/** Fires when nothing was heard for a time. */
+/** Fires when nothing was received for a time. */
 export class SilenceTimer implements Disposable {
     private timer: NodeJS.Timeout | undefined;
 
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -46,7 +46,7 @@
     public readonly cold = new ColdLimiter();
     private cacheTokens = 0;
     private heldParts = new HeldParts(0);
-    private untoldTokens = 0;
+    private unreportedTokens = 0;
     /** Prompt tokens of this router's requests that have not had their first event. */
     public ownWaitingTokens = 0;
     /** This router's requests under way. */
@@ -137,14 +137,14 @@
         return this.heldParts.has(partId);
     }
 
-    /** Notes that a request of this router or another one uses a part, which the engine then holds. True: worth telling. */
+    /** Notes that a request of this router or another one uses a part, which the engine then holds. True: to be reported to peers. */
     public recordPart(partId: string, tokens: number): boolean {
         return this.heldParts.recordUse(partId, tokens);
     }
 
     /** Tokens that this router's request writes into the engine's memory. */
     public recordOwnWritten(tokens: number): void {
-        this.untoldTokens += tokens;
+        this.unreportedTokens += tokens;
         this.heldParts.recordWritten(tokens);
     }
 
@@ -155,13 +155,13 @@
 
     /** What this router's requests wrote since the last call. */
     public takeWritten(): number {
-        const tokens = this.untoldTokens;
-        this.untoldTokens = 0;
+        const tokens = this.unreportedTokens;
+        this.unreportedTokens = 0;
         return tokens;
     }
 
-    public get hasUntold(): boolean {
-        return this.untoldTokens > 0;
+    public get hasUnreported(): boolean {
+        return this.unreportedTokens > 0;
     }
 
     public removePart(partId: string): void {
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -118,7 +118,7 @@
             this.options.logger.write("info", "a target's state changed", { target: id, state: entry.state });
         }
         // A target may start again under its id. It then holds nothing and is cold, though its entry may still say
-        // otherwise; only the time of its start tells.
+        // otherwise; only the time of its start shows it.
         if (known.entry.startedAtMs !== entry.startedAtMs) {
             this.options.logger.write("info", "a target was started anew", { target: id });
             known.clearParts();
@@ -154,7 +154,7 @@
         }
         this.dataCentresOut.delete(dataCentre);
         // Targets that got nothing for a while have usually been restarted or moved in that time, and are cold when the data
-        // centre comes back; their entries tell it a heartbeat later, after a full load would have crashed them.
+        // centre comes back; their entries show it a heartbeat later, after a full load would have crashed them.
         for (const target of wasOut ? this.targets.values() : []) {
             if (target.dataCentre === dataCentre) {
                 this.setCold(target, this.services.get(target.entry.service)?.coldStartMs ?? 0);
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -34,7 +34,7 @@
 /** Whether a target is left out of a selection. */
 export type TargetFilter = (target: Target) => boolean;
 
-/** A full target of a plain service lets this many slots' worth of requests wait before others are better told to go. */
+/** A full target of a plain service lets this many slots' worth of requests wait before others are better refused. */
 const plainTargetWindowFactor = 1;
 /** Share of a target's connections that routers use; the rest covers closes that are under way and uneven routers. */
 const connectionShare = 0.8;
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -54,7 +54,7 @@
         }
     }
 
-    /** Takes how the send ended, and what that tells of the target. */
+    /** Records how the send ended, and what follows for the target. */
     public close(outcome: AttemptOutcome): void {
         switch (outcome.kind) {
             case "answered":
