Types of accounts' use in a module of their own

Change: AccountUse moves to decisions/shares/accountUse; the gateway's function is in computeShareUse. Result: type check, lint, tests of shares as before.

--- a/src/decisions/shares/accountShares.ts
+++ b/src/decisions/shares/accountShares.ts
@@ -14,17 +14,10 @@
  * Routers report to each other what accounts asked of them and got, so that the sums are the fleet's; what has happened since
  * is estimated ({@link PeerEstimate}).
  */
+import type { AccountUse } from "./accountUse.js";
 import { PeerEstimate, type ReportedAccounts, type OwnSample } from "./peerEstimate.js";
 import { WindowedSum } from "../structures/windowedSum.js";
 
-/** What an account asked for and got within the window, in tokens. */
-export interface AccountUse {
-    readonly asked: number;
-    readonly served: number;
-    /** Of `served`, what it got within the last {@link recentSpanMs}. */
-    readonly recentlyServed: number;
-}
-
 /** One router's accounts. */
 export interface RouterAccounts {
     /** Time that the sums cover: the window, or less since the router's first request; milliseconds. */
--- /dev/null
+++ b/src/decisions/shares/accountUse.ts
@@ -0,0 +1,7 @@
+/** What an account asked for and got within the window, in tokens. */
+export interface AccountUse {
+    readonly asked: number;
+    readonly served: number;
+    /** Of `served`, what it got within the last the span over which surplus is levelled. */
+    readonly recentlyServed: number;
+}
--- a/src/decisions/shares/peerEstimate.ts
+++ b/src/decisions/shares/peerEstimate.ts
@@ -10,7 +10,7 @@
  * router for more than before, it asks the others for more too, since the balancer spreads callers over all routers; and what
  * it asks is granted there as often as here. The next message replaces the guess, so errors don't add up.
  */
-import type { AccountUse } from "./accountShares.js";
+import type { AccountUse } from "./accountUse.js";
 
 /** What another router said of its accounts. */
 export interface ReportedAccounts {
--- a/src/gateway/peers/peerMessage.ts
+++ b/src/gateway/peers/peerMessage.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { LynxarchError } from "../../base/errors.js";
-import type { AccountUse } from "../../decisions/shares/accountShares.js";
+import type { AccountUse } from "../../decisions/shares/accountUse.js";
 
 /** A message between routers can't be read. */
 export class PeerMessageError extends LynxarchError {
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -6,7 +6,7 @@
     type PromptBounds,
 } from "../decisions/admission/promptAdmission.js";
 import { noUse, type ShareUse } from "../decisions/shares/accountShares.js";
-import { computeShareUse } from "./accountUse.js";
+import { computeShareUse } from "./computeShareUse.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { GrantDemand } from "./grants/grantClient.js";
 import type { GrantReply } from "./grants/grantMessage.js";
--- a/src/gateway/requestShedder.ts
+++ b/src/gateway/requestShedder.ts
@@ -1,6 +1,6 @@
 import { FairShedding } from "../decisions/admission/fairShedding.js";
 import { AccountCharge } from "./accountCharge.js";
-import { computeShareUse } from "./accountUse.js";
+import { computeShareUse } from "./computeShareUse.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { RoutedRequest } from "./routedRequest.js";
 
