--- a/src/decisions/shares/accountUse.ts
+++ b/src/decisions/shares/accountUse.ts
@@ -2,6 +2,6 @@
 export interface AccountUse {
     readonly asked: number;
     readonly served: number;
-    /** Of `served`, what it got within the last the span over which surplus is levelled. */
+    /** Of `served`, what it got within the span over which surplus is levelled. */
     readonly recentlyServed: number;
 }
