Log, count and show what targets say of themselves in answers

Server-Leaving and Retry-After of a 503 are decoded; the first evidence per incarnation is kept with its source and logged as "a target is leaving", answers that carry either are counted in lynxarch_target_signals_total, and /state shows source and age. No decision goes by it yet. Targets of an incarnation are told apart by the time of their start, so that what is kept outlasts a lapsed record.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,7 +1,8 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { Clock } from "../base/clock.js";
 import type { CancelSend, SendFailure, TargetConnection, TargetRequest } from "./targetConnection.js";
 import type { AnswerRelay, StoredAnswer, TargetAnswerHead } from "./relay.js";
-import type { HeaderCodec } from "./wire.js";
+import type { AnswerHead, HeaderCodec } from "./wire.js";
 
 /** How one send to one target ended. */
 export type AttemptOutcome =
@@ -22,6 +23,8 @@
 /** Observes what the target does while it works. */
 export interface AttemptObserver {
     handleSent(): void;
+    /** The head of the target's answer to this request, before any of it is passed on. */
+    handleHead(head: AnswerHead): void;
     /** The target says something, perhaps only a part of an event. */
     handleData(): void;
     /** Output goes to the caller. */
@@ -46,6 +49,7 @@
     public constructor(
         private readonly requestId: string | undefined,
         private readonly codec: HeaderCodec,
+        private readonly clock: Clock,
         private readonly relay: AnswerRelay,
         private readonly observer: AttemptObserver,
     ) {
@@ -76,7 +80,7 @@
     }
 
     private handleHead(status: number, headers: IncomingHttpHeaders): void {
-        const decoded = this.codec.decodeAnswer(status, headers);
+        const decoded = this.codec.decodeAnswer(status, headers, this.clock.nowDate());
         const head = { status, headers, decoded };
         // An answer that a target sends late or twice comes where the next one is expected. Its id identifies it; taken for
         // this request's answer, one caller would get what belongs to another.
@@ -91,6 +95,7 @@
             this.fail("an answer without the engine's signature or with an encoding");
             return;
         }
+        this.observer.handleHead(decoded);
         if (isSuccess(status) && !this.relay.handleHead(head)) {
             this.fail("an answer that can't go on where the last one stopped");
         }
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -178,6 +178,7 @@
         );
         this.heldParts = this.store.add(new HeldPartsLoader(parts.engines, logger));
         const requestLog = this.store.add(new RequestLog(logger, clock));
+        this.store.add(directory.onDidReceiveSignal(signal => this.metrics.recordSignal(signal)));
         this.store.add(source);
         this.store.add(source.onDidChange(change => this.applyChange(change)));
         this.store.add(
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { EndedRequest } from "./gatewayService.js";
+import type { TargetSignal } from "./targetDirectory.js";
 
 const msPerSecond = 1_000;
 /** Around usual objectives of a fraction of a second, and up to usual timeouts; seconds. */
@@ -54,6 +55,12 @@
         labelNames: ["service"],
         registers: [this.registry],
     });
+    private readonly signals = new Counter({
+        name: "lynxarch_target_signals_total",
+        help: "Answers in which targets said that they are leaving or want no requests for a time, by service and signal.",
+        labelNames: ["service", "signal"],
+        registers: [this.registry],
+    });
     private readonly timeliness = new Counter({
         name: "lynxarch_answers_total",
         help: "Answers that were whole, by service and whether they kept the route's objectives.",
@@ -164,6 +171,10 @@
         }
     }
 
+    public recordSignal({ service, kind }: TargetSignal): void {
+        this.signals.inc({ service, signal: kind });
+    }
+
     /** All figures as text. */
     public render(): Promise<string> {
         return this.registry.metrics();
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -60,9 +60,16 @@
             address: target.entry.address,
             dataCentre: target.dataCentre,
             condition: describeCondition(target, out, nowMs),
+            leaving: describeLeaving(context, target),
             ownRunning: target.ownRunning,
             running: target.running,
             waitingTokens: target.waitingTokens,
         })),
     };
 }
+
+/** Where it was learnt that a target is leaving, and how long ago. */
+function describeLeaving({ directory, clock }: GatewayContext, target: Target): object | undefined {
+    const leaving = directory.findLeaving(target);
+    return leaving === undefined ? undefined : { source: leaving.source, ageMs: clock.nowMs() - leaving.atMs };
+}
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -217,8 +217,9 @@
             target.connections.release(connection, nowMs);
             return { kind: "not-run", reason: "not-sent", detail: "the target can't take it any more" };
         }
-        const attempt = new Attempt(routed.head.requestId, context.codec, this.relay, {
+        const attempt = new Attempt(routed.head.requestId, context.codec, context.clock, this.relay, {
             handleSent: () => this.watchSilence(),
+            handleHead: head => context.directory.observeAnswer(target, head),
             handleData: () => this.watchSilence(),
             handleOutput: isFirst => this.handleOutput(send, isFirst),
         });
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -2,6 +2,7 @@
 import type { Disposable } from "../base/lifecycle.js";
 import type { Random } from "../base/random.js";
 import { CircuitBreaker } from "../decisions/health/circuitBreaker.js";
+import type { TargetIncarnation } from "../decisions/health/targetAvailability.js";
 import { ColdLimiter } from "../decisions/limits/coldLimit.js";
 import { HeldParts } from "../decisions/placement/heldParts.js";
 import type { PromptCandidate } from "../decisions/placement/promptPlacement.js";
@@ -79,6 +80,11 @@
         return this.entry.dataCentre;
     }
 
+    /** This start of the target. */
+    public get incarnation(): TargetIncarnation {
+        return { idHash: this.idHash, startedAtMs: this.entry.startedAtMs };
+    }
+
     public get slots(): number {
         return this.entry.slots;
     }
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -1,10 +1,17 @@
 import type { Clock } from "../base/clock.js";
+import { Emitter } from "../base/event.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import type { Random } from "../base/random.js";
+import {
+    TargetAvailability,
+    type LeavingEvidence,
+    type LeavingSource,
+} from "../decisions/health/targetAvailability.js";
 import type { ServedConfiguration, ServedService } from "./configuration.js";
 import type { FleetChange, SourceHealth, TargetEntry } from "./fleetSource.js";
 import { Target } from "./target.js";
+import type { AnswerHead } from "./wire.js";
 
 /**
  * Entries lapse while the platform's store is away although their targets live, and are back within two seconds of its
@@ -12,6 +19,12 @@
  */
 const lapseGraceMs = 2_300;
 
+/** What a target said of itself in an answer. */
+export interface TargetSignal {
+    readonly service: string;
+    readonly kind: "leaving" | "pause" | "unreadable-pause";
+}
+
 /** What a {@link TargetDirectory} needs. */
 export interface TargetDirectoryOptions {
     readonly clock: Clock;
@@ -30,8 +43,12 @@
     private readonly byHash = new Map<number, Target>();
     private readonly lapsing = new Map<string, NodeJS.Timeout>();
     private readonly dataCentresOut = new Set<string>();
+    private readonly availability = new TargetAvailability();
+    private readonly signalEmitter = new Emitter<TargetSignal>();
     private services: ReadonlyMap<string, ServedService> = new Map();
 
+    public readonly onDidReceiveSignal = this.signalEmitter.onDidFire;
+
     public constructor(private readonly options: TargetDirectoryOptions) {}
 
     public applyConfiguration(configuration: ServedConfiguration): void {
@@ -80,6 +97,27 @@
         return this.targets.get(target.id) === target && this.isReady(target);
     }
 
+    /** Takes what a target says of itself in an answer to one of this router's requests. */
+    public observeAnswer(target: Target, { isLeaving, isOtherTarget, pause }: AnswerHead): void {
+        // Another target has the address, and speaks of itself.
+        if (isOtherTarget) {
+            return;
+        }
+        const { service } = target.entry;
+        if (isLeaving) {
+            this.recordLeaving(target, "answer");
+            this.signalEmitter.fire({ service, kind: "leaving" });
+        }
+        if (pause.kind !== "none") {
+            this.signalEmitter.fire({ service, kind: pause.kind === "wait" ? "pause" : "unreadable-pause" });
+        }
+    }
+
+    /** The first evidence that a target is leaving; undefined: none. */
+    public findLeaving(target: Target): LeavingEvidence | undefined {
+        return this.availability.findLeaving(target.incarnation);
+    }
+
     /** Another target has the address: the one that was known there is gone, whatever its entry says. */
     public removeMoved(target: Target): void {
         this.options.logger.write("info", "a target's address belongs to another one", { target: target.id });
@@ -87,6 +125,7 @@
     }
 
     public dispose(): void {
+        this.signalEmitter.dispose();
         for (const timer of this.lapsing.values()) {
             clearTimeout(timer);
         }
@@ -97,6 +136,13 @@
         this.byService.clear();
     }
 
+    private recordLeaving(target: Target, source: LeavingSource): void {
+        const atMs = this.options.clock.nowMs();
+        if (this.availability.recordLeaving(target.incarnation, { source, atMs })) {
+            this.options.logger.write("info", "a target is leaving", { target: target.id, source });
+        }
+    }
+
     private isReady({ entry }: Target): boolean {
         return entry.state === "ready" && !this.dataCentresOut.has(entry.dataCentre);
     }
@@ -114,9 +160,6 @@
             this.addTarget(entry);
             return;
         }
-        if (known.entry.state !== entry.state) {
-            this.options.logger.write("info", "a target's state changed", { target: id, state: entry.state });
-        }
         // A target may start again under its id. It then holds nothing and is cold, though its entry may still say
         // otherwise; only the time of its start shows it.
         if (known.entry.startedAtMs !== entry.startedAtMs) {
@@ -127,6 +170,13 @@
         }
         known.entry = entry;
         this.setCold(known, entry.coldLeftMs);
+        this.observeRecord(known);
+    }
+
+    private observeRecord(target: Target): void {
+        if (target.entry.state === "draining") {
+            this.recordLeaving(target, "record");
+        }
     }
 
     private applyRemoval(id: string): void {
@@ -180,6 +230,7 @@
             state,
             coldLeftMs,
         });
+        this.observeRecord(target);
     }
 
     private setCold(target: Target, ms: number): void {
@@ -195,6 +246,7 @@
         }
         this.targets.delete(id);
         this.byHash.delete(target.idHash);
+        this.availability.removeUnnamed(target.incarnation);
         const others = (this.byService.get(target.entry.service) ?? []).filter(other => other !== target);
         this.byService.set(target.entry.service, others);
         target.dispose();
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { RetryAfter } from "./retryAfter.js";
 
 /** One part of a prompt, shared with other requests or the request's own. */
 export interface PromptPart {
@@ -43,6 +44,10 @@
     /** The answer is signed by the target's engine. */
     readonly isSigned: boolean;
     readonly hasEncodedBody: boolean;
+    /** The target that answered is leaving. */
+    readonly isLeaving: boolean;
+    /** How long the target wants nothing more from this router. */
+    readonly pause: RetryAfter;
 }
 
 /** Translates between the HTTP headers of callers and targets and the router's own types. */
@@ -51,7 +56,8 @@
     decodeRequest(rawHeaders: readonly string[]): RequestHead;
     /** Headers for the target: the caller's own without those that only the router may set. */
     encodeForTarget(rawHeaders: readonly string[], fields: ForwardedFields): string[];
-    decodeAnswer(status: number, headers: IncomingHttpHeaders): AnswerHead;
+    /** `now`: wall-clock time at which the head was received. */
+    decodeAnswer(status: number, headers: IncomingHttpHeaders, now: Date): AnswerHead;
     /** Headers for the caller from those of the target's answer. */
     encodeForCaller(headers: IncomingHttpHeaders): Record<string, string | string[]>;
     /** Header of an answer of the router's own that names the request. */
