--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -61,6 +61,8 @@
     /** A request with this body ends the target as soon as it runs: all connections are reset, and new ones refused. */
     public fatalBody: string | undefined;
     public hasEnded = false;
+    /** All its answers say that it is leaving; it goes on serving. */
+    public isLeaving = false;
 
     public constructor(
         public instanceId: string,
@@ -121,6 +123,9 @@
         response.on("close", () => {
             received.isAborted = !response.writableFinished;
         });
+        if (this.isLeaving) {
+            response.setHeader("Server-Leaving", "1");
+        }
         const expected = request.headers["x-lynxarch-expect-instance"];
         if (expected !== undefined && expected !== this.instanceId) {
             response.writeHead(421, { "X-Lynxarch-Instance-Id": this.instanceId }).end();
