Send nothing more to targets whose answers say that they are leaving

Cause: whether a target leaves was read from its record in the platform's store alone; the store was away for 13 s while the engine drained, and the record stayed ready.

A new start of a target has an availability of its own; a record that lapses and returns has the old one.

--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -8,7 +8,7 @@
 
 /** The condition that decides whether a target gets requests; the most restrictive one that holds. */
 export function describeCondition(target: Target, dataCentresOut: readonly string[], nowMs: number): TargetCondition {
-    if (target.entry.state === "draining") {
+    if (target.availability.leaving !== undefined) {
         return "draining";
     }
     if (dataCentresOut.includes(target.dataCentre)) {
@@ -60,7 +60,7 @@
             address: target.entry.address,
             dataCentre: target.dataCentre,
             condition: describeCondition(target, out, nowMs),
-            leaving: describeLeaving(context, target),
+            leaving: describeLeaving(target, nowMs),
             ownRunning: target.ownRunning,
             running: target.running,
             waitingTokens: target.waitingTokens,
@@ -69,7 +69,7 @@
 }
 
 /** Where it was learnt that a target is leaving, and how long ago. */
-function describeLeaving({ directory, clock }: GatewayContext, target: Target): object | undefined {
-    const leaving = directory.findLeaving(target);
-    return leaving === undefined ? undefined : { source: leaving.source, ageMs: clock.nowMs() - leaving.atMs };
+function describeLeaving({ availability }: Target, nowMs: number): object | undefined {
+    const { leaving } = availability;
+    return leaving === undefined ? undefined : { source: leaving.source, ageMs: nowMs - leaving.atMs };
 }
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -92,7 +92,7 @@
     public async observeBreak(identity: RequestIdentity, target: Target, hadOutput: boolean): Promise<void> {
         const { probe, clock, logger } = this.options;
         // A target that leaves ends by itself, and takes with it what is not done.
-        if (target.entry.state === "draining" || !(await probe.hasEnded(target.entry.address))) {
+        if (target.availability.leaving !== undefined || !(await probe.hasEnded(target.entry.address))) {
             return;
         }
         const { digest, prefixHash } = identity;
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -2,7 +2,8 @@
 import type { Disposable } from "../base/lifecycle.js";
 import type { Random } from "../base/random.js";
 import { CircuitBreaker } from "../decisions/health/circuitBreaker.js";
-import type { TargetIncarnation } from "../decisions/health/targetAvailability.js";
+import type { TargetAvailability } from "../decisions/health/targetAvailability.js";
+import type { AvailabilityRegistry, TargetIncarnation } from "../decisions/health/availabilityRegistry.js";
 import { ColdLimiter } from "../decisions/limits/coldLimit.js";
 import { HeldParts } from "../decisions/placement/heldParts.js";
 import type { PromptCandidate } from "../decisions/placement/promptPlacement.js";
@@ -59,19 +60,42 @@
     /** Smoothed time of a whole plain answer; milliseconds; 0 before the first. */
     public serviceTimeMs = 0;
     public coldUntilMs = Number.NEGATIVE_INFINITY;
+    private currentEntry: TargetEntry;
+    private currentAvailability: TargetAvailability;
 
     public constructor(
-        public entry: TargetEntry,
+        entry: TargetEntry,
         service: ServedService | undefined,
         random: Random,
         connectTimeoutMs: number,
+        private readonly availabilities: AvailabilityRegistry,
     ) {
+        this.currentEntry = entry;
         this.idHash = hashFast(entry.id);
+        this.currentAvailability = availabilities.find(this.incarnation);
         this.connections = new TargetConnections(entry.address, connectTimeoutMs);
         this.circuit = new CircuitBreaker(random);
         this.applyService(service);
     }
 
+    public get entry(): TargetEntry {
+        return this.currentEntry;
+    }
+
+    /** Whether this start of the target takes requests. */
+    public get availability(): TargetAvailability {
+        return this.currentAvailability;
+    }
+
+    /** Takes a newer record of the same target, which may have started anew. */
+    public applyEntry(entry: TargetEntry): void {
+        const hasRestarted = entry.startedAtMs !== this.currentEntry.startedAtMs;
+        this.currentEntry = entry;
+        if (hasRestarted) {
+            this.currentAvailability = this.availabilities.find(this.incarnation);
+        }
+    }
+
     public get id(): string {
         return this.entry.id;
     }
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -3,11 +3,8 @@
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import type { Random } from "../base/random.js";
-import {
-    TargetAvailability,
-    type LeavingEvidence,
-    type LeavingSource,
-} from "../decisions/health/targetAvailability.js";
+import { AvailabilityRegistry } from "../decisions/health/availabilityRegistry.js";
+import type { LeavingSource } from "../decisions/health/targetAvailability.js";
 import type { ServedConfiguration, ServedService } from "./configuration.js";
 import type { FleetChange, SourceHealth, TargetEntry } from "./fleetSource.js";
 import { Target } from "./target.js";
@@ -43,7 +40,7 @@
     private readonly byHash = new Map<number, Target>();
     private readonly lapsing = new Map<string, NodeJS.Timeout>();
     private readonly dataCentresOut = new Set<string>();
-    private readonly availability = new TargetAvailability();
+    private readonly availabilities = new AvailabilityRegistry();
     private readonly signalEmitter = new Emitter<TargetSignal>();
     private services: ReadonlyMap<string, ServedService> = new Map();
 
@@ -113,11 +110,6 @@
         }
     }
 
-    /** The first evidence that a target is leaving; undefined: none. */
-    public findLeaving(target: Target): LeavingEvidence | undefined {
-        return this.availability.findLeaving(target.incarnation);
-    }
-
     /** Another target has the address: the one that was known there is gone, whatever its entry says. */
     public removeMoved(target: Target): void {
         this.options.logger.write("info", "a target's address belongs to another one", { target: target.id });
@@ -138,13 +130,13 @@
 
     private recordLeaving(target: Target, source: LeavingSource): void {
         const atMs = this.options.clock.nowMs();
-        if (this.availability.recordLeaving(target.incarnation, { source, atMs })) {
+        if (target.availability.recordLeaving({ source, atMs })) {
             this.options.logger.write("info", "a target is leaving", { target: target.id, source });
         }
     }
 
-    private isReady({ entry }: Target): boolean {
-        return entry.state === "ready" && !this.dataCentresOut.has(entry.dataCentre);
+    private isReady({ availability, dataCentre }: Target): boolean {
+        return availability.canTake() && !this.dataCentresOut.has(dataCentre);
     }
 
     private applyEntry(id: string, entry: TargetEntry | undefined): void {
@@ -168,7 +160,7 @@
             known.connections.closeIdle();
             this.setCold(known, this.services.get(entry.service)?.coldStartMs ?? 0);
         }
-        known.entry = entry;
+        known.applyEntry(entry);
         this.setCold(known, entry.coldLeftMs);
         this.observeRecord(known);
     }
@@ -214,7 +206,13 @@
 
     private addTarget(entry: TargetEntry): void {
         const { random, connectTimeoutMs } = this.options;
-        const target = new Target(entry, this.services.get(entry.service), random, connectTimeoutMs);
+        const target = new Target(
+            entry,
+            this.services.get(entry.service),
+            random,
+            connectTimeoutMs,
+            this.availabilities,
+        );
         this.setCold(target, entry.coldLeftMs);
         this.targets.set(entry.id, target);
         this.byHash.set(target.idHash, target);
@@ -246,7 +244,7 @@
         }
         this.targets.delete(id);
         this.byHash.delete(target.idHash);
-        this.availability.removeUnnamed(target.incarnation);
+        this.availabilities.removeUnnamed(target.incarnation);
         const others = (this.byService.get(target.entry.service) ?? []).filter(other => other !== target);
         this.byService.set(target.entry.service, others);
         target.dispose();
