Leave targets alone for as long as their 503 asks

A 503 with Retry-After was taken for any other refusal: the next request went there at once, and a full target turned away each of them.

Change: the wait (seconds, fractions, HTTP dates; of several the longest) is kept with the target's incarnation (decisions/health/targetPause); a later, shorter one does not end it, a new start does. Nothing is sent there until then, also no probe, repeat or resumed stream. Behind it sends begin with one and grow with the answers for a second, and routers return up to a tenth later than asked, apart from one another. Where all targets of a service pause, callers are refused at once as targets-pausing with the time until the first end. Other values change nothing and are counted as unreadable-pause. The circuit does not count a pause, the budget of repeats does, as for any refusal.

--- a/src/decisions/health/targetAvailability.ts
+++ b/src/decisions/health/targetAvailability.ts
@@ -1,3 +1,5 @@
+import { TargetPause } from "./targetPause.js";
+
 /** Where a router learnt that a target is leaving. */
 export type LeavingSource =
     /** The target's record in the platform's store. */
@@ -21,6 +23,8 @@
  * Evidence is never withdrawn, so that the order in which it comes does not matter.
  */
 export class TargetAvailability {
+    /** A new start has not asked for one. */
+    public readonly pause = new TargetPause();
     private evidence: LeavingEvidence | undefined;
 
     /** The first evidence that it is leaving; undefined: none. */
@@ -37,8 +41,13 @@
         return true;
     }
 
-    /** Whether it may get requests. */
-    public canTake(): boolean {
-        return this.evidence === undefined;
+    /** Whether it wants no requests at all now. */
+    public isClosed(nowMs: number): boolean {
+        return this.evidence !== undefined || this.pause.computeLeftMs(nowMs) > 0;
+    }
+
+    /** Whether a request may be sent now. */
+    public canTake(nowMs: number): boolean {
+        return this.evidence === undefined && this.pause.canStart(nowMs);
     }
 }
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -14,7 +14,7 @@
     if (dataCentresOut.includes(target.dataCentre)) {
         return "out";
     }
-    if (!target.circuit.canStart(nowMs)) {
+    if (!target.circuit.canStart(nowMs) || target.availability.pause.computeLeftMs(nowMs) > 0) {
         return "paused";
     }
     return target.coldUntilMs > nowMs ? "cold" : "ready";
@@ -61,6 +61,7 @@
             dataCentre: target.dataCentre,
             condition: describeCondition(target, out, nowMs),
             leaving: describeLeaving(target, nowMs),
+            pauseMs: target.availability.pause.computeLeftMs(nowMs),
             ownRunning: target.ownRunning,
             running: target.running,
             waitingTokens: target.waitingTokens,
--- a/src/gateway/ownAnswer.ts
+++ b/src/gateway/ownAnswer.ts
@@ -6,6 +6,7 @@
     | "bad-request"
     | "body-too-large"
     | "no-target"
+    | "targets-pausing"
     | "late"
     | "over-share"
     | "busy"
@@ -18,6 +19,7 @@
 const answers: Readonly<Record<OwnAnswerReason, readonly [status: number, title: string]>> = {
     "no-configuration": [503, "The router has no configuration yet"],
     "no-target": [503, "No target serves this now"],
+    "targets-pausing": [503, "All targets that could serve this want no requests for a time"],
     late: [503, "The request can't be answered in time now"],
     "over-share": [429, "The client account has had its fair share"],
     busy: [503, "The router has too many open requests"],
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -32,8 +32,6 @@
     | { readonly selection: undefined; readonly reason: OwnAnswerReason; readonly retryAfterMs: number }
 );
 
-/** When to come back if nothing can take a request now; about the time in which views of a change meet. */
-export const noTargetRetryMs = 300;
 /** Part of the objective that a plain request may wait. */
 const plainUsableShare = 0.6;
 /** Owners that are asked for one request: further ones would cost more than the little that is left after three denials. */
@@ -70,7 +68,8 @@
         this.shareUse = this.computeUse();
         const selection = this.select(services, computeMostUse(this.shareUse));
         if (selection === undefined) {
-            handleOutcome(this.createRefusal("no-target", noTargetRetryMs));
+            const { reason, retryAfterMs } = this.options.selector.explainNone(services);
+            handleOutcome(this.createRefusal(reason, retryAfterMs));
         } else if (selection.tokensAhead === 0) {
             handleOutcome(this.checkPlain(selection));
         } else {
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,7 +1,7 @@
 import { DisposableStore } from "../base/lifecycle.js";
 import type { ReadingShare } from "../decisions/admission/readingShare.js";
 import { AccountCharge } from "./accountCharge.js";
-import { noAdmission, noTargetRetryMs, RequestAdmission, type AdmittedSelection } from "./requestAdmission.js";
+import { noAdmission, RequestAdmission, type AdmittedSelection } from "./requestAdmission.js";
 import { AnswerTiming } from "./answerTiming.js";
 import { Attempt, type AttemptOutcome, type StopReason } from "./attempt.js";
 import type { CallerExchange } from "./callerExchange.js";
@@ -329,9 +329,11 @@
         if (this.lastFailure !== undefined) {
             return this.endings.sendFailure(this.lastFailure);
         }
-        return this.relay.isCommitted || this.mayHaveRun
-            ? this.endings.endBroken("no other target can take it")
-            : this.endings.refuse("no-target", noTargetRetryMs);
+        if (this.relay.isCommitted || this.mayHaveRun) {
+            return this.endings.endBroken("no other target can take it");
+        }
+        const { reason, retryAfterMs } = this.selector.explainNone(this.selector.orderServices(this.routed.route));
+        return this.endings.refuse(reason, retryAfterMs);
     }
 
     private stop(reason: StopReason): void {
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -15,6 +15,8 @@
  * return. Dropped at once, a whole service would be without targets for these seconds.
  */
 const lapseGraceMs = 2_300;
+const pauseSpread = 0.1;
+const mostPauseSpreadMs = 250;
 
 /** What a target said of itself in an answer. */
 export interface TargetSignal {
@@ -94,8 +96,20 @@
         return this.targets.get(target.id) === target && this.isReady(target);
     }
 
+    /** Time until the first of a service's pausing targets takes requests again; undefined: none pauses. */
+    public computePauseMs(service: string): number | undefined {
+        const nowMs = this.options.clock.nowMs();
+        const pauses = (this.byService.get(service) ?? [])
+            .filter(({ availability, dataCentre }) => {
+                return availability.leaving === undefined && !this.dataCentresOut.has(dataCentre);
+            })
+            .map(({ availability }) => availability.pause.computeLeftMs(nowMs))
+            .filter(ms => ms > 0);
+        return pauses.length === 0 ? undefined : Math.min(...pauses);
+    }
+
     /** Takes what a target says of itself in an answer to one of this router's requests. */
-    public observeAnswer(target: Target, { isLeaving, isOtherTarget, pause }: AnswerHead): void {
+    public observeAnswer(target: Target, { isLeaving, isOtherTarget, isNotRun, pause }: AnswerHead): void {
         // Another target has the address, and speaks of itself.
         if (isOtherTarget) {
             return;
@@ -105,8 +119,13 @@
             this.recordLeaving(target, "answer");
             this.signalEmitter.fire({ service, kind: "leaving" });
         }
-        if (pause.kind !== "none") {
-            this.signalEmitter.fire({ service, kind: pause.kind === "wait" ? "pause" : "unreadable-pause" });
+        if (pause.kind === "wait") {
+            this.recordPause(target, pause.ms);
+            this.signalEmitter.fire({ service, kind: "pause" });
+        } else if (pause.kind === "unreadable") {
+            this.signalEmitter.fire({ service, kind: "unreadable-pause" });
+        } else if (!isNotRun) {
+            target.availability.pause.recordAnswer();
         }
     }
 
@@ -135,8 +154,19 @@
         }
     }
 
+    private recordPause({ id, availability }: Target, askedMs: number): void {
+        const { clock, random, logger } = this.options;
+        const nowMs = clock.nowMs();
+        const isNew = !availability.isClosed(nowMs);
+        // Routers that were asked at the same time must not all return at the same time.
+        const spreadMs = Math.min(askedMs * pauseSpread, mostPauseSpreadMs) * random.next();
+        if (availability.pause.record(askedMs + spreadMs, nowMs) && isNew) {
+            logger.write("info", "a target wants no requests for a time", { target: id, askedMs });
+        }
+    }
+
     private isReady({ availability, dataCentre }: Target): boolean {
-        return availability.canTake() && !this.dataCentresOut.has(dataCentre);
+        return availability.canTake(this.options.clock.nowMs()) && !this.dataCentresOut.has(dataCentre);
     }
 
     private applyEntry(id: string, entry: TargetEntry | undefined): void {
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -31,9 +31,19 @@
     readonly grant: Grant | undefined;
 }
 
+/** Why a request has no target. */
+export interface NoTarget {
+    readonly reason: "no-target" | "targets-pausing";
+    readonly retryAfterMs: number;
+}
+
 /** Whether a target is left out of a selection. */
 export type TargetFilter = (target: Target) => boolean;
 
+/** When to come back if nothing can take a request now; about the time in which views of a change meet. */
+const noTargetRetryMs = 300;
+/** Other targets may start before the end of a longer pause. */
+const mostPauseRetryMs = 30_000;
 /** A full target of a plain service lets this many slots' worth of requests wait before others are better refused. */
 const plainTargetWindowFactor = 1;
 /** Share of a target's connections that routers use; the rest covers closes that are under way and uneven routers. */
@@ -89,6 +99,18 @@
         return directory.isOpen(target) && this.canStart(target, service, clock.nowMs());
     }
 
+    /** Why none of the services has a target for a request, and when to come back. */
+    public explainNone(services: readonly string[]): NoTarget {
+        const { directory, random } = this.context;
+        const pauses = services.map(name => directory.computePauseMs(name)).filter(ms => ms !== undefined);
+        if (pauses.length === 0) {
+            return { reason: "no-target", retryAfterMs: noTargetRetryMs };
+        }
+        // Callers that were refused together must not all come at the first moment.
+        const spreadMs = noTargetRetryMs * random.next();
+        return { reason: "targets-pausing", retryAfterMs: Math.min(mostPauseRetryMs, ...pauses) + spreadMs };
+    }
+
     /** Connections that this router may hold to one target of the service. */
     public computeConnectionLimit(service: ServedService): number {
         const routers = this.context.peers.routers.routerIds.length;
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -38,6 +38,7 @@
         target.ownRunning += 1;
         target.ownWaitingTokens += newTokens;
         target.cold.recordSend(this.startedAtMs);
+        target.availability.pause.recordSend();
         target.circuit.observeStart(sendId);
         this.newParts = head.promptParts.length > 0 ? this.recordParts(head) : [];
         target.recordOwnWritten(newTokens + (selection.fetch?.tokens ?? 0) + outputTokens);
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -63,6 +63,8 @@
     public hasEnded = false;
     /** All its answers say that it is leaving; it goes on serving. */
     public isLeaving = false;
+    /** `Retry-After` of refusals; undefined: none. */
+    public retryAfter: string | undefined;
 
     public constructor(
         public instanceId: string,
@@ -137,6 +139,9 @@
         }
         const script = this.scripts.shift() ?? this.chooseScript?.() ?? this.usual;
         if (script === "shed") {
+            if (this.retryAfter !== undefined) {
+                response.setHeader("Retry-After", this.retryAfter);
+            }
             response.writeHead(503, { "X-Lynxarch-Not-Executed": "1" }).end();
             return;
         }
