Withhold requests whose target closed while the connection was set up

A request that found no idle connection was handed to a new one and written once that was up, up to the connect timeout (0.35 s, and more on a busy machine) later, whatever the target had said meanwhile: after a 503 with Retry-After several of them could reach it beyond the half second that is allowed.

Change: the target is asked for once more as the request begins to be written. A withheld request is not-run, neither a failure of the target nor a repeat, and goes to another target.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,12 +4,23 @@
 import type { AnswerRelay, StoredAnswer, TargetAnswerHead } from "./relay.js";
 import type { AnswerHead, HeaderCodec } from "./wire.js";
 
+/** Why a send surely did not run. */
+export type UnrunReason =
+    /** The target could not be reached. */
+    | "not-sent"
+    /** The target wants no requests any more; nothing was sent. */
+    | "withheld"
+    /** The target turned it away. */
+    | "refused"
+    /** Another target has the address. */
+    | "other-target";
+
 /** How one send to one target ended. */
 export type AttemptOutcome =
     /** The whole answer has gone to the caller. */
     | { readonly kind: "answered" }
-    /** Surely not run. `arrived`: the target got the request and turned it away. */
-    | { readonly kind: "not-run"; readonly reason: "not-sent" | "refused" | "other-target"; readonly detail: string }
+    /** Surely not run. */
+    | { readonly kind: "not-run"; readonly reason: UnrunReason; readonly detail: string }
     /** The target ran it and answered with a failure of its own, which has not been passed on. */
     | { readonly kind: "failed"; readonly answer: StoredAnswer }
     /** Part of an answer, an answer to another request, or none; it may have run. */
@@ -22,6 +33,8 @@
 
 /** Observes what the target does while it works. */
 export interface AttemptObserver {
+    /** Whether the target may still get the request, asked just before it is written. */
+    canStart(): boolean;
     handleSent(): void;
     /** The head of the target's answer to this request, before any of it is passed on. */
     handleHead(head: AnswerHead): void;
@@ -61,6 +74,7 @@
     /** Sends the request; the outcome always comes. */
     public run(connection: TargetConnection, request: TargetRequest): Promise<AttemptOutcome> {
         this.cancelSend = connection.send(request, {
+            canStart: () => this.observer.canStart(),
             handleSent: () => this.observer.handleSent(),
             handleHead: (status, headers) => this.handleHead(status, headers),
             handleData: chunk => this.handleData(chunk),
@@ -147,8 +161,8 @@
         if (decoded?.isNotRun === true || decoded?.isOtherTarget === true) {
             const reason = decoded.isOtherTarget ? "other-target" : "refused";
             this.endAttempt({ kind: "not-run", reason, detail });
-        } else if (failure === "not-sent") {
-            this.endAttempt({ kind: "not-run", reason: "not-sent", detail });
+        } else if (failure === "not-sent" || failure === "withheld") {
+            this.endAttempt({ kind: "not-run", reason: failure, detail });
         } else {
             this.endAttempt({ kind: "broken", detail });
         }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -3,7 +3,7 @@
 import { AccountCharge } from "./accountCharge.js";
 import { noAdmission, RequestAdmission, type AdmittedSelection } from "./requestAdmission.js";
 import { AnswerTiming } from "./answerTiming.js";
-import { Attempt, type AttemptOutcome, type StopReason } from "./attempt.js";
+import { Attempt, type AttemptOutcome, type StopReason, type UnrunReason } from "./attempt.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { EventStreamRelay } from "./eventStreamRelay.js";
 import { FlowEndings, type FlowEnd } from "./flowEndings.js";
@@ -218,6 +218,7 @@
             return { kind: "not-run", reason: "not-sent", detail: "the target can't take it any more" };
         }
         const attempt = new Attempt(routed.head.requestId, context.codec, context.clock, this.relay, {
+            canStart: () => !context.directory.isClosed(target),
             handleSent: () => this.watchSilence(),
             handleHead: head => context.directory.observeAnswer(target, head),
             handleData: () => this.watchSilence(),
@@ -304,7 +305,7 @@
     }
 
     /** A request that did not run may go to another target; one that a target turned away counts against the budget. */
-    private canTryUnrun(reason: "not-sent" | "refused" | "other-target"): boolean {
+    private canTryUnrun(reason: UnrunReason): boolean {
         if (this.unrun >= mostUnrunAttempts || this.hasNoTime()) {
             return false;
         }
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -23,12 +23,16 @@
 export type SendFailure =
     /** It never left this process. */
     | "not-sent"
+    /** The listener did not let it start. */
+    | "withheld"
     /** It may have reached the target. */
     | "broken"
     | "cancelled";
 
 /** Takes a target's answer; after `handleEnd` or `handleFailure` nothing more comes. */
 export interface AnswerListener {
+    /** The connection is up; false: the request must not be written any more. */
+    canStart(): boolean;
     /** The request is being written: from here on it may run. */
     handleSent(): void;
     handleHead(status: number, headers: IncomingHttpHeaders): void;
@@ -161,6 +165,11 @@
             controller.abort(new Error("cancelled"));
             return;
         }
+        if (!this.listener.canStart()) {
+            this.fail("withheld", "the target closed while the connection was set up");
+            controller.abort(new Error("withheld"));
+            return;
+        }
         this.isSent = true;
         this.listener.handleSent();
     }
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -96,6 +96,15 @@
         return this.targets.get(target.id) === target && this.isReady(target);
     }
 
+    /** Whether the target must not get even a request that was meant for it: it left, pauses or is out. */
+    public isClosed(target: Target): boolean {
+        return (
+            this.targets.get(target.id) !== target ||
+            target.availability.isClosed(this.options.clock.nowMs()) ||
+            this.dataCentresOut.has(target.dataCentre)
+        );
+    }
+
     /** Time until the first of a service's pausing targets takes requests again; undefined: none pauses. */
     public computePauseMs(service: string): number | undefined {
         const nowMs = this.options.clock.nowMs();
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -1,4 +1,4 @@
-import type { AttemptOutcome, StopReason } from "./attempt.js";
+import type { AttemptOutcome, StopReason, UnrunReason } from "./attempt.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { Selection, TargetSelector } from "./targetSelector.js";
 import type { RequestHead } from "./wire.js";
@@ -86,7 +86,7 @@
         }
     }
 
-    private recordNotRun(reason: "not-sent" | "refused" | "other-target"): void {
+    private recordNotRun(reason: UnrunReason): void {
         if (reason === "not-sent") {
             this.recordFailure();
             return;
