Routers report targets that are leaving to one another

A router that got no answer of a leaving target went on by its record, and sent requests to a target that was about to end; one that starts while the store is away does so too.

Change: the replicated state names leaving incarnations (hash of the id, time of start), whatever the sender's evidence, so that a router that starts later learns it from any peer. Reports that come late, twice or before the target's own record change nothing.

Weighed: a datagram of its own to all at the first evidence. Not built, as a target goes on for its drain time and a little longer after it has said so.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -73,8 +73,12 @@
             clock,
             listOwnLoads: () => loads.listOwn(),
             listOwnAccounts: () => this.shares.listOwn(clock.nowMs()),
+            listLeaving: () => this.directory.listLeaving(),
             onDidSumLoads: sums => loads.applySums(sums),
-            onDidReceive: message => loads.applyMessage(message),
+            onDidReceive: message => {
+                loads.applyMessage(message);
+                this.directory.applyLeaving(message.leaving);
+            },
         });
         const firstTokenModels = new Registry(() => new FirstTokenModel());
         const readingShares = new Registry(() => new ReadingShare());
--- a/scripts/measurePeers.ts
+++ b/scripts/measurePeers.ts
@@ -12,6 +12,7 @@
 
 interface Options {
     readonly seconds: number;
+    readonly leaving: number;
 }
 
 /** What a router of the larger played deployments has under way: requests at different engines, accounts, parts read a second. */
@@ -22,20 +23,22 @@
 const mostWaitingTokens = 20_000;
 const windowTokens = 400_000;
 const windowMs = 4_000;
-const fleetSizes = [4, 27, 100] as const;
+const fleetSizes = [4, 28, 68, 100] as const;
 const port = 17_500;
 const settleMs = 6_000;
 const seed = 5;
+const startedAtMs = 1_700_000_000_000;
 
 sade("measure-peers", true)
     .option("--seconds", "how long each size is measured", 6)
+    .option("--leaving", "targets that are leaving", 0)
     .action((options: Options) => void run(options))
     .parse(process.argv);
 
-async function run({ seconds }: Options): Promise<void> {
+async function run({ seconds, leaving }: Options): Promise<void> {
     for (const size of fleetSizes) {
         const store = new DisposableStore();
-        const fleet = await startFleet(size, store);
+        const fleet = await startFleet(size, store, leaving);
         await sleepFor(settleMs);
         const before = process.cpuUsage();
         await sleepFor(seconds * 1_000);
@@ -56,7 +59,7 @@
     process.exit(0);
 }
 
-async function startFleet(size: number, store: DisposableStore): Promise<readonly PeerState[]> {
+async function startFleet(size: number, store: DisposableStore, leaving: number): Promise<readonly PeerState[]> {
     const random = new SeededRandom(seed);
     const clock = new SystemClock();
     const engines = Array.from({ length: Math.ceil(size * enginesPerRouter) }, () =>
@@ -91,6 +94,8 @@
                     ]),
                 ),
             }),
+            listLeaving: () =>
+                engines.slice(0, leaving).map(targetHash => ({ targetHash, startedAtMs: startedAtMs + targetHash })),
             onDidSumLoads: () => undefined,
             onDidReceive: () => undefined,
         });
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -99,11 +99,15 @@
             clock,
             listOwnLoads: () => loads.listOwn(),
             listOwnAccounts: () => shares.listOwn(clock.nowMs()),
+            listLeaving: () => directory.listLeaving(),
             onDidSumLoads: sums => {
                 loads.applySums(sums);
                 this.updateRetryFloors();
             },
-            onDidReceive: message => loads.applyMessage(message),
+            onDidReceive: message => {
+                loads.applyMessage(message);
+                directory.applyLeaving(message.leaving);
+            },
         });
         const firstTokenModels = new Registry(() => new FirstTokenModel());
         const readingShares = new Registry(() => new ReadingShare());
--- a/src/gateway/peers/peerMessage.ts
+++ b/src/gateway/peers/peerMessage.ts
@@ -33,6 +33,14 @@
     readonly writtenTokens: number;
 }
 
+/** An incarnation of a target that is leaving, as the sender learnt from its answers, its record or a peer. */
+export interface LeavingTarget {
+    /** 32-bit hash of the target's id. */
+    readonly targetHash: number;
+    /** When the target started, by its own clock. */
+    readonly startedAtMs: number;
+}
+
 /** The state that a router replicates to its peers, whole each time: the next message makes up for a lost one. */
 export interface PeerMessage {
     readonly routerId: string;
@@ -51,12 +59,14 @@
     readonly reads: readonly PartRead[];
     /** Some of the routers it knows. */
     readonly peers: readonly PeerAddress[];
+    readonly leaving: readonly LeavingTarget[];
 }
 
 const loadColumns = 4;
 const accountColumns = 4;
 const readColumns = 3;
 const peerColumns = 2;
+const leavingColumns = 2;
 const amount = z.number().min(0);
 const rowFault = "not a whole number of rows";
 /** Rows one behind the other; a list around each would only add bytes. */
@@ -71,6 +81,7 @@
     z.array(z.union([z.string(), amount])).refine(values => values.length % accountColumns === 0, rowFault),
     z.array(z.union([z.string(), amount])).refine(values => values.length % readColumns === 0, rowFault),
     z.array(z.string()).refine(values => values.length % peerColumns === 0, rowFault),
+    z.array(z.number()).refine(values => values.length % leavingColumns === 0, rowFault),
 ]);
 
 /**
@@ -98,6 +109,7 @@
         ]),
         message.reads.flatMap(read => [read.targetHash, read.partId, read.tokens]),
         message.peers.flatMap(peer => [peer.routerId, peer.ip]),
+        message.leaving.flatMap(({ targetHash, startedAtMs }) => [targetHash, startedAtMs]),
     ];
     return encode(wire);
 }
@@ -114,7 +126,8 @@
     if (!parsed.success) {
         return err(new PeerMessageError("of an unknown form", parsed.error));
     }
-    const [routerId, incarnation, sequence, ip, periodMs, targets, coveredMs, accounts, reads, peers] = parsed.data;
+    const [routerId, incarnation, sequence, ip, periodMs, targets, coveredMs, accounts, reads, peers, leaving] =
+        parsed.data;
     return ok({
         routerId,
         incarnation,
@@ -140,6 +153,7 @@
             tokens: Number(tokens),
         })),
         peers: decodeRows(peers, peerColumns).map(([peerId, peerIp]) => ({ routerId: peerId, ip: peerIp })),
+        leaving: decodeRows(leaving, leavingColumns).map(([targetHash, startedAtMs]) => ({ targetHash, startedAtMs })),
     });
 }
 
--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -3,7 +3,7 @@
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
 import { PeerDirectory } from "./peerDirectory.js";
-import type { PartRead, PeerAddress, PeerMessage, TargetLoad } from "./peerMessage.js";
+import type { LeavingTarget, PartRead, PeerAddress, PeerMessage, TargetLoad } from "./peerMessage.js";
 import type { PeerRound, PeerView } from "./peerView.js";
 
 /** Shortest time between two rounds of messages: about how long an engine takes to read one prompt. */
@@ -15,6 +15,8 @@
 const readRounds = 3;
 /** Reads in one message; keeps it below the size at which networks fragment datagrams many times over. */
 const mostReads = 60;
+/** Leaving targets in one message; more at a time leave only in a planned replacement of a whole fleet. */
+const mostLeaving = 100;
 /** Peers named in one message; another few in each round. */
 const peersInMessage = 2;
 /** The peers' loads are summed at most this often, as each sum goes over all peers. */
@@ -28,6 +30,8 @@
     /** What this router has under way, and what its accounts demanded and got. */
     readonly listOwnLoads: () => readonly TargetLoad[];
     readonly listOwnAccounts: () => RouterAccounts;
+    /** Targets that are leaving, as far as this router knows. */
+    readonly listLeaving: () => readonly LeavingTarget[];
     /** The peers' sums changed; by the hash of the target's id. */
     readonly onDidSumLoads: (loads: ReadonlyMap<number, PeerLoad>) => void;
     /** A message that is newer than the last one of its sender. */
@@ -101,6 +105,7 @@
             ...this.options.listOwnAccounts(),
             reads: this.takeReads(),
             peers: this.takePeers(),
+            leaving: this.options.listLeaving().slice(0, mostLeaving),
         };
     }
 
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -4,9 +4,10 @@
 import type { Logger } from "../base/log.js";
 import type { Random } from "../base/random.js";
 import { AvailabilityRegistry } from "../decisions/health/availabilityRegistry.js";
-import type { LeavingSource } from "../decisions/health/targetAvailability.js";
+import type { LeavingSource, TargetAvailability } from "../decisions/health/targetAvailability.js";
 import type { ServedConfiguration, ServedService } from "./configuration.js";
 import type { FleetChange, SourceHealth, TargetEntry } from "./fleetSource.js";
+import type { LeavingTarget } from "./peers/peerMessage.js";
 import { Target } from "./target.js";
 import type { AnswerHead } from "./wire.js";
 
@@ -117,6 +118,23 @@
         return pauses.length === 0 ? undefined : Math.min(...pauses);
     }
 
+    /** Known targets that are leaving, whatever the evidence: a router that starts later learns it from any of its peers. */
+    public listLeaving(): readonly LeavingTarget[] {
+        return [...this.targets.values()]
+            .filter(({ availability }) => availability.leaving !== undefined)
+            .flatMap(({ incarnation: { idHash, startedAtMs } }) =>
+                startedAtMs === undefined ? [] : [{ targetHash: idHash, startedAtMs }],
+            );
+    }
+
+    /** Takes what a peer knows of leaving targets; also of those whose records this router has not read yet. */
+    public applyLeaving(leaving: readonly LeavingTarget[]): void {
+        for (const { targetHash, startedAtMs } of leaving) {
+            const availability = this.availabilities.find({ idHash: targetHash, startedAtMs });
+            this.recordLeaving(availability, this.byHash.get(targetHash)?.id, "peer");
+        }
+    }
+
     /** Takes what a target says of itself in an answer to one of this router's requests. */
     public observeAnswer(target: Target, { isLeaving, isOtherTarget, isNotRun, pause }: AnswerHead): void {
         // Another target has the address, and speaks of itself.
@@ -125,7 +143,7 @@
         }
         const { service } = target.entry;
         if (isLeaving) {
-            this.recordLeaving(target, "answer");
+            this.recordLeaving(target.availability, target.id, "answer");
             this.signalEmitter.fire({ service, kind: "leaving" });
         }
         if (pause.kind === "wait") {
@@ -156,10 +174,10 @@
         this.byService.clear();
     }
 
-    private recordLeaving(target: Target, source: LeavingSource): void {
+    private recordLeaving(availability: TargetAvailability, target: string | undefined, source: LeavingSource): void {
         const atMs = this.options.clock.nowMs();
-        if (target.availability.recordLeaving({ source, atMs })) {
-            this.options.logger.write("info", "a target is leaving", { target: target.id, source });
+        if (availability.recordLeaving({ source, atMs })) {
+            this.options.logger.write("info", "a target is leaving", { target, source });
         }
     }
 
@@ -206,7 +224,7 @@
 
     private observeRecord(target: Target): void {
         if (target.entry.state === "draining") {
-            this.recordLeaving(target, "record");
+            this.recordLeaving(target.availability, target.id, "record");
         }
     }
 
--- a/test/gateway/coldTarget.test.ts
+++ b/test/gateway/coldTarget.test.ts
@@ -95,6 +95,7 @@
         accounts: new Map(),
         reads: [],
         peers: [],
+        leaving: [],
     });
     clock.advance(5_000);
     return router;
--- a/test/gateway/grants/grantMessage.property.test.ts
+++ b/test/gateway/grants/grantMessage.property.test.ts
@@ -69,6 +69,7 @@
             accounts: new Map(),
             reads: [],
             peers: [],
+            leaving: [],
         });
         expect(isGrantDatagram(peerMessage)).toBe(false);
     });
--- a/test/gateway/leavingTargets.test.ts
+++ b/test/gateway/leavingTargets.test.ts
@@ -117,6 +117,24 @@
         expect([leaving.ran.length, staying.ran.length]).toEqual([0, requestCount]);
     });
 
+    // A router that got no answer of it would send requests to a target that is about to end.
+    it("gets nothing from routers that learnt it from others, also from one that starts later", async () => {
+        const [leaving] = await startLeaving();
+        fixture.current.store.condition = "up";
+        await fixture.current.addRouter();
+        fixture.current.store.condition = "silent";
+        await waitUntil(() => fixture.current.routers.every(({ daemon }) => daemon.knownRouters === 2));
+        await sendPrompts("before", 0);
+        await sleep(drainMs);
+        await fixture.current.addRouter();
+        await waitUntil(() => fixture.current.routers.every(({ daemon }) => daemon.knownRouters === 3));
+        await sleep(drainMs);
+        leaving.received.length = 0;
+        await sendPrompts("second", 1);
+        await sendPrompts("third", 2);
+        expect(leaving.received.length).toBe(0);
+    });
+
     // All targets of a service leave while their successors are unknown: what can't be served is refused at once.
     it("leaves its service without targets, and requests are refused with a time to return", async () => {
         const [leaving, staying] = await startLeaving();
--- a/test/gateway/peers/peerDirectory.test.ts
+++ b/test/gateway/peers/peerDirectory.test.ts
@@ -17,6 +17,7 @@
         accounts: new Map([["north", { asked: 10, served: 5, recentlyServed: 2 }]]),
         reads: [],
         peers: [],
+        leaving: [],
         ...changes,
     };
 }
