Leave records of earlier starts aside after the store came back from an older copy

Change: the registry keeps which starts a target's records have named; one that another has followed is left aside and logged. Starts are told apart and not compared, as a target's clock may jump.

--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../base/clock.js";
 import { Emitter } from "../base/event.js";
+import { hashFast } from "../base/hash.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import type { Random } from "../base/random.js";
@@ -197,6 +198,14 @@
     }
 
     private applyEntry(id: string, entry: TargetEntry | undefined): void {
+        // By such a record a target that has started anew would be taken for the one before, and lose what is known of it.
+        if (
+            entry !== undefined &&
+            !this.availabilities.recordStart({ idHash: hashFast(id), startedAtMs: entry.startedAtMs })
+        ) {
+            this.options.logger.write("info", "a record of an earlier start is left aside", { target: id });
+            return;
+        }
         clearTimeout(this.lapsing.get(id));
         this.lapsing.delete(id);
         if (entry === undefined) {
--- a/test/gateway/leavingTargets.test.ts
+++ b/test/gateway/leavingTargets.test.ts
@@ -108,6 +108,22 @@
         await waitUntil(async () => (await sendPrompts("after")) && leaving.received.length > 0);
     });
 
+    // The store comes back from a copy that holds the record of the start before; by that record the target would be another one.
+    it("gets nothing when the store comes back with the record of an earlier start", async () => {
+        const leaving = await fixture.current.addTarget("engines", "engine-1");
+        await fixture.current.addTarget("engines", "engine-2");
+        await fixture.current.addRouter();
+        fixture.current.addEntry(leaving, "engines", { born: 1_700_000_009_000 });
+        await sleep(drainMs);
+        leaving.isLeaving = true;
+        await waitUntil(async () => (await sendPrompts("before")) && leaving.received.length > 0);
+        fixture.current.store.removeLast("keyed.servers", 1);
+        await sleep(3 * drainMs);
+        leaving.received.length = 0;
+        await sendPrompts("after");
+        expect(leaving.received.length).toBe(0);
+    });
+
     // An answer at an address that was given away speaks of the target that has it now.
     it("is not the one whose address answers for another target", async () => {
         const [leaving, staying] = await startLeaving();
