Agents leave a target alone for as long as its refusal asks

Change: decodeRetryAfter moves to base; a refused run carries the wait to the core, which starts nothing until then, wakes at its end and begins with one run. The circuit does not count such a refusal. Plain services' answers pass through agents as they are; leaving targets are the operators' matter there (drain).

--- a/src/agent/modelTargetClient.ts
+++ b/src/agent/modelTargetClient.ts
@@ -2,6 +2,8 @@
 import { ResultAsync } from "neverthrow";
 import type { Dispatcher } from "undici";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
+import type { Clock } from "../base/clock.js";
+import { decodeRetryAfter } from "../base/retryAfter.js";
 import type { EngineOrder } from "../decisions/limits/orderPolicy.js";
 import type { WorkEnvelope } from "../control/frames.js";
 import {
@@ -27,7 +29,10 @@
 
 /** Speaks to a model engine: the OpenAI-compatible chat API as streamed events, with the engine's resume and cancel. */
 export class ModelTargetClient implements TargetClient, OrderTarget {
-    public constructor(private readonly connection: TargetConnection) {}
+    public constructor(
+        private readonly connection: TargetConnection,
+        private readonly clock: Clock,
+    ) {}
 
     public run(
         envelope: WorkEnvelope,
@@ -35,7 +40,7 @@
         sink: RunSink,
         token: CancellationToken,
     ): ResultAsync<RunUsage, TargetError> {
-        const stream = new ModelStream(this.connection, envelope.requestId, sink, token);
+        const stream = new ModelStream(this.connection, this.clock, envelope.requestId, sink, token);
         return ResultAsync.fromPromise(stream.run(body), cause => {
             this.cancelStream(envelope.requestId);
             return toTargetError(cause, stream.hasOutput);
@@ -90,6 +95,7 @@
 
     public constructor(
         private readonly connection: TargetConnection,
+        private readonly clock: Clock,
         private readonly requestId: string,
         private readonly sink: RunSink,
         private readonly token: CancellationToken,
@@ -138,12 +144,21 @@
                 `the engine answered ${response.statusCode}: ${text}`,
                 refused ? "not-run" : "unknown",
                 refused ? "refused" : "error-answer",
+                undefined,
+                refused ? this.decodePause(response) : undefined,
             );
         }
         await this.sink.writeHead(200, {});
         return response;
     }
 
+    private decodePause({ headers }: Dispatcher.ResponseData): number | undefined {
+        const { date } = headers;
+        const sentAt = Array.isArray(date) ? date[0] : date;
+        const pause = decodeRetryAfter(headers["retry-after"], sentAt, this.clock.nowDate());
+        return pause.kind === "wait" ? pause.ms : undefined;
+    }
+
     private async resume(): Promise<void> {
         const path = `/streams/${encodeURIComponent(this.requestId)}?from=${this.received}`;
         const response = await this.connection.send(path, { method: "GET" }, this.token);
--- a/src/agent/targetClient.ts
+++ b/src/agent/targetClient.ts
@@ -24,6 +24,8 @@
         public readonly execution: Execution,
         public readonly kind: TargetErrorKind,
         cause?: unknown,
+        /** How long the target wants no requests; milliseconds, undefined: it does not say. */
+        public readonly pauseMs?: number,
     ) {
         super(message, cause);
     }
--- a/src/agent/targetRun.ts
+++ b/src/agent/targetRun.ts
@@ -87,14 +87,22 @@
     private createFailure(error: TargetError): RunEnding {
         const outcome = this.held.cancellation.token.isCancelled ? "cancelled" : outcomes[error.kind];
         const usage = { promptTokens: 0, generatedTokens: this.generated };
-        return this.createEnding(outcome, usage, {
-            type: "failed",
-            execution: error.execution,
-            detail: error.message,
-        });
+        return this.createEnding(
+            outcome,
+            { ...usage, pauseMs: error.pauseMs },
+            {
+                type: "failed",
+                execution: error.execution,
+                detail: error.message,
+            },
+        );
     }
 
-    private createEnding(outcome: RunOutcome, usage: RunUsage, frame: WorkFrame): RunEnding {
+    private createEnding(
+        outcome: RunOutcome,
+        usage: RunUsage & { readonly pauseMs?: number },
+        frame: WorkFrame,
+    ): RunEnding {
         const cost = usage.promptTokens + usage.generatedTokens;
         return {
             message: { type: "runEnded", requestId: this.requestId, outcome, ...usage },
--- a/src/daemon/agentDaemon.ts
+++ b/src/daemon/agentDaemon.ts
@@ -66,7 +66,7 @@
         };
         this.core = new AgentCore(identity, defaultAgentOptions, events, random);
         const connection = this.store.add(new TargetConnection(settings.target.url));
-        const model = new ModelTargetClient(connection);
+        const model = new ModelTargetClient(connection, clock);
         const target = new TargetSwitch(model, new PlainTargetClient(connection));
         const documents = createDocumentPeer(parts);
         this.service = this.store.add(
--- a/src/decisions/health/targetPause.ts
+++ b/src/decisions/health/targetPause.ts
@@ -37,6 +37,11 @@
         return nowMs >= this.untilMs + rampMs || this.sends < firstSends + this.answers * sendsPerAnswer;
     }
 
+    /** When {@link canStart} next changes by time alone; undefined: it does not. */
+    public findNextChangeAtMs(nowMs: number): number | undefined {
+        return [this.untilMs, this.untilMs + rampMs].find(atMs => atMs > nowMs);
+    }
+
     public recordSend(): void {
         this.sends += 1;
     }
--- a/src/fleet/agent/admitSystem.ts
+++ b/src/fleet/agent/admitSystem.ts
@@ -93,7 +93,7 @@
         accountWeight,
         cost: work.cost,
         backloggedWeight: row.queue.backloggedWeight + (isBacklogged ? 0 : accountWeight),
-        pausedForMs: Math.max(0, (context.circuit.probeAtMs ?? nowMs) - nowMs),
+        pausedForMs: Math.max(0, (context.circuit.probeAtMs ?? nowMs) - nowMs, context.pause.computeLeftMs(nowMs)),
     };
 }
 
--- a/src/fleet/agent/agentContext.ts
+++ b/src/fleet/agent/agentContext.ts
@@ -1,4 +1,5 @@
 import { CircuitBreaker } from "../../decisions/health/circuitBreaker.js";
+import { TargetPause } from "../../decisions/health/targetPause.js";
 import { CatchUpCap } from "../../decisions/shares/catchUpCap.js";
 import { ConcurrencyWindow } from "../../decisions/limits/concurrencyWindow.js";
 import { CostEstimator } from "../../decisions/shares/costEstimate.js";
@@ -20,6 +21,7 @@
     public readonly tables = new AgentTables();
     public readonly window = new ConcurrencyWindow();
     public readonly circuit: CircuitBreaker;
+    public readonly pause = new TargetPause();
     public readonly reserve = new ShortReserve();
     public readonly estimator = new CostEstimator();
     /** Queued requests by the time at which they must have started. */
--- a/src/fleet/agent/agentCore.ts
+++ b/src/fleet/agent/agentCore.ts
@@ -55,6 +55,7 @@
             context.deadlines.getLeast()?.priority,
             getLateCheckAtMs(context),
             hasQueued ? context.circuit.probeAtMs : undefined,
+            hasQueued ? context.pause.findNextChangeAtMs(lastNowMs) : undefined,
             hasQueued && isLongHeldBack(context, lastNowMs) ? context.reserve.getLapseAtMs(lastNowMs) : undefined,
         ]);
     }
--- a/src/fleet/agent/chargeSystem.ts
+++ b/src/fleet/agent/chargeSystem.ts
@@ -41,6 +41,7 @@
     readonly outcome: RunOutcome;
     readonly promptTokens: number;
     readonly generatedTokens: number;
+    readonly pauseMs?: number;
 }
 
 /** Corrects the charge of an ended request to what it did cost, and learns from it. */
--- a/src/fleet/agent/runSystem.ts
+++ b/src/fleet/agent/runSystem.ts
@@ -109,6 +109,7 @@
     const { id } = work.request;
     if (final.outcome === "completed") {
         context.circuit.observeSuccess();
+        context.pause.recordAnswer();
         context.recordWindow(context.window.observeSuccess(nowMs));
         return;
     }
@@ -119,6 +120,14 @@
     if (final.outcome === "refused-by-target") {
         receiveColdSign(context, "refused by target", nowMs);
     }
+    // The target says itself when it takes requests again; counted as a failure, its refusal would close it for longer.
+    if (final.pauseMs !== undefined && final.pauseMs > 0) {
+        context.circuit.observeNeutralEnd(id);
+        if (context.pause.record(final.pauseMs, nowMs)) {
+            context.record({ kind: "window-changed", reason: "target pauses", value: 0 });
+        }
+        return;
+    }
     // An engine that turns cold loses its runs, and its load report still tells of the time before. Were the freed slots
     // filled, the cold engine would get a full load and fall over again. A run that broke off for another reason costs the
     // window's growth, which comes back within some answers.
--- a/src/fleet/agent/startSystem.ts
+++ b/src/fleet/agent/startSystem.ts
@@ -34,7 +34,8 @@
     return (
         context.phase === "serving" &&
         context.tables.running.size < context.window.limit &&
-        context.circuit.canStart(nowMs)
+        context.circuit.canStart(nowMs) &&
+        context.pause.canStart(nowMs)
     );
 }
 
@@ -107,6 +108,7 @@
     tables.addRunning(running);
     context.started.add(work.id, nowMs);
     context.circuit.observeStart(work.id);
+    context.pause.recordSend();
     recordPrefix(context, request.prefixHash);
     context.recordRequest("request-started", request, { reason: workClass, value: tables.running.size });
     context.addEffect({ type: "startWork", requestId: work.id });
--- a/src/fleet/agentMessages.ts
+++ b/src/fleet/agentMessages.ts
@@ -35,6 +35,8 @@
           /** Final counts if the target told them, else what was seen. */
           readonly promptTokens: number;
           readonly generatedTokens: number;
+          /** How long a target that refused wants no requests; milliseconds. */
+          readonly pauseMs?: number;
       }
     /** The target's own report, which lags. */
     | { readonly type: "targetReported"; readonly cold: boolean; readonly running: number; readonly waiting: number }
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { RetryAfter } from "./retryAfter.js";
+import type { RetryAfter } from "../base/retryAfter.js";
 
 /** One part of a prompt, shared with other requests or the request's own. */
 export interface PromptPart {
--- a/test/gateway/retryAfter.test.ts
+++ b/test/base/retryAfter.test.ts
@@ -1,5 +1,5 @@
 import { expect, it } from "vitest";
-import { decodeRetryAfter, type RetryAfter } from "../../src/gateway/retryAfter.js";
+import { decodeRetryAfter, type RetryAfter } from "../../src/base/retryAfter.js";
 
 const now = new Date("2026-01-01T00:00:00Z");
 const date = "Thu, 01 Jan 2026 00:00:10 GMT";
