Owners deny prompts at engines that are leaving

An owner that knows that its engine leaves went on granting prompts there to routers that had not learnt it yet; at 68 routers a round of messages takes two seconds. It denies them now for some rounds, and the asking router takes another engine. Test: grantOwner.test.ts (granted before).

--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -23,6 +23,8 @@
 
 /** Engines whose books are kept; several times those that one router of a large fleet owns. */
 const mostBooks = 4_096;
+/** Several rounds of messages between routers. */
+const leavingDenialMs = 4_000;
 
 /** What is kept of one engine. */
 interface EngineBooks {
@@ -42,6 +44,10 @@
         if (target === undefined) {
             return createUnknownReply(request);
         }
+        // The asking router has not learnt it yet, and would send by its own beliefs to a target that is about to end.
+        if (target.availability.leaving !== undefined && !request.isBinding) {
+            return createLeavingReply(request);
+        }
         const nowMs = this.options.clock.nowMs();
         const rate = this.createRate(target);
         const newTokens = countNewTokens(target, request);
@@ -101,6 +107,12 @@
     }
 }
 
+/** A denial that holds until the asking router has learnt from its peers that the target is leaving. */
+function createLeavingReply({ grantId, mostUse }: GrantRequest): GrantReply {
+    const full = { newTokens: 0, aheadTokens: 0, use: 1, mostUse, retryAfterMs: leavingDenialMs };
+    return { kind: "reply", grantId, isKnown: true, granted: false, ...full };
+}
+
 function createUnknownReply({ grantId }: GrantRequest): GrantReply {
     const nothing = { newTokens: 0, aheadTokens: 0, use: 0, mostUse: 0, retryAfterMs: 0 };
     return { kind: "reply", grantId, isKnown: false, granted: false, ...nothing };
--- /dev/null
+++ b/test/gateway/grants/grantOwner.test.ts
@@ -0,0 +1,65 @@
+import { expect, it } from "vitest";
+import { ManualClock } from "../../../src/base/clock.js";
+import { hashFast } from "../../../src/base/hash.js";
+import { NoopLogger } from "../../../src/base/log.js";
+import { SeededRandom } from "../../../src/base/random.js";
+import { ReadingShare } from "../../../src/decisions/admission/readingShare.js";
+import { FirstTokenModel } from "../../../src/decisions/placement/firstTokenModel.js";
+import type { GrantRequest } from "../../../src/gateway/grants/grantMessage.js";
+import { GrantOwner } from "../../../src/gateway/grants/grantOwner.js";
+import { Registry } from "../../../src/gateway/registry.js";
+import { TargetDirectory } from "../../../src/gateway/targetDirectory.js";
+
+const id = "engine";
+const startedAtMs = 1_700_000_000_000;
+const request: GrantRequest = {
+    kind: "request",
+    grantId: 1,
+    incarnation: 1,
+    targetHash: hashFast(id),
+    sharedParts: [],
+    ownTokens: 100,
+    copiedTokens: 0,
+    outputTokens: 10,
+    accountHash: 0,
+    chargedTokens: 120,
+    mostWaitMs: 100,
+    mostUse: 1,
+    spanMs: 400,
+    isBinding: false,
+};
+
+// The owner of an engine knows that it is leaving, and the asking router does not yet.
+it("denies prompts at an engine that is leaving", () => {
+    const clock = new ManualClock();
+    const directory = new TargetDirectory({
+        clock,
+        random: new SeededRandom(1),
+        logger: new NoopLogger(),
+        connectTimeoutMs: 1,
+        getHealth: () => undefined,
+    });
+    const entry = { id, service: "engines", address: "10.1.0.1:1", dataCentre: "a", slots: 8, coldLeftMs: 0 };
+    directory.applyChange({ kind: "target", id, entry: { ...entry, state: "ready", startedAtMs } });
+    const firstTokenModels = new Registry(() => new FirstTokenModel());
+    const readingShares = new Registry(() => new ReadingShare());
+    const owner = new GrantOwner({ directory, clock, firstTokenModels, readingShares });
+    const before = owner.check("router-2", request);
+    directory.applyLeaving([{ targetHash: hashFast(id), startedAtMs }]);
+    const after = owner.check("router-2", { ...request, grantId: 2 });
+    expect([before, after].map(({ granted, isKnown, retryAfterMs }) => ({ granted, isKnown, retryAfterMs })))
+        .toMatchInlineSnapshot(`
+          [
+            {
+              "granted": true,
+              "isKnown": true,
+              "retryAfterMs": 0,
+            },
+            {
+              "granted": false,
+              "isKnown": true,
+              "retryAfterMs": 4000,
+            },
+          ]
+        `);
+});
