Soak's links pass a reset on as one also when it came while they were frozen

Cause: the stand-in link, not the router. While its way back is frozen nobody reads; Node then tells the bytes and, in place of the reset behind them, a clean end, which the link passed on. The check of the soak stays as it was.

--- a/test/fakes/forwarder/route.ts
+++ b/test/fakes/forwarder/route.ts
@@ -92,6 +92,12 @@
             socket.setNoDelay(true);
             // A reset must arrive as one: told as a clean end, an answer without a length would pass for whole.
             socket.on("error", () => closeWithReset(connection));
+            // Behind bytes that nobody read for a time, Node tells a reset as a clean end; the kernel knows no peer then.
+            socket.on("end", () => {
+                if (socket.remotePort === undefined) {
+                    closeWithReset(connection);
+                }
+            });
             // A clean end goes through the pipes, behind the bytes before it.
             socket.on("close", () => {
                 if (near.destroyed && far.destroyed) {
