The soak plays targets that only answers show to be leaving or pausing

Drawn by a seed of their own beside the old plan, so that earlier seeds keep their faults. Two checks: a router that passed on an answer of a leaving target sends nothing there 2 s later, in contact or not, a freeze of its process excused (holds at any time); no more than two sends between half a second after a 503 with Retry-After and its end (with a time bound).

--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -33,6 +33,10 @@
     /** Whether the connection was closed before the answer's end. */
     isAborted: boolean;
     ran: boolean;
+    /** Its answer says that the target is leaving. */
+    saysLeaving: boolean;
+    /** What its answer asks for: no requests for so long; milliseconds. */
+    pauseMs: number | undefined;
 }
 
 const eventCount = 5;
@@ -120,6 +124,8 @@
             atMs: performance.now(),
             isAborted: false,
             ran: false,
+            saysLeaving: this.isLeaving,
+            pauseMs: undefined,
         };
         this.received.push(received);
         response.on("close", () => {
@@ -141,6 +147,7 @@
         if (script === "shed") {
             if (this.retryAfter !== undefined) {
                 response.setHeader("Retry-After", this.retryAfter);
+                received.pauseMs = Number(this.retryAfter) * 1_000;
             }
             response.writeHead(503, { "X-Lynxarch-Not-Executed": "1" }).end();
             return;
--- a/test/soak/calmness.ts
+++ b/test/soak/calmness.ts
@@ -17,10 +17,22 @@
         );
     }
 
-    public isTargetDisturbed(target: string, fromMs: number, toMs: number): boolean {
+    /** `except`: begin of disturbances that do not count. */
+    public isTargetDisturbed(target: string, fromMs: number, toMs: number, except?: string): boolean {
         return this.disturbances.some(
             ({ what, scope, ...span }) =>
-                scope === "targets" && what.endsWith(` ${target}`) && isOverlapping(span, fromMs, toMs),
+                scope === "targets" &&
+                what.endsWith(` ${target}`) &&
+                (except === undefined || !what.startsWith(except)) &&
+                isOverlapping(span, fromMs, toMs),
+        );
+    }
+
+    /** Whether the router's process stood still within the span. */
+    public isRouterPaused(router: string, fromMs: number, toMs: number): boolean {
+        return this.disturbances.some(
+            ({ what, scope, ...span }) =>
+                scope === router && what.startsWith("router-pause") && isOverlapping(span, fromMs, toMs),
         );
     }
 
--- a/test/soak/records.ts
+++ b/test/soak/records.ts
@@ -40,6 +40,10 @@
     /** Headers that only a router may set, or that must not be passed on, as far as they arrived. */
     readonly forged: readonly string[];
     readonly ran: boolean;
+    /** The answer says that the target is leaving. */
+    readonly saysLeaving: boolean;
+    /** The answer asks for no requests for so long; milliseconds. */
+    readonly pauseMs: number | undefined;
 }
 
 /** What was disturbed, and from when to when. */
--- /dev/null
+++ b/test/soak/signalChecks.ts
@@ -0,0 +1,62 @@
+import type { Breach, CallerAttempt, SoakRecord, TargetArrival } from "./records.js";
+import type { RecordIndex } from "./soakChecks.js";
+
+/** Bounds of the platform's deployments: on sends to a target whose leaving was passed on, and on sends while one pauses. */
+const leavingBoundMs = 2_000;
+const pauseSlackMs = 500;
+const mostDuringPause = 2;
+
+interface Send {
+    readonly attempt: CallerAttempt;
+    readonly arrival: TargetArrival;
+}
+
+/** A router that has passed on an answer of a target that is leaving sends nothing more there, in contact or not. */
+export function checkLeaving(record: SoakRecord, { calmness }: RecordIndex): readonly Breach[] {
+    return listSendGroups(record).flatMap(sends => {
+        const passedAtMs = Math.min(...sends.map(getPassedLeavingAtMs));
+        return sends
+            .filter(({ attempt }) => attempt.sentAtMs > passedAtMs + leavingBoundMs)
+            .filter(({ attempt }) => !calmness.isRouterPaused(attempt.router, passedAtMs, attempt.sentAtMs))
+            .map(({ attempt, arrival }) => ({
+                promise: "a target that said that it is leaving gets nothing more",
+                evidence: `${arrival.target} from ${attempt.router}: ${attempt.id}, ${attempt.sentAtMs - passedAtMs} ms later`,
+            }));
+    });
+}
+
+/** A router leaves a target alone for as long as a 503 of it asks. */
+export function checkPauses(record: SoakRecord, { calmness }: RecordIndex): readonly Breach[] {
+    return listSendGroups(record).flatMap(sends =>
+        sends.flatMap(({ arrival: { target, atMs, pauseMs }, attempt: { router } }) => {
+            const untilMs = atMs + (pauseMs ?? 0);
+            const count = sends.filter(({ arrival }) => {
+                return arrival.atMs > atMs + pauseSlackMs && arrival.atMs < untilMs;
+            }).length;
+            return count > mostDuringPause &&
+                calmness.isRouterCalm(router, atMs, untilMs) &&
+                !calmness.isTargetDisturbed(target, atMs, untilMs, "target-pauses")
+                ? [{ promise: "a target that pauses is left alone", evidence: `${target} from ${router}: ${count}` }]
+                : [];
+        }),
+    );
+}
+
+/** Sends by target and process of a router. */
+function listSendGroups(record: SoakRecord): readonly (readonly Send[])[] {
+    const attempts = new Map(record.attempts.map(attempt => [attempt.id, attempt]));
+    const groups = new Map<string, Send[]>();
+    for (const arrival of record.arrivals) {
+        const attempt = attempts.get(arrival.id ?? "");
+        if (attempt !== undefined) {
+            const key = `${arrival.target} ${attempt.router}#${attempt.routerStart}`;
+            groups.set(key, [...(groups.get(key) ?? []), { attempt, arrival }]);
+        }
+    }
+    return [...groups.values()];
+}
+
+function getPassedLeavingAtMs({ attempt, arrival }: Send): number {
+    const isPassedOn = arrival.saysLeaving && arrival.ran && attempt.status !== undefined;
+    return isPassedOn ? (attempt.endedAtMs ?? Number.POSITIVE_INFINITY) : Number.POSITIVE_INFINITY;
+}
--- a/test/soak/soakChecks.test.ts
+++ b/test/soak/soakChecks.test.ts
@@ -29,6 +29,8 @@
     account: "north",
     forged: [],
     ran: true,
+    saysLeaving: false,
+    pauseMs: undefined,
 };
 const whole: SoakRecord = {
     attempts: [attempt],
@@ -113,6 +115,66 @@
         expect(promises).toMatchSnapshot();
     });
 
+    // What a target says in an answer binds the router that passed it on, also one that was disturbed; a freeze excuses it.
+    it("find work for a target that said that it is leaving", () => {
+        const later = {
+            ...attempt,
+            id: "a2",
+            sentAtMs: 12_100,
+            endedAtMs: 12_150,
+            answer: "answer to a2",
+            path: "/book/a2",
+        };
+        const arrivals = [
+            { ...arrival, saysLeaving: true },
+            { ...arrival, id: "a2", path: "/book/a2", atMs: 12_110 },
+        ];
+        const listPromises = (changes: Partial<SoakRecord>): readonly string[] =>
+            checkRecord({ ...whole, attempts: [attempt, later], arrivals, ...changes }, false).map(
+                ({ promise }) => promise,
+            );
+        const cut = [{ ...disturbed[0], what: "callers-cut router-1", toMs: 11_000 }];
+        const frozen = [{ ...disturbed[0], fromMs: 11_000, toMs: 11_500 }];
+        expect([
+            listPromises({}),
+            listPromises({ disturbances: cut }),
+            listPromises({ disturbances: frozen }),
+        ]).toMatchInlineSnapshot(`
+          [
+            [
+              "a target that said that it is leaving gets nothing more",
+            ],
+            [
+              "a target that said that it is leaving gets nothing more",
+            ],
+            [],
+          ]
+        `);
+    });
+
+    it("find sends to a target that pauses", () => {
+        const attempts = [0, 1, 2, 3].map(index => ({
+            ...attempt,
+            id: `p${index}`,
+            path: `/book/p${index}`,
+            answer: `answer to p${index}`,
+        }));
+        const arrivals = attempts.map(({ id, path }, index) => {
+            const pauseMs = index === 0 ? 2_000 : undefined;
+            return { ...arrival, id, path, pauseMs, ran: index > 0, atMs: 10_010 + (index === 0 ? 0 : 600 + index) };
+        });
+        const listPromises = (count: number): readonly string[] =>
+            checkRecord({ ...whole, attempts, arrivals: arrivals.slice(0, count) }, true).map(({ promise }) => promise);
+        expect([listPromises(3), listPromises(4)]).toMatchInlineSnapshot(`
+          [
+            [],
+            [
+              "a target that pauses is left alone",
+            ],
+          ]
+        `);
+    });
+
     it("find a configuration that goes back in one process", () => {
         const version = { ...attempt, kind: "version" as const, path: "/v2/a1", body: "" };
         const attempts = [
--- a/test/soak/soakChecks.ts
+++ b/test/soak/soakChecks.ts
@@ -1,6 +1,7 @@
 import type { Breach, CallerAttempt, SoakRecord, TargetArrival } from "./records.js";
 import { coldPerSecond, lastingKeys, timeoutMs } from "./soakOperator.js";
 import { Calmness } from "./calmness.js";
+import { checkLeaving, checkPauses } from "./signalChecks.js";
 
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const pieces = [1, 2, 3, 4, 5].map(id => `id: ${id}\ndata: piece ${id}\n\n`);
@@ -16,7 +17,8 @@
 /** A check of one promise. */
 type Check = (record: SoakRecord, index: RecordIndex) => readonly Breach[];
 
-interface RecordIndex {
+/** A record as the checks look things up in it. */
+export interface RecordIndex {
     readonly arrivals: ReadonlyMap<string, readonly TargetArrival[]>;
     readonly calmness: Calmness;
 }
@@ -32,6 +34,7 @@
     checkDenials,
     checkColdLimit,
     checkNoReturn,
+    checkLeaving,
 ];
 
 /** Promises with a time bound, which hold for routers that nothing disturbs. */
@@ -43,6 +46,7 @@
     checkRevoked,
     checkFinalAnswers,
     checkLost,
+    checkPauses,
 ];
 
 /** Compares what callers and targets saw with what is promised. */
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -164,6 +164,13 @@
                 await targets.start(service, dataCentre, coldStartMs);
                 await targets.drain(target);
                 break;
+            case "target-leaves":
+                await targets.start(service, dataCentre, coldStartMs);
+                await targets.drainSilently(target);
+                break;
+            case "target-pauses":
+                await targets.refuseForPause(target, fault.forMs, fault.forMs);
+                break;
             case "target-moved":
                 // Its address goes to a target of the other service.
                 targets.end(target);
--- a/test/soak/soakPlan.ts
+++ b/test/soak/soakPlan.ts
@@ -37,7 +37,10 @@
     "data-centre-out",
 ] as const;
 
-export type FaultKind = (typeof faultKinds)[number];
+/** What targets say in their answers alone; drawn besides, so that the plans of earlier seeds keep their faults. */
+export const signalKinds = ["target-leaves", "target-pauses"] as const;
+
+export type FaultKind = (typeof faultKinds)[number] | (typeof signalKinds)[number];
 
 /** One entry of a plan. */
 export interface PlannedFault {
@@ -56,6 +59,7 @@
 /** Part of the entries that come in a series, close behind the one before. */
 const seriesShare = 0.4;
 const seriesGapMs = 300;
+const mostSignals = 4;
 
 /** A random plan; the same for the same seed. Entries overlap and may repeat. */
 export function createPlan(random: SeededRandom, lengthMs: number): readonly PlannedFault[] {
@@ -75,3 +79,14 @@
     }
     return plan.sort((a, b) => a.atMs - b.atMs);
 }
+
+/** Targets that leave or pause, as their answers alone show; the same for the same seed. */
+export function createSignalPlan(random: SeededRandom, lengthMs: number): readonly PlannedFault[] {
+    const count = Math.floor(random.next() * (mostSignals + 1));
+    return Array.from({ length: count }, () => ({
+        kind: signalKinds[Math.floor(random.next() * signalKinds.length)],
+        atMs: random.next() * lengthMs,
+        forMs: shortestMs + random.next() * (longestMs - shortestMs),
+        pick: random.next(),
+    }));
+}
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -5,7 +5,7 @@
 import { checkRecord } from "./soakChecks.js";
 import { SoakFaults } from "./soakFaults.js";
 import { SoakOperator } from "./soakOperator.js";
-import { createPlan, type PlannedFault } from "./soakPlan.js";
+import { createPlan, createSignalPlan, type PlannedFault } from "./soakPlan.js";
 import { SoakRouters, type RouterCrash } from "./soakRouters.js";
 import { SoakTargets } from "./soakTargets.js";
 
@@ -38,6 +38,7 @@
 const servedShare = 0.9;
 const recoveryRoundMs = 700;
 const fewestInRound = 20;
+const signalSeedOffset = 1_000_000;
 /** The platform's deployments allow 12 s; on a busy machine longer waits say nothing. */
 const recoverBoundMs = 12_000;
 const longestRecoveryMs = 60_000;
@@ -45,7 +46,8 @@
 /** Plays one seed: real router processes, with targets, store and callers around them, and faults from outside. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const random = new SeededRandom(options.seed);
-    const plan = createPlan(random, options.lengthMs);
+    const signals = createSignalPlan(new SeededRandom(options.seed + signalSeedOffset), options.lengthMs);
+    const plan = [...createPlan(random, options.lengthMs), ...signals];
     const routerCount = fewestRouters + Math.floor(random.next() * (mostRouters - fewestRouters + 1));
     const words: StoreWord[] = [];
     const disturbances: Disturbance[] = [];
--- a/test/soak/soakTargets.ts
+++ b/test/soak/soakTargets.ts
@@ -26,6 +26,7 @@
 const lingerMs = 3_000;
 /** From a target's registration to its first answer. */
 const announceMs = 700;
+const pauseShare = 0.5;
 const forbiddenHeaders = ["authorization", "x-lynxarch-kv-hold", "x-lynxarch-pin-ms", "kv-from"] as const;
 
 /** The engines and plain services of a run, and their entries in the store. */
@@ -92,6 +93,24 @@
         this.end(target);
     }
 
+    /** Leaves so that only its answers show it: its record stays ready until it is gone. */
+    public async drainSilently(target: SoakTarget): Promise<void> {
+        target.server.isLeaving = true;
+        await new Promise(resolve => setTimeout(resolve, lingerMs));
+        if (target.state !== "gone") {
+            this.end(target);
+        }
+    }
+
+    /** Turns a share of its requests away and asks for a pause each time. */
+    public async refuseForPause(target: SoakTarget, pauseMs: number, forMs: number): Promise<void> {
+        target.server.retryAfter = (pauseMs / 1_000).toFixed(2);
+        this.setScript(target, "shed", pauseShare);
+        await new Promise(resolve => setTimeout(resolve, forMs));
+        target.server.retryAfter = undefined;
+        target.server.chooseScript = undefined;
+    }
+
     /** Ends without a word; its entry lapses. */
     public end(target: SoakTarget): void {
         target.state = "gone";
@@ -149,6 +168,8 @@
                 account: request.headers["x-lynxarch-tenant"]?.toString(),
                 forged: forbiddenHeaders.filter(name => request.headers[name] !== undefined),
                 ran: request.ran,
+                saysLeaving: request.saysLeaving,
+                pauseMs: request.pauseMs,
             })),
         );
     }
