Run a request under suspicion once at a time

Open in the postmortem of BUDGET: several ids of one request at several routers at the same moment each ended a target before the third crash was known. From the first crash on each router runs the request once at a time, and from one crash before it would be held only the digest's owner does; the others answer 503 suspect-runs with Retry-After, as nothing ran. A whole answer clears it as before. Every two held requests of the same account, method and path lower the evidence that holds a further one (3, 3, 2, 2, 1), as an account with many different such requests ended three targets with each.

Standings that were clear are suspect and strong-suspect now: the tests that named them name these (as strict). A weak spot: callers who send the very same request at once get 503 until one of them is answered.

--- a/src/decisions/quarantine/crashLedger.ts
+++ b/src/decisions/quarantine/crashLedger.ts
@@ -24,8 +24,12 @@
 
 /** How a request stands. */
 export type RequestStanding =
-    /** Nothing speaks against it, or too little. */
+    /** Nothing speaks against it. */
     | "clear"
+    /** A target ended under it; each router runs it once at a time. */
+    | "suspect"
+    /** One further crash would hold it; one router runs it, once at a time. */
+    | "strong-suspect"
     /** It ended several targets; nobody runs it. */
     | "held"
     /** It was held long enough to be tried once, at one place. */
@@ -44,8 +48,15 @@
 /** Weight of a run without output, and of one that had given some. */
 export const freshRunWeight = 1;
 export const provenRunWeight = 0.5;
-/** Evidence from which on a request is held. */
+/**
+ * Evidence from which on a request is held. Every two held requests of the same account, method and path lower it by one: an account
+ * that sends many different such requests would otherwise end three targets with each of them.
+ */
 const heldFrom = 3;
+const leastHeldFrom = 1;
+const heldToLower = 2;
+const suspectFrom = 1;
+const strongSuspectMargin = 1;
 /** A trial may cost a target and all its streams, so that it comes rarely. */
 const firstHoldMs = 600_000;
 const longestHoldMs = 21_600_000;
@@ -97,7 +108,7 @@
         entry.weights.set(incarnation, weight);
         entry.lastAtMs = nowMs;
         const isNew = known === 0 && entry.heldUntilMs <= nowMs;
-        if (computeScore(entry) < heldFrom || !isNew) {
+        if (computeScore(entry) < this.computeHeldFrom(entry, nowMs) || !isNew) {
             return false;
         }
         entry.holdMs = entry.holdMs === 0 ? firstHoldMs : Math.min(longestHoldMs, entry.holdMs * 2);
@@ -107,10 +118,17 @@
 
     public check(digest: string, nowMs: number): RequestStanding {
         const entry = this.findEntry(digest, nowMs);
-        if (entry === undefined || computeScore(entry) < heldFrom) {
+        if (entry === undefined) {
             return "clear";
         }
-        return nowMs < entry.heldUntilMs ? "held" : "probe";
+        if (entry.heldUntilMs > 0) {
+            return nowMs < entry.heldUntilMs ? "held" : "probe";
+        }
+        const score = computeScore(entry);
+        if (score < suspectFrom) {
+            return "clear";
+        }
+        return score + strongSuspectMargin < this.computeHeldFrom(entry, nowMs) ? "suspect" : "strong-suspect";
     }
 
     /** The request was answered as a whole, or an operator released it. False: nothing was known of it. */
@@ -139,14 +157,14 @@
     /** Requests that are held or wait for a probe. */
     public listHeld(nowMs: number): readonly HeldRequest[] {
         return [...this.entries.entries()]
-            .filter(([, entry]) => computeScore(entry) >= heldFrom)
+            .filter(([, entry]) => entry.heldUntilMs > 0)
             .map(([digest, entry]) => createHeld(digest, entry, nowMs));
     }
 
     /** The request if it is held or waits for a probe. */
     public findHeld(digest: string, nowMs: number): HeldRequest | undefined {
         const entry = this.findEntry(digest, nowMs);
-        return entry === undefined || computeScore(entry) < heldFrom ? undefined : createHeld(digest, entry, nowMs);
+        return entry === undefined || entry.heldUntilMs === 0 ? undefined : createHeld(digest, entry, nowMs);
     }
 
     private findEntry(digest: string, nowMs: number): Entry | undefined {
@@ -168,6 +186,14 @@
         return entry;
     }
 
+    private computeHeldFrom({ prefixHash }: Entry, nowMs: number): number {
+        let heldCount = 0;
+        for (const other of this.prefixes.has(prefixHash) ? this.entries.values() : []) {
+            heldCount += other.prefixHash === prefixHash && nowMs < other.heldUntilMs ? 1 : 0;
+        }
+        return Math.max(leastHeldFrom, heldFrom - Math.floor(heldCount / heldToLower));
+    }
+
     private isVoid(digest: string, incarnation: number, nowMs: number): boolean {
         const tombstone = this.tombstones.get(digest);
         return tombstone !== undefined && nowMs < tombstone.untilMs && tombstone.incarnations.has(incarnation);
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { createOwnAnswer, type OwnAnswerReason } from "./ownAnswer.js";
 import { RequestIdentity } from "./quarantine/requestIdentity.js";
+import { RequestWatch } from "./quarantine/requestWatch.js";
 import { RequestFlow } from "./requestFlow.js";
 import { RequestShedder } from "./requestShedder.js";
 import type { RoutedRequest } from "./routedRequest.js";
@@ -30,6 +31,8 @@
 const noConfigurationRetryMs = 500;
 const stoppingRetryMs = 100;
 const busyRetryMs = 500;
+/** A run of usual length is over by then. */
+const suspectRetryMs = 500;
 /** Memory that open requests' bodies may take, as a share of the process's; the rest is the runtime's and the answers'. */
 const bodyMemoryShare = 0.25;
 const bytesPerMb = 1_048_576;
@@ -118,10 +121,21 @@
         } else if (routed.request === undefined) {
             const retryAfterMs = routed.problem === "no-configuration" ? noConfigurationRetryMs : undefined;
             this.answerOwn(caller, head, routed, routed.problem, retryAfterMs);
-        } else if (this.context.quarantine.isHeld(routed.request.identity)) {
+        } else {
+            await this.handleRouted(caller, routed, routed.request);
+        }
+    }
+
+    private async handleRouted(caller: CallerExchange, routed: RouteOutcome, request: RoutedRequest): Promise<void> {
+        const { head, arrivedAtMs, identity } = request;
+        const watch = new RequestWatch(this.context.quarantine, identity);
+        const start = watch.start();
+        if (start === "held") {
             this.answerOwn(caller, head, routed, "crashes-targets", undefined);
+        } else if (start === "busy") {
+            this.answerOwn(caller, head, routed, "suspect-runs", suspectRetryMs);
         } else {
-            const end = await new RequestFlow(this.context, caller, routed.request).run();
+            const end = await new RequestFlow(this.context, caller, request, watch).run();
             this.fireEnd(head, arrivedAtMs, end, routed);
         }
     }
--- a/src/gateway/ownAnswer.ts
+++ b/src/gateway/ownAnswer.ts
@@ -13,6 +13,7 @@
     | "stopping"
     | "target-broke"
     | "crashes-targets"
+    | "suspect-runs"
     | "timeout";
 
 /** What each reason means to the caller. The statuses of the first group say that the request did not run. */
@@ -23,6 +24,7 @@
     late: [503, "The request can't be answered in time now"],
     "over-share": [429, "The client account has had its fair share"],
     busy: [503, "The router has too many open requests"],
+    "suspect-runs": [503, "A target ended under the same request, which runs elsewhere now"],
     stopping: [503, "The router is stopping"],
     "no-route": [404, "No route takes this request"],
     "unknown-key": [401, "The key names no client account"],
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -21,6 +21,17 @@
 import type { RequestIdentity } from "./requestIdentity.js";
 import type { TargetProbe } from "./targetProbe.js";
 
+/** Whether a request may run now. */
+export type Turn =
+    /** Nothing speaks against it. */
+    | "free"
+    /** It is under suspicion, and may run; {@link Quarantine.endTurn} must follow. */
+    | "taken"
+    /** It is under suspicion, and runs already or has its place at another router. */
+    | "busy"
+    /** It must not run. */
+    | "held";
+
 /** What a {@link Quarantine} needs. */
 export interface QuarantineOptions {
     readonly ownId: string;
@@ -43,8 +54,8 @@
     private readonly ledger = new CrashLedger();
     private readonly reports: CrashReports;
     private readonly owners: TargetOwners;
-    /** Requests that are tried just now after they were held. */
-    private readonly probing = new Set<string>();
+    /** Requests under suspicion that this router runs just now. */
+    private readonly running = new Set<string>();
 
     public constructor(private readonly options: QuarantineOptions) {
         this.reports = this.store.add(new CrashReports(options.transport, options.setTimer));
@@ -69,23 +80,37 @@
         }
     }
 
-    /** Whether the request must not run. A request that was held long enough is tried by one router, one run at a time. */
-    public isHeld(identity: RequestIdentity): boolean {
+    /**
+     * Whether the request may run now. Ids of one such request come to several routers at the same moment, and each would end a
+     * target before the first crash is known: under suspicion it runs once at a time, and at one router only before it would be held.
+     */
+    public takeTurn(identity: RequestIdentity): Turn {
         if (!this.ledger.hasPrefix(identity.prefixHash)) {
-            return false;
+            return "free";
         }
         const nowMs = this.options.clock.nowMs();
         const { digest } = identity;
         const standing = this.ledger.check(digest, nowMs);
-        if (standing !== "probe") {
-            return standing === "held";
+        if (standing === "clear") {
+            return "free";
+        }
+        if (standing === "held") {
+            return "held";
         }
-        const isOwner = this.owners.find(hashFast(digest), nowMs) === this.options.ownId;
-        if (!isOwner || this.probing.has(digest)) {
-            return true;
+        const isHere = standing === "suspect" || this.owners.find(hashFast(digest), nowMs) === this.options.ownId;
+        if (!isHere || this.running.has(digest)) {
+            return standing === "probe" ? "held" : "busy";
         }
-        this.probing.add(digest);
-        return false;
+        this.running.add(digest);
+        return "taken";
+    }
+
+    /** Whether the request is held now. */
+    public isHeld(identity: RequestIdentity): boolean {
+        return (
+            this.ledger.hasPrefix(identity.prefixHash) &&
+            this.ledger.check(identity.digest, this.options.clock.nowMs()) === "held"
+        );
     }
 
     /** A target broke off the request. Resolves once it is known whether the target has ended; evidence is recorded by then. */
@@ -114,11 +139,9 @@
         }
     }
 
-    /** The request's attempts are over. */
-    public observeEnd(identity: RequestIdentity): void {
-        if (this.probing.size > 0) {
-            this.probing.delete(identity.digest);
-        }
+    /** A run that took its turn is over. */
+    public endTurn(identity: RequestIdentity): void {
+        this.running.delete(identity.digest);
     }
 
     /** Lets a request run again; false: nothing is known of it. */
--- a/src/gateway/quarantine/requestWatch.ts
+++ b/src/gateway/quarantine/requestWatch.ts
@@ -3,16 +3,25 @@
 import type { Quarantine } from "./quarantine.js";
 import type { RequestIdentity } from "./requestIdentity.js";
 
-/** Reports to the quarantine how one request's attempts end. */
+/** Asks the quarantine for one request, and reports to it how its attempts end. */
 export class RequestWatch {
+    private hasTurn = false;
+
     public constructor(
         private readonly quarantine: Quarantine,
         private readonly identity: RequestIdentity,
     ) {}
 
+    /** Whether the request may run; {@link end} must follow. */
+    public start(): "run" | "busy" | "held" {
+        const turn = this.quarantine.takeTurn(this.identity);
+        this.hasTurn = turn === "taken";
+        return turn === "free" || turn === "taken" ? "run" : turn;
+    }
+
     /** Whether the request may be sent to a further target. */
     public get mayRepeat(): boolean {
-        return !this.quarantine.isHeld(this.identity);
+        return this.hasTurn ? !this.quarantine.isHeld(this.identity) : this.start() === "run";
     }
 
     /** Resolves once it is known what the outcome says of the request. */
@@ -24,7 +33,11 @@
         }
     }
 
+    /** The request's attempts are over. */
     public end(): void {
-        this.quarantine.observeEnd(this.identity);
+        if (this.hasTurn) {
+            this.hasTurn = false;
+            this.quarantine.endTurn(this.identity);
+        }
     }
 }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -10,7 +10,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import type { AnswerRelay, StoredAnswer } from "./relay.js";
 import { RequestRetries } from "./requestRetries.js";
-import { RequestWatch } from "./quarantine/requestWatch.js";
+import type { RequestWatch } from "./quarantine/requestWatch.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import { computeSilenceLimit, SilenceTimer } from "./silenceTimer.js";
 import type { Target } from "./target.js";
@@ -52,7 +52,6 @@
     private selection: Selection | undefined;
     private readonly timing: AnswerTiming;
     private readonly charge: AccountCharge;
-    private readonly watch: RequestWatch;
     private readonly retries: RequestRetries;
     private admission = noAdmission;
 
@@ -60,13 +59,13 @@
         private readonly context: GatewayContext,
         private readonly caller: CallerExchange,
         private readonly routed: RoutedRequest,
+        private readonly watch: RequestWatch,
     ) {
         const { route, head, arrivedAtMs } = routed;
         this.selector = new TargetSelector(context);
         this.timing = new AnswerTiming(route, arrivedAtMs);
         this.charge = new AccountCharge(context, routed);
         this.retries = new RequestRetries(context, routed.account);
-        this.watch = new RequestWatch(context.quarantine, routed.identity);
         const isStream = route.kind === "stream";
         this.relay = isStream
             ? new EventStreamRelay(caller, context.codec, route.isResumable, head.lastEventId)
--- a/test/decisions/quarantine/crashLedger.test.ts
+++ b/test/decisions/quarantine/crashLedger.test.ts
@@ -26,11 +26,11 @@
         });
         expect(standings).toMatchInlineSnapshot(`
           [
-            "clear clear",
-            "clear clear",
-            "held clear",
-            "held clear",
-            "held clear",
+            "suspect clear",
+            "strong-suspect suspect",
+            "held suspect",
+            "held strong-suspect",
+            "held strong-suspect",
             "held held",
           ]
         `);
@@ -54,7 +54,7 @@
         [1, 2].forEach(incarnation => ledger.record(createEvidence(incarnation), 0));
         ledger.remove(digest, 10);
         [1, 2, 3].forEach(incarnation => ledger.record(createEvidence(incarnation), 20));
-        expect(ledger.check(digest, 30)).toBe("clear");
+        expect(ledger.check(digest, 30)).toBe("suspect");
     });
 
     // Reports are sent several times, and arrive in any order; counted by report, two crashes would hold a request.
@@ -67,12 +67,27 @@
                     const ledger = new CrashLedger();
                     const order = isReversed ? [...incarnations].reverse() : incarnations;
                     order.forEach(incarnation => ledger.record(createEvidence(incarnation), 0));
-                    expect(ledger.check(digest, 1)).toBe(new Set(incarnations).size >= 3 ? "held" : "clear");
+                    const standings = ["clear", "suspect", "strong-suspect", "held"];
+                    expect(ledger.check(digest, 1)).toBe(standings[Math.min(3, new Set(incarnations).size)]);
                 },
             ),
         );
     });
 
+    // An account sends many different requests that end targets: held one by one, each of them costs three.
+    it("is held sooner the more requests of its account and path are held, and others as before", () => {
+        const ledger = new CrashLedger();
+        const countToHold = (name: string, prefixHash: number): number => {
+            for (let count = 1; ; count++) {
+                if (ledger.record({ digest: name, prefixHash, incarnation: count, weight: freshRunWeight }, 0)) {
+                    return count;
+                }
+            }
+        };
+        const counts = ["a", "b", "c", "d", "e"].map(name => countToHold(name, 7));
+        expect({ counts, otherPath: countToHold("x", 8) }).toEqual({ counts: [3, 3, 2, 2, 1], otherPath: 3 });
+    });
+
     it("is the same after a store and a load", () => {
         const ledger = new CrashLedger();
         [1, 2, 3].forEach(incarnation => ledger.record(createEvidence(incarnation), 0));
--- a/test/gateway/crashingRequests.test.ts
+++ b/test/gateway/crashingRequests.test.ts
@@ -26,9 +26,9 @@
     );
 }
 
-async function sendFatal(id: string, router: number): Promise<CallerAnswer> {
+async function sendFatal(id: string, router: number, path = "/plan/x"): Promise<CallerAnswer> {
     const headers = createPromptHeaders(id);
-    const answer = await fixture.current.send({ path: "/plan/x", headers, body: fatalBody }, router);
+    const answer = await fixture.current.send({ path, headers, body: fatalBody }, router);
     await new Promise(resolve => setTimeout(resolve, settleMs));
     // Their heartbeats are missing.
     for (const target of fixture.current.targets.filter(({ hasEnded }) => hasEnded)) {
@@ -51,6 +51,25 @@
         expect(countEnded()).toBe(3);
     });
 
+    // Each router that has one under way when the first crash is known goes on; sent on freely, one for each id would end a target.
+    it("runs at one place at a time once two targets have ended under it", async () => {
+        await startFleet(8, 3);
+        await sendFatal("fatal-1", 0, "/once/x");
+        await sendFatal("fatal-2", 1, "/once/x");
+        await Promise.all([0, 1, 2, 0, 1, 2].map((router, index) => sendFatal(`again-${index}`, router, "/once/x")));
+        expect(countEnded()).toBeLessThanOrEqual(3);
+    });
+
+    it("runs once at a time at each router after the first crash", async () => {
+        await startFleet(8, 2);
+        await sendFatal("fatal-1", 0, "/once/x");
+        const answers = await Promise.all(
+            [0, 0, 0, 1, 1, 1].map((router, index) => sendFatal(`again-${index}`, router, "/once/x")),
+        );
+        expect(countEnded()).toBeLessThanOrEqual(3);
+        expect(answers.filter(({ status }) => status === 503).length).toBeGreaterThanOrEqual(4);
+    });
+
     // What routers know of it is in their memory alone; all restarted, they would learn it by three further crashes.
     it("stays refused where all routers are started anew", async () => {
         await startFleet(8, 1);
