Write records of held requests again after the store came back from an older copy

When the operators' topic shows a new Store-Era, the owner of each held request's digest writes its record once more. Test: crashingRequests.test.ts (without the change the record never returns).

--- a/src/gateway/fleetSource.ts
+++ b/src/gateway/fleetSource.ts
@@ -44,6 +44,8 @@
 /** Provides what the platform holds: the configuration, the targets, the data centres that are out. */
 export interface FleetSource extends Disposable {
     readonly onDidChange: Event<FleetChange>;
+    /** The platform's store came back from an older copy; what was written last may be lost. */
+    readonly onDidRewind: Event<void>;
     /** The configuration and the targets have been read from the platform, or were taken from a peer. */
     readonly isUsable: boolean;
     readonly health: SourceHealth;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -184,6 +184,7 @@
         const requestLog = this.store.add(new RequestLog(logger, clock));
         this.store.add(directory.onDidReceiveSignal(signal => this.metrics.recordSignal(signal)));
         this.store.add(source);
+        this.store.add(source.onDidRewind(() => this.quarantine.writeHeldAgain()));
         this.store.add(source.onDidChange(change => this.applyChange(change)));
         this.store.add(
             this.service.onDidEnd(ended => {
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -165,6 +165,17 @@
         cleared.forEach(digest => this.ledger.remove(digest, nowMs));
     }
 
+    /** Writes the records that may be lost with what the store wrote last; one router for each request. */
+    public writeHeldAgain(): void {
+        const { clock, ownId } = this.options;
+        const nowMs = clock.nowMs();
+        for (const held of this.ledger.listHeld(nowMs)) {
+            if (this.owners.find(hashFast(held.digest), nowMs) === ownId) {
+                this.writeRecord(held);
+            }
+        }
+    }
+
     public listHeld(): readonly HeldRequest[] {
         return this.ledger.listHeld(this.options.clock.nowMs());
     }
@@ -176,14 +187,18 @@
 
     /** Only the router that saw the deciding crash writes the record: one call for each time that a request is held. */
     private recordHeld(digest: string): void {
-        const { clock, records, logger } = this.options;
-        const held = this.ledger.findHeld(digest, clock.nowMs());
+        const held = this.ledger.findHeld(digest, this.options.clock.nowMs());
         if (held === undefined) {
             return;
         }
-        const { prefixHash, incarnations, leftMs, holdMs } = held;
+        const { incarnations, holdMs } = held;
         const targets = incarnations.length;
-        logger.write("error", "a request that ends targets is held", { digest, targets, holdMs });
+        this.options.logger.write("error", "a request that ends targets is held", { digest, targets, holdMs });
+        this.writeRecord(held);
+    }
+
+    private writeRecord({ digest, prefixHash, incarnations, leftMs, holdMs }: HeldRequest): void {
+        const { clock, records, logger } = this.options;
         const heldUntil = new Date(clock.nowDate().getTime() + leftMs);
         void records
             .write({ digest, prefixHash, incarnations, heldUntil, holdMs }, this.lifetime.token)
--- a/test/fakes/usersPlatform/storeServer.ts
+++ b/test/fakes/usersPlatform/storeServer.ts
@@ -48,6 +48,11 @@
         }
     }
 
+    /** Whether any key of a topic has a value. */
+    public hasKeys(topicName: string): boolean {
+        return this.openTopic(topicName).newest.size > 0;
+    }
+
     /** Deletes all records; the newest of each key stay. */
     public removeHistory(topicName: string): void {
         const topic = this.openTopic(topicName);
--- a/test/gateway/crashingRequests.test.ts
+++ b/test/gateway/crashingRequests.test.ts
@@ -81,6 +81,19 @@
         expect({ status: answer.status, ended: countEnded() }).toEqual({ status: 502, ended: 3 });
     });
 
+    // The store comes back from a copy without the record; routers that start later would learn it by three crashes again.
+    it("stays refused where the store lost its record and all routers are started anew", async () => {
+        await startFleet(8, 1);
+        await sendFatal("fatal-1", 0);
+        await sendFatal("fatal-2", 0);
+        fixture.current.store.removeLast("keyed.quarantine", 1);
+        await waitUntil(() => fixture.current.store.hasKeys("keyed.quarantine"));
+        fixture.current.routers.splice(0).forEach(({ daemon }) => daemon.dispose());
+        await fixture.current.addRouter();
+        const answer = await sendFatal("fatal-3", 0);
+        expect({ status: answer.status, ended: countEnded() }).toEqual({ status: 502, ended: 3 });
+    });
+
     it("gets a final answer that says why, and no time to come back", async () => {
         await startFleet(6, 1);
         await sendFatal("fatal-1", 0);
