Operators list and release held requests

The routers' control address answers held.list and held.release (tRPC beside the handover), lynxarch held list and held release call it; a release reaches all routers and drops the record. The address is not reachable from outside the fleet and asks for no secret, as the handover.

--- a/src/cli/commandList.ts
+++ b/src/cli/commandList.ts
@@ -9,6 +9,7 @@
 import { documentRestore } from "./commands/documentRestore.js";
 import { documentShow } from "./commands/documentShow.js";
 import { explain } from "./commands/explain.js";
+import { heldList, heldRelease } from "./commands/held.js";
 import { keyIssue } from "./commands/keyIssue.js";
 import { shares } from "./commands/shares.js";
 import { status } from "./commands/status.js";
@@ -32,6 +33,8 @@
     dataCentreIn,
     targetDrain,
     targetResume,
+    heldList,
+    heldRelease,
     accountCreate,
     keyIssue,
 ];
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,4 +1,4 @@
-import type { Hono } from "hono";
+import { Hono } from "hono";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
 import { DisposableStore, type Disposable } from "../base/lifecycle.js";
@@ -21,6 +21,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService } from "./gatewayService.js";
 import { createGrants } from "./grants/createGrants.js";
+import { createHeldRequestsApp } from "./quarantine/heldRequestsApi.js";
 import { Quarantine } from "./quarantine/quarantine.js";
 import { ConnectProbe } from "./quarantine/targetProbe.js";
 import { PeerExchange } from "./peers/peerExchange.js";
@@ -219,10 +220,13 @@
             settings.readiness,
         );
         if (settings.control !== undefined) {
-            await this.listenAside(
+            const app = new Hono();
+            app.route(
+                "/",
                 createHandoverApp(() => source.createSnapshot()),
-                settings.control,
             );
+            app.route("/", createHeldRequestsApp(this.quarantine));
+            await this.listenAside(app, settings.control);
         }
         if (settings.metricsPort !== undefined) {
             const app = createMetricsApp(this.metrics, () => describeState(this.context, source));
--- /dev/null
+++ b/src/gateway/quarantine/heldRequestsApi.ts
@@ -0,0 +1,77 @@
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { initTRPC } from "@trpc/server";
+import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
+import { Hono } from "hono";
+import { ResultAsync } from "neverthrow";
+import { z } from "zod";
+import { LynxarchError } from "../../base/errors.js";
+import type { HeldRequest } from "../../decisions/quarantine/crashLedger.js";
+
+/** A router did not answer an operator's call about held requests. */
+export class HeldRequestsError extends LynxarchError {
+    public readonly code = "held-requests-failed";
+}
+
+/** What the calls act on. */
+export interface HeldRequests {
+    listHeld(): readonly HeldRequest[];
+    /** Lets a request run again, at all routers; false: nothing is known of it. */
+    release(digest: string): boolean;
+}
+
+const endpoint = "/held";
+const callTimeoutMs = 3_000;
+const digestSchema = z.string().regex(/^[0-9a-f]{32}$/, "must be 32 hexadecimal digits");
+const heldSchema = z.array(
+    z.object({
+        digest: z.string(),
+        prefixHash: z.number(),
+        incarnations: z.array(z.number()).readonly(),
+        leftMs: z.number(),
+        holdMs: z.number(),
+    }),
+);
+
+const trpc = initTRPC.context<{ readonly requests: HeldRequests }>().create();
+const heldRouter = trpc.router({
+    list: trpc.procedure.query(({ ctx }) => ctx.requests.listHeld()),
+    release: trpc.procedure.input(digestSchema).mutation(({ ctx, input }) => ctx.requests.release(input)),
+});
+
+/** Builds the app that operators list and release held requests with. */
+export function createHeldRequestsApp(requests: HeldRequests): Hono {
+    const app = new Hono();
+    app.all(`${endpoint}/*`, context =>
+        fetchRequestHandler({
+            endpoint,
+            req: context.req.raw,
+            router: heldRouter,
+            createContext: () => ({ requests }),
+        }),
+    );
+    return app;
+}
+
+/** Requests that a router holds. Errors: no answer in time, or one of another form. */
+export function fetchHeldRequests(address: string): ResultAsync<readonly HeldRequest[], HeldRequestsError> {
+    const answer = createClient(address)
+        .list.query(undefined, { signal: AbortSignal.timeout(callTimeoutMs) })
+        .then(value => heldSchema.parse(value));
+    return ResultAsync.fromPromise(answer, toError);
+}
+
+/** Releases a request at one router, which reports it to the others; false: it is not known there. Errors: as above. */
+export function releaseHeldRequest(address: string, digest: string): ResultAsync<boolean, HeldRequestsError> {
+    const answer = createClient(address)
+        .release.mutate(digest, { signal: AbortSignal.timeout(callTimeoutMs) })
+        .then(value => z.boolean().parse(value));
+    return ResultAsync.fromPromise(answer, toError);
+}
+
+function createClient(address: string): ReturnType<typeof createTRPCClient<typeof heldRouter>> {
+    return createTRPCClient<typeof heldRouter>({ links: [httpLink({ url: `http://${address}${endpoint}` })] });
+}
+
+function toError(cause: unknown): HeldRequestsError {
+    return new HeldRequestsError(cause instanceof Error ? cause.message : String(cause), cause);
+}
--- a/test/gateway/crashingRequests.test.ts
+++ b/test/gateway/crashingRequests.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { fetchHeldRequests, releaseHeldRequest } from "../../src/gateway/quarantine/heldRequestsApi.js";
 import { createPromptHeaders, GatewayFixture, waitUntil, type CallerAnswer } from "./gatewayFixture.js";
 
 const fixture = { current: new GatewayFixture() };
@@ -94,6 +95,28 @@
         expect({ status: answer.status, ended: countEnded() }).toEqual({ status: 502, ended: 3 });
     });
 
+    // Operators know that its cause is mended, and the next trial is minutes away.
+    it("runs again at all routers once an operator has released it", async () => {
+        await startFleet(8, 2);
+        await sendFatal("fatal-1", 0);
+        await sendFatal("fatal-2", 0);
+        await sendFatal("fatal-3", 1);
+        fixture.current.targets.forEach(target => (target.fatalBody = undefined));
+        const address = fixture.current.routers[0].settings.control!;
+        const held = (await fetchHeldRequests(address))._unsafeUnwrap();
+        const isReleased = (await releaseHeldRequest(address, held[0].digest))._unsafeUnwrap();
+        await waitUntil(async () => (await sendFatal("later", 1)).status === 200);
+        expect({
+            heldCount: held.length,
+            isReleased,
+            left: (await fetchHeldRequests(address))._unsafeUnwrap(),
+        }).toEqual({
+            heldCount: 1,
+            isReleased: true,
+            left: [],
+        });
+    });
+
     it("gets a final answer that says why, and no time to come back", async () => {
         await startFleet(6, 1);
         await sendFatal("fatal-1", 0);
--- a/test/soak/soakChecks.test.ts
+++ b/test/soak/soakChecks.test.ts
@@ -135,11 +135,8 @@
             );
         const cut = [{ ...disturbed[0], what: "callers-cut router-1", toMs: 11_000 }];
         const frozen = [{ ...disturbed[0], fromMs: 11_000, toMs: 11_500 }];
-        expect([
-            listPromises({}),
-            listPromises({ disturbances: cut }),
-            listPromises({ disturbances: frozen }),
-        ]).toMatchInlineSnapshot(`
+        expect([listPromises({}), listPromises({ disturbances: cut }), listPromises({ disturbances: frozen })])
+            .toMatchInlineSnapshot(`
           [
             [
               "a target that said that it is leaving gets nothing more",
