The soak sends requests that end each target that runs them

Eight ids of one such request come one after the other to any router; a target that ends refuses connections, its record goes, and another takes its place. Check: no more than three end while no router is disturbed.

--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -65,6 +65,8 @@
     /** A request with this body ends the target as soon as it runs: all connections are reset, and new ones refused. */
     public fatalBody: string | undefined;
     public hasEnded = false;
+    /** Called when a request has ended it. */
+    public onDidEnd: (() => void) | undefined;
     /** All its answers say that it is leaving; it goes on serving. */
     public isLeaving = false;
     /** `Retry-After` of refusals; undefined: none. */
@@ -103,6 +105,7 @@
         this.hasEnded = true;
         this.server.close();
         this.sockets.forEach(socket => socket.resetAndDestroy());
+        this.onDidEnd?.();
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/test/soak/records.ts
+++ b/test/soak/records.ts
@@ -58,7 +58,14 @@
 /** Something that operators or targets told the store. */
 export interface StoreWord {
     readonly kind:
-        "route-added" | "route-removed" | "key-revoked" | "draining" | "gone" | "data-centre-out" | "data-centre-in";
+        | "route-added"
+        | "route-removed"
+        | "key-revoked"
+        | "draining"
+        | "gone"
+        | "crashed"
+        | "data-centre-out"
+        | "data-centre-in";
     /** Path, key, target or data centre. */
     readonly name: string;
     readonly atMs: number;
--- a/test/soak/signalChecks.ts
+++ b/test/soak/signalChecks.ts
@@ -5,6 +5,7 @@
 const leavingBoundMs = 2_000;
 const pauseSlackMs = 500;
 const mostDuringPause = 2;
+const mostCrashes = 3;
 
 interface Send {
     readonly attempt: CallerAttempt;
@@ -42,6 +43,18 @@
     );
 }
 
+/** A request that ends targets ends no more of them than it takes to recognize it. */
+export function checkFatal(record: SoakRecord, { calmness }: RecordIndex): readonly Breach[] {
+    const crashes = record.words.filter(({ kind }) => kind === "crashed").map(({ atMs }) => atMs);
+    const routers = new Set(record.attempts.map(({ router }) => router));
+    const isCalm = [...routers].every(router =>
+        calmness.isRouterCalm(router, Math.min(...crashes), Math.max(...crashes)),
+    );
+    return crashes.length > mostCrashes && isCalm
+        ? [{ promise: "a request that ends targets is recognized", evidence: `${crashes.length} targets ended` }]
+        : [];
+}
+
 /** Sends by target and process of a router. */
 function listSendGroups(record: SoakRecord): readonly (readonly Send[])[] {
     const attempts = new Map(record.attempts.map(attempt => [attempt.id, attempt]));
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -3,6 +3,7 @@
 import type { CallerAttempt, CallKind } from "./records.js";
 import { host, lastingKeys, timeoutMs, type SoakOperator } from "./soakOperator.js";
 import type { SoakRouter, SoakRouters } from "./soakRouters.js";
+import { fatalBody } from "./soakTargets.js";
 
 const kinds: readonly CallKind[] = ["resumable", "once", "book", "find", "version"];
 const longestRestMs = 90;
@@ -61,6 +62,22 @@
         connection.agent.destroy();
     }
 
+    /** Sends the request that ends each target that runs it, with an id of its own and over a connection of its own. */
+    public async sendFatal(): Promise<void> {
+        const connection = this.openConnection();
+        const usual = this.createAttempt(connection);
+        const attempt: CallerAttempt = {
+            ...usual,
+            kind: "once",
+            path: "/once/fatal",
+            body: fatalBody,
+            key: Object.keys(lastingKeys)[0],
+        };
+        this.attempts.splice(this.attempts.indexOf(usual), 1, attempt);
+        await this.sendOne(connection, attempt);
+        connection.agent.destroy();
+    }
+
     private openConnection(): CallerConnection {
         const { inRotation } = this.routers;
         const router = inRotation[Math.floor(this.random.next() * inRotation.length)];
@@ -68,9 +85,8 @@
     }
 
     /** Sends a request and notes its end; false when the connection is over. */
-    private sendOne(connection: CallerConnection): Promise<boolean> {
+    private sendOne(connection: CallerConnection, attempt = this.createAttempt(connection)): Promise<boolean> {
         const { router, agent } = connection;
-        const attempt = this.createAttempt(router, connection.uses > 0);
         connection.uses += 1;
         const isStream = attempt.kind === "resumable" || attempt.kind === "once";
         const limitMs = isStream ? timeoutMs.stream : timeoutMs.plain;
@@ -120,7 +136,7 @@
         });
     }
 
-    private createAttempt(router: SoakRouter, isReused: boolean): CallerAttempt {
+    private createAttempt({ router, uses }: CallerConnection): CallerAttempt {
         const id = `a${++this.count}`;
         const { versionPaths } = this.operator;
         const choice = kinds[Math.floor(this.random.next() * kinds.length)];
@@ -143,7 +159,7 @@
             router: router.name,
             routerStart: router.starts,
             sentAtMs: performance.now(),
-            isReused,
+            isReused: uses > 0,
         };
         this.attempts.push(attempt);
         return attempt;
--- a/test/soak/soakChecks.test.ts
+++ b/test/soak/soakChecks.test.ts
@@ -149,6 +149,17 @@
         `);
     });
 
+    it("find a request that goes on to end targets", () => {
+        const words = [1, 2, 3, 4].map(index => ({
+            kind: "crashed" as const,
+            name: `e${index}`,
+            atMs: 10_000 + index,
+        }));
+        const counts = [3, 4].map(count => checkRecord({ ...whole, words: words.slice(0, count) }, true).length);
+        const excused = checkRecord({ ...whole, words, disturbances: disturbed }, true).length;
+        expect({ counts, excused }).toEqual({ counts: [0, 1], excused: 0 });
+    });
+
     it("find sends to a target that pauses", () => {
         const attempts = [0, 1, 2, 3].map(index => ({
             ...attempt,
--- a/test/soak/soakChecks.ts
+++ b/test/soak/soakChecks.ts
@@ -1,7 +1,7 @@
 import type { Breach, CallerAttempt, SoakRecord, TargetArrival } from "./records.js";
 import { coldPerSecond, lastingKeys, timeoutMs } from "./soakOperator.js";
 import { Calmness } from "./calmness.js";
-import { checkLeaving, checkPauses } from "./signalChecks.js";
+import { checkFatal, checkLeaving, checkPauses } from "./signalChecks.js";
 
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const pieces = [1, 2, 3, 4, 5].map(id => `id: ${id}\ndata: piece ${id}\n\n`);
@@ -47,6 +47,7 @@
     checkFinalAnswers,
     checkLost,
     checkPauses,
+    checkFatal,
 ];
 
 /** Compares what callers and targets saw with what is promised. */
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -3,6 +3,7 @@
 import type { StoreCondition, StoreServer } from "../fakes/usersPlatform/storeServer.js";
 import type { TargetScript } from "../fakes/usersPlatform/targetServer.js";
 import type { Disturbance } from "./records.js";
+import type { SoakCallers } from "./soakCallers.js";
 import { coldStartMs, type SoakOperator } from "./soakOperator.js";
 import type { FaultKind, PlannedFault } from "./soakPlan.js";
 import type { SoakRouter, SoakRouters } from "./soakRouters.js";
@@ -14,6 +15,8 @@
 const stormLength = 4;
 const linkDelayMs = 120;
 const faultShare = 0.4;
+const fatalCount = 8;
+const fatalGapMs = 250;
 const oneWay: readonly RouteMode[] = ["frozen-out", "frozen-back"];
 const storeConditions: readonly StoreCondition[] = ["busy", "silent", "reset"];
 const spoils: readonly TargetScript[] = ["break-off", "tear-event", "reset-unframed", "late-extra"];
@@ -24,6 +27,7 @@
     readonly targets: SoakTargets;
     readonly routers: SoakRouters;
     readonly operator: SoakOperator;
+    readonly callers: SoakCallers;
     readonly random: SeededRandom;
     readonly disturbances: Disturbance[];
 }
@@ -171,6 +175,12 @@
             case "target-pauses":
                 await targets.refuseForPause(target, fault.forMs, fault.forMs);
                 break;
+            case "target-fatal":
+                for (let index = 0; index < fatalCount; index++) {
+                    await this.scene.callers.sendFatal();
+                    await sleepFor(fatalGapMs);
+                }
+                break;
             case "target-moved":
                 // Its address goes to a target of the other service.
                 targets.end(target);
--- a/test/soak/soakPlan.ts
+++ b/test/soak/soakPlan.ts
@@ -37,8 +37,8 @@
     "data-centre-out",
 ] as const;
 
-/** What targets say in their answers alone; drawn besides, so that the plans of earlier seeds keep their faults. */
-export const signalKinds = ["target-leaves", "target-pauses"] as const;
+/** Drawn besides, so that the plans of earlier seeds keep their faults: what answers alone show, and requests that end targets. */
+export const signalKinds = ["target-leaves", "target-pauses", "target-fatal"] as const;
 
 export type FaultKind = (typeof faultKinds)[number] | (typeof signalKinds)[number];
 
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -66,7 +66,7 @@
         await routers.start(routerCount);
         await sleepFor(warmUpMs);
         callers.start(callerCount);
-        const faults = new SoakFaults({ store, targets, routers, operator, random, disturbances });
+        const faults = new SoakFaults({ store, targets, routers, operator, callers, random, disturbances });
         faults.start(plan);
         await sleepFor(options.lengthMs);
         await faults.waitForEnd();
--- a/test/soak/soakTargets.ts
+++ b/test/soak/soakTargets.ts
@@ -27,6 +27,9 @@
 /** From a target's registration to its first answer. */
 const announceMs = 700;
 const pauseShare = 0.5;
+const replaceMs = 1_500;
+/** A request with this body ends the target that runs it. */
+export const fatalBody = "ends whoever runs it";
 const forbiddenHeaders = ["authorization", "x-lynxarch-kv-hold", "x-lynxarch-pin-ms", "kv-from"] as const;
 
 /** The engines and plain services of a run, and their entries in the store. */
@@ -51,6 +54,7 @@
         const server = new TargetServer(id, service === "engines");
         server.eventPauseMs = eventPauseMs;
         server.workMs = workMs;
+        server.fatalBody = fatalBody;
         await server.start();
         const link = new Route("127.0.0.1", Number(server.address.split(":")[1]), []);
         const target: SoakTarget = {
@@ -64,6 +68,7 @@
             bornAtMs: Date.now(),
             coldUntilMs: 0,
         };
+        server.onDidEnd = () => void this.startSuccessor(target);
         this.all.push(target);
         this.setCold(target, coldMs);
         this.writeEntry(target);
@@ -120,6 +125,14 @@
         this.words.push({ kind: "gone", name: target.id, atMs: performance.now() });
     }
 
+    /** A request has ended it: its address refuses connections, and another one takes its place later. */
+    private async startSuccessor(target: SoakTarget): Promise<void> {
+        this.words.push({ kind: "crashed", name: target.id, atMs: performance.now() });
+        this.end(target);
+        await new Promise(resolve => setTimeout(resolve, replaceMs));
+        await this.start(target.service, target.dataCentre, coldStartMs);
+    }
+
     /** Crashes and starts again under its id, cold and with nothing kept. */
     public async startAnew(target: SoakTarget, downMs: number): Promise<void> {
         target.link.setMode("cut");
