--- a/test/soak/soakTargets.ts
+++ b/test/soak/soakTargets.ts
@@ -27,7 +27,7 @@
 /** From a target's registration to its first answer. */
 const announceMs = 700;
 const pauseShare = 0.5;
-const replaceMs = 1_500;
+const replaceMs = 500;
 /** A request with this body ends the target that runs it. */
 export const fatalBody = "ends whoever runs it";
 const forbiddenHeaders = ["authorization", "x-lynxarch-kv-hold", "x-lynxarch-pin-ms", "kv-from"] as const;
