Suspects' callers return within their objective; one look at the clock for a list of targets

503 suspect-runs told callers of plain services to come back after half a second, beyond their objective of 0.2 to 0.4 s: half of the objective now, half a second at most. listOpen asked the clock once for each target.

--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -31,8 +31,9 @@
 const noConfigurationRetryMs = 500;
 const stoppingRetryMs = 100;
 const busyRetryMs = 500;
-/** A run of usual length is over by then. */
+/** A run of usual length is over by then, and its caller can still be answered in time. */
 const suspectRetryMs = 500;
+const suspectRetryShare = 0.5;
 /** Memory that open requests' bodies may take, as a share of the process's; the rest is the runtime's and the answers'. */
 const bodyMemoryShare = 0.25;
 const bytesPerMb = 1_048_576;
@@ -133,7 +134,8 @@
         if (start === "held") {
             this.answerOwn(caller, head, routed, "crashes-targets", undefined);
         } else if (start === "busy") {
-            this.answerOwn(caller, head, routed, "suspect-runs", suspectRetryMs);
+            const retryAfterMs = Math.min(suspectRetryMs, request.route.objectiveMs * suspectRetryShare);
+            this.answerOwn(caller, head, routed, "suspect-runs", retryAfterMs);
         } else {
             const end = await new RequestFlow(this.context, caller, request, watch).run();
             this.fireEnd(head, arrivedAtMs, end, routed);
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -90,12 +90,13 @@
 
     /** Targets of a service that may get requests: not leaving, not in a data centre that is out. */
     public listOpen(service: string): readonly Target[] {
-        return (this.byService.get(service) ?? []).filter(target => this.isReady(target));
+        const nowMs = this.options.clock.nowMs();
+        return (this.byService.get(service) ?? []).filter(target => this.isReady(target, nowMs));
     }
 
     /** Whether the target is known and may get requests. */
     public isOpen(target: Target): boolean {
-        return this.targets.get(target.id) === target && this.isReady(target);
+        return this.targets.get(target.id) === target && this.isReady(target, this.options.clock.nowMs());
     }
 
     /** Whether the target must not get even a request that was meant for it: it left, pauses or is out. */
@@ -193,8 +194,8 @@
         }
     }
 
-    private isReady({ availability, dataCentre }: Target): boolean {
-        return availability.canTake(this.options.clock.nowMs()) && !this.dataCentresOut.has(dataCentre);
+    private isReady({ availability, dataCentre }: Target, nowMs: number): boolean {
+        return availability.canTake(nowMs) && !this.dataCentresOut.has(dataCentre);
     }
 
     private applyEntry(id: string, entry: TargetEntry | undefined): void {
