Callers wait for the end of a pause only where all targets pause

A service with one pausing target and one that is cold or can't be reached for a moment told callers the time of the pause, up to 30 s. Now the usual 0.3 s unless all targets that stay pause.

--- a/src/decisions/health/targetAvailability.ts
+++ b/src/decisions/health/targetAvailability.ts
@@ -23,7 +23,7 @@
  * Evidence is never withdrawn, so that the order in which it comes does not matter.
  */
 export class TargetAvailability {
-    /** A new start has not asked for one. */
+    /** The time for which it wants no requests of this router. */
     public readonly pause = new TargetPause();
     private evidence: LeavingEvidence | undefined;
 
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -108,16 +108,15 @@
         );
     }
 
-    /** Time until the first of a service's pausing targets takes requests again; undefined: none pauses. */
+    /** Time until the first target of a service takes requests again, where all that stay pause; undefined: not all do. */
     public computePauseMs(service: string): number | undefined {
         const nowMs = this.options.clock.nowMs();
         const pauses = (this.byService.get(service) ?? [])
             .filter(({ availability, dataCentre }) => {
                 return availability.leaving === undefined && !this.dataCentresOut.has(dataCentre);
             })
-            .map(({ availability }) => availability.pause.computeLeftMs(nowMs))
-            .filter(ms => ms > 0);
-        return pauses.length === 0 ? undefined : Math.min(...pauses);
+            .map(({ availability }) => availability.pause.computeLeftMs(nowMs));
+        return pauses.length === 0 || pauses.includes(0) ? undefined : Math.min(...pauses);
     }
 
     /** Known targets that are leaving, whatever the evidence: a router that starts later learns it from any of its peers. */
--- a/test/gateway/pausingTargets.test.ts
+++ b/test/gateway/pausingTargets.test.ts
@@ -56,6 +56,22 @@
         expect(target.received.length).toBe(1);
     });
 
+    // Another target that can't be reached just now may be back long before the end of the pause.
+    it("does not make callers wait for it while another one may come back sooner", async () => {
+        const pausing = await fixture.current.addTarget("engines", "engine-1");
+        const unreachable = await fixture.current.addTarget("engines", "engine-2");
+        await fixture.current.addRouter();
+        unreachable.dispose();
+        pausing.retryAfter = "20";
+        pausing.usual = "shed";
+        await waitUntil(async () => {
+            await send("first");
+            return pausing.received.length > 0;
+        });
+        const { status, headers } = await send("second");
+        expect([status, headers["retry-after"]]).toEqual([503, "0.30"]);
+    });
+
     it.each(["soon", "-5", "", "0"])(
         "that can't be read or asks for nothing (%j) gets the next request",
         async value => {
