Take what engines say of themselves in their lists of cached parts too

Engines that are known to be leaving are not asked. Test: pausingTargets.test.ts (the next request reached the engine before).

--- a/deploy/router.ts
+++ b/deploy/router.ts
@@ -67,7 +67,7 @@
     const { address } = settings.store;
     const source = new StoreFeed({ address, clock, random, sleep: sleepOnTimer, logger, drainMs, contactMs });
     const codec = new PlatformHeaders();
-    const engines = new EngineLists();
+    const engines = new EngineLists(clock);
     const load = new LoadMonitor(clock, logger);
     const daemon = new GatewayDaemon({ settings, clock, random, logger, codec, source, engines, load, readinessPath });
     process.on("SIGTERM", () => {
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -181,7 +181,7 @@
         this.handover = this.store.add(
             new Handover({ source, logger, sleep: sleepOnTimer, listAddresses: () => this.listControlAddresses() }),
         );
-        this.heldParts = this.store.add(new HeldPartsLoader(parts.engines, logger));
+        this.heldParts = this.store.add(new HeldPartsLoader(parts.engines, logger, directory));
         const requestLog = this.store.add(new RequestLog(logger, clock));
         this.store.add(directory.onDidReceiveSignal(signal => this.metrics.recordSignal(signal)));
         this.store.add(source);
@@ -325,11 +325,7 @@
         while (!source.isUsable && !this.lifetime.token.isCancelled) {
             await sleepOnTimer(openPollMs, this.lifetime.token);
         }
-        const { directory } = this.context;
-        const engines = directory
-            .listAll()
-            .filter(target => directory.findService(target.entry.service)?.engine !== undefined);
-        await this.heldParts.load(engines);
+        await this.heldParts.load();
     }
 
     private listControlAddresses(): readonly string[] {
--- a/src/gateway/heldPartsLoader.ts
+++ b/src/gateway/heldPartsLoader.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../base/log.js";
 import type { EngineInspector } from "./engineInspector.js";
 import type { Target } from "./target.js";
+import type { TargetDirectory } from "./targetDirectory.js";
 
 /**
  * Asks the engines once, at the router's start, which parts of prompts they keep. A router that was restarted believes that
@@ -16,9 +17,16 @@
     public constructor(
         private readonly inspector: EngineInspector,
         private readonly logger: Logger,
+        private readonly directory: TargetDirectory,
     ) {}
 
-    public async load(engines: readonly Target[]): Promise<void> {
+    /** Asks all model engines that take requests. */
+    public async load(): Promise<void> {
+        const { directory } = this;
+        const engines = directory
+            .listAll()
+            .filter(target => directory.findService(target.entry.service)?.engine !== undefined)
+            .filter(target => directory.isOpen(target));
         const counts = await Promise.all(engines.map(engine => this.loadOne(engine)));
         const parts = counts.reduce((sum, count) => sum + count, 0);
         this.logger.write("info", "learnt what engines keep", { engines: engines.length, parts });
@@ -29,11 +37,12 @@
     }
 
     private async loadOne(engine: Target): Promise<number> {
-        const parts = await this.inspector.listHeldParts(engine.entry.address, this.cancellation.token);
-        return parts.match(
-            known => {
-                known.forEach(part => engine.recordPart(part.id, part.tokens));
-                return known.length;
+        const list = await this.inspector.listHeldParts(engine.entry.address, this.cancellation.token);
+        return list.match(
+            answer => {
+                this.directory.observeSignals(engine, answer);
+                answer.parts.forEach(part => engine.recordPart(part.id, part.tokens));
+                return answer.parts.length;
             },
             error => {
                 this.logger.write("info", "an engine does not tell what it keeps", {
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -10,7 +10,7 @@
 import type { FleetChange, SourceHealth, TargetEntry } from "./fleetSource.js";
 import type { LeavingTarget } from "./peers/peerMessage.js";
 import { Target } from "./target.js";
-import type { AnswerHead } from "./wire.js";
+import type { AnswerHead, TargetSignals } from "./wire.js";
 
 /**
  * Entries lapse while the platform's store is away although their targets live, and are back within two seconds of its
@@ -137,11 +137,19 @@
     }
 
     /** Takes what a target says of itself in an answer to one of this router's requests. */
-    public observeAnswer(target: Target, { isLeaving, isOtherTarget, isNotRun, pause }: AnswerHead): void {
+    public observeAnswer(target: Target, head: AnswerHead): void {
         // Another target has the address, and speaks of itself.
-        if (isOtherTarget) {
+        if (head.isOtherTarget) {
             return;
         }
+        this.observeSignals(target, head);
+        if (head.pause.kind === "none" && !head.isNotRun) {
+            target.availability.pause.recordAnswer();
+        }
+    }
+
+    /** Takes what a target says, in any answer, of whether it takes requests. */
+    public observeSignals(target: Target, { isLeaving, pause }: TargetSignals): void {
         const { service } = target.entry;
         if (isLeaving) {
             this.recordLeaving(target.availability, target.id, "answer");
@@ -152,8 +160,6 @@
             this.signalEmitter.fire({ service, kind: "pause" });
         } else if (pause.kind === "unreadable") {
             this.signalEmitter.fire({ service, kind: "unreadable-pause" });
-        } else if (!isNotRun) {
-            target.availability.pause.recordAnswer();
         }
     }
 
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -33,8 +33,16 @@
     readonly fetchFrom: string | undefined;
 }
 
+/** What a target says in an answer of whether it takes requests. */
+export interface TargetSignals {
+    /** It is leaving. */
+    readonly isLeaving: boolean;
+    /** How long it wants nothing more from this router. */
+    readonly pause: RetryAfter;
+}
+
 /** What a target's answer says of itself. */
-export interface AnswerHead {
+export interface AnswerHead extends TargetSignals {
     /** The request it answers, as the target echoes it. */
     readonly requestId: string | undefined;
     /** The target says that it did not run the request. */
@@ -44,10 +52,6 @@
     /** The answer is signed by the target's engine. */
     readonly isSigned: boolean;
     readonly hasEncodedBody: boolean;
-    /** The target that answered is leaving. */
-    readonly isLeaving: boolean;
-    /** How long the target wants nothing more from this router. */
-    readonly pause: RetryAfter;
 }
 
 /** Translates between the HTTP headers of callers and targets and the router's own types. */
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -71,6 +71,9 @@
     public isLeaving = false;
     /** `Retry-After` of refusals; undefined: none. */
     public retryAfter: string | undefined;
+    public refusesLists = false;
+    /** How often it was asked what it keeps. */
+    public listCalls = 0;
 
     public constructor(
         public instanceId: string,
@@ -109,6 +112,14 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (this.isLeaving) {
+            response.setHeader("Server-Leaving", "1");
+        }
+        this.listCalls += request.url === "/api/kv-list" ? 1 : 0;
+        if (request.url === "/api/kv-list" && this.refusesLists) {
+            response.writeHead(503, this.retryAfter === undefined ? {} : { "Retry-After": this.retryAfter }).end();
+            return;
+        }
         if (request.url === "/api/kv-list") {
             const held = this.heldParts.map(([id, tokens]) => ["", id, tokens, "m"]);
             response.end(JSON.stringify({ epoch: 1, next: 0, held }));
@@ -134,9 +145,6 @@
         response.on("close", () => {
             received.isAborted = !response.writableFinished;
         });
-        if (this.isLeaving) {
-            response.setHeader("Server-Leaving", "1");
-        }
         const expected = request.headers["x-lynxarch-expect-instance"];
         if (expected !== undefined && expected !== this.instanceId) {
             response.writeHead(421, { "X-Lynxarch-Instance-Id": this.instanceId }).end();
--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -144,7 +144,7 @@
         const { address } = settings.store;
         const source = new StoreFeed({ address, clock, random, sleep: sleepOnTimer, logger, drainMs, contactMs });
         const codec = new PlatformHeaders();
-        const engines = new EngineLists();
+        const engines = new EngineLists(clock);
         const daemon = new GatewayDaemon({
             settings,
             clock,
--- a/test/gateway/leavingTargets.test.ts
+++ b/test/gateway/leavingTargets.test.ts
@@ -45,6 +45,7 @@
     const leaving = await fixture.current.addTarget("engines", "engine-1");
     const staying = await fixture.current.addTarget("engines", "engine-2");
     await fixture.current.addRouter();
+    await waitUntil(() => leaving.listCalls > 0 && staying.listCalls > 0);
     fixture.current.store.condition = "silent";
     leaving.isLeaving = true;
     return [leaving, staying];
--- a/test/gateway/pausingTargets.test.ts
+++ b/test/gateway/pausingTargets.test.ts
@@ -72,6 +72,18 @@
         expect([status, headers["retry-after"]]).toEqual([503, "0.30"]);
     });
 
+    // A router that starts asks engines what they keep; also this answer binds it.
+    it("gets nothing where it said so to a router that has just started", async () => {
+        const target = await fixture.current.addTarget("engines", "engine-1");
+        target.retryAfter = "20";
+        target.refusesLists = true;
+        await fixture.current.addRouter();
+        await waitUntil(async () => (await send("again")).status === 503);
+        target.received.length = 0;
+        await send("later");
+        expect(target.received.length).toBe(0);
+    });
+
     it.each(["soon", "-5", "", "0"])(
         "that can't be read or asks for nothing (%j) gets the next request",
         async value => {
