--- a/src/decisions/limits/coldLimit.ts
+++ b/src/decisions/limits/coldLimit.ts
@@ -34,7 +34,7 @@
     readonly routerIds: readonly string[];
     /** Routers that should be there and have sent no message. */
     readonly unheard: number;
-    /** Whether this router has had time to hear from its peers. */
+    /** Whether this router has had time to receive messages of its peers. */
     readonly isSettled: boolean;
 }
 
--- a/src/decisions/placement/heldParts.ts
+++ b/src/decisions/placement/heldParts.ts
@@ -43,7 +43,7 @@
         return part !== undefined && this.written - part.usedAt <= this.lifeTokens;
     }
 
-    /** A request uses the part, which the engine then holds. True when others should hear of it. */
+    /** A request uses the part, which the engine then holds. True when it should be reported to peers. */
     public recordUse(partId: string, tokens: number): boolean {
         const before = this.parts.peek(partId);
         const isFresh = before !== undefined && this.written - before.usedAt <= this.lifeTokens * refreshShare;
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -33,7 +33,7 @@
                 this.cancellation.cancel();
             }
         });
-        // A write that crosses the caller's close fails; that the caller left is told by "close".
+        // A write that crosses the caller's close fails; "close" reports that the caller left.
         response.on("error", () => undefined);
         request.on("error", () => undefined);
     }
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -94,7 +94,7 @@
     }
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
-        // A caller that keeps its connection keeps its router; told to close it, it is sent to another one.
+        // A caller that keeps its connection keeps its router; asked to close it, it is sent to another one.
         if (this.closesConnections || this.shouldLeaveBalancer() || this.connections > this.crowdedFrom) {
             response.shouldKeepAlive = false;
         }
--- a/src/gateway/engineInspector.ts
+++ b/src/gateway/engineInspector.ts
@@ -3,7 +3,7 @@
 import { LynxarchError } from "../base/errors.js";
 import type { PromptPart, TargetSignals } from "./wire.js";
 
-/** An engine did not tell what it holds. */
+/** An engine did not list the parts that it keeps. */
 export class EngineListError extends LynxarchError {
     public readonly code = "engine-list-unavailable";
 }
--- a/src/gateway/heldPartsLoader.ts
+++ b/src/gateway/heldPartsLoader.ts
@@ -7,9 +7,8 @@
 
 /**
  * Asks the engines once, at the router's start, which parts of prompts they keep. A router that was restarted believes that
- * nothing is held anywhere: it sends prompts away from where their shared parts are, and refuses most of them, as each
- * would have to be read as a whole. After all routers of a fleet were restarted together, 268 of 414
- * requests were refused for that in the next two seconds, and 125 of 347 with this. Later it hears of parts as they are read, and need not ask.
+ * nothing is cached anywhere: it sends prompts away from where their shared parts are, and refuses most of them, as each
+ * would have to be read as a whole. Later, peers report parts as they are read.
  */
 export class HeldPartsLoader implements Disposable {
     private readonly cancellation = new CancellationTokenSource();
--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -17,7 +17,7 @@
  * too long, the share of a router that is gone is merely not used.
  */
 export const memberTtlMs = 30_000;
-/** Rounds of messages pass in this time, so that a router which hears nobody is alone, or cut off. */
+/** Rounds of messages pass in this time, so that a router without any message is alone, or cut off. */
 const settleMs = 1_500;
 
 interface Peer {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -30,7 +30,7 @@
     }),
     /** How long the platform gives a process to stop. */
     stopGraceSeconds: z.number().positive().default(8),
-    /** Within this time of its word a leaving target must get no more requests; how often targets are read follows. */
+    /** A target that reported that it is draining must get no requests after this time; how often records are read follows. */
     drainMs: z.number().positive().default(2_000),
     /** A VM that nothing disturbed for so long must be up to date; how long calls to the store wait follows. */
     contactMs: z.number().positive().default(3_000),
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -122,7 +122,7 @@
         this.socket = socket;
         socket.setKeepAlive(true, keepAliveProbeMs);
         // Registered before undici's own listener, which takes a reset for the end of an answer that has no length. Such an
-        // answer would pass for whole although its last part is missing; with the error noted here it is told as broken.
+        // answer would pass for whole although its last part is missing; with the error noted here it is reported as broken.
         socket.once("error", () => {
             this.hasSocketError = true;
         });
@@ -193,7 +193,7 @@
         if (this.isOver) {
             return;
         }
-        // A reset right behind the last bytes is told as a clean end: libuv reads the bytes, sees the hang-up and does not
+        // A reset right behind the last bytes arrives as a clean end: libuv reads the bytes, sees the hang-up and does not
         // ask for the error. A connection that was reset has no peer any more, while one that the peer closed still has.
         if (this.owner.hasSocketError() || (this.isUnframed && !this.owner.hasPeer())) {
             this.fail("broken", "the connection was reset");
--- a/src/gateway/wholeAnswerRelay.ts
+++ b/src/gateway/wholeAnswerRelay.ts
@@ -3,7 +3,7 @@
 import type { HeaderCodec } from "./wire.js";
 
 /**
- * An answer up to this size is passed on once it is whole, so that one that breaks off can still be repeated or told as a
+ * An answer up to this size is passed on once it is whole, so that one that breaks off can still be repeated or reported as a
  * failure; a larger one goes out as it comes, or a few of them would fill the memory.
  */
 const mostHeldBytes = 65_536;
