Report all leaving targets by turns

A message names a hundred leaving targets; beyond them the same hundred were named each round and the rest never. The list starts elsewhere each round where it is longer. Test: 250 targets are all named within three rounds (100 before).

--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -15,7 +15,7 @@
 const readRounds = 3;
 /** Reads in one message; keeps it below the size at which networks fragment datagrams many times over. */
 const mostReads = 60;
-/** Leaving targets in one message; more at a time leave only in a planned replacement of a whole fleet. */
+/** Leaving targets in one message; more leave at a time only where a large fleet is replaced. */
 const mostLeaving = 100;
 /** Peers named in one message; another few in each round. */
 const peersInMessage = 2;
@@ -105,7 +105,7 @@
             ...this.options.listOwnAccounts(),
             reads: this.takeReads(),
             peers: this.takePeers(),
-            leaving: this.options.listLeaving().slice(0, mostLeaving),
+            leaving: this.takeLeaving(),
         };
     }
 
@@ -139,6 +139,13 @@
         return [...known.slice(start), ...known.slice(0, start)].slice(0, peersInMessage);
     }
 
+    /** By turns where there are more than one message holds. */
+    private takeLeaving(): readonly LeavingTarget[] {
+        const leaving = this.options.listLeaving();
+        const start = leaving.length <= mostLeaving ? 0 : (this.sequence * mostLeaving) % leaving.length;
+        return [...leaving.slice(start), ...leaving.slice(0, start)].slice(0, mostLeaving);
+    }
+
     private takeReads(): readonly PartRead[] {
         const reported = this.recentReads.slice(0, mostReads);
         for (const entry of reported) {
