An answer binds the incarnation that its request was sent to

An answer that arrived after the record of a new start was counted against the new start, which was then left idle for good. The availability is taken when the request is sent. Test: the target gets requests again (before, it got none until the test's time limit). Besides, the event for the figures is named ReceivedSignal, apart from TargetSignals.

--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { EndedRequest } from "./gatewayService.js";
-import type { TargetSignal } from "./targetDirectory.js";
+import type { ReceivedSignal } from "./targetDirectory.js";
 
 const msPerSecond = 1_000;
 /** Around usual objectives of a fraction of a second, and up to usual timeouts; seconds. */
@@ -171,7 +171,7 @@
         }
     }
 
-    public recordSignal({ service, kind }: TargetSignal): void {
+    public recordSignal({ service, kind }: ReceivedSignal): void {
         this.signals.inc({ service, signal: kind });
     }
 
--- a/src/gateway/heldPartsLoader.ts
+++ b/src/gateway/heldPartsLoader.ts
@@ -36,10 +36,11 @@
     }
 
     private async loadOne(engine: Target): Promise<number> {
+        const { availability } = engine;
         const list = await this.inspector.listHeldParts(engine.entry.address, this.cancellation.token);
         return list.match(
             answer => {
-                this.directory.observeSignals(engine, answer);
+                this.directory.observeSignals(engine, availability, answer);
                 answer.parts.forEach(part => engine.recordPart(part.id, part.tokens));
                 return answer.parts.length;
             },
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -187,6 +187,7 @@
     private async runAttempt(selection: Selection): Promise<AttemptOutcome> {
         const { context, routed } = this;
         const { target, service } = selection;
+        const { availability } = target;
         const maxIdleMs = this.isRepeatable ? anyIdleMs : freshConnectionMs;
         const limit = this.selector.computeConnectionLimit(service);
         const nowMs = context.clock.nowMs();
@@ -219,7 +220,7 @@
         const attempt = new Attempt(routed.head.requestId, context.codec, context.clock, this.relay, {
             canStart: () => !context.directory.isClosed(target),
             handleSent: () => this.watchSilence(),
-            handleHead: head => context.directory.observeAnswer(target, head),
+            handleHead: head => context.directory.observeAnswer(target, availability, head),
             handleData: () => this.watchSilence(),
             handleOutput: isFirst => this.handleOutput(send, isFirst),
         });
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -20,8 +20,8 @@
 const pauseSpread = 0.1;
 const mostPauseSpreadMs = 250;
 
-/** What a target said of itself in an answer. */
-export interface TargetSignal {
+/** That an answer carried a signal, for the figures. */
+export interface ReceivedSignal {
     readonly service: string;
     readonly kind: "leaving" | "pause" | "unreadable-pause";
 }
@@ -45,7 +45,7 @@
     private readonly lapsing = new Map<string, NodeJS.Timeout>();
     private readonly dataCentresOut = new Set<string>();
     private readonly availabilities = new AvailabilityRegistry();
-    private readonly signalEmitter = new Emitter<TargetSignal>();
+    private readonly signalEmitter = new Emitter<ReceivedSignal>();
     private services: ReadonlyMap<string, ServedService> = new Map();
 
     public readonly onDidReceiveSignal = this.signalEmitter.onDidFire;
@@ -136,27 +136,30 @@
         }
     }
 
-    /** Takes what a target says of itself in an answer to one of this router's requests. */
-    public observeAnswer(target: Target, head: AnswerHead): void {
+    /**
+     * Takes what a target says of itself in an answer to one of this router's requests. `availability`: of the incarnation that the
+     * request was sent to; the target may have started anew since, and its new start has said nothing yet.
+     */
+    public observeAnswer(target: Target, availability: TargetAvailability, head: AnswerHead): void {
         // Another target has the address, and speaks of itself.
         if (head.isOtherTarget) {
             return;
         }
-        this.observeSignals(target, head);
+        this.observeSignals(target, availability, head);
         if (head.pause.kind === "none" && !head.isNotRun) {
-            target.availability.pause.recordAnswer();
+            availability.pause.recordAnswer();
         }
     }
 
-    /** Takes what a target says, in any answer, of whether it takes requests. */
-    public observeSignals(target: Target, { isLeaving, pause }: TargetSignals): void {
+    /** Takes what an incarnation of a target says, in any answer, of whether it takes requests. */
+    public observeSignals(target: Target, availability: TargetAvailability, { isLeaving, pause }: TargetSignals): void {
         const { service } = target.entry;
         if (isLeaving) {
-            this.recordLeaving(target.availability, target.id, "answer");
+            this.recordLeaving(availability, target.id, "answer");
             this.signalEmitter.fire({ service, kind: "leaving" });
         }
         if (pause.kind === "wait") {
-            this.recordPause(target, pause.ms);
+            this.recordPause(availability, target.id, pause.ms);
             this.signalEmitter.fire({ service, kind: "pause" });
         } else if (pause.kind === "unreadable") {
             this.signalEmitter.fire({ service, kind: "unreadable-pause" });
@@ -188,14 +191,14 @@
         }
     }
 
-    private recordPause({ id, availability }: Target, askedMs: number): void {
+    private recordPause(availability: TargetAvailability, target: string, askedMs: number): void {
         const { clock, random, logger } = this.options;
         const nowMs = clock.nowMs();
         const isNew = !availability.isClosed(nowMs);
         // Routers that were asked at the same time must not all return at the same time.
         const spreadMs = Math.min(askedMs * pauseSpread, mostPauseSpreadMs) * random.next();
         if (availability.pause.record(askedMs + spreadMs, nowMs) && isNew) {
-            logger.write("info", "a target wants no requests for a time", { target: id, askedMs });
+            logger.write("info", "a target wants no requests for a time", { target, askedMs });
         }
     }
 
--- a/test/gateway/leavingTargets.test.ts
+++ b/test/gateway/leavingTargets.test.ts
@@ -98,6 +98,24 @@
         expect(leaving.received.length).toBe(0);
     });
 
+    // The answer of the start before arrives late; taken for the new start's, it would keep that one idle for good.
+    it("gets requests though an answer of its start before says so", async () => {
+        const target = await fixture.current.addTarget("app", "app-1");
+        await fixture.current.addRouter();
+        target.workMs = 2 * drainMs;
+        target.isLeaving = true;
+        const late = fixture.current.send({ path: "/find/late", method: "GET", headers: createPromptHeaders("late") });
+        await waitUntil(() => target.received.length > 0);
+        fixture.current.addEntry(target, "app", { born: 1_700_000_009_000 });
+        target.isLeaving = false;
+        await late;
+        target.workMs = 0;
+        await waitUntil(async () => {
+            const answer = await fixture.current.send({ path: "/find/x", headers: createPromptHeaders("again") });
+            return answer.status === 200;
+        });
+    });
+
     // A mark that stays with the id would keep a target that has started anew idle for good.
     it("gets requests again once it has started anew under its id", async () => {
         const [leaving] = await startLeaving();
