--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -38,6 +38,8 @@
     /** Replaces what peers reported of accounts; undefined: as received. */
     readonly getExactUses: (() => readonly ReportedRouter[]) | undefined;
     readonly transport: GrantTransport;
+    /** Whether the router reports targets that are leaving to its peers; true when left out. */
+    readonly reportsLeaving?: boolean;
     /** Whether the router keeps up; undefined: always. */
     readonly load?: GatewayContext["load"];
     readonly setTimer: SetTimer;
@@ -73,7 +75,7 @@
             clock,
             listOwnLoads: () => loads.listOwn(),
             listOwnAccounts: () => this.shares.listOwn(clock.nowMs()),
-            listLeaving: () => this.directory.listLeaving(),
+            listLeaving: () => (options.reportsLeaving === false ? [] : this.directory.listLeaving()),
             onDidSumLoads: sums => loads.applySums(sums),
             onDidReceive: message => {
                 loads.applyMessage(message);
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -20,9 +20,10 @@
 import { RequestShedder } from "../../src/gateway/requestShedder.js";
 import type { RoutedRequest } from "../../src/gateway/routedRequest.js";
 import { TargetSelector, type Selection } from "../../src/gateway/targetSelector.js";
-import { TargetSend } from "../../src/gateway/targetSend.js";
+import { openTargetSend } from "../../src/gateway/targetSend.js";
 import type { PromptPart } from "../../src/gateway/wire.js";
 import { ChunkedEngine, type ChunkedEngineOptions, type EngineStream } from "./chunkedEngine.js";
+import { EngineSignals, type EngineSignalOptions, type SignalFigures } from "./engineSignals.js";
 import { EventQueue } from "./eventQueue.js";
 import { RouterProcessor, type ProcessorOptions } from "./routerProcessor.js";
 import { formatRouterId, formatRouterIp, ModelRouter } from "./modelRouter.js";
@@ -77,6 +78,8 @@
     readonly exactNews?: ExactNews;
     /** Time that an engine takes to copy a token from another one; engines can't copy when left out. */
     readonly copyMsPerToken?: number;
+    /** Engines that leave or pause; none when left out. */
+    readonly signals?: EngineSignalOptions;
     /** Processor time of routers; as much as they need when left out. */
     readonly processor?: ProcessorOptions;
     /** How often a refused caller returns; never when left out. */
@@ -111,6 +114,8 @@
     readonly rereadTokens: number;
     /** Mean time between two messages of a router at the end; milliseconds. */
     readonly peerPeriodMs: number;
+    /** Of engines that leave or pause. */
+    readonly signals: SignalFigures | undefined;
 }
 
 /** A caller's request, with what stays the same when it returns after a refusal. */
@@ -123,6 +128,16 @@
     readonly returnsLeft: number;
 }
 
+/** A request that its router has let in. */
+interface AdmittedCall {
+    readonly call: Call;
+    readonly router: ModelRouter;
+    readonly routed: RoutedRequest;
+    readonly charge: AccountCharge;
+    readonly selection: Selection;
+    readonly selector: TargetSelector;
+}
+
 /** Plays accounts' requests through the routers' own decisions. */
 export function runPromptFleet(options: PromptFleetOptions, loads: readonly AccountLoad[]): FleetOutcome {
     return new PromptFleet(options, loads).run();
@@ -151,6 +166,8 @@
     private readonly seconds: ReadonlyMap<string, AccountSecond[]>;
     private readonly ended: EngineStream[] = [];
     private readonly route: ServedRoute;
+    private readonly signals: EngineSignals | undefined;
+    private readonly engineIndexes: ReadonlyMap<string, number>;
     private lastRequest = 0;
 
     public constructor(
@@ -162,6 +179,8 @@
         this.engines = new Map(
             Array.from({ length: engineCount }, (...[, index]) => [`e${index}`, new ChunkedEngine(engine)]),
         );
+        this.engineIndexes = new Map([...this.engines.keys()].map((id, index) => [id, index]));
+        this.signals = options.signals === undefined ? undefined : new EngineSignals(options.signals);
         this.route = createRoute(pauseObjectiveMs);
         const configuration = this.createConfiguration();
         const targets = [...this.engines.keys()].map(createTargetEntry);
@@ -182,6 +201,7 @@
                     windowMs,
                     transport: { send: (routerId, message) => this.sendGrantMessage(index, routerId, message) },
                     load: this.processors[index]?.detector,
+                    reportsLeaving: options.signals?.noticed === "answers-and-peers",
                     setTimer: (ms, action) => this.setTimer(ms, action),
                     getExactUses: options.exactNews?.accounts === true ? () => this.listExactUses(index) : undefined,
                 }),
@@ -205,6 +225,7 @@
             if (nowMs === this.options.lost?.atMs) {
                 this.removeEngines(this.options.lost.count);
             }
+            this.endLeaving(nowMs);
             this.loads.forEach(load => this.addArrivals(load, nowMs));
             this.clock.advance(1);
         }
@@ -215,6 +236,7 @@
             readTokens: computeSum(engines.map(engine => engine.readTokens)),
             rereadTokens: computeSum(engines.map(engine => engine.rereadTokens)),
             peerPeriodMs: computeSum(this.routers.map(router => router.peers.round.periodMs)) / this.routers.length,
+            signals: this.signals?.figures,
         };
     }
 
@@ -286,6 +308,17 @@
         }
     }
 
+    /** Engines that leave end: their streams are cut, and their records go. */
+    private endLeaving(nowMs: number): void {
+        const { leaving } = this.options.signals ?? {};
+        if (leaving === undefined || this.signals === undefined || nowMs !== leaving.atMs + leaving.lingerMs) {
+            return;
+        }
+        const engines = [...this.engines.values()].slice(0, leaving.count);
+        this.signals.figures.cut += computeSum(engines.map(engine => engine.load));
+        this.removeEngines(leaving.count);
+    }
+
     private addArrivals(load: AccountLoad, nowMs: number): void {
         const isOn = nowMs >= (load.fromMs ?? 0) && nowMs < (load.toMs ?? Number.POSITIVE_INFINITY);
         if (isOn && this.random.next() < load.rate / msPerSecond) {
@@ -364,7 +397,9 @@
         admission.check([service], admitted => {
             const { selection } = admitted;
             if (selection !== undefined) {
-                this.runWork(routerIndex, "serve", () => this.send(call, router, routed, charge, selection));
+                this.runWork(routerIndex, "serve", () =>
+                    this.send({ call, router, routed, charge, selection, selector }),
+                );
             } else {
                 this.addReturn(call, admitted.retryAfterMs);
             }
@@ -381,35 +416,44 @@
         this.events.add(nowMs + waitMs, () => this.offer({ ...call, returnsLeft: call.returnsLeft - 1 }));
     }
 
-    private send(
-        call: Call,
-        router: ModelRouter,
-        routed: RoutedRequest,
-        charge: AccountCharge,
-        selection: Selection,
-    ): void {
+    private send({ call, router, routed, charge, selection, selector }: AdmittedCall): void {
         const nowMs = this.clock.nowMs();
-        const second = this.findSecond(call.account, call.askedAtMs);
-        second.admitted += 1;
-        second.served += call.promptTokens;
-        charge.recordServed();
-        const send = new TargetSend({
+        const { target } = selection;
+        const send = openTargetSend(selector, {
             context: router.context,
             selection,
             head: routed.head,
             sendId: routed.head.requestId ?? "",
             outputTokens: charge.outputTokens,
         });
+        const engineIndex = this.engineIndexes.get(target.id)!;
+        if (send === undefined) {
+            selection.grant?.report("not-run");
+            this.addReturn(call, selector.explainNone([service]).retryAfterMs);
+            return;
+        }
+        if (this.signals?.receiveSend(router, target, engineIndex, nowMs) === true) {
+            send.close({ kind: "not-run", reason: "refused", detail: "" });
+            this.addReturn(call, selector.explainNone([service]).retryAfterMs);
+            return;
+        }
+        const second = this.findSecond(call.account, call.askedAtMs);
+        second.admitted += 1;
+        second.served += call.promptTokens;
+        charge.recordServed();
         const copyMs = Math.round(selection.fetch?.ms ?? 0);
         this.events.add(nowMs + copyMs, () =>
-            this.engines.get(selection.target.id)!.submit(
+            this.engines.get(target.id)!.submit(
                 {
                     account: call.account,
                     askedAtMs: call.askedAtMs,
                     parts: call.parts,
                     copiedTokens: selection.fetch?.tokens ?? 0,
                     events: eventCount,
-                    handleFirstOutput: () => send.handleFirstOutput(),
+                    handleFirstOutput: () => {
+                        this.signals?.handleAnswer(router, target, engineIndex, this.clock.nowMs());
+                        send.handleFirstOutput();
+                    },
                     handleEnd: stream => {
                         send.close({ kind: "answered" });
                         charge.observeOutput(eventCount, this.options.engine.tokensPerEvent);
@@ -524,6 +568,6 @@
         slots: engineSlots,
         state: "ready",
         coldLeftMs: 0,
-        startedAtMs: undefined,
+        startedAtMs: 1,
     };
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import { Driver } from "./driver.js";
 import { measureFloods, printFloodFigures } from "./gateway/floodReport.js";
 import { floodScenarios } from "./gateway/floods.js";
+import { fleetSizes, measureSignals, noticedKinds, printSignalReport } from "./gateway/signalReport.js";
 import { ProductSystem } from "./product.js";
 import { scenarios } from "./scenarios.js";
 import { printFigures } from "./table.js";
@@ -12,6 +13,7 @@
     readonly list?: boolean;
     readonly cost?: boolean;
     readonly floods?: boolean;
+    readonly signals?: boolean;
     readonly seeds: string | number;
     readonly scenario?: string;
     readonly seed: string | number;
@@ -31,6 +33,10 @@
         runFloods(options);
         return;
     }
+    if (options.signals === true) {
+        runSignals(options);
+        return;
+    }
     if (options.cost === true) {
         costSizes.forEach(size => {
             console.log(
@@ -67,6 +73,15 @@
     }
 }
 
+/** Fleets of 4, 28 and 68 routers; one seed. */
+function runSignals({ seed, json }: Options): void {
+    for (const size of fleetSizes) {
+        for (const report of noticedKinds.flatMap(noticed => measureSignals(size, noticed, Number(seed)))) {
+            console.log(json === true ? JSON.stringify(report) : printSignalReport(report));
+        }
+    }
+}
+
 sade("bench", true)
     .describe("Measures the decisions against round robin with first-in-first-out queues, on a fake clock.")
     .option("--list", "List the scenarios")
@@ -74,6 +89,7 @@
     .option("--scenario", "Run one scenario; all when left out")
     .option("--seed", "Seed of arrivals and chances; the same seed gives the same line", 1)
     .option("--floods", "Play accounts that flood routers whose news of one another is late, and exact")
+    .option("--signals", "Play engines that leave or pause, as only their answers show, by fleet size")
     .option("--seeds", "With --floods: plays seeds 1 to this", 10)
     .option("--json", "Print one JSON line per scenario")
     .action(main)
--- /dev/null
+++ b/test/decisions/health/engineSignals.test.ts
@@ -0,0 +1,14 @@
+import { expect, it } from "vitest";
+import { fleetSizes, measureSignals } from "../../../bench/gateway/signalReport.js";
+
+const seed = 1;
+
+// A quarter of the engines leave, or turn all requests away with Retry-After, while their records stay ready.
+it.each(fleetSizes)("$routerCount routers send nothing late to engines that leave, and nothing in pauses", size => {
+    const [leaving, pausing] = measureSignals(size, "answers-and-peers", seed);
+    expect({ sentLate: leaving.sentLate, cut: leaving.cut, sentInPause: pausing.sentInPause }).toEqual({
+        sentLate: 0,
+        cut: 0,
+        sentInPause: 0,
+    });
+});
