Count by account what became of its requests

Cause: the metrics told tokens asked and served by account when a request ended. Whether an account's requests were shed, left unread, refused, decided without an owner or granted and late could not be told apart.

Change: requests and tokens by account and stage, counted on number fields and rendered when the page is asked for; share and surplus use by account; shed share, loop utilization and loop delay. lynxarch_account_tokens_total has stages (read, begun) in place of kinds (asked, served), and its tests follow. A request's line has decidedBy and decisionMs. No decision changes.

--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -10,6 +10,7 @@
 import { SeededRandom } from "../../src/base/random.js";
 import type { ReportedRouter } from "../../src/decisions/shares/accountShares.js";
 import { AccountCharge } from "../../src/gateway/accountCharge.js";
+import { RequestFigures } from "../../src/gateway/accountFigures.js";
 import type { ServedConfiguration, ServedRoute } from "../../src/gateway/configuration.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
 import type { TargetEntry } from "../../src/gateway/fleetSource.js";
@@ -422,7 +423,7 @@
         const send = openTargetSend(selector, {
             context: router.context,
             selection,
-            head: routed.head,
+            routed,
             sendId: routed.head.requestId ?? "",
             outputTokens: charge.outputTokens,
         });
@@ -506,6 +507,7 @@
             body: undefined,
             identity: new RequestIdentity(account, "POST", "/", undefined),
             arrivedAtMs: this.clock.nowMs(),
+            figures: new RequestFigures(undefined, 0),
         };
     }
 
--- a/src/gateway/accountCharge.ts
+++ b/src/gateway/accountCharge.ts
@@ -4,6 +4,15 @@
 /** Output tokens count this often against an account's share; generating one costs about as much as reading some. */
 const outputTokenWeight = 2;
 
+/** Tokens that a request counts against its account's share: its prompt, and what it is expected to generate. */
+export function computeChargedTokens(
+    { outputLengths }: Pick<GatewayContext, "outputLengths">,
+    { head, route }: Pick<RoutedRequest, "head" | "route">,
+): number {
+    const outputTokens = outputLengths.find(route.name).estimate(head.maxOutputTokens);
+    return head.promptTokens > 0 ? head.promptTokens + outputTokenWeight * outputTokens : 0;
+}
+
 /** What one request counts against its account's share, from its arrival to its end. */
 export class AccountCharge {
     private asked = 0;
@@ -33,14 +42,15 @@
     public recordAsked(): void {
         const { account, head } = this.routed;
         if (account !== undefined && head.promptTokens > 0) {
-            this.asked = head.promptTokens + outputTokenWeight * this.outputTokens;
+            this.asked = computeChargedTokens(this.context, this.routed);
             this.context.shares.recordAsked(account, this.asked, this.context.clock.nowMs());
         }
     }
 
     /** It is sent to a target; sent once more, it counts once all the same. */
     public recordServed(): void {
-        const { account } = this.routed;
+        const { account, figures } = this.routed;
+        figures.record("sent");
         if (account !== undefined && this.asked > 0 && this.served === 0) {
             this.served = this.asked;
             this.context.shares.recordServed(account, this.served, this.context.clock.nowMs());
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -177,7 +177,7 @@
         this.callers = this.store.add(
             new CallerServer(this.service, logger, () => this.load.shouldLeaveBalancer, settings.limits.maxDescriptors),
         );
-        this.metrics = new GatewayMetrics(() => buildFigures(this.context, source, this.service.openRequests));
+        this.metrics = new GatewayMetrics(() => buildFigures(this.context, source, this.service, this.load));
         this.handover = this.store.add(
             new Handover({ source, logger, sleep: sleepOnTimer, listAddresses: () => this.listControlAddresses() }),
         );
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -1,4 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { LoopSample } from "../decisions/admission/overload.js";
+import { AccountMetrics, type AccountReading } from "./accountMetrics.js";
 import type { EndedRequest } from "./gatewayService.js";
 import type { ReceivedSignal } from "./targetDirectory.js";
 
@@ -18,12 +20,10 @@
     readonly heldRequests: number;
     /** Targets of each service by state. */
     readonly targets: readonly { readonly service: string; readonly state: string; readonly count: number }[];
+    readonly load: { readonly shedShare: number; readonly loop: LoopSample };
+    readonly listAccounts: () => readonly AccountReading[];
 }
 
-/** Accounts that are counted by name; a fleet's steady ones several times over on one router. */
-const mostNamedAccounts = 100;
-const otherAccounts = "other";
-
 /**
  * Counters and histograms as text for Prometheus. Labels are services and outcomes, a few values each; a label with
  * request ids or routes would grow without bound, and accounts beyond a number are counted together. Counters come first:
@@ -37,12 +37,6 @@
         labelNames: ["service", "outcome", "reason"],
         registers: [this.registry],
     });
-    private readonly accountTokens = new Counter({
-        name: "lynxarch_account_tokens_total",
-        help: "Tokens of ended requests by account: asked for, and given by targets.",
-        labelNames: ["account", "kind"],
-        registers: [this.registry],
-    });
     private readonly owners = new Counter({
         name: "lynxarch_owner_answers_total",
         help: "Grants that owners of engines were asked for, by whether they answered.",
@@ -73,6 +67,7 @@
         labelNames: ["service", "source"],
         registers: [this.registry],
     });
+    private readonly accounts = new AccountMetrics(this.registry);
     private readonly sumsAge = new Histogram({
         name: "lynxarch_account_sums_age_seconds",
         help: "Mean age of the other routers' account sums when a prompt's share was checked.",
@@ -100,9 +95,8 @@
         buckets: secondsBuckets,
         registers: [this.registry],
     });
-    private readonly namedAccounts = new Set<string>();
 
-    public constructor(getFigures: () => GatewayFigures) {
+    public constructor(private readonly getFigures: () => GatewayFigures) {
         const registers = [this.registry];
         const addGauge = (name: string, help: string, read: (figures: GatewayFigures) => number): void => {
             new Gauge({
@@ -133,6 +127,19 @@
         addGauge("lynxarch_peer_round_seconds", "Time from one message to other routers to the next.", figures => {
             return figures.peerRound.periodMs / msPerSecond;
         });
+        addGauge("lynxarch_shed_share", "Part of new requests that the router refuses unexamined, 0 to 1.", figures => {
+            return figures.load.shedShare;
+        });
+        addGauge(
+            "lynxarch_loop_utilization",
+            "Part of the time in which the event loop is busy, smoothed.",
+            figures => {
+                return figures.load.loop.utilization;
+            },
+        );
+        addGauge("lynxarch_loop_delay_seconds", "By how much timers of the event loop are late, smoothed.", figures => {
+            return figures.load.loop.delayMs / msPerSecond;
+        });
         new Gauge({
             name: "lynxarch_targets",
             help: "Targets that are known, by service and state.",
@@ -151,7 +158,7 @@
         return this.registry.contentType;
     }
 
-    public recordEnd({ account, tookMs, end }: EndedRequest): void {
+    public recordEnd({ tookMs, end }: EndedRequest): void {
         const service = end.service ?? "none";
         const isOwnReason = end.outcome === "refused";
         this.requests.inc({ service, outcome: end.outcome, reason: isOwnReason ? end.reason : "" });
@@ -159,7 +166,7 @@
         this.duration.observe({ service, outcome: end.outcome }, tookMs / msPerSecond);
         this.owners.inc({ outcome: "answered" }, (end.ownersAsked ?? 0) - (end.ownersSilent ?? 0));
         this.owners.inc({ outcome: "silent" }, end.ownersSilent ?? 0);
-        this.recordShare(account, end);
+        this.recordShare(end);
         if (end.firstOutputMs !== undefined) {
             this.firstOutput.observe({ service }, end.firstOutputMs / msPerSecond);
             this.longestPause.observe({ service }, (end.longestPauseMs ?? 0) / msPerSecond);
@@ -177,30 +184,13 @@
 
     /** All figures as text. */
     public render(): Promise<string> {
+        this.accounts.update(this.getFigures().listAccounts());
         return this.registry.metrics();
     }
 
-    private recordShare(
-        account: string | undefined,
-        { askedTokens = 0, servedTokens = 0, shareUse }: EndedRequest["end"],
-    ): void {
-        if (askedTokens === 0) {
-            return;
-        }
-        if (account !== undefined) {
-            this.recordAccount(account, askedTokens, servedTokens);
-        }
-        if (shareUse !== undefined) {
+    private recordShare({ askedTokens = 0, shareUse }: EndedRequest["end"]): void {
+        if (askedTokens > 0 && shareUse !== undefined) {
             this.sumsAge.observe(shareUse.sumsAgeMs / msPerSecond);
         }
     }
-
-    private recordAccount(account: string, askedTokens: number, servedTokens: number): void {
-        if (this.namedAccounts.size < mostNamedAccounts) {
-            this.namedAccounts.add(account);
-        }
-        const label = this.namedAccounts.has(account) ? account : otherAccounts;
-        this.accountTokens.inc({ account: label, kind: "asked" }, askedTokens);
-        this.accountTokens.inc({ account: label, kind: "served" }, servedTokens);
-    }
 }
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Disposable } from "../base/lifecycle.js";
 import { Emitter } from "../base/event.js";
+import { computeChargedTokens } from "./accountCharge.js";
+import { AccountFigures } from "./accountFigures.js";
 import { CallerExchange } from "./callerExchange.js";
 import type { FlowEnd } from "./flowEndings.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -40,6 +42,9 @@
 
 /** Takes callers' requests: finds route and account, and hands them on to be served. */
 export class GatewayService implements Disposable {
+    /** What became of requests, by account. */
+    public readonly accounts = new AccountFigures();
+
     private readonly endEmitter = new Emitter<EndedRequest>();
     private open = 0;
     private heldBytes = 0;
@@ -101,7 +106,10 @@
                 const isTooLarge = body.error === "too-large";
                 const retryAfterMs = isTooLarge ? undefined : busyRetryMs;
                 const routed = this.findRoute(caller, head, undefined, arrivedAtMs);
+                routed.request?.figures.record("read");
                 this.answerOwn(caller, head, routed, isTooLarge ? "body-too-large" : "busy", retryAfterMs);
+            } else {
+                this.findRoute(caller, head, undefined, arrivedAtMs).request?.figures.record("left-unread");
             }
         } finally {
             this.heldBytes -= held;
@@ -115,6 +123,7 @@
         arrivedAtMs: number,
     ): Promise<void> {
         const routed = this.findRoute(caller, head, body, arrivedAtMs);
+        routed.request?.figures.record("read");
         if (this.shedder.check(routed.request)) {
             this.answerOwn(caller, head, routed, "busy", busyRetryMs);
         } else if (this.refusesNew) {
@@ -175,7 +184,8 @@
         }
         const name = needsKey ? account?.name : undefined;
         const identity = new RequestIdentity(name, request.method ?? "", request.url ?? "", body);
-        const routed = { head, route, account: name, body, identity, arrivedAtMs };
+        const figures = this.accounts.createRequest(name, computeChargedTokens(this.context, { head, route }));
+        const routed = { head, route, account: name, body, identity, arrivedAtMs, figures };
         return { request: routed, version, arrivedAtMs };
     }
 
@@ -202,6 +212,7 @@
         end: EndedRequest["end"],
         { request, version }: RouteOutcome,
     ): void {
+        request?.figures.recordEnd(end);
         this.endEmitter.fire({
             requestId: head.requestId,
             route: request?.route.name,
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -1,6 +1,11 @@
+import { otherAccounts, type AccountFigures } from "./accountFigures.js";
+import type { AccountReading } from "./accountMetrics.js";
+import { computeShareUse } from "./computeShareUse.js";
 import type { GatewayFigures } from "./gatewayMetrics.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { FleetSource } from "./fleetSource.js";
+import type { GatewayService } from "./gatewayService.js";
+import type { LoadSource } from "./loadMonitor.js";
 import type { Target } from "./target.js";
 
 /** How a target stands in this router's eyes. */
@@ -21,7 +26,12 @@
 }
 
 /** Figures for the metrics page. */
-export function buildFigures(context: GatewayContext, source: FleetSource, openRequests: number): GatewayFigures {
+export function buildFigures(
+    context: GatewayContext,
+    source: FleetSource,
+    { openRequests, accounts }: Pick<GatewayService, "openRequests" | "accounts">,
+    { shedShare, loop }: LoadSource,
+): GatewayFigures {
     const nowMs = context.clock.nowMs();
     const out = context.directory.listDataCentresOut();
     const counts = new Map<string, { service: string; state: string; count: number }>();
@@ -39,9 +49,20 @@
         peerRound: context.peers.round,
         heldRequests: context.quarantine.listHeld().length,
         targets: [...counts.values()],
+        load: { shedShare, loop },
+        listAccounts: () => listAccounts(context, accounts),
     };
 }
 
+/** What became of each account's requests here, and how the account stands in this router's books. */
+export function listAccounts(context: GatewayContext, figures: AccountFigures): readonly AccountReading[] {
+    return figures.listAll().map(([account, counts]) => ({
+        account,
+        counts,
+        computeUse: () => (account === otherAccounts ? undefined : computeShareUse(context, account)),
+    }));
+}
+
 /** What the router believes, for people. */
 export function describeState(context: GatewayContext, source: FleetSource): object {
     const nowMs = context.clock.nowMs();
--- a/src/gateway/loadMonitor.ts
+++ b/src/gateway/loadMonitor.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../base/clock.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
-import { OverloadDetector } from "../decisions/admission/overload.js";
+import { OverloadDetector, type LoopSample } from "../decisions/admission/overload.js";
 
 /** Several samples within the time in which callers begin to leave, and few wake-ups for an idle process. */
 const samplePeriodMs = 50;
@@ -13,6 +13,8 @@
     readonly shedShare: number;
     /** Whether the balancer should leave it out. */
     readonly shouldLeaveBalancer: boolean;
+    /** How the event loop keeps up, smoothed. */
+    readonly loop: LoopSample;
     start(): void;
 }
 
@@ -35,6 +37,10 @@
         return this.detector.shouldLeaveBalancer;
     }
 
+    public get loop(): LoopSample {
+        return this.detector.current;
+    }
+
     public start(): void {
         const dueAtMs = this.clock.nowMs() + samplePeriodMs;
         this.timer = setTimeout(() => {
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -14,6 +14,12 @@
 import type { RoutedRequest } from "./routedRequest.js";
 import type { Selection, TargetFilter, TargetSelector } from "./targetSelector.js";
 
+/**
+ * What decided on a prompt: an engine's owner, this router's beliefs where no owner answered, or what it remembers of an owner's
+ * denial. None: there was no prompt to read, or no target.
+ */
+export type DecisionSource = "owner" | "beliefs" | "memory" | "none";
+
 /** What an admission went by. */
 export interface AdmissionFacts {
     /** What its account had got, over what it may have. */
@@ -21,10 +27,19 @@
     /** Owners of engines that were asked for a grant, and those among them that did not answer. */
     readonly ownersAsked: number;
     readonly ownersSilent: number;
+    readonly decidedBy: DecisionSource;
+    /** From its arrival to the decision; milliseconds, undefined without one. */
+    readonly decisionMs: number | undefined;
 }
 
 /** Facts of a request that was not looked at. */
-export const noAdmission: AdmissionFacts = { shareUse: noUse, ownersAsked: 0, ownersSilent: 0 };
+export const noAdmission: AdmissionFacts = {
+    shareUse: noUse,
+    ownersAsked: 0,
+    ownersSilent: 0,
+    decidedBy: "none",
+    decisionMs: undefined,
+};
 
 /** Where a request goes first, or why it is refused. */
 export type AdmittedSelection = { readonly facts: AdmissionFacts } & (
@@ -60,6 +75,7 @@
     /** Part of an engine's limit that owners let the request use at most; one account's denial is not another one's. */
     private mostUse = Number.POSITIVE_INFINITY;
     private shareUse = noUse;
+    private decidedBy: DecisionSource = "none";
 
     public constructor(private readonly options: RequestAdmissionOptions) {}
 
@@ -91,19 +107,24 @@
         selection: Selection,
         handleOutcome: (outcome: AdmittedSelection) => void,
     ): void {
-        const { clock, grants } = this.options.context;
+        const { context, routed } = this.options;
+        const { clock, grants } = context;
         const { target } = selection;
         const bounds = this.computeBounds(selection);
         const deniedMs = this.computeDeniedMs(selection, bounds);
         if (deniedMs > 0 || this.demands >= mostDemands) {
             this.recordDenial(selection, bounds);
+            this.recordDecision(this.demands > 0 ? "owner" : "memory");
             handleOutcome(this.createDenial(bounds.reason, deniedMs));
             return;
         }
         this.demands += 1;
+        routed.figures.record("asked-owner");
         grants.submit(this.createDemand(selection, bounds), outcome => {
             if (outcome.kind === "unanswered") {
                 this.silences += 1;
+                routed.figures.record("owner-silent");
+                this.recordDecision("beliefs");
                 handleOutcome(this.checkByBelief(selection));
                 return;
             }
@@ -111,6 +132,8 @@
             this.mostUse = Math.min(this.mostUse, outcome.reply.mostUse);
             this.roomMs = Math.min(this.roomMs, outcome.reply.retryAfterMs);
             if (outcome.kind === "granted") {
+                routed.figures.record("granted");
+                this.recordDecision("owner");
                 const granted = this.applyReply(selection, outcome.reply);
                 handleOutcome(this.createSelected({ ...granted, grant: outcome.grant }));
             } else {
@@ -139,6 +162,11 @@
         }
     }
 
+    private recordDecision(source: Exclude<DecisionSource, "none">): void {
+        this.decidedBy = source;
+        this.options.routed.figures.record(`decided-by-${source}`);
+    }
+
     private select(services: readonly string[], mostUse: number): Selection | undefined {
         const { routed, selector, isTried } = this.options;
         return selector.select(services, routed.head, routed.route.hasPrompts, isTried, mostUse);
@@ -213,7 +241,14 @@
     }
 
     private createFacts(): AdmissionFacts {
-        return { shareUse: this.shareUse, ownersAsked: this.demands, ownersSilent: this.silences };
+        const { context, routed } = this.options;
+        return {
+            shareUse: this.shareUse,
+            ownersAsked: this.demands,
+            ownersSilent: this.silences,
+            decidedBy: this.decidedBy,
+            decisionMs: context.clock.nowMs() - routed.arrivedAtMs,
+        };
     }
 
     private computeUse(): ShareUse {
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -208,7 +208,7 @@
         const send = openTargetSend(this.selector, {
             context,
             selection,
-            head: routed.head,
+            routed,
             sendId: `${routed.head.requestId ?? ""}#${this.tried.size}`,
             outputTokens: this.charge.outputTokens,
         });
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -93,6 +93,8 @@
         sumsAgeMs: toWhole(end.shareUse?.sumsAgeMs),
         ownersAsked: end.ownersAsked,
         ownersSilent: end.ownersSilent,
+        decidedBy: end.decidedBy,
+        decisionMs: toWhole(end.decisionMs),
         tried: end.tried?.join(" "),
     };
 }
--- a/src/gateway/routedRequest.ts
+++ b/src/gateway/routedRequest.ts
@@ -1,3 +1,4 @@
+import type { RequestFigures } from "./accountFigures.js";
 import type { ServedRoute } from "./configuration.js";
 import type { RequestIdentity } from "./quarantine/requestIdentity.js";
 import type { RequestHead } from "./wire.js";
@@ -11,4 +12,6 @@
     readonly identity: RequestIdentity;
     /** Monotonic time of its arrival. */
     readonly arrivedAtMs: number;
+    /** Counts what becomes of it with its account. */
+    readonly figures: RequestFigures;
 }
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -1,5 +1,6 @@
 import type { AttemptOutcome, StopReason, UnrunReason } from "./attempt.js";
 import type { GatewayContext } from "./gatewayContext.js";
+import type { RoutedRequest } from "./routedRequest.js";
 import type { Selection, TargetSelector } from "./targetSelector.js";
 import type { RequestHead } from "./wire.js";
 
@@ -7,7 +8,7 @@
 export interface TargetSendOptions {
     readonly context: GatewayContext;
     readonly selection: Selection;
-    readonly head: RequestHead;
+    readonly routed: Pick<RoutedRequest, "head" | "figures">;
     readonly sendId: string;
     /** Tokens that it is expected to generate. */
     readonly outputTokens: number;
@@ -27,12 +28,14 @@
     private readonly context: GatewayContext;
     private readonly selection: Selection;
     private readonly sendId: string;
+    private readonly figures: RoutedRequest["figures"];
 
     /** Use {@link openTargetSend}, which checks first. */
-    public constructor({ context, selection, head, sendId, outputTokens }: TargetSendOptions) {
+    public constructor({ context, selection, routed, sendId, outputTokens }: TargetSendOptions) {
         this.context = context;
         this.selection = selection;
         this.sendId = sendId;
+        this.figures = routed.figures;
         const { target, newTokens } = selection;
         this.startedAtMs = context.clock.nowMs();
         target.ownRunning += 1;
@@ -40,13 +43,14 @@
         target.cold.recordSend(this.startedAtMs);
         target.availability.pause.recordSend();
         target.circuit.observeStart(sendId);
-        this.newParts = head.promptParts.length > 0 ? this.recordParts(head) : [];
+        this.newParts = routed.head.promptParts.length > 0 ? this.recordParts(routed.head) : [];
         target.recordOwnWritten(newTokens + (selection.fetch?.tokens ?? 0) + outputTokens);
     }
 
     public handleFirstOutput(): void {
         const { target, tokensAhead, newTokens, service, fetch, grant } = this.selection;
         this.endWaiting();
+        this.figures.record("begun");
         grant?.report("started");
         target.circuit.observeFirstOutput();
         if (tokensAhead > 0) {
--- /dev/null
+++ b/test/gateway/accountStages.test.ts
@@ -0,0 +1,48 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { createPromptHeaders, findFreePort, GatewayFixture, waitUntil } from "./gatewayFixture.js";
+
+const fixture = { current: new GatewayFixture() };
+
+beforeEach(async () => {
+    fixture.current = new GatewayFixture();
+    await fixture.current.start();
+});
+
+afterEach(() => fixture.current.dispose());
+
+/** Stages of the account's requests and their tokens, from the metrics page. */
+async function fetchStages(port: number): Promise<readonly string[]> {
+    const text = await (await fetch(`http://127.0.0.1:${port}/metrics`)).text();
+    return [...text.matchAll(/^lynxarch_account_tokens_total\{account="north",stage="(.*)"\} (.*)$/gmu)].map(
+        ([, stage, tokens]) => `${stage} ${tokens}`,
+    );
+}
+
+describe("what became of an account's requests", () => {
+    // The account complains; its requests were granted and answered, and one had nowhere to go.
+    it("is told stage by stage on the metrics page", async () => {
+        const port = await findFreePort();
+        await fixture.current.addRouter({ metricsPort: port });
+        await fixture.current.send({ path: "/plan/x", headers: createPromptHeaders("a1") });
+        await fixture.current.addTarget("engines", "engine-1");
+        await waitUntil(async () => {
+            const answer = await fixture.current.send({ path: "/once/x", headers: createPromptHeaders("a2") });
+            return answer.status === 200;
+        });
+        const stages = await fetchStages(port);
+        const names = stages.map(line => line.split(" ")[0]);
+        expect(names).toMatchInlineSnapshot(`
+          [
+            "read",
+            "asked-owner",
+            "decided-by-owner",
+            "granted",
+            "sent",
+            "begun",
+            "in-time",
+            "refused-no-target",
+          ]
+        `);
+        expect(stages).toContain("granted 1100");
+    });
+});
--- a/test/gateway/coldTarget.test.ts
+++ b/test/gateway/coldTarget.test.ts
@@ -5,6 +5,7 @@
 import type { ServedRoute } from "../../src/gateway/configuration.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
 import { RequestIdentity } from "../../src/gateway/quarantine/requestIdentity.js";
+import { RequestFigures } from "../../src/gateway/accountFigures.js";
 import { RequestAdmission } from "../../src/gateway/requestAdmission.js";
 import { TargetSelector } from "../../src/gateway/targetSelector.js";
 import { openTargetSend } from "../../src/gateway/targetSend.js";
@@ -106,9 +107,12 @@
 /** Asks for a send, and books it as the request flow does once it is admitted. */
 function submitRequest({ context }: ModelRouter, outcomes: boolean[]): void {
     const selector = new TargetSelector(context);
+    const figures = new RequestFigures(undefined, 0);
+    const arrivedAtMs = context.clock.nowMs();
+    const routed = { head, route, account: undefined, body: undefined, identity, arrivedAtMs, figures };
     const admission = new RequestAdmission({
         context,
-        routed: { head, route, account: undefined, body: undefined, identity, arrivedAtMs: context.clock.nowMs() },
+        routed,
         selector,
         outputTokens: 10,
         chargedTokens: 0,
@@ -120,7 +124,7 @@
         const send =
             selection === undefined
                 ? undefined
-                : openTargetSend(selector, { context, selection, head, sendId: "r", outputTokens: 10 });
+                : openTargetSend(selector, { context, selection, routed, sendId: "r", outputTokens: 10 });
         outcomes.push(send !== undefined);
     });
 }
--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -43,6 +43,7 @@
 const idleLoad: LoadSource = {
     shedShare: 0,
     shouldLeaveBalancer: false,
+    loop: { delayMs: 0, utilization: 0 },
     start: () => undefined,
     dispose: () => undefined,
 };
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -1,7 +1,10 @@
 import { describe, expect, it } from "vitest";
+import { AccountFigures } from "../../src/gateway/accountFigures.js";
 import { GatewayMetrics } from "../../src/gateway/gatewayMetrics.js";
 
-function createMetrics(): GatewayMetrics {
+const use = { share: 0.5, surplus: 1.25, sumsAgeMs: 0 };
+
+function createMetrics(figures: AccountFigures): GatewayMetrics {
     return new GatewayMetrics(() => ({
         openRequests: 0,
         configurationVersion: 1,
@@ -10,50 +13,121 @@
         peerRound: { messageBytes: 0, periodMs: 100 },
         heldRequests: 0,
         targets: [],
+        load: { shedShare: 0.1, loop: { delayMs: 30, utilization: 0.9 } },
+        listAccounts: () =>
+            figures.listAll().map(([account, counts]) => ({
+                account,
+                counts,
+                computeUse: () => (account === "other" ? undefined : use),
+            })),
     }));
 }
 
-function recordRequest(metrics: GatewayMetrics, account: string, askedTokens: number, servedTokens: number): void {
-    const outcome = servedTokens > 0 ? "answered" : "refused";
-    metrics.recordEnd({
-        requestId: "r",
-        route: "route",
-        account,
-        configurationVersion: 1,
-        tookMs: 1,
-        end: { outcome, reason: "over-share", status: 429, askedTokens, servedTokens },
-    });
+function recordRequest(figures: AccountFigures, account: string, askedTokens: number, isServed: boolean): void {
+    const request = figures.createRequest(account, askedTokens);
+    request.record("read");
+    if (isServed) {
+        request.record("begun");
+        // A stream that goes on at another target begins there once more.
+        request.record("begun");
+    }
+    request.recordEnd(
+        isServed
+            ? { outcome: "answered", reason: "", timeliness: "late-pause" }
+            : { outcome: "refused", reason: "over-share" },
+    );
 }
 
-async function listAccountLines(metrics: GatewayMetrics): Promise<readonly string[]> {
+async function listLines(figures: AccountFigures, name: string): Promise<readonly string[]> {
+    const metrics = createMetrics(figures);
+    await metrics.render();
     const text = await metrics.render();
-    return text.split("\n").filter(line => line.startsWith("lynxarch_account_tokens_total"));
+    return text.split("\n").filter(line => line.startsWith(name) && !line.includes("_sums_age_"));
 }
 
 describe("tokens by account", () => {
     // A client account complains that it got far less than another one. Refusals by reason don't tell who asked for how much.
     it("tell what each asked for and got", async () => {
-        const metrics = createMetrics();
-        recordRequest(metrics, "first", 900, 900);
-        recordRequest(metrics, "first", 600, 0);
-        recordRequest(metrics, "second", 100, 0);
-        expect(await listAccountLines(metrics)).toMatchInlineSnapshot(`
+        const figures = new AccountFigures();
+        recordRequest(figures, "first", 900, true);
+        recordRequest(figures, "first", 600, false);
+        recordRequest(figures, "second", 100, false);
+        expect(await listLines(figures, "lynxarch_account_")).toMatchInlineSnapshot(`
           [
-            "lynxarch_account_tokens_total{account="first",kind="asked"} 1500",
-            "lynxarch_account_tokens_total{account="first",kind="served"} 900",
-            "lynxarch_account_tokens_total{account="second",kind="asked"} 100",
-            "lynxarch_account_tokens_total{account="second",kind="served"} 0",
+            "lynxarch_account_requests_total{account="first",stage="read"} 2",
+            "lynxarch_account_requests_total{account="first",stage="begun"} 1",
+            "lynxarch_account_requests_total{account="first",stage="late"} 1",
+            "lynxarch_account_requests_total{account="first",stage="refused-over-share"} 1",
+            "lynxarch_account_requests_total{account="second",stage="read"} 1",
+            "lynxarch_account_requests_total{account="second",stage="begun"} 0",
+            "lynxarch_account_requests_total{account="second",stage="refused-over-share"} 1",
+            "lynxarch_account_tokens_total{account="first",stage="read"} 1500",
+            "lynxarch_account_tokens_total{account="first",stage="begun"} 900",
+            "lynxarch_account_tokens_total{account="first",stage="late"} 900",
+            "lynxarch_account_tokens_total{account="first",stage="refused-over-share"} 600",
+            "lynxarch_account_tokens_total{account="second",stage="read"} 100",
+            "lynxarch_account_tokens_total{account="second",stage="begun"} 0",
+            "lynxarch_account_tokens_total{account="second",stage="refused-over-share"} 100",
+            "lynxarch_account_share{account="first"} 0.5",
+            "lynxarch_account_share{account="second"} 0.5",
+            "lynxarch_account_surplus{account="first"} 1.25",
+            "lynxarch_account_surplus{account="second"} 1.25",
           ]
         `);
     });
 
     it("are counted together beyond a number of accounts", async () => {
-        const metrics = createMetrics();
+        const figures = new AccountFigures();
         for (let index = 0; index < 150; index++) {
-            recordRequest(metrics, `a${index}`, 10, 0);
+            recordRequest(figures, `a${index}`, 10, false);
         }
-        const lines = await listAccountLines(metrics);
-        expect(lines.length).toBe(202);
-        expect(lines).toContain('lynxarch_account_tokens_total{account="other",kind="asked"} 500');
+        const lines = await listLines(figures, "lynxarch_account_tokens_total");
+        expect(lines.length).toBe(303);
+        expect(lines).toContain('lynxarch_account_tokens_total{account="other",stage="read"} 500');
+        expect((await listLines(figures, "lynxarch_account_share")).length).toBe(100);
+    });
+
+    it("stand beside how the router keeps up", async () => {
+        const figures = new AccountFigures();
+        const names = ["lynxarch_shed_share", "lynxarch_loop_utilization", "lynxarch_loop_delay_seconds"];
+        expect((await Promise.all(names.map(name => listLines(figures, name)))).flat()).toMatchInlineSnapshot(`
+          [
+            "lynxarch_shed_share 0.1",
+            "lynxarch_loop_utilization 0.9",
+            "lynxarch_loop_delay_seconds 0.03",
+          ]
+        `);
+    });
+});
+
+describe("the end of a request", () => {
+    it("is one stage", () => {
+        const ends = [
+            { outcome: "refused", reason: "busy" },
+            { outcome: "refused", reason: "late" },
+            { outcome: "left", reason: "" },
+            { outcome: "left", reason: "", firstOutputMs: 5 },
+            { outcome: "timeout", reason: "" },
+            { outcome: "answered", reason: "", timeliness: "in-time" },
+        ] as const;
+        const figures = new AccountFigures();
+        for (const [index, end] of ends.entries()) {
+            const request = figures.createRequest(`a${index}`, 1);
+            request.record("read");
+            request.recordEnd(end);
+        }
+        figures.createRequest("a6", 1).recordEnd({ outcome: "left", reason: "" });
+        const stages = figures.listAll().map(([, counts]) => counts.listReached().join(" "));
+        expect(stages).toMatchInlineSnapshot(`
+          [
+            "read shed",
+            "read refused-late",
+            "read left-before-output",
+            "read left-during-output",
+            "read failed",
+            "read in-time",
+            "left-unread",
+          ]
+        `);
     });
 });
