Explain by what a prompt was refused

Cause: explain could not tell an owner's denial from one by the router's own beliefs, nor show what else became of the account's requests.

Change: the cause names what decided and after how long; the lines around it include the accounts' summary where it names the request's account.

--- a/src/events/explainFromLogs.ts
+++ b/src/events/explainFromLogs.ts
@@ -34,6 +34,12 @@
     "target-broke": "its target broke off; it may have run",
 };
 
+const deciders: Readonly<Record<string, string>> = {
+    owner: "an engine's owner",
+    beliefs: "the router's own beliefs, as no owner answered",
+    memory: "an owner's denial just before, which the router remembered",
+};
+
 /** Reads JSON lines; text before the first brace, as a collector puts it, and lines of other forms are left aside. */
 export function parseLogLines(text: string): readonly LogLine[] {
     return text.split("\n").flatMap(line => {
@@ -59,8 +65,12 @@
             named === undefined
                 ? line.fields["route"] === undefined
                 : named === target || tried.includes(String(named));
+        const accounts = line.fields["accounts"];
+        const isOfOthers = accounts !== undefined && !hasAccount(accounts, last.fields["account"]);
         const isNear = line.timeMs >= last.timeMs - tookMs - aroundMs && line.timeMs <= last.timeMs + aroundMs;
-        return line.daemon === last.daemon && line.fields["requestId"] === undefined && concerns && isNear;
+        return (
+            line.daemon === last.daemon && line.fields["requestId"] === undefined && concerns && !isOfOthers && isNear
+        );
     });
     return { requestId, own, around, cause: describeCause(last) };
 }
@@ -90,7 +100,7 @@
         case "answered":
             return `answered by ${String(target)} (tried ${String(tried)})${describeLateness(line)}`;
         case "refused":
-            return `refused: ${causes[String(reason)] ?? String(reason)} (${numbers})`;
+            return `refused: ${causes[String(reason)] ?? String(reason)} (${numbers}${describeDecision(line)})`;
         case "left":
             return `its caller left while ${String(target)} worked on it (${numbers})`;
         case "timeout":
@@ -100,6 +110,19 @@
     }
 }
 
+/** What refused a prompt and how long that took; empty where no owner had to be asked. */
+function describeDecision({ fields }: LogLine): string {
+    const source = deciders[String(fields["decidedBy"])];
+    return source === undefined ? "" : `; decided by ${source}, ${String(fields["decisionMs"])} ms after it came`;
+}
+
+/** Whether a line on several accounts has an entry of this one. */
+function hasAccount(accounts: unknown, account: unknown): boolean {
+    return String(accounts)
+        .split("; ")
+        .some(entry => entry.startsWith(`${String(account)} `));
+}
+
 /** By what an answer missed its route's objectives; empty when it kept them. */
 function describeLateness({ fields }: LogLine): string {
     const { timeliness, firstOutputMs, objectiveMs, longestPauseMs, pauseObjectiveMs } = fields;
--- a/test/events/explainFromLogs.test.ts
+++ b/test/events/explainFromLogs.test.ts
@@ -73,6 +73,29 @@
         `);
     });
 
+    // One of an account's prompts is refused while its routers' single lines are limited to a rate.
+    it("says what refused it and what became of its account's requests, but not of those of others", () => {
+        const own = { requestId: "r-5", account: "north", outcome: "refused", reason: "over-share", tookMs: 41 };
+        const lines = parseLogLines(
+            [
+                formatLine("router-1", 4_000, "request ended", { ...own, decidedBy: "beliefs", decisionMs: 40 }),
+                formatLine("router-1", 4_500, "accounts with refused requests", {
+                    accounts: "north read=9; south read=8",
+                }),
+                formatLine("router-1", 5_500, "accounts with refused requests", { accounts: "south read=8" }),
+            ].join("\n"),
+        );
+        const explanation = explainFromLogs(lines, "r-5");
+        expect([explanation?.cause, explanation?.around.map(line => line.timeMs)]).toMatchInlineSnapshot(`
+          [
+            "refused: its client account had had its fair share, and others were waiting; it did not run (expected undefined ms behind undefined prompt tokens, share used undefined; decided by the router's own beliefs, as no owner answered, 40 ms after it came)",
+            [
+              4500,
+            ],
+          ]
+        `);
+    });
+
     it("is undefined when no line names it", () => {
         expect(explainFromLogs(parseLogLines(log), "r-2")).toBeUndefined();
     });
