--- a/bench/gateway/chunkedEngine.ts
+++ b/bench/gateway/chunkedEngine.ts
@@ -103,6 +103,19 @@
         this.reading.push({ request, stream });
     }
 
+    /** Drops a request that has no output yet; false: it has output, or is not here. */
+    public cancel(request: EngineRequest): boolean {
+        const isCancelled = (run: Run): boolean => run.request === request && run.stream.firstAtMs === undefined;
+        const kept = this.running.filter(run => !isCancelled(run));
+        const readingIndex = this.reading.findIndex(isCancelled);
+        if (readingIndex >= 0) {
+            this.reading.splice(readingIndex, 1);
+        }
+        const wasHere = readingIndex >= 0 || kept.length < this.running.length;
+        this.running = kept;
+        return wasHere;
+    }
+
     /** Plays the steps that end up to the given time. */
     public advance(toMs: number): void {
         while (this.load > 0 && this.stepEndsAtMs <= toMs) {
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -2,8 +2,8 @@
  * A fleet of routers before model engines, played on a fake clock: the daemons' own classes decide (`src/gateway`), engines
  * are {@link ChunkedEngine}s, and messages between routers arrive late or not at all.
  *
- * Routers have the processor time that is given ({@link ProcessorOptions}), or any. Left out: sockets, engines that fail, callers
- * who leave a stream.
+ * Routers have the processor time that is given ({@link ProcessorOptions}), or any. Callers may leave before the first output.
+ * Left out: sockets, engines that fail, callers who leave a stream.
  */
 import { ManualClock } from "../../src/base/clock.js";
 import type { Disposable } from "../../src/base/lifecycle.js";
@@ -23,8 +23,9 @@
 import { TargetSelector, type Selection } from "../../src/gateway/targetSelector.js";
 import { openTargetSend } from "../../src/gateway/targetSend.js";
 import type { PromptPart } from "../../src/gateway/wire.js";
-import { ChunkedEngine, type ChunkedEngineOptions, type EngineStream } from "./chunkedEngine.js";
+import { ChunkedEngine, type ChunkedEngineOptions, type EngineRequest, type EngineStream } from "./chunkedEngine.js";
 import { EngineSignals, type EngineSignalOptions, type SignalFigures } from "./engineSignals.js";
+import { Balancer } from "./balancer.js";
 import { EventQueue } from "./eventQueue.js";
 import { RouterProcessor, type ProcessorOptions } from "./routerProcessor.js";
 import { formatRouterId, formatRouterIp, ModelRouter } from "./modelRouter.js";
@@ -38,6 +39,8 @@
 const msPerSecond = 1_000;
 /** A caller whose request is unread for so long leaves. */
 const unreadMs = 1_000;
+/** Time between two checks of a router's readiness. */
+const checkPeriodMs = 1_000;
 /** When a caller returns whom a router shed. */
 const shedRetryMs = 500;
 /** Most of the time that is left in which a refused caller waits before it returns. */
@@ -57,6 +60,14 @@
     readonly toMs?: number;
     /** Routers that its callers reach, the first ones; all when left out. */
     readonly reach?: number;
+    /** Its callers have one address, so that a balancer sends them all to the same router; spread when left out. */
+    readonly address?: CallerAddress;
+}
+
+/** Where a balancer finds a caller. */
+export interface CallerAddress {
+    readonly dataCentre: number;
+    readonly hash: number;
 }
 
 /** A fleet of engines behind routers, and what happens to it. */
@@ -83,12 +94,23 @@
     readonly signals?: EngineSignalOptions;
     /** Processor time of routers; as much as they need when left out. */
     readonly processor?: ProcessorOptions;
+    /** A balancer that checks whether routers are ready; callers choose a router by themselves when left out. */
+    readonly balancer?: FleetBalancer;
+    /** Callers leave when they have no output so long after they asked; only those that are unread for a second when left out. */
+    readonly patienceMs?: number;
     /** How often a refused caller returns; never when left out. */
     readonly returns?: number;
     readonly runMs: number;
     readonly seed: number;
 }
 
+/** A balancer before routers of several data centres. */
+export interface FleetBalancer {
+    readonly routersPerDataCentre: number;
+    /** Parts of a core that the routers of a data centre may use, in place of the one for all. */
+    readonly processorShares: readonly number[];
+}
+
 /** Kinds of news between routers that are never late. */
 export interface ExactNews {
     /** What accounts asked and got. */
@@ -103,6 +125,13 @@
     served: number;
     requests: number;
     admitted: number;
+    /** Tokens that began to be output in this second, and those that engines were sent for callers who left before that. */
+    begun: number;
+    leftBeforeOutput: number;
+    /** Requests that no router had read when their caller left. */
+    leftUnread: number;
+    /** Requests that routers shed. */
+    shed: number;
 }
 
 /** What callers got. */
@@ -125,6 +154,7 @@
     readonly parts: readonly PromptPart[];
     readonly promptTokens: number;
     readonly reach: number;
+    readonly address: CallerAddress | undefined;
     readonly askedAtMs: number;
     readonly returnsLeft: number;
 }
@@ -169,6 +199,7 @@
     private readonly route: ServedRoute;
     private readonly signals: EngineSignals | undefined;
     private readonly engineIndexes: ReadonlyMap<string, number>;
+    private readonly balancer: Balancer | undefined;
     private lastRequest = 0;
 
     public constructor(
@@ -185,11 +216,8 @@
         this.route = createRoute(pauseObjectiveMs);
         const configuration = this.createConfiguration();
         const targets = [...this.engines.keys()].map(createTargetEntry);
-        this.processors = Array.from({ length: routerCount }, () =>
-            options.processor === undefined
-                ? undefined
-                : new RouterProcessor(options.processor, this.events, this.clock.nowMs()),
-        );
+        this.processors = Array.from({ length: routerCount }, (...[, index]) => this.createProcessor(index));
+        this.balancer = this.createBalancer();
         this.routers = Array.from(
             { length: routerCount },
             (...[, index]) =>
@@ -211,15 +239,13 @@
         this.routersById = new Map(this.routers.map((router, index) => [formatRouterId(index), router]));
         const secondCount = Math.ceil(runMs / msPerSecond);
         this.seconds = new Map(
-            loads.map(({ account }) => [
-                account,
-                Array.from({ length: secondCount }, () => ({ asked: 0, served: 0, requests: 0, admitted: 0 })),
-            ]),
+            loads.map(({ account }) => [account, Array.from({ length: secondCount }, () => createSecond())]),
         );
     }
 
     public run(): FleetOutcome {
         this.startRounds();
+        this.startChecks();
         for (let nowMs = 0; nowMs < this.options.runMs; nowMs++) {
             this.engines.forEach(engine => engine.advance(nowMs));
             this.events.runUntil(nowMs);
@@ -249,6 +275,32 @@
         }
     }
 
+    private createProcessor(index: number): RouterProcessor | undefined {
+        const { processor, balancer } = this.options;
+        if (processor === undefined) {
+            return undefined;
+        }
+        const share = balancer?.processorShares[index % balancer.routersPerDataCentre] ?? processor.share;
+        return new RouterProcessor({ ...processor, share }, this.events, this.clock.nowMs());
+    }
+
+    private createBalancer(): Balancer | undefined {
+        const { balancer, routerCount } = this.options;
+        return balancer === undefined
+            ? undefined
+            : new Balancer({
+                  routerCount,
+                  routersPerDataCentre: balancer.routersPerDataCentre,
+                  isReady: index => this.processors[index]?.detector.shouldLeaveBalancer !== true,
+              });
+    }
+
+    private startChecks(): void {
+        for (let atMs = 0; this.balancer !== undefined && atMs < this.options.runMs; atMs += checkPeriodMs) {
+            this.events.add(atMs, () => this.balancer?.checkRouters());
+        }
+    }
+
     private sendRound(router: ModelRouter): void {
         const { peerPeriodMs, peerDelayMs = 1, peerLoss = 0 } = this.options;
         const nowMs = this.clock.nowMs();
@@ -327,7 +379,7 @@
         }
     }
 
-    private createCall({ account, promptTokens, shared, reach }: AccountLoad, nowMs: number): Call {
+    private createCall({ account, promptTokens, shared, reach, address }: AccountLoad, nowMs: number): Call {
         const ownTokens = Math.round(promptTokens * (0.2 + 2 * this.random.next() ** 2));
         const own = { id: `own-${++this.lastRequest}`, tokens: ownTokens };
         const parts =
@@ -345,6 +397,7 @@
             parts,
             promptTokens: computeSum(parts.map(part => part.tokens)),
             reach: reach ?? this.routers.length,
+            address,
             askedAtMs: nowMs,
             returnsLeft: this.options.returns ?? 0,
         };
@@ -368,17 +421,25 @@
         const index = this.chooseRouter(call);
         const arrivedAtMs = this.clock.nowMs();
         this.runWork(index, "read", () => {
-            if (this.clock.nowMs() - arrivedAtMs <= unreadMs) {
+            const nowMs = this.clock.nowMs();
+            if (this.hasLeft(call) || (this.options.patienceMs === undefined && nowMs - arrivedAtMs > unreadMs)) {
+                this.findSecond(call.account, nowMs).leftUnread += 1;
+            } else {
                 this.handle(call, index);
             }
         });
     }
 
+    private hasLeft({ askedAtMs }: Call): boolean {
+        return this.clock.nowMs() - askedAtMs >= (this.options.patienceMs ?? Number.POSITIVE_INFINITY);
+    }
+
     private handle(call: Call, routerIndex: number): void {
         const nowMs = this.clock.nowMs();
         const router = this.routers[routerIndex];
         const routed = this.createRouted(call);
         if (this.shedders[routerIndex].check(routed)) {
+            this.findSecond(call.account, nowMs).shed += 1;
             this.addReturn(call, shedRetryMs);
             return;
         }
@@ -420,6 +481,10 @@
     private send({ call, router, routed, charge, selection, selector }: AdmittedCall): void {
         const nowMs = this.clock.nowMs();
         const { target } = selection;
+        if (this.hasLeft(call)) {
+            selection.grant?.report("not-run");
+            return;
+        }
         const send = openTargetSend(selector, {
             context: router.context,
             selection,
@@ -442,32 +507,55 @@
         second.admitted += 1;
         second.served += call.promptTokens;
         charge.recordServed();
+        const request: EngineRequest = {
+            account: call.account,
+            askedAtMs: call.askedAtMs,
+            parts: call.parts,
+            copiedTokens: selection.fetch?.tokens ?? 0,
+            events: eventCount,
+            handleFirstOutput: () => {
+                this.findSecond(call.account, this.clock.nowMs()).begun += call.promptTokens;
+                this.signals?.handleAnswer(router, target, engineIndex, this.clock.nowMs());
+                send.handleFirstOutput();
+            },
+            handleEnd: stream => {
+                send.close({ kind: "answered" });
+                charge.observeOutput(eventCount, this.options.engine.tokensPerEvent);
+                this.ended.push(stream);
+                if (selection.grant !== undefined) {
+                    const isLate = stream.longestPauseMs > this.options.pauseObjectiveMs;
+                    router.context.readingShares.find(service).observe(isLate, selection.grant.use);
+                }
+            },
+        };
+        const engine = this.engines.get(target.id)!;
         const copyMs = Math.round(selection.fetch?.ms ?? 0);
-        this.events.add(nowMs + copyMs, () =>
-            this.engines.get(target.id)!.submit(
-                {
-                    account: call.account,
-                    askedAtMs: call.askedAtMs,
-                    parts: call.parts,
-                    copiedTokens: selection.fetch?.tokens ?? 0,
-                    events: eventCount,
-                    handleFirstOutput: () => {
-                        this.signals?.handleAnswer(router, target, engineIndex, this.clock.nowMs());
-                        send.handleFirstOutput();
-                    },
-                    handleEnd: stream => {
-                        send.close({ kind: "answered" });
-                        charge.observeOutput(eventCount, this.options.engine.tokensPerEvent);
-                        this.ended.push(stream);
-                        if (selection.grant !== undefined) {
-                            const isLate = stream.longestPauseMs > this.options.pauseObjectiveMs;
-                            router.context.readingShares.find(service).observe(isLate, selection.grant.use);
-                        }
-                    },
-                },
-                this.clock.nowMs(),
-            ),
-        );
+        this.events.add(nowMs + copyMs, () => {
+            if (!this.hasLeft(call)) {
+                engine.submit(request, this.clock.nowMs());
+            }
+        });
+        this.addLeave(call, engine, request, nowMs + copyMs, () => send.close({ kind: "stopped", reason: "left" }));
+    }
+
+    private addLeave(
+        call: Call,
+        engine: ChunkedEngine,
+        request: EngineRequest,
+        submitAtMs: number,
+        closeSend: () => void,
+    ): void {
+        const { patienceMs } = this.options;
+        if (patienceMs === undefined) {
+            return;
+        }
+        this.events.add(call.askedAtMs + patienceMs, () => {
+            const isCopying = this.clock.nowMs() <= submitAtMs;
+            if (isCopying || engine.cancel(request)) {
+                this.findSecond(call.account, this.clock.nowMs()).leftBeforeOutput += call.promptTokens;
+                closeSend();
+            }
+        });
     }
 
     private applyExactLoad({ directory }: ModelRouter): void {
@@ -487,7 +575,14 @@
         return this.seconds.get(account)![Math.floor(atMs / msPerSecond)];
     }
 
-    private chooseRouter({ reach }: Call): number {
+    private chooseRouter({ reach, address }: Call): number {
+        if (this.balancer !== undefined) {
+            const { routersPerDataCentre } = this.options.balancer!;
+            const index = Math.floor(this.random.next() * this.routers.length);
+            const spread = { dataCentre: Math.floor(index / routersPerDataCentre), hash: index % routersPerDataCentre };
+            const { dataCentre, hash } = address ?? spread;
+            return this.balancer.chooseRouter(dataCentre, hash);
+        }
         return reach === 1 ? 0 : Math.floor(this.random.next() * reach);
     }
 
@@ -543,6 +638,10 @@
     }
 }
 
+function createSecond(): AccountSecond {
+    return { asked: 0, served: 0, requests: 0, admitted: 0, begun: 0, leftBeforeOutput: 0, leftUnread: 0, shed: 0 };
+}
+
 function createRoute(pauseObjectiveMs: number): ServedRoute {
     return {
         name: "stream",
--- a/bench/gateway/saturation.ts
+++ b/bench/gateway/saturation.ts
@@ -30,3 +30,50 @@
         shared: { tokens: 1_000, subjects },
     })),
 ];
+
+const largeShare = 1.35;
+const smallShare = 0.243;
+
+/** Four data centres of two large and five small routers, behind a balancer that sends callers to large and small ones alike. */
+export const unevenFleet: PromptFleetOptions = {
+    ...saturatedFleet,
+    engineCount: 36,
+    routerCount: 28,
+    balancer: {
+        routersPerDataCentre: 7,
+        processorShares: [largeShare, largeShare, smallShare, smallShare, smallShare, smallShare, smallShare],
+    },
+    processor: { share: smallShare, readMs: 1.4, serveMs: 4, messageMs: 0.12 },
+    patienceMs: 2_500,
+    runMs: 8_000,
+};
+
+/** Half of the flood: the model draws at most one request of a load in a millisecond. */
+const wideLoad: AccountLoad = {
+    account: "wide",
+    rate: 700,
+    promptTokens: 3_000,
+    shared: { tokens: 1_500, subjects },
+};
+
+const narrowLoad: AccountLoad = {
+    account: "narrow",
+    rate: 0,
+    promptTokens: 3_000,
+    shared: { tokens: 1_500, subjects },
+    address: { dataCentre: 2, hash: 3 },
+};
+
+/** One account floods all routers; the callers of another one have one address, and so one router, a small one. */
+export const unevenLoads: readonly AccountLoad[] = [
+    wideLoad,
+    wideLoad,
+    { ...narrowLoad, rate: 15 },
+    { ...narrowLoad, rate: 55, fromMs: 2_000 },
+    ...Array.from({ length: smallAccounts }, (...[, index]) => ({
+        account: `small-${index}`,
+        rate: 6,
+        promptTokens: 1_500,
+        shared: { tokens: 1_000, subjects },
+    })),
+];
