Routers report their data centre, processor share and load to one another

What it is for: withdrawals from the balancer and ownership of engines that go by what routers can do, both of which need every router's condition. Twelve to twenty bytes more a message. No decision uses it yet.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -43,6 +43,10 @@
     /** Whether the router keeps up; undefined: always. */
     readonly load?: GatewayContext["load"];
     readonly setTimer: SetTimer;
+    /** "a" when left out. */
+    readonly dataCentre?: string;
+    /** Part of a core that it may use; 1 when left out. */
+    readonly processorShare?: number;
 }
 
 const seedRouters = 3;
@@ -76,6 +80,12 @@
             listOwnLoads: () => loads.listOwn(),
             listOwnAccounts: () => this.shares.listOwn(clock.nowMs()),
             listLeaving: () => (options.reportsLeaving === false ? [] : this.directory.listLeaving()),
+            getCondition: () => ({
+                dataCentre: options.dataCentre ?? "a",
+                processorShare: options.processorShare ?? 1,
+                utilization: 0,
+                isWithdrawn: false,
+            }),
             onDidSumLoads: sums => loads.applySums(sums),
             onDidReceive: message => {
                 loads.applyMessage(message);
@@ -162,6 +172,9 @@
         get accountUses() {
             return getExactUses === undefined ? peers.accountUses : getExactUses();
         },
+        get conditions() {
+            return peers.conditions;
+        },
         get round() {
             return peers.round;
         },
--- a/scripts/measurePeers.ts
+++ b/scripts/measurePeers.ts
@@ -94,6 +94,12 @@
                     ]),
                 ),
             }),
+            getCondition: () => ({
+                dataCentre: "dc-central-a",
+                processorShare: 0.25,
+                utilization: 0.5,
+                isWithdrawn: false,
+            }),
             listLeaving: () =>
                 engines.slice(0, leaving).map(targetHash => ({ targetHash, startedAtMs: startedAtMs + targetHash })),
             onDidSumLoads: () => undefined,
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -33,7 +33,7 @@
 import { RequestLog } from "./requestLog.js";
 import { createMetricsApp, createReadinessApp } from "./sideServers.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
-import { buildFigures, describeState, listAccounts } from "./gatewayState.js";
+import { buildFigures, describeRouter, describeState, listAccounts } from "./gatewayState.js";
 import { Handover } from "./peers/handover.js";
 import { createHandoverApp } from "./peers/handoverApi.js";
 import { listenOn } from "../control/server.js";
@@ -102,6 +102,7 @@
             listOwnLoads: () => loads.listOwn(),
             listOwnAccounts: () => shares.listOwn(clock.nowMs()),
             listLeaving: () => directory.listLeaving(),
+            getCondition: () => describeRouter(this.settings, this.load),
             onDidSumLoads: sums => {
                 loads.applySums(sums);
                 this.updateRetryFloors();
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -6,6 +6,8 @@
 import type { FleetSource } from "./fleetSource.js";
 import type { GatewayService } from "./gatewayService.js";
 import type { LoadSource } from "./loadMonitor.js";
+import type { RouterCondition } from "./peers/peerMessage.js";
+import type { GatewaySettings } from "./settings.js";
 import type { Target } from "./target.js";
 
 /** How a target stands in this router's eyes. */
@@ -63,6 +65,15 @@
     }));
 }
 
+/** What the router reports of itself to its peers. */
+export function describeRouter(
+    { dataCentre, limits }: Pick<GatewaySettings, "dataCentre" | "limits">,
+    { shouldLeaveBalancer, loop }: Pick<LoadSource, "shouldLeaveBalancer" | "loop">,
+): RouterCondition {
+    const { processorShare } = limits;
+    return { dataCentre, processorShare, utilization: loop.utilization, isWithdrawn: shouldLeaveBalancer };
+}
+
 /** What the router believes, for people. */
 export function describeState(context: GatewayContext, source: FleetSource): object {
     const nowMs = context.clock.nowMs();
@@ -71,6 +82,7 @@
         configurationVersion: context.configuration.current?.version,
         platform: source.health,
         peers: context.peers.routers,
+        conditions: Object.fromEntries(context.peers.conditions),
         peerRound: context.peers.round,
         dataCentresOut: out,
         heldRequests: context.quarantine.listHeld(),
--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -2,7 +2,7 @@
 import type { ReportedRouter } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
-import type { PeerAddress, PeerMessage } from "./peerMessage.js";
+import type { PeerAddress, PeerMessage, RouterCondition } from "./peerMessage.js";
 
 /**
  * Reported loads expire after the time in which engines read what usually waits there. Counted in full for longer, loads of
@@ -116,6 +116,12 @@
         );
     }
 
+    /** Conditions of routers whose word is fresh, by id. */
+    public get conditions(): ReadonlyMap<string, RouterCondition> {
+        const fresh = this.listPeers(message => Math.max(useTtlMs, roundsToLive * message.periodMs));
+        return new Map(fresh.map(({ message }) => [message.routerId, message.condition]));
+    }
+
     /** What all other routers have under way, by the hash of the target's id. */
     public computeLoads(): ReadonlyMap<number, PeerLoad> {
         const sums = new Map<number, PeerLoad>();
--- a/src/gateway/peers/peerMessage.ts
+++ b/src/gateway/peers/peerMessage.ts
@@ -41,6 +41,17 @@
     readonly startedAtMs: number;
 }
 
+/** How a router stands. */
+export interface RouterCondition {
+    readonly dataCentre: string;
+    /** Part of a core that it may use. */
+    readonly processorShare: number;
+    /** Smoothed part of the time in which its event loop had something to do, 0 to 1. */
+    readonly utilization: number;
+    /** Whether it asks the balancer to leave it out. */
+    readonly isWithdrawn: boolean;
+}
+
 /** The state that a router replicates to its peers, whole each time: the next message makes up for a lost one. */
 export interface PeerMessage {
     readonly routerId: string;
@@ -60,6 +71,7 @@
     /** Some of the routers it knows. */
     readonly peers: readonly PeerAddress[];
     readonly leaving: readonly LeavingTarget[];
+    readonly condition: RouterCondition;
 }
 
 const loadColumns = 4;
@@ -67,6 +79,7 @@
 const readColumns = 3;
 const peerColumns = 2;
 const leavingColumns = 2;
+const conditionScale = 1_000;
 const amount = z.number().min(0);
 const rowFault = "not a whole number of rows";
 /** Rows one behind the other; a list around each would only add bytes. */
@@ -82,6 +95,7 @@
     z.array(z.union([z.string(), amount])).refine(values => values.length % readColumns === 0, rowFault),
     z.array(z.string()).refine(values => values.length % peerColumns === 0, rowFault),
     z.array(z.number()).refine(values => values.length % leavingColumns === 0, rowFault),
+    z.tuple([z.string(), amount, amount, z.boolean()]),
 ]);
 
 /**
@@ -110,6 +124,7 @@
         message.reads.flatMap(read => [read.targetHash, read.partId, read.tokens]),
         message.peers.flatMap(peer => [peer.routerId, peer.ip]),
         message.leaving.flatMap(({ targetHash, startedAtMs }) => [targetHash, startedAtMs]),
+        encodeCondition(message.condition),
     ];
     return encode(wire);
 }
@@ -126,8 +141,21 @@
     if (!parsed.success) {
         return err(new PeerMessageError("of an unknown form", parsed.error));
     }
-    const [routerId, incarnation, sequence, ip, periodMs, targets, coveredMs, accounts, reads, peers, leaving] =
-        parsed.data;
+    const [
+        routerId,
+        incarnation,
+        sequence,
+        ip,
+        periodMs,
+        targets,
+        coveredMs,
+        accounts,
+        reads,
+        peers,
+        leaving,
+        condition,
+    ] = parsed.data;
+    const [dataCentre, processorShare, utilization, isWithdrawn] = condition;
     return ok({
         routerId,
         incarnation,
@@ -154,9 +182,22 @@
         })),
         peers: decodeRows(peers, peerColumns).map(([peerId, peerIp]) => ({ routerId: peerId, ip: peerIp })),
         leaving: decodeRows(leaving, leavingColumns).map(([targetHash, startedAtMs]) => ({ targetHash, startedAtMs })),
+        condition: {
+            dataCentre,
+            processorShare: processorShare / conditionScale,
+            utilization: utilization / conditionScale,
+            isWithdrawn,
+        },
     });
 }
 
+/** Fractions as whole numbers, which take fewer bytes. */
+function encodeCondition(condition: RouterCondition): [string, number, number, boolean] {
+    const { dataCentre, processorShare, utilization, isWithdrawn } = condition;
+    const scaled = [processorShare, utilization].map(value => Math.round(value * conditionScale));
+    return [dataCentre, scaled[0], scaled[1], isWithdrawn];
+}
+
 function decodeRows<T>(values: readonly T[], columns: number): readonly (readonly T[])[] {
     return Array.from({ length: values.length / columns }, (...[, row]) =>
         values.slice(row * columns, (row + 1) * columns),
--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -3,7 +3,7 @@
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
 import { PeerDirectory } from "./peerDirectory.js";
-import type { LeavingTarget, PartRead, PeerAddress, PeerMessage, TargetLoad } from "./peerMessage.js";
+import type { LeavingTarget, PartRead, PeerAddress, PeerMessage, RouterCondition, TargetLoad } from "./peerMessage.js";
 import type { PeerRound, PeerView } from "./peerView.js";
 
 /** Shortest time between two rounds of messages: about how long an engine takes to read one prompt. */
@@ -32,6 +32,8 @@
     readonly listOwnAccounts: () => RouterAccounts;
     /** Targets that are leaving, as far as this router knows. */
     readonly listLeaving: () => readonly LeavingTarget[];
+    /** How this router stands. */
+    readonly getCondition: () => RouterCondition;
     /** The peers' sums changed; by the hash of the target's id. */
     readonly onDidSumLoads: (loads: ReadonlyMap<number, PeerLoad>) => void;
     /** A message that is newer than the last one of its sender. */
@@ -66,6 +68,11 @@
         return this.directory.accountUses;
     }
 
+    /** Conditions of the other routers with a recent message, by id. */
+    public get conditions(): ReadonlyMap<string, RouterCondition> {
+        return this.directory.conditions;
+    }
+
     public get round(): PeerRound {
         return this.currentRound;
     }
@@ -106,6 +113,7 @@
             reads: this.takeReads(),
             peers: this.takePeers(),
             leaving: this.takeLeaving(),
+            condition: this.options.getCondition(),
         };
     }
 
--- a/src/gateway/peers/peerView.ts
+++ b/src/gateway/peers/peerView.ts
@@ -1,5 +1,6 @@
 import type { ReportedRouter } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
+import type { RouterCondition } from "./peerMessage.js";
 
 /** What telling the other routers takes. */
 export interface PeerRound {
@@ -12,6 +13,8 @@
     readonly routers: RouterView;
     /** What accounts asked and got at each of the other routers. */
     readonly accountUses: readonly ReportedRouter[];
+    /** Conditions of the other routers with a recent message, by id. */
+    readonly conditions: ReadonlyMap<string, RouterCondition>;
     /** Bytes of the newest message, and the time from it to the next one. */
     readonly round: PeerRound;
     /** Reports to the peers that a target has read a part of a prompt. */
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -27,6 +27,8 @@
     limits: z.object({
         memoryMb: z.number().positive(),
         maxDescriptors: z.number().int().positive(),
+        /** Part of a core that the process may use. */
+        processorShare: z.number().positive().default(1),
     }),
     /** How long the platform gives a process to stop. */
     stopGraceSeconds: z.number().positive().default(8),
--- a/test/gateway/coldTarget.test.ts
+++ b/test/gateway/coldTarget.test.ts
@@ -97,6 +97,7 @@
         reads: [],
         peers: [],
         leaving: [],
+        condition: { dataCentre: "dc-a", processorShare: 1, utilization: 0, isWithdrawn: false },
     });
     clock.advance(5_000);
     return router;
--- a/test/gateway/grants/grantMessage.property.test.ts
+++ b/test/gateway/grants/grantMessage.property.test.ts
@@ -70,6 +70,7 @@
             reads: [],
             peers: [],
             leaving: [],
+            condition: { dataCentre: "dc-a", processorShare: 1, utilization: 0, isWithdrawn: false },
         });
         expect(isGrantDatagram(peerMessage)).toBe(false);
     });
--- a/test/gateway/peers/peerDirectory.test.ts
+++ b/test/gateway/peers/peerDirectory.test.ts
@@ -18,6 +18,7 @@
         reads: [],
         peers: [],
         leaving: [],
+        condition: { dataCentre: "dc-a", processorShare: 0.243, utilization: 0.5, isWithdrawn: true },
         ...changes,
     };
 }
--- a/test/gateway/peers/peerState.test.ts
+++ b/test/gateway/peers/peerState.test.ts
@@ -15,6 +15,7 @@
         listOwnLoads: () => [],
         listOwnAccounts: () => ({ coveredMs: 0, accounts: new Map() }),
         listLeaving: () => leaving,
+        getCondition: () => ({ dataCentre: "dc-a", processorShare: 1, utilization: 0, isWithdrawn: false }),
         onDidSumLoads: () => undefined,
         onDidReceive: () => undefined,
     });
