--- a/scripts/measuredRouter.ts
+++ b/scripts/measuredRouter.ts
@@ -38,6 +38,7 @@
         source: new StoreFeed({ address, clock, random, sleep: sleepOnTimer, logger, drainMs, contactMs }),
         engines: new EngineLists(clock),
         load: { shedShare: shed, shouldLeaveBalancer: false, start: () => undefined, dispose: () => undefined },
+                                 loop: { delayMs: 0, utilization: 0 },
         readinessPath: "/ready",
     });
     process.once("SIGTERM", () => process.exit(0));
