--- a/scripts/measuredRouter.ts
+++ b/scripts/measuredRouter.ts
@@ -37,8 +37,13 @@
         codec: new PlatformHeaders(),
         source: new StoreFeed({ address, clock, random, sleep: sleepOnTimer, logger, drainMs, contactMs }),
         engines: new EngineLists(clock),
-        load: { shedShare: shed, shouldLeaveBalancer: false, start: () => undefined, dispose: () => undefined },
-                                 loop: { delayMs: 0, utilization: 0 },
+        load: {
+            shedShare: shed,
+            shouldLeaveBalancer: false,
+            loop: { delayMs: 0, utilization: 0 },
+            start: () => undefined,
+            dispose: () => undefined,
+        },
         readinessPath: "/ready",
     });
     process.once("SIGTERM", () => process.exit(0));
