An own answer is one write of one string

Cause: `end` with a body corks the socket and adds an empty last chunk, so that Node sends head and body as a list, and each own answer builds its body as JSON again.

Change: the body of each reason is made once; a body that is a string is written with the head before the answer is ended. The bytes on the wire are the same, for all reasons, HEAD, HTTP/1.0, pipelined requests and closing connections.

--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -93,7 +93,14 @@
         this.ended = true;
         const length = typeof body === "string" ? Buffer.byteLength(body) : body.length;
         this.response.writeHead(status, { ...headers, "content-length": String(length) });
-        this.response.end(body);
+        if (typeof body === "string") {
+            // Given to `end`, head and body wait with an empty last chunk and go out as a list; written before, they are one string.
+            this.response.write(body);
+            this.response.socket?.uncork();
+            this.response.end();
+        } else {
+            this.response.end(body);
+        }
     }
 
     /** Begins an answer whose body follows. */
--- a/src/gateway/ownAnswer.ts
+++ b/src/gateway/ownAnswer.ts
@@ -37,6 +37,10 @@
 
 const msPerSecond = 1_000;
 
+const bodies = Object.fromEntries(
+    Object.entries(answers).map(([code, [status, title]]) => [code, JSON.stringify({ title, status, code })]),
+) as Readonly<Record<OwnAnswerReason, string>>;
+
 /** An answer of the router's own, as a problem document (RFC 9457). */
 export interface OwnAnswer {
     readonly status: number;
@@ -46,11 +50,11 @@
 
 /** `retryAfterMs`: when to come back; only with statuses that say that the request did not run. */
 export function createOwnAnswer(reason: OwnAnswerReason, retryAfterMs: number | undefined): OwnAnswer {
-    const [status, title] = answers[reason];
+    const [status] = answers[reason];
     const headers: Record<string, string> = { "content-type": "application/problem+json" };
     if (retryAfterMs !== undefined && (status === 503 || status === 429)) {
         // Callers here take fractions of a second; rounded up to a whole one, each would come back too late to be in time.
         headers["retry-after"] = (retryAfterMs / msPerSecond).toFixed(2);
     }
-    return { status, headers, body: JSON.stringify({ title, status, code: reason }) };
+    return { status, headers, body: bodies[reason] };
 }
