Fair levels are computed once for the fleet's sums

Cause: the levels depend on the sums alone, yet each use of an account sorted what all accounts asked for twice.

Change: the levels are kept with the sums that they come of.

--- a/src/decisions/shares/accountShares.ts
+++ b/src/decisions/shares/accountShares.ts
@@ -83,6 +83,18 @@
     readonly ageMs: number;
 }
 
+/** What accounts may have by sums over all routers; tokens. */
+interface FairLevels {
+    readonly sums: FleetSums;
+    readonly tokensPerSecond: number;
+    /** Of what the fleet is meant to give in the window. */
+    readonly window: number;
+    /** The same of the recent span. */
+    readonly recent: number;
+    /** Of what the fleet gave in the recent span, or else of what it is meant to give. */
+    readonly surplus: number;
+}
+
 interface OwnUse {
     readonly asked: WindowedSum;
     readonly served: WindowedSum;
@@ -95,6 +107,7 @@
     private readonly own = new Map<string, OwnUse>();
     private firstAtMs: number | undefined;
     private sums: FleetSums | undefined;
+    private levels: FairLevels | undefined;
 
     public constructor(private readonly windowMs: number) {}
 
@@ -138,27 +151,27 @@
         tokensPerSecond: number,
         nowMs: number,
     ): ShareUse {
-        const { coveredMs, uses, recentlyServed, ageMs } = this.findSums(peers, nowMs);
-        const use = uses.get(account);
+        const sums = this.findSums(peers, nowMs);
+        const use = sums.uses.get(account);
         if (use === undefined) {
             return noUse;
         }
-        const asked = [...uses.values()].map(other => other.asked);
-        const level = computeFairLevel(asked, (tokensPerSecond * coveredMs) / msPerSecond);
-        const recentPart = Math.min(1, recentSpanMs / coveredMs);
-        const recentLevel = computeFairLevel(
-            asked.map(tokens => tokens * recentPart),
-            recentlyServed,
-        );
-        const windowUse = use.served / Math.max(1, level);
-        const burstUse = use.recentlyServed / Math.max(1, level * recentPart);
+        const { window, recent, surplus } = this.findLevels(sums, tokensPerSecond);
         return {
-            share: Math.max(windowUse, burstUse * burstWeight),
-            surplus: use.recentlyServed / Math.max(1, recentLevel, level * recentPart),
-            sumsAgeMs: ageMs,
+            share: Math.max(use.served / window, (use.recentlyServed / recent) * burstWeight),
+            surplus: use.recentlyServed / surplus,
+            sumsAgeMs: sums.ageMs,
         };
     }
 
+    /** The levels are the same for all accounts until the sums are made anew. */
+    private findLevels(sums: FleetSums, tokensPerSecond: number): FairLevels {
+        if (this.levels?.sums !== sums || this.levels.tokensPerSecond !== tokensPerSecond) {
+            this.levels = computeLevels(sums, tokensPerSecond);
+        }
+        return this.levels;
+    }
+
     private findSums(peers: readonly ReportedRouter[], nowMs: number): FleetSums {
         if (this.sums === undefined || nowMs - this.sums.atMs >= sumTtlMs) {
             this.sums = this.computeSums(peers, nowMs);
@@ -210,6 +223,24 @@
     }
 }
 
+function computeLevels(sums: FleetSums, tokensPerSecond: number): FairLevels {
+    const { coveredMs, uses, recentlyServed } = sums;
+    const asked = [...uses.values()].map(use => use.asked);
+    const level = computeFairLevel(asked, (tokensPerSecond * coveredMs) / msPerSecond);
+    const recentPart = Math.min(1, recentSpanMs / coveredMs);
+    const recentLevel = computeFairLevel(
+        asked.map(tokens => tokens * recentPart),
+        recentlyServed,
+    );
+    return {
+        sums,
+        tokensPerSecond,
+        window: Math.max(1, level),
+        recent: Math.max(1, level * recentPart),
+        surplus: Math.max(1, recentLevel, level * recentPart),
+    };
+}
+
 function addUses(own: AccountUse | undefined, others: AccountUse): AccountUse {
     return {
         asked: others.asked + (own?.asked ?? 0),
