What is known of peers is listed when it changes, not when it is read

Cause: each request read the routers, and the accounts' use at them, several times, and each reading went over all peers and addresses and made new lists.

Change: the lists are kept until a message, new seeds, the end of the settling time or an expiry changes them; what is too old is looked for when the oldest entry may be. The ages of the uses go on by themselves.

--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -21,8 +21,16 @@
 const settleMs = 1_500;
 
 interface Peer {
-    message: PeerMessage;
-    receivedAtMs: number;
+    readonly message: PeerMessage;
+    readonly receivedAtMs: number;
+    readonly use: ReportedRouter;
+}
+
+/** Peers whose word on accounts and conditions is fresh. */
+interface FreshPeers {
+    readonly untilMs: number;
+    readonly uses: readonly ReportedRouter[];
+    readonly conditions: ReadonlyMap<string, RouterCondition>;
 }
 
 /** The newest state received from each peer. */
@@ -32,6 +40,11 @@
     private readonly addresses = new Map<string, { readonly ip: string; readonly namedAtMs: number }>();
     private readonly routerByIp = new Map<string, string>();
     private readonly startedAtMs: number;
+    /** Nothing is to be forgotten before. */
+    private removeAfterMs = Number.POSITIVE_INFINITY;
+    /** Read with each request and changed by messages; undefined: to be made anew. */
+    private view: RouterView | undefined;
+    private fresh: FreshPeers | undefined;
 
     /** `seedIps`: addresses of some routers, perhaps of this one. */
     public constructor(
@@ -44,6 +57,7 @@
 
     public setSeeds(seedIps: readonly string[]): void {
         this.seedIps = seedIps;
+        this.view = undefined;
     }
 
     /** Takes a message; false when it is this router's own or older than what is known. */
@@ -56,8 +70,17 @@
         if (message.routerId === this.own.routerId || isOlder) {
             return false;
         }
-        this.peers.set(message.routerId, { message, receivedAtMs: this.clock.nowMs() });
         const namedAtMs = this.clock.nowMs();
+        this.peers.set(message.routerId, {
+            message,
+            receivedAtMs: namedAtMs,
+            use: new PeerUse(message, namedAtMs, this.clock),
+        });
+        this.fresh = undefined;
+        this.removeAfterMs = Math.min(this.removeAfterMs, namedAtMs + memberTtlMs);
+        if (known?.ip !== message.ip) {
+            this.view = undefined;
+        }
         this.addresses.set(message.routerId, { ip: message.ip, namedAtMs });
         this.routerByIp.set(message.ip, message.routerId);
         for (const { routerId, ip } of message.peers) {
@@ -93,33 +116,21 @@
 
     public get routers(): RouterView {
         this.removeOld();
-        const received = new Set([...this.peers.values()].map(peer => peer.message.ip));
-        const unheardSeeds = this.seedIps.filter(ip => ip !== this.own.ip && !received.has(ip));
-        const isWaiting = this.clock.nowMs() - this.startedAtMs < settleMs;
-        return {
-            ownId: this.own.routerId,
-            routerIds: [this.own.routerId, ...this.peers.keys()],
-            unheard: unheardSeeds.length,
-            isSettled: !isWaiting,
-        };
+        const isSettled = this.clock.nowMs() - this.startedAtMs >= settleMs;
+        if (this.view?.isSettled !== isSettled) {
+            this.view = this.createView(isSettled);
+        }
+        return this.view;
     }
 
-    /** Accounts' use at each router whose word is fresh. */
+    /** Accounts' use at each router whose word is fresh. Their ages go on. */
     public get accountUses(): readonly ReportedRouter[] {
-        const nowMs = this.clock.nowMs();
-        return this.listPeers(message => Math.max(useTtlMs, roundsToLive * message.periodMs)).map(
-            ({ message, receivedAtMs }) => ({
-                coveredMs: message.coveredMs,
-                accounts: message.accounts,
-                ageMs: nowMs - receivedAtMs,
-            }),
-        );
+        return this.findFresh().uses;
     }
 
     /** Conditions of routers whose word is fresh, by id. */
     public get conditions(): ReadonlyMap<string, RouterCondition> {
-        const fresh = this.listPeers(message => Math.max(useTtlMs, roundsToLive * message.periodMs));
-        return new Map(fresh.map(({ message }) => [message.routerId, message.condition]));
+        return this.findFresh().conditions;
     }
 
     /** What all other routers have under way, by the hash of the target's id. */
@@ -135,6 +146,29 @@
         return sums;
     }
 
+    private createView(isSettled: boolean): RouterView {
+        const received = new Set([...this.peers.values()].map(peer => peer.message.ip));
+        const unheardSeeds = this.seedIps.filter(ip => ip !== this.own.ip && !received.has(ip));
+        return {
+            ownId: this.own.routerId,
+            routerIds: [this.own.routerId, ...this.peers.keys()],
+            unheard: unheardSeeds.length,
+            isSettled,
+        };
+    }
+
+    private findFresh(): FreshPeers {
+        if (this.fresh === undefined || this.clock.nowMs() > this.fresh.untilMs) {
+            const peers = this.listPeers(computeUseTtlMs);
+            this.fresh = {
+                untilMs: Math.min(...peers.map(peer => peer.receivedAtMs + computeUseTtlMs(peer.message))),
+                uses: peers.map(peer => peer.use),
+                conditions: new Map(peers.map(({ message }) => [message.routerId, message.condition])),
+            };
+        }
+        return this.fresh;
+    }
+
     /** Peers whose last message is not older than the given time. */
     private listPeers(getTtlMs: (message: PeerMessage) => number): readonly Peer[] {
         const nowMs = this.clock.nowMs();
@@ -145,10 +179,18 @@
 
     private removeOld(): void {
         const nowMs = this.clock.nowMs();
+        if (nowMs <= this.removeAfterMs) {
+            return;
+        }
+        let oldestMs = Number.POSITIVE_INFINITY;
         for (const [id, peer] of this.peers) {
             if (nowMs - peer.receivedAtMs > memberTtlMs) {
                 this.peers.delete(id);
                 this.routerByIp.delete(peer.message.ip);
+                this.view = undefined;
+                this.fresh = undefined;
+            } else {
+                oldestMs = Math.min(oldestMs, peer.receivedAtMs);
             }
         }
         // Also those that others named and that never sent a message: thousands of VMs are replaced a day, and messages to those
@@ -156,7 +198,35 @@
         for (const [id, address] of this.addresses) {
             if (nowMs - address.namedAtMs > memberTtlMs) {
                 this.addresses.delete(id);
+            } else {
+                oldestMs = Math.min(oldestMs, address.namedAtMs);
             }
         }
+        this.removeAfterMs = oldestMs + memberTtlMs;
     }
 }
+
+/** A peer's word on its accounts, as old as it is when it is read. */
+class PeerUse implements ReportedRouter {
+    public constructor(
+        private readonly message: PeerMessage,
+        private readonly receivedAtMs: number,
+        private readonly clock: Clock,
+    ) {}
+
+    public get coveredMs(): number {
+        return this.message.coveredMs;
+    }
+
+    public get accounts(): PeerMessage["accounts"] {
+        return this.message.accounts;
+    }
+
+    public get ageMs(): number {
+        return this.clock.nowMs() - this.receivedAtMs;
+    }
+}
+
+function computeUseTtlMs({ periodMs }: PeerMessage): number {
+    return Math.max(useTtlMs, roundsToLive * periodMs);
+}
--- a/test/gateway/peers/peerDirectory.test.ts
+++ b/test/gateway/peers/peerDirectory.test.ts
@@ -103,6 +103,54 @@
         expect([after3, directory.accountUses.length]).toEqual([1, 0]);
     });
 
+    // Read with each request, the lists are kept between changes. One that outlived a change would name routers that are gone.
+    it("follows each message, the seeds and the time", () => {
+        const clock = new ManualClock();
+        const directory = new PeerDirectory(own, ["10.0.0.2", "10.0.0.9"], clock);
+        const describeAll = (): string => {
+            const { routerIds, unheard, isSettled } = directory.routers;
+            const utilizations = [...directory.conditions].map(([id, { utilization }]) => `${id} at ${utilization}`);
+            const uses = directory.accountUses.map(({ accounts, ageMs }) => `${accounts.size} of ${ageMs} ms`);
+            return [routerIds.join(" "), unheard, isSettled, ...utilizations, ...uses].join(", ");
+        };
+        const condition = { dataCentre: "dc-a", processorShare: 1, utilization: 0.75, isWithdrawn: false };
+        const seen = [describeAll()];
+        const apply = (changes: Partial<PeerMessage>): void => {
+            directory.apply(createMessage(changes));
+            seen.push(describeAll());
+        };
+        const advance = (ms: number): void => {
+            clock.advance(ms);
+            seen.push(describeAll());
+        };
+        apply({});
+        advance(1_000);
+        apply({ sequence: 2, condition, accounts: new Map() });
+        apply({ routerId: "router-3", ip: "10.0.0.9" });
+        directory.setSeeds(["10.0.0.7", "10.0.0.8"]);
+        advance(1_200);
+        apply({ sequence: 3, ip: "10.0.0.7" });
+        advance(1);
+        advance(memberTtlMs);
+        advance(1);
+        apply({ routerId: "router-4", ip: "10.0.0.8" });
+        expect(seen).toMatchInlineSnapshot(`
+          [
+            "router-1, 2, false",
+            "router-1 router-2, 1, false, router-2 at 0.5, 1 of 0 ms",
+            "router-1 router-2, 1, false, router-2 at 0.5, 1 of 1000 ms",
+            "router-1 router-2, 1, false, router-2 at 0.75, 0 of 0 ms",
+            "router-1 router-2 router-3, 0, false, router-2 at 0.75, router-3 at 0.5, 0 of 0 ms, 1 of 0 ms",
+            "router-1 router-2 router-3, 2, true, router-2 at 0.75, router-3 at 0.5, 0 of 1200 ms, 1 of 1200 ms",
+            "router-1 router-2 router-3, 1, true, router-2 at 0.5, router-3 at 0.5, 1 of 0 ms, 1 of 1200 ms",
+            "router-1 router-2 router-3, 1, true, router-2 at 0.5, 1 of 1 ms",
+            "router-1, 2, true",
+            "router-1, 2, true",
+            "router-1 router-4, 1, true, router-4 at 0.5, 1 of 0 ms",
+          ]
+        `);
+    });
+
     it("survives the wire, and other bytes are an error", () => {
         const message = createMessage({ reads: [{ targetHash: 41, partId: "aa", tokens: 7 }] });
         expect(decodePeerMessage(encodePeerMessage(message))._unsafeUnwrap()).toEqual(message);
