Closing a connection to a target makes no text of an error's stack

Cause: undici destroys the socket with a new error, and Node reads the stack of that error. Its text takes most of the time of a close, and nobody reads it.

Change: connections are closed with one error for all; a cancelled request closes the connection before it is aborted, as a withheld one did already. Listeners get the same calls in the same order.

Undici's own closes of idle connections still make such a text, and there is still a client for each connection: undici reconnects by itself, so a client that is kept would have to be held out of the connections' count and of their age.

--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -9,6 +9,8 @@
 const idleMarginMs = 1_000;
 const longestIdleMs = 60_000;
 const keepAliveProbeMs = 1_000;
+/** One for all: Node reads the stack of the error that a socket is destroyed with, and making its text costs most of a close. */
+const closedError = new Error("the connection is closed");
 
 /** One request as it goes to a target. */
 export interface TargetRequest {
@@ -133,7 +135,7 @@
             return;
         }
         this.closed = true;
-        void this.client.destroy();
+        void this.client.destroy(closedError);
         this.onDidClose(this);
     }
 }
@@ -216,8 +218,9 @@
             return;
         }
         this.isOver = true;
-        this.controller?.abort(new Error("cancelled"));
+        // First, so that the socket is gone when undici would destroy it with an error of its own.
         this.owner.close();
+        this.controller?.abort(closedError);
     }
 
     private fail(failure: SendFailure, detail: string): void {
