A router's address is forgotten only while it is its own

What went wrong: a VM's address is used again by a later router; when the earlier one expired its entry removed the later one's, and datagrams of grants from there were left aside as from an unknown router until its next message. Found in review by reading. Test: fails before (undefined for the later router). Also plainer names in the same file.

--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -26,7 +26,7 @@
     readonly use: ReportedRouter;
 }
 
-/** Peers whose word on accounts and conditions is fresh. */
+/** Peers with a recent report. */
 interface FreshPeers {
     readonly untilMs: number;
     readonly uses: readonly ReportedRouter[];
@@ -40,9 +40,9 @@
     private readonly addresses = new Map<string, { readonly ip: string; readonly namedAtMs: number }>();
     private readonly routerByIp = new Map<string, string>();
     private readonly startedAtMs: number;
-    /** Nothing is to be forgotten before. */
+    /** No entry expires before this time. */
     private removeAfterMs = Number.POSITIVE_INFINITY;
-    /** Read with each request and changed by messages; undefined: to be made anew. */
+    /** Read with each request, and changed by messages; undefined when invalidated. */
     private view: RouterView | undefined;
     private fresh: FreshPeers | undefined;
 
@@ -74,7 +74,7 @@
         this.peers.set(message.routerId, {
             message,
             receivedAtMs: namedAtMs,
-            use: new PeerUse(message, namedAtMs, this.clock),
+            use: new PeerReport(message, namedAtMs, this.clock),
         });
         this.fresh = undefined;
         this.removeAfterMs = Math.min(this.removeAfterMs, namedAtMs + memberTtlMs);
@@ -123,12 +123,12 @@
         return this.view;
     }
 
-    /** Accounts' use at each router whose word is fresh. Their ages go on. */
+    /** Accounts' use at each router with a recent report; the ages are those at the time of reading. */
     public get accountUses(): readonly ReportedRouter[] {
         return this.findFresh().uses;
     }
 
-    /** Conditions of routers whose word is fresh, by id. */
+    /** Conditions of routers with a recent report, by id. */
     public get conditions(): ReadonlyMap<string, RouterCondition> {
         return this.findFresh().conditions;
     }
@@ -159,9 +159,9 @@
 
     private findFresh(): FreshPeers {
         if (this.fresh === undefined || this.clock.nowMs() > this.fresh.untilMs) {
-            const peers = this.listPeers(computeUseTtlMs);
+            const peers = this.listPeers(computeReportTtlMs);
             this.fresh = {
-                untilMs: Math.min(...peers.map(peer => peer.receivedAtMs + computeUseTtlMs(peer.message))),
+                untilMs: Math.min(...peers.map(peer => peer.receivedAtMs + computeReportTtlMs(peer.message))),
                 uses: peers.map(peer => peer.use),
                 conditions: new Map(peers.map(({ message }) => [message.routerId, message.condition])),
             };
@@ -177,6 +177,13 @@
         );
     }
 
+    /** The address may belong to a later router by now. */
+    private removeIp(routerId: string, ip: string): void {
+        if (this.routerByIp.get(ip) === routerId) {
+            this.routerByIp.delete(ip);
+        }
+    }
+
     private removeOld(): void {
         const nowMs = this.clock.nowMs();
         if (nowMs <= this.removeAfterMs) {
@@ -186,7 +193,7 @@
         for (const [id, peer] of this.peers) {
             if (nowMs - peer.receivedAtMs > memberTtlMs) {
                 this.peers.delete(id);
-                this.routerByIp.delete(peer.message.ip);
+                this.removeIp(id, peer.message.ip);
                 this.view = undefined;
                 this.fresh = undefined;
             } else {
@@ -206,8 +213,8 @@
     }
 }
 
-/** A peer's word on its accounts, as old as it is when it is read. */
-class PeerUse implements ReportedRouter {
+/** A peer's report on its accounts; its age is that at the time of reading. */
+class PeerReport implements ReportedRouter {
     public constructor(
         private readonly message: PeerMessage,
         private readonly receivedAtMs: number,
@@ -227,6 +234,6 @@
     }
 }
 
-function computeUseTtlMs({ periodMs }: PeerMessage): number {
+function computeReportTtlMs({ periodMs }: PeerMessage): number {
     return Math.max(useTtlMs, roundsToLive * periodMs);
 }
--- a/test/gateway/peers/peerDirectory.test.ts
+++ b/test/gateway/peers/peerDirectory.test.ts
@@ -35,6 +35,20 @@
         expect([before, directory.listAddresses()]).toEqual([["10.0.0.2", "10.0.0.3", "10.0.0.9"], ["10.0.0.9"]]);
     });
 
+    // A VM's address is given to the next one. Forgotten with the earlier router, datagrams of the later one were dropped as unknown.
+    it("keeps an address that a later router uses when the earlier one is forgotten", () => {
+        const clock = new ManualClock();
+        const directory = new PeerDirectory(own, [], clock);
+        directory.apply(createMessage({ routerId: "earlier" }));
+        clock.advance(memberTtlMs);
+        directory.apply(createMessage({ routerId: "later" }));
+        clock.advance(1);
+        expect([directory.routers.routerIds, directory.findRouter("10.0.0.2")]).toEqual([
+            ["router-1", "later"],
+            "later",
+        ]);
+    });
+
     // What happened since a peer spoke is estimated from the age of its word; taken for new, accounts that it let in since would
     // be let in once more everywhere else.
     it("tells how old accounts' sums are", () => {
