Narrow accounts: a lower bound and a failing test of callers that move; stages with their tokens

The bound of narrowAccounts.test.ts was one-sided, so that an estimate of nothing would have passed; it is two-sided now.

--- a/src/decisions/shares/peerEstimate.ts
+++ b/src/decisions/shares/peerEstimate.ts
@@ -80,9 +80,9 @@
                 recentlyServed: reported.recentWithin + reported.recentExpired,
             };
         }
-        const before = this.estimateBefore(own);
-        const excess = Math.max(0, own.askedSince - before * (this.meanAgeMs / this.spans.windowMs));
-        const askedSince = reported.askedExpired + excess * this.computeRatio(reported, before);
+        const askedHere = this.estimateAskedHere(own);
+        const excess = Math.max(0, own.askedSince - askedHere * (this.meanAgeMs / this.spans.windowMs));
+        const askedSince = reported.askedExpired + excess * this.computePeerRatio(reported, askedHere);
         const servedSince = askedSince * (own.servedSince / own.askedSince);
         const recentPart = Math.min(1, this.spans.recentMs / this.meanAgeMs);
         return {
@@ -109,17 +109,17 @@
     }
 
     /** What the account asked of this router in the window that the others reported, at its rate from before they did. */
-    private estimateBefore(own: OwnSample): number {
+    private estimateAskedHere(own: OwnSample): number {
         const beforeMs = this.spans.windowMs - this.meanAgeMs;
         return beforeMs > 0 ? ((own.asked - own.askedSince) * this.spans.windowMs) / beforeMs : own.asked;
     }
 
     /** What the others are asked for by the account, over what this router is. */
-    private computeRatio(reported: ReportedUse, before: number): number {
+    private computePeerRatio(reported: ReportedUse, askedHere: number): number {
         const trafficRatio = this.askedOfPeers / Math.max(1, this.askedOfThis);
         // Of an account that asked nothing here before, the proportion is unknown.
-        return before > 0
-            ? Math.min(trafficRatio, (reported.askedWithin + reported.askedExpired) / before)
+        return askedHere > 0
+            ? Math.min(trafficRatio, (reported.askedWithin + reported.askedExpired) / askedHere)
             : trafficRatio;
     }
 }
--- a/src/gateway/accountFigures.ts
+++ b/src/gateway/accountFigures.ts
@@ -38,6 +38,12 @@
 /** One of {@link accountStages}. */
 export type AccountStage = (typeof accountStages)[number];
 
+/** Stages that a request has reached are the bits of a 32-bit number. */
+const mostStages = 31;
+if (accountStages.length > mostStages) {
+    throw new RangeError("more stages than bits");
+}
+
 const stageIndexes = new Map(accountStages.map((stage, index) => [stage, index]));
 /** Of the stages in which the router refused a request. */
 const refusedIndexes = accountStages.flatMap((stage, index) =>
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -94,7 +94,7 @@
         const length = typeof body === "string" ? Buffer.byteLength(body) : body.length;
         this.response.writeHead(status, { ...headers, "content-length": String(length) });
         if (typeof body === "string") {
-            // Given to `end`, head and body wait with an empty last chunk and go out as a list; written before, they are one string.
+            // Writes head and body as one string; `end(body)` would send them as separate chunks.
             this.response.write(body);
             this.response.socket?.uncork();
             this.response.end();
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -9,7 +9,7 @@
 const idleMarginMs = 1_000;
 const longestIdleMs = 60_000;
 const keepAliveProbeMs = 1_000;
-/** One for all: Node reads the stack of the error that a socket is destroyed with, and making its text costs most of a close. */
+/** Shared: creating an error's stack text is the main cost of closing a socket. */
 const closedError = new Error("the connection is closed");
 
 /** One request as it goes to a target. */
--- a/test/decisions/shares/narrowAccounts.test.ts
+++ b/test/decisions/shares/narrowAccounts.test.ts
@@ -19,6 +19,9 @@
 const seeds = [1, 2, 3];
 /** An account that counts as having had so many times its due is held back to half of what another one gets. */
 const mostRatio = 2;
+/** One that counts as having had so little of it gets twice what another one gets. */
+const leastRatio = 0.5;
+const movePeriodMs = 3_000;
 
 interface Arrival {
     readonly account: string;
@@ -30,6 +33,7 @@
     seed: number,
     narrowReach: number,
     periodMs: number,
+    moveMs = Number.POSITIVE_INFINITY,
 ): { readonly narrow: number; readonly wide: number } {
     const random = new SeededRandom(seed);
     const shares = Array.from({ length: routerCount }, () => new AccountShares(windowMs));
@@ -65,7 +69,8 @@
             serve({ account, routerIndex: chooseRouter(routerCount) }, nowMs);
         }
         if (random.next() < rate / msPerSecond) {
-            serve({ account: "narrow", routerIndex: chooseRouter(narrowReach) }, nowMs);
+            const firstRouter = Math.floor(nowMs / moveMs) * narrowReach;
+            serve({ account: "narrow", routerIndex: (firstRouter + chooseRouter(narrowReach)) % routerCount }, nowMs);
         }
         if (random.next() < rate / msPerSecond) {
             serve({ account: "wide", routerIndex: chooseRouter(routerCount) }, nowMs);
@@ -75,8 +80,8 @@
     return { narrow, wide };
 }
 
-function computeRatio(narrowReach: number, periodMs: number): number {
-    const means = seeds.map(seed => computeMeanSurplus(seed, narrowReach, periodMs));
+function computeRatio(narrowReach: number, periodMs: number, moveMs?: number): number {
+    const means = seeds.map(seed => computeMeanSurplus(seed, narrowReach, periodMs, moveMs));
     const narrow = means.reduce((sum, mean) => sum + mean.narrow, 0);
     return narrow / means.reduce((sum, mean) => sum + mean.wide, 0);
 }
@@ -85,7 +90,14 @@
     // What an account asked of the others is guessed from this router. By the traffic of all accounts, each burst of an
     // account that reaches few routers would count for all of them.
     it.each([4, 1])("count as having had about as much while sums are a round old, at %i of the routers", reach => {
-        expect(computeRatio(reach, roundMs)).toBeLessThanOrEqual(mostRatio);
+        const ratio = computeRatio(reach, roundMs);
+        expect(ratio).toBeLessThanOrEqual(mostRatio);
+        expect(ratio).toBeGreaterThanOrEqual(leastRatio);
+    });
+
+    // A balancer sends the callers to another router, which has seen nothing of the account and goes by the traffic of all.
+    it.fails("count as having had about as much while the callers of one move to another router", () => {
+        expect(computeRatio(1, roundMs, movePeriodMs)).toBeLessThanOrEqual(mostRatio);
     });
 
     it.each([4, 1])("count as having had about as much with sums that are hardly late, at %i of the routers", reach => {
--- a/test/gateway/accountStages.test.ts
+++ b/test/gateway/accountStages.test.ts
@@ -30,19 +30,18 @@
             return answer.status === 200;
         });
         const stages = await fetchStages(port);
-        const names = stages.map(line => line.split(" ")[0]);
-        expect(names).toMatchInlineSnapshot(`
+        expect(stages.filter(line => !/^(read|refused-no-target) /u.test(line))).toMatchInlineSnapshot(`
           [
-            "read",
-            "asked-owner",
-            "decided-by-owner",
-            "granted",
-            "sent",
-            "begun",
-            "in-time",
-            "refused-no-target",
+            "asked-owner 1100",
+            "decided-by-owner 1100",
+            "granted 1100",
+            "sent 1100",
+            "begun 1100",
+            "in-time 1100",
           ]
         `);
-        expect(stages).toContain("granted 1100");
+        // How often the second request was refused before the target was known depends on the store's reading.
+        const counts = new Map(stages.map(line => line.split(" ") as [string, string]));
+        expect(Number(counts.get("read")) - Number(counts.get("refused-no-target"))).toBe(1_100);
     });
 });
