--- a/src/gateway/accountMetrics.ts
+++ b/src/gateway/accountMetrics.ts
@@ -22,6 +22,19 @@
 
     public constructor(registry: Registry) {
         const registers = [registry];
+        // Pages may be cut: the few gauges come before the many counters.
+        this.share = new Gauge({
+            name: "lynxarch_account_share",
+            help: "What the account got over its fair share, as computed by this router.",
+            labelNames: ["account"],
+            registers,
+        });
+        this.surplus = new Gauge({
+            name: "lynxarch_account_surplus",
+            help: "What the account got just now over the even level, as computed by this router.",
+            labelNames: ["account"],
+            registers,
+        });
         this.requests = new Counter({
             name: "lynxarch_account_requests_total",
             help: "Requests by account and what became of them.",
@@ -34,18 +47,6 @@
             labelNames: ["account", "stage"],
             registers,
         });
-        this.share = new Gauge({
-            name: "lynxarch_account_share",
-            help: "What the account got over its fair share, by this router's books.",
-            labelNames: ["account"],
-            registers,
-        });
-        this.surplus = new Gauge({
-            name: "lynxarch_account_surplus",
-            help: "What the account got just now over the even level, by this router's books.",
-            labelNames: ["account"],
-            registers,
-        });
     }
 
     public update(readings: readonly AccountReading[]): void {
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -54,6 +54,10 @@
         recordRequest(figures, "second", 100, false);
         expect(await listLines(figures, "lynxarch_account_")).toMatchInlineSnapshot(`
           [
+            "lynxarch_account_share{account="first"} 0.5",
+            "lynxarch_account_share{account="second"} 0.5",
+            "lynxarch_account_surplus{account="first"} 1.25",
+            "lynxarch_account_surplus{account="second"} 1.25",
             "lynxarch_account_requests_total{account="first",stage="read"} 2",
             "lynxarch_account_requests_total{account="first",stage="begun"} 1",
             "lynxarch_account_requests_total{account="first",stage="late"} 1",
@@ -68,10 +72,6 @@
             "lynxarch_account_tokens_total{account="second",stage="read"} 100",
             "lynxarch_account_tokens_total{account="second",stage="begun"} 0",
             "lynxarch_account_tokens_total{account="second",stage="refused-over-share"} 100",
-            "lynxarch_account_share{account="first"} 0.5",
-            "lynxarch_account_share{account="second"} 0.5",
-            "lynxarch_account_surplus{account="first"} 1.25",
-            "lynxarch_account_surplus{account="second"} 1.25",
           ]
         `);
     });
