--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -8,6 +8,7 @@
 import { ManualClock } from "../../src/base/clock.js";
 import type { Disposable } from "../../src/base/lifecycle.js";
 import { SeededRandom } from "../../src/base/random.js";
+import { computeAcceptBacklog } from "../../src/decisions/admission/acceptQueue.js";
 import type { ReportedRouter } from "../../src/decisions/shares/accountShares.js";
 import { AccountCharge } from "../../src/gateway/accountCharge.js";
 import { RequestFigures } from "../../src/gateway/accountFigures.js";
@@ -39,6 +40,8 @@
 const msPerSecond = 1_000;
 /** A caller whose request is unread for so long leaves. */
 const unreadMs = 1_000;
+/** A caller whose connection is not accepted for so long gives it up. */
+const connectTimeoutMs = 1_000;
 /** Time between two checks of a router's readiness. */
 const checkPeriodMs = 1_000;
 /** When a caller returns whom a router shed. */
@@ -408,7 +411,7 @@
     }
 
     /** Does the action once the router's processor has done the work. */
-    private runWork(routerIndex: number, kind: "read" | "serve" | "message", action: () => void): void {
+    private runWork(routerIndex: number, kind: "serve" | "message", action: () => void): void {
         const processor = this.processors[routerIndex];
         if (processor === undefined) {
             action();
@@ -420,7 +423,13 @@
     private offer(call: Call): void {
         const index = this.chooseRouter(call);
         const arrivedAtMs = this.clock.nowMs();
-        this.runWork(index, "read", () => {
+        const processor = this.processors[index];
+        if (processor !== undefined && processor.unreadConnections >= computeAcceptBacklog()) {
+            this.findSecond(call.account, arrivedAtMs).leftUnread += 1;
+            this.addReturn(call, connectTimeoutMs);
+            return;
+        }
+        this.runRead(processor, () => {
             const nowMs = this.clock.nowMs();
             if (this.hasLeft(call) || (this.options.patienceMs === undefined && nowMs - arrivedAtMs > unreadMs)) {
                 this.findSecond(call.account, nowMs).leftUnread += 1;
@@ -430,6 +439,14 @@
         });
     }
 
+    private runRead(processor: RouterProcessor | undefined, action: () => void): void {
+        if (processor === undefined) {
+            action();
+        } else {
+            processor.submitRead(this.clock.nowMs(), action);
+        }
+    }
+
     private hasLeft({ askedAtMs }: Call): boolean {
         return this.clock.nowMs() - askedAtMs >= (this.options.patienceMs ?? Number.POSITIVE_INFINITY);
     }
--- a/bench/gateway/routerProcessor.ts
+++ b/bench/gateway/routerProcessor.ts
@@ -20,6 +20,7 @@
     private freeAtMs = 0;
     private addedMs = 0;
     private backlogMs = 0;
+    private unread = 0;
 
     public constructor(
         private readonly options: ProcessorOptions,
@@ -29,6 +30,20 @@
         this.addSample(startMs);
     }
 
+    /** Connections whose request has not been read yet. */
+    public get unreadConnections(): number {
+        return this.unread;
+    }
+
+    /** Reads the request of a connection, then does the action. */
+    public submitRead(nowMs: number, action: () => void): void {
+        this.unread += 1;
+        this.submit("read", nowMs, () => {
+            this.unread -= 1;
+            action();
+        });
+    }
+
     /** Does the action once its work is done. */
     public submit(kind: "read" | "serve" | "message", nowMs: number, action: () => void): void {
         this.events.add(this.charge(kind, nowMs), action);
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
+import { computeAcceptBacklog } from "../decisions/admission/acceptQueue.js";
 import type { CallerLimits } from "./configuration.js";
 import type { GatewayService } from "./gatewayService.js";
 
@@ -56,7 +57,7 @@
     public listen(host: string, port: number): Promise<void> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen({ host, port, backlog: 1_024 }, () => resolve());
+            this.server.listen({ host, port, backlog: computeAcceptBacklog() }, () => resolve());
         });
     }
 
--- /dev/null
+++ b/test/decisions/shares/estimateSpread.test.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from "vitest";
+import { SeededRandom } from "../../../src/base/random.js";
+import { AccountShares, type ReportedRouter } from "../../../src/decisions/shares/accountShares.js";
+
+const windowMs = 4_000;
+const routerCount = 68;
+const requestTokens = 9_000;
+const tokensPerSecond = 2_400_000;
+/** Requests a second of the account that floods all routers, and the part of them that is granted. */
+const floodRate = 950;
+const floodGrantedPart = 0.12;
+/** The same of an account whose callers reach one router. */
+const narrowRate = 160;
+const narrowGrantedPart = 0.25;
+/** Time between two reports of a router in a fleet of this size. */
+const reportPeriodMs = 1_300;
+const warmUpMs = 4_000;
+const runMs = 8_000;
+const checkPeriodMs = 250;
+const msPerSecond = 1_000;
+/** Accounts may differ by this factor in what they get, so routers must not differ by more in what they believe of one. */
+const mostFactor = 2;
+const seeds = [1, 2, 3];
+
+/** What routers compute as the flood's surplus, over what it is by exact sums. */
+function listFactors(seed: number): readonly number[] {
+    const random = new SeededRandom(seed);
+    const shares = Array.from({ length: routerCount }, () => new AccountShares(windowMs));
+    const reports = shares.map(router => ({ ...router.listOwn(0), atMs: 0 }));
+    const factors: number[] = [];
+    const serve = (account: string, routerIndex: number, part: number, nowMs: number): void => {
+        shares[routerIndex].recordAsked(account, requestTokens, nowMs);
+        if (random.next() < part) {
+            shares[routerIndex].recordServed(account, requestTokens, nowMs);
+        }
+    };
+    const computeSurplus = (routerIndex: number, peers: readonly ReportedRouter[], nowMs: number): number =>
+        shares[routerIndex].computeUse("flood", peers, tokensPerSecond, nowMs).surplus;
+    for (let nowMs = 0; nowMs < runMs; nowMs++) {
+        for (const [index, router] of shares.entries()) {
+            if ((nowMs + Math.floor((index * reportPeriodMs) / routerCount)) % reportPeriodMs === 0) {
+                reports[index] = { ...router.listOwn(nowMs), atMs: nowMs };
+            }
+        }
+        if (random.next() < floodRate / msPerSecond) {
+            serve("flood", Math.floor(random.next() * routerCount), floodGrantedPart, nowMs);
+        }
+        if (random.next() < narrowRate / msPerSecond) {
+            serve("narrow", 0, narrowGrantedPart, nowMs);
+        }
+        if (nowMs >= warmUpMs && nowMs % checkPeriodMs === 0) {
+            const exact = shares.map(router => ({ ...router.listOwn(nowMs), ageMs: 0 }));
+            for (const index of shares.keys()) {
+                const isOther = (...[, other]: [unknown, number]): boolean => other !== index;
+                const reported = reports.map(report => ({ ...report, ageMs: nowMs - report.atMs }));
+                const believed = computeSurplus(index, reported.filter(isOther), nowMs);
+                // The sums are kept for some milliseconds, so that the exact ones need books of their own.
+                const truth = computeExactSurplus(exact, nowMs);
+                factors.push(believed / truth);
+            }
+        }
+    }
+    return factors;
+}
+
+function computeExactSurplus(exact: readonly ReportedRouter[], nowMs: number): number {
+    return new AccountShares(windowMs).computeUse("flood", exact, tokensPerSecond, nowMs).surplus;
+}
+
+describe("68 routers that an account floods", () => {
+    // Where one believes the account to be far behind, it is let in; at many routers there is always such a one.
+    it.fails("differ by no more than accounts may in what they believe that it has had", () => {
+        const factors = seeds.flatMap(listFactors);
+        expect(Math.min(...factors)).toBeGreaterThanOrEqual(1 / mostFactor);
+        expect(Math.max(...factors)).toBeLessThanOrEqual(mostFactor);
+    });
+});
