Accept no more connections than a router can read in time

Cause: the queue of connections holds 1,024, which a quarter of a core reads in six seconds or more; callers leave after one to three. Served in order of arrival, everything read is of callers who have left (a metastable failure).

Change: the backlog is what the router's part of a core reads in 150 ms, 24 connections at least.

--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -424,7 +424,7 @@
         const index = this.chooseRouter(call);
         const arrivedAtMs = this.clock.nowMs();
         const processor = this.processors[index];
-        if (processor !== undefined && processor.unreadConnections >= computeAcceptBacklog()) {
+        if (processor !== undefined && processor.unreadConnections >= computeAcceptBacklog(processor.share)) {
             this.findSecond(call.account, arrivedAtMs).leftUnread += 1;
             this.addReturn(call, connectTimeoutMs);
             return;
--- a/bench/gateway/routerProcessor.ts
+++ b/bench/gateway/routerProcessor.ts
@@ -30,6 +30,11 @@
         this.addSample(startMs);
     }
 
+    /** Part of a core that the router may use. */
+    public get share(): number {
+        return this.options.share;
+    }
+
     /** Connections whose request has not been read yet. */
     public get unreadConnections(): number {
         return this.unread;
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../base/log.js";
 import { computeAcceptBacklog } from "../decisions/admission/acceptQueue.js";
 import type { CallerLimits } from "./configuration.js";
+import type { GatewaySettings } from "./settings.js";
 import type { GatewayService } from "./gatewayService.js";
 
 /** Headers up to this size are read before the configuration's own limit is known. */
@@ -36,8 +37,9 @@
         private readonly service: GatewayService,
         private readonly logger: Logger,
         private readonly shouldLeaveBalancer: () => boolean,
-        maxDescriptors: number,
+        private readonly limits: GatewaySettings["limits"],
     ) {
+        const { maxDescriptors } = limits;
         this.server = createServer({
             maxHeaderSize: mostHeaderBytes,
             connectionsCheckingInterval: timeoutCheckMs,
@@ -56,8 +58,9 @@
 
     public listen(host: string, port: number): Promise<void> {
         return new Promise((resolve, reject) => {
+            const backlog = computeAcceptBacklog(this.limits.processorShare);
             this.server.once("error", reject);
-            this.server.listen({ host, port, backlog: computeAcceptBacklog() }, () => resolve());
+            this.server.listen({ host, port, backlog }, () => resolve());
         });
     }
 
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -177,7 +177,7 @@
         };
         this.service = this.store.add(new GatewayService(this.context));
         this.callers = this.store.add(
-            new CallerServer(this.service, logger, () => this.load.shouldLeaveBalancer, settings.limits.maxDescriptors),
+            new CallerServer(this.service, logger, () => this.load.shouldLeaveBalancer, settings.limits),
         );
         this.metrics = new GatewayMetrics(() => buildFigures(this.context, source, this.service, this.load));
         this.handover = this.store.add(
--- a/test/decisions/admission/acceptQueue.test.ts
+++ b/test/decisions/admission/acceptQueue.test.ts
@@ -9,7 +9,7 @@
 
 describe("a router that gets more connections than it can read", () => {
     // Read in order of arrival, all requests lie unread until their callers have left, and the router works for nobody.
-    it.fails.each(seeds)("serves some of them in every second, with seed %i", seed => {
+    it.each(seeds)("serves some of them in every second, with seed %i", seed => {
         const { seconds } = runPromptFleet({ ...unevenFleet, seed }, unevenLoads);
         const begun = seconds.get("narrow")!.slice(fromSecond, toSecond);
         expect(begun.filter(second => second.begun === 0)).toEqual([]);
