Sum up accounts' use at one router of each data centre

Cause: at 68 routers reports are 0.8 to 1.3 s old, nearly the whole span of 1.5 s that the surplus is over, so that what an account had is each router's own guess from some 13 requests a second. Guesses ranged from 1.0 to 2.6 for an account at 1.5 of the level, and the flood was let in by the routers that guessed least.

Change: routers report to an aggregator each 100 ms, the router of their data centre with the most processor time; aggregators exchange sums and hand the fleet's to their routers. Sums name the routers and the reports that they are over, so that a router leaves out its own; those not in them are taken from the rounds to all peers, as before. A silent aggregator is passed over. Where rounds come each 200 ms anyway, nothing is sent.

--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -13,6 +13,7 @@
 import { AccountCharge } from "../../src/gateway/accountCharge.js";
 import { RequestFigures } from "../../src/gateway/accountFigures.js";
 import type { ServedConfiguration, ServedRoute } from "../../src/gateway/configuration.js";
+import { aggregationPeriodMs } from "../../src/gateway/peers/accountAggregation.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
 import type { TargetEntry } from "../../src/gateway/fleetSource.js";
 import { encodePeerMessage } from "../../src/gateway/peers/peerMessage.js";
@@ -40,6 +41,8 @@
 const msPerSecond = 1_000;
 /** A caller whose request is unread for so long leaves. */
 const unreadMs = 1_000;
+/** Routers of a data centre without a balancer. */
+const routersPerDataCentre = 14;
 /** A caller whose connection is not accepted for so long gives it up. */
 const connectTimeoutMs = 1_000;
 /** Time between two checks of a router's readiness. */
@@ -81,6 +84,8 @@
     readonly routerCount: number;
     /** Time between two messages of a router; as the product spaces them by their size when left out. */
     readonly peerPeriodMs?: number;
+    /** Whether routers of a data centre sum up what its accounts had; true when left out. */
+    readonly aggregates?: boolean;
     /** Time that a message between routers takes. */
     readonly peerDelayMs?: number;
     /** Share of messages between routers that are lost. */
@@ -233,6 +238,8 @@
                     windowMs,
                     transport: { send: (routerId, message) => this.sendGrantMessage(index, routerId, message) },
                     load: this.processors[index]?.detector,
+                    dataCentre: `dc-${Math.floor(index / (options.balancer?.routersPerDataCentre ?? routersPerDataCentre))}`,
+                    processorShare: this.processors[index]?.share ?? 1,
                     reportsLeaving: options.signals?.noticed === "answers-and-peers",
                     setTimer: (ms, action) => this.setTimer(ms, action),
                     getExactUses: options.exactNews?.accounts === true ? () => this.listExactUses(index) : undefined,
@@ -275,7 +282,30 @@
         const { peerPeriodMs = 100, routerCount } = this.options;
         for (const [index, router] of this.routers.entries()) {
             this.events.add(Math.floor((index * peerPeriodMs) / routerCount), () => this.sendRound(router));
+            if (this.aggregates) {
+                const atMs = Math.floor((index * aggregationPeriodMs) / routerCount);
+                this.events.add(atMs, () => this.sendTotals(index));
+            }
+        }
+    }
+
+    /** Rounds of a given period stand for news that is late, however it travels. */
+    private get aggregates(): boolean {
+        return this.options.peerPeriodMs === undefined && this.options.aggregates !== false;
+    }
+
+    private sendTotals(senderIndex: number): void {
+        const { peerDelayMs = 1, peerLoss = 0 } = this.options;
+        const nowMs = this.clock.nowMs();
+        for (const { routerId, message } of this.routers[senderIndex].peers.createTotalsMessages()) {
+            const receiver = this.routersById.get(routerId);
+            if (receiver !== undefined && this.random.next() >= peerLoss) {
+                this.events.add(nowMs + peerDelayMs, () =>
+                    receiver.peers.applyTotals(formatRouterId(senderIndex), message),
+                );
+            }
         }
+        this.events.add(nowMs + aggregationPeriodMs, () => this.sendTotals(senderIndex));
     }
 
     private createProcessor(index: number): RouterProcessor | undefined {
--- a/src/decisions/shares/peerEstimate.ts
+++ b/src/decisions/shares/peerEstimate.ts
@@ -19,6 +19,8 @@
     readonly accounts: ReadonlyMap<string, AccountUse>;
     /** Time since it was received; milliseconds. */
     readonly ageMs: number;
+    /** Routers that it is over; 1 when left out. */
+    readonly routerCount?: number;
 }
 
 /** What an account asked of this router and got, in tokens. */
@@ -59,7 +61,9 @@
         private readonly spans: UseSpans,
         private readonly askedOfThis: number,
     ) {
-        this.meanAgeMs = peers.reduce((sum, peer) => sum + peer.ageMs, 0) / Math.max(1, peers.length);
+        const routerCount = peers.reduce((sum, peer) => sum + (peer.routerCount ?? 1), 0);
+        this.meanAgeMs =
+            peers.reduce((sum, peer) => sum + peer.ageMs * (peer.routerCount ?? 1), 0) / Math.max(1, routerCount);
         for (const peer of peers) {
             this.addPeer(peer);
         }
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -102,7 +102,7 @@
             listOwnLoads: () => loads.listOwn(),
             listOwnAccounts: () => shares.listOwn(clock.nowMs()),
             listLeaving: () => directory.listLeaving(),
-            getCondition: () => describeRouter(this.settings, this.load),
+            getCondition: () => describeRouter(this.settings, this.load, this.isStopping),
             onDidSumLoads: sums => {
                 loads.applySums(sums);
                 this.updateRetryFloors();
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -69,9 +69,15 @@
 export function describeRouter(
     { dataCentre, limits }: Pick<GatewaySettings, "dataCentre" | "limits">,
     { shouldLeaveBalancer, loop }: Pick<LoadSource, "shouldLeaveBalancer" | "loop">,
+    isStopping: boolean,
 ): RouterCondition {
     const { processorShare } = limits;
-    return { dataCentre, processorShare, utilization: loop.utilization, isWithdrawn: shouldLeaveBalancer };
+    return {
+        dataCentre,
+        processorShare,
+        utilization: loop.utilization,
+        isWithdrawn: shouldLeaveBalancer || isStopping,
+    };
 }
 
 /** What the router believes, for people. */
--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../base/clock.js";
+import { hashFast } from "../../base/hash.js";
 import type { ReportedRouter } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
@@ -23,13 +24,13 @@
 interface Peer {
     readonly message: PeerMessage;
     readonly receivedAtMs: number;
-    readonly use: ReportedRouter;
+    readonly use: PeerReport;
 }
 
 /** Peers with a recent report. */
 interface FreshPeers {
     readonly untilMs: number;
-    readonly uses: readonly ReportedRouter[];
+    readonly uses: readonly PeerReport[];
     readonly conditions: ReadonlyMap<string, RouterCondition>;
 }
 
@@ -128,6 +129,11 @@
         return this.findFresh().uses;
     }
 
+    /** The same at the routers that are not among those named by the hashes of their ids. */
+    public listUsesExcept(routerHashes: ReadonlySet<number>): readonly ReportedRouter[] {
+        return this.findFresh().uses.filter(use => !routerHashes.has(use.routerHash));
+    }
+
     /** Conditions of routers with a recent report, by id. */
     public get conditions(): ReadonlyMap<string, RouterCondition> {
         return this.findFresh().conditions;
@@ -215,11 +221,15 @@
 
 /** A peer's report on its accounts; its age is that at the time of reading. */
 class PeerReport implements ReportedRouter {
+    public readonly routerHash: number;
+
     public constructor(
         private readonly message: PeerMessage,
         private readonly receivedAtMs: number,
         private readonly clock: Clock,
-    ) {}
+    ) {
+        this.routerHash = hashFast(message.routerId);
+    }
 
     public get coveredMs(): number {
         return this.message.coveredMs;
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -11,7 +11,9 @@
     type CrashMessage,
 } from "../quarantine/crashMessage.js";
 import type { CrashTransport } from "../quarantine/crashReports.js";
+import { aggregationPeriodMs } from "./accountAggregation.js";
 import { decodePeerMessage, encodePeerMessage } from "./peerMessage.js";
+import { decodeTotalsMessage, encodeTotalsMessage, isTotalsDatagram, type TotalsMessage } from "./totalsMessage.js";
 import type { PeerState } from "./peerState.js";
 
 /** A log line for datagrams that can't be decoded is written at most this often; milliseconds. */
@@ -38,6 +40,7 @@
 export class PeerExchange implements GrantTransport, CrashTransport, Disposable {
     private readonly store = new DisposableStore();
     private timer: NodeJS.Timeout | undefined;
+    private totalsTimer: NodeJS.Timeout | undefined;
     private socket: Socket | undefined;
     private lastFaultLogAtMs = Number.NEGATIVE_INFINITY;
 
@@ -58,6 +61,7 @@
                     logger.write("warn", "the peers' socket failed", { detail: error.message }),
                 );
                 this.sendRound();
+                this.totalsTimer = setInterval(() => this.sendTotals(), aggregationPeriodMs);
                 resolve();
             });
         });
@@ -65,6 +69,7 @@
 
     public dispose(): void {
         clearTimeout(this.timer);
+        clearInterval(this.totalsTimer);
         this.store.dispose();
     }
 
@@ -95,6 +100,10 @@
             this.handleCrashDatagram(data, senderIp);
             return;
         }
+        if (isTotalsDatagram(data)) {
+            this.handleTotalsDatagram(data, senderIp);
+            return;
+        }
         decodePeerMessage(data).match(
             message => this.options.state.applyMessage(message),
             error => this.reportFault(error.message),
@@ -126,6 +135,19 @@
         );
     }
 
+    private handleTotalsDatagram(data: Buffer, senderIp: string): void {
+        const { state } = this.options;
+        const senderId = state.findRouter(senderIp);
+        if (senderId === undefined) {
+            this.reportFault("from an unknown router");
+            return;
+        }
+        decodeTotalsMessage(data).match(
+            message => state.applyTotals(senderId, message),
+            error => this.reportFault(error.message),
+        );
+    }
+
     private reportFault(detail: string): void {
         const { clock, logger } = this.options;
         if (clock.nowMs() - this.lastFaultLogAtMs > faultLogPeriodMs) {
@@ -134,6 +156,19 @@
         }
     }
 
+    private sendTotals(): void {
+        const { state, port } = this.options;
+        const encoded = new Map<TotalsMessage["totals"], Uint8Array>();
+        for (const { routerId, message } of state.createTotalsMessages()) {
+            const ip = state.findAddress(routerId);
+            const data = encoded.get(message.totals) ?? encodeTotalsMessage(message);
+            encoded.set(message.totals, data);
+            if (ip !== undefined) {
+                this.socket?.send(data, port, ip, () => undefined);
+            }
+        }
+    }
+
     private sendRound(): void {
         const { state, port } = this.options;
         const data = encodePeerMessage(state.createMessage());
--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -2,9 +2,11 @@
 import type { ReportedRouter, RouterAccounts } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
+import { AccountAggregation, aggregationPeriodMs, type TotalsSend } from "./accountAggregation.js";
 import { PeerDirectory } from "./peerDirectory.js";
 import type { LeavingTarget, PartRead, PeerAddress, PeerMessage, RouterCondition, TargetLoad } from "./peerMessage.js";
 import type { PeerRound, PeerView } from "./peerView.js";
+import type { TotalsMessage } from "./totalsMessage.js";
 
 /** Shortest time between two rounds of messages: about how long an engine takes to read one prompt. */
 const leastPeriodMs = 100;
@@ -19,6 +21,8 @@
 const mostLeaving = 100;
 /** Peers named in one message; another few in each round. */
 const peersInMessage = 2;
+/** Rounds that are at most so long bring accounts' use as early as aggregators would. */
+const mostFreshRoundMs = 2 * aggregationPeriodMs;
 /** The peers' loads are summed at most this often, as each sum goes over all peers. */
 const leastSumPeriodMs = 25;
 
@@ -48,6 +52,7 @@
  */
 export class PeerState implements PeerView {
     private readonly directory: PeerDirectory;
+    private readonly aggregation: AccountAggregation;
     private readonly incarnation: number;
     private readonly recentReads: { readonly read: PartRead; rounds: number }[] = [];
     private sequence = 0;
@@ -57,6 +62,13 @@
     public constructor(private readonly options: PeerStateOptions) {
         const { own, seedIps, clock } = options;
         this.directory = new PeerDirectory(own, seedIps, clock);
+        this.aggregation = new AccountAggregation({
+            ownId: own.routerId,
+            clock,
+            listOwnAccounts: options.listOwnAccounts,
+            getCondition: options.getCondition,
+            getConditions: () => this.directory.conditions,
+        });
         this.incarnation = clock.nowDate().getTime();
     }
 
@@ -65,7 +77,10 @@
     }
 
     public get accountUses(): readonly ReportedRouter[] {
-        return this.directory.accountUses;
+        const others = this.aggregation.findOthers();
+        return others === undefined
+            ? this.directory.accountUses
+            : [others.use, ...this.directory.listUsesExcept(others.routerHashes)];
     }
 
     /** Conditions of the other routers with a recent message, by id. */
@@ -125,6 +140,15 @@
         this.updateLoads();
     }
 
+    /** This period's messages about accounts; none while rounds to all peers are as frequent. */
+    public createTotalsMessages(): readonly TotalsSend[] {
+        return this.currentRound.periodMs > mostFreshRoundMs ? this.aggregation.createMessages() : [];
+    }
+
+    public applyTotals(senderId: string, message: TotalsMessage): void {
+        this.aggregation.applyMessage(senderId, message);
+    }
+
     public applyMessage(message: PeerMessage): void {
         if (this.directory.apply(message)) {
             this.options.onDidReceive(message);
