Only a router short of processor time remembers denials

Cause: a router remembers an account's denial for 30 ms. An account at one router so asks owners 33 times a second, one at 68 routers 68 times as often, however much time the routers have.

The overload detector's figures are called loop, as in the load's interface.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -116,7 +116,7 @@
             peers: createPeerView(this.peers, options.getExactUses),
             grants: grants.client,
             quarantine: createQuarantine(options, this.peers),
-            load: options.load ?? { shedShare: 0 },
+            load: options.load ?? { shedShare: 0, loop: { delayMs: 0, utilization: 0 } },
             shares: this.shares,
             retryBudgets: new Registry(() => new RetryBudget()),
             firstTokenModels,
--- a/src/decisions/admission/overload.ts
+++ b/src/decisions/admission/overload.ts
@@ -52,7 +52,7 @@
     private leaves = false;
 
     /** The smoothed figures. */
-    public get current(): LoopSample {
+    public get loop(): LoopSample {
         return { delayMs: this.delayMs, utilization: this.utilization };
     }
 
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -10,6 +10,7 @@
 import type { RetryBudget } from "../decisions/retries/retryBudget.js";
 import type { ConfigurationHolder } from "./configurationHolder.js";
 import type { GrantClient } from "./grants/grantClient.js";
+import type { LoadSource } from "./loadMonitor.js";
 import type { PeerView } from "./peers/peerView.js";
 import type { Quarantine } from "./quarantine/quarantine.js";
 import type { Registry } from "./registry.js";
@@ -29,8 +30,8 @@
     readonly peers: PeerView;
     readonly grants: GrantClient;
     readonly quarantine: Quarantine;
-    /** Part of new requests that this router is too slow for, 0 to 1. */
-    readonly load: { readonly shedShare: number };
+    /** How this router keeps up. */
+    readonly load: Pick<LoadSource, "shedShare" | "loop">;
     readonly shares: AccountShares;
     /** Per service. */
     readonly retryBudgets: Registry<RetryBudget>;
--- a/src/gateway/loadMonitor.ts
+++ b/src/gateway/loadMonitor.ts
@@ -38,14 +38,14 @@
     }
 
     public get loop(): LoopSample {
-        return this.detector.current;
+        return this.detector.loop;
     }
 
     public start(): void {
         const dueAtMs = this.clock.nowMs() + samplePeriodMs;
         this.timer = setTimeout(() => {
             if (this.detector.observe({ delayMs: this.clock.nowMs() - dueAtMs, utilization: this.takeUtilization() })) {
-                const { delayMs, utilization } = this.detector.current;
+                const { delayMs, utilization } = this.detector.loop;
                 const message = this.shouldLeaveBalancer ? "too slow for what reaches it" : "fast enough again";
                 const fields = { delayMs: Math.round(delayMs), utilization: Number(utilization.toFixed(2)) };
                 this.logger.write("warn", message, fields);
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -158,7 +158,7 @@
         const { context, routed } = this.options;
         if (reason === "over-share" && routed.account !== undefined && this.demands > 0) {
             const denials = context.denials.find(service.name);
-            denials.record(routed.account, mostUse, this.roomMs, context.clock.nowMs());
+            denials.record(routed.account, mostUse, this.roomMs, context.load.loop.utilization, context.clock.nowMs());
         }
     }
 
