--- a/test/decisions/shares/narrowAccounts.test.ts
+++ b/test/decisions/shares/narrowAccounts.test.ts
@@ -13,6 +13,8 @@
 const grantedPart = 0.6;
 const roundMs = 1_100;
 const shortRoundMs = 50;
+/** Twice the period of aggregators: a report is summed up, and the sums are handed on. */
+const aggregatedMs = 200;
 const warmUpMs = 5_000;
 const runMs = 12_000;
 const msPerSecond = 1_000;
@@ -100,6 +102,10 @@
         expect(computeRatio(1, roundMs, movePeriodMs)).toBeLessThanOrEqual(mostRatio);
     });
 
+    it("count as having had about as much while the callers of one move, with the sums of aggregators", () => {
+        expect(computeRatio(1, aggregatedMs, movePeriodMs)).toBeLessThanOrEqual(mostRatio);
+    });
+
     it.each([4, 1])("count as having had about as much with sums that are hardly late, at %i of the routers", reach => {
         expect(computeRatio(reach, shortRoundMs)).toBeLessThanOrEqual(mostRatio);
     });
