--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -172,6 +172,9 @@
         get accountUses() {
             return getExactUses === undefined ? peers.accountUses : getExactUses();
         },
+        get accountSource() {
+            return peers.accountSource;
+        },
         get conditions() {
             return peers.conditions;
         },
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -90,6 +90,7 @@
         peers: context.peers.routers,
         conditions: Object.fromEntries(context.peers.conditions),
         peerRound: context.peers.round,
+        accountSource: context.peers.accountSource,
         dataCentresOut: out,
         heldRequests: context.quarantine.listHeld(),
         accounts: Object.fromEntries(context.shares.listOwn(nowMs).accounts),
--- a/src/gateway/peers/accountAggregation.ts
+++ b/src/gateway/peers/accountAggregation.ts
@@ -92,6 +92,11 @@
         this.sequence = options.clock.nowDate().getTime();
     }
 
+    /** The router that sums up for this one's data centre, as far as it knows; undefined before the first report. */
+    public get aggregator(): string | undefined {
+        return this.aggregatorId;
+    }
+
     /** Makes this period's messages. */
     public createMessages(): readonly TotalsSend[] {
         const nowMs = this.options.clock.nowMs();
--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -5,7 +5,7 @@
 import { AccountAggregation, aggregationPeriodMs, type TotalsSend } from "./accountAggregation.js";
 import { PeerDirectory } from "./peerDirectory.js";
 import type { LeavingTarget, PartRead, PeerAddress, PeerMessage, RouterCondition, TargetLoad } from "./peerMessage.js";
-import type { PeerRound, PeerView } from "./peerView.js";
+import type { AccountSource, PeerRound, PeerView } from "./peerView.js";
 import type { TotalsMessage } from "./totalsMessage.js";
 
 /** Shortest time between two rounds of messages: about how long an engine takes to read one prompt. */
@@ -88,6 +88,16 @@
         return this.directory.conditions;
     }
 
+    /** How accounts' use at the other routers is known: by an aggregator's sums, or by each router's reports alone. */
+    public get accountSource(): AccountSource {
+        const others = this.aggregation.findOthers();
+        return {
+            aggregator: this.aggregation.aggregator,
+            summedRouters: others?.routerHashes.size ?? 0,
+            ageMs: others?.use.ageMs,
+        };
+    }
+
     public get round(): PeerRound {
         return this.currentRound;
     }
