Denials are remembered for as long as an account reaches routers

Change: the memory of 30 ms is divided by how many times its even part of a router's requests the account asks here, from twice on, so that accounts ask equally often in the fleet however many routers they reach. Sums older than 300 ms count as no knowledge of where callers are. A busy router remembers for the whole time, as before. Aggregators that were passed over are forgotten.

--- a/src/decisions/admission/denialMemory.ts
+++ b/src/decisions/admission/denialMemory.ts
@@ -6,19 +6,32 @@
  * Once several owners have denied the account, its requests that may use no more of an engine are refused until the first of
  * these engines has room. Other accounts are not affected: engines may have room for one that has had less there.
  *
- * Each router remembers for itself, so that an account at one router asks for a fraction of what an account at all of them does. So only
- * a router that is short of processor time remembers.
+ * Each router remembers for itself. Remembered everywhere for the same time, an account at one router asks for a fraction of what an account
+ * at all of them does. So the time is in proportion to the routers that the account reaches, and all accounts ask equally often in
+ * the fleet. A router that is short of processor time remembers for the whole time.
  */
 import { LRUCache } from "lru-cache";
 
 /** Longest time that a denial is remembered; engines that were not asked may have room sooner. Milliseconds. */
 const longestMemoryMs = 30;
-/** Utilization of the router up to which it asks for each request, and from which on it remembers for the longest time. */
+/** Utilization from which on a router remembers for longer than the account's reach says, and for the longest time. */
 const remembersFrom = 0.5;
 const remembersAllFrom = 0.9;
 /** Floods are of a few accounts at a time. */
 const mostAccounts = 256;
 
+/** The router that remembers, and how much of the account reaches it. */
+export interface DenialAsker {
+    /** Part of the time in which it is busy, 0 to 1. */
+    readonly utilization: number;
+    /** Part of what the account asks the fleet for that it asks this router for, 0 to 1. */
+    readonly accountPart: number;
+    /** Routers of the fleet. */
+    readonly routerCount: number;
+}
+/** An account that asks so many times its even part of a router may still be spread over all: parts are estimates. */
+const spreadTolerance = 2;
+
 interface Denial {
     readonly mostUse: number;
     readonly untilMs: number;
@@ -28,11 +41,9 @@
 export class DenialMemory {
     private readonly denials = new LRUCache<string, Denial>({ max: mostAccounts });
 
-    /**
-     * All engines that a request asked for denied it. `roomMs`: until the first of them has room; `utilization`: of the router, 0 to 1.
-     */
-    public record(account: string, mostUse: number, roomMs: number, utilization: number, nowMs: number): void {
-        const memoryMs = Math.min(roomMs, computeMemoryMs(utilization));
+    /** All engines that a request asked for denied it; `roomMs`: until the first of them has room. */
+    public record(account: string, mostUse: number, roomMs: number, asker: DenialAsker, nowMs: number): void {
+        const memoryMs = Math.min(roomMs, computeMemoryMs(asker));
         this.denials.set(account, { mostUse, untilMs: nowMs + memoryMs });
     }
 
@@ -43,7 +54,8 @@
     }
 }
 
-function computeMemoryMs(utilization: number): number {
-    const part = (utilization - remembersFrom) / (remembersAllFrom - remembersFrom);
-    return longestMemoryMs * Math.min(1, Math.max(0, part));
+function computeMemoryMs({ utilization, accountPart, routerCount }: DenialAsker): number {
+    const busyPart = Math.min(1, Math.max(0, (utilization - remembersFrom) / (remembersAllFrom - remembersFrom)));
+    const reachedPart = Math.min(1, spreadTolerance / Math.max(1, accountPart * routerCount));
+    return longestMemoryMs * Math.max(busyPart, reachedPart);
 }
--- a/src/decisions/shares/accountShares.ts
+++ b/src/decisions/shares/accountShares.ts
@@ -58,6 +58,8 @@
 const leastCoveredMs = 500;
 /** The fleet's sums are made anew this often: going over all routers' accounts for each request costs more than it gains. */
 const sumTtlMs = 20;
+/** Where callers are can't be told from older sums: an account that has just begun to flood seems to reach this router alone. */
+const mostPartAgeMs = 300;
 const msPerSecond = 1_000;
 
 /** The level at which capacity is used up when everybody gets at most that much; infinite while capacity suffices. */
@@ -79,6 +81,8 @@
     readonly atMs: number;
     readonly coveredMs: number;
     readonly uses: ReadonlyMap<string, AccountUse>;
+    /** Of this router alone. */
+    readonly ownAsked: ReadonlyMap<string, number>;
     readonly recentlyServed: number;
     readonly ageMs: number;
 }
@@ -164,6 +168,15 @@
         };
     }
 
+    /** Part of what the account asked the fleet for that it asked this router for, 0 to 1; 0 while too little is known of the others. */
+    public computeOwnPart(account: string): number {
+        const { sums } = this;
+        const asked = sums?.uses.get(account)?.asked ?? 0;
+        return sums === undefined || sums.ageMs > mostPartAgeMs || asked <= 0
+            ? 0
+            : Math.min(1, (sums.ownAsked.get(account) ?? 0) / asked);
+    }
+
     /** The levels are the same for all accounts until the sums are made anew. */
     private findLevels(sums: FleetSums, tokensPerSecond: number): FairLevels {
         if (this.levels?.sums !== sums || this.levels.tokensPerSecond !== tokensPerSecond) {
@@ -195,7 +208,8 @@
         }
         // A router that was just started knows little; the others' sums cover their whole window all the same.
         const coveredMs = Math.max(leastCoveredMs, own.coveredMs, ...peers.map(peer => peer.coveredMs));
-        return { atMs: nowMs, coveredMs, uses, recentlyServed, ageMs: estimate.meanAgeMs };
+        const ownAsked = new Map([...own.accounts].map(([name, use]) => [name, use.asked]));
+        return { atMs: nowMs, coveredMs, uses, ownAsked, recentlyServed, ageMs: estimate.meanAgeMs };
     }
 
     private takeSample(account: string, sinceMs: number, nowMs: number): OwnSample {
--- a/src/gateway/peers/accountAggregation.ts
+++ b/src/gateway/peers/accountAggregation.ts
@@ -197,11 +197,16 @@
         if (before !== undefined && before !== ownId && nowMs - this.answeredAtMs > silenceMs) {
             this.suspectedUntilMs.set(before, nowMs + suspicionMs);
         }
+        for (const [routerId, untilMs] of this.suspectedUntilMs) {
+            if (untilMs <= nowMs) {
+                this.suspectedUntilMs.delete(routerId);
+            }
+        }
         const { dataCentre, ...own } = this.options.getCondition();
         const candidates = [
             { routerId: ownId, ...own },
             ...listCandidates(this.options.getConditions(), dataCentre),
-        ].filter(({ routerId }) => (this.suspectedUntilMs.get(routerId) ?? Number.NEGATIVE_INFINITY) <= nowMs);
+        ].filter(({ routerId }) => !this.suspectedUntilMs.has(routerId));
         this.aggregatorId = chooseAggregator(dataCentre, candidates);
         if (this.aggregatorId !== before) {
             this.answeredAtMs = nowMs;
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -158,7 +158,12 @@
         const { context, routed } = this.options;
         if (reason === "over-share" && routed.account !== undefined && this.demands > 0) {
             const denials = context.denials.find(service.name);
-            denials.record(routed.account, mostUse, this.roomMs, context.load.loop.utilization, context.clock.nowMs());
+            const asker = {
+                utilization: context.load.loop.utilization,
+                accountPart: context.shares.computeOwnPart(routed.account),
+                routerCount: context.peers.routers.routerIds.length,
+            };
+            denials.record(routed.account, mostUse, this.roomMs, asker, context.clock.nowMs());
         }
     }
 
--- a/test/decisions/admission/denialMemory.test.ts
+++ b/test/decisions/admission/denialMemory.test.ts
@@ -1,10 +1,13 @@
 import { expect, it } from "vitest";
 import { DenialMemory } from "../../../src/decisions/admission/denialMemory.js";
 
+/** An idle router of ten, all of which the account reaches. */
+const spread = { utilization: 0.1, accountPart: 0.1, routerCount: 10 };
+
 it("holds a denial for the account that was denied, for as little of the limit, until an engine has room", () => {
     const memory = new DenialMemory();
-    memory.record("flood", 0.4, 20, 0.9, 1_000);
-    memory.record("other", 0.4, 500, 0.9, 1_000);
+    memory.record("flood", 0.4, 20, spread, 1_000);
+    memory.record("other", 0.4, 500, spread, 1_000);
     expect({
         same: memory.computeDeniedMs("flood", 0.4, 1_005),
         less: memory.computeDeniedMs("flood", 0.1, 1_005),
@@ -24,13 +27,12 @@
     `);
 });
 
-// An account at one router would ask owners a fraction of what an account at all of them asks.
-it("holds no denial while the router has processor time to ask for each request", () => {
+// Remembered for as long everywhere, an account at one router would ask owners a fraction of what one at all of them asks.
+it("holds a denial for as long as the account reaches routers, and for the longest time at a busy router", () => {
     const memory = new DenialMemory();
-    memory.record("idle", 0.4, 500, 0.3, 1_000);
-    memory.record("half", 0.4, 500, 0.7, 1_000);
-    expect([memory.computeDeniedMs("idle", 0.4, 1_000), memory.computeDeniedMs("half", 0.4, 1_000)]).toEqual([
-        0,
-        expect.closeTo(15),
-    ]);
+    memory.record("one", 0.4, 500, { ...spread, accountPart: 1 }, 1_000);
+    memory.record("some", 0.4, 500, { ...spread, accountPart: 0.2 }, 1_000);
+    memory.record("busy", 0.4, 500, { ...spread, accountPart: 1, utilization: 0.9 }, 1_000);
+    const held = ["one", "some", "busy"].map(account => Math.round(memory.computeDeniedMs(account, 0.4, 1_000)));
+    expect(held).toEqual([6, 30, 30]);
 });
