Test ports lie below those of outgoing connections

Cause: the port came from the range that the system gives to outgoing connections, of which tests and plays open thousands, and one took it before the router listened.

--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -49,6 +49,8 @@
 };
 const readinessPath = "/api/readyz";
 const deadlineMs = "8000";
+const portBlocks = 100;
+const portsOfBlock = 200;
 
 /** The configuration that most tests run with, in the platform's form. */
 export function createConfiguration(version: number, changes: object = {}): Record<string, unknown> {
@@ -239,14 +241,27 @@
     }
 }
 
-/** A port that nobody listens on just now. */
-export function findFreePort(): Promise<number> {
+/**
+ * Ports of this process begin here. They lie below those that the system gives to outgoing connections: a port that is free when
+ * it is chosen would else be taken by a connection before it is listened on.
+ */
+const firstPort = 10_000 + (process.pid % portBlocks) * portsOfBlock;
+let portsTaken = 0;
+
+/** A port that nobody listens on just now, and that this process has not named lately. */
+export async function findFreePort(): Promise<number> {
+    for (;;) {
+        const port = firstPort + (portsTaken++ % portsOfBlock);
+        if (await canListen(port)) {
+            return port;
+        }
+    }
+}
+
+function canListen(port: number): Promise<boolean> {
     return new Promise(resolve => {
         const server = createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const address = server.address();
-            const port = typeof address === "object" && address ? address.port : 0;
-            server.close(() => resolve(port));
-        });
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
 }
