--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -68,7 +68,7 @@
             clock,
             random,
             logger,
-            connectTimeoutMs: 1,
+            connectionLimits: { connectTimeoutMs: 1, mostAnswerBytes: 1 },
             getHealth: () => undefined,
         });
         this.shares = new AccountShares(windowMs);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Clock } from "../base/clock.js";
+import { GrowingBuffer } from "../base/growingBuffer.js";
 import type { CancelSend, SendFailure, TargetConnection, TargetRequest } from "./targetConnection.js";
 import type { AnswerRelay, StoredAnswer, TargetAnswerHead } from "./relay.js";
 import type { AnswerHead, HeaderCodec } from "./wire.js";
@@ -38,8 +39,6 @@
     handleSent(): void;
     /** The head of the target's answer to this request, before any of it is passed on. */
     handleHead(head: AnswerHead): void;
-    /** The target says something, perhaps only a part of an event. */
-    handleData(): void;
     /** Output goes to the caller. */
     handleOutput(isFirst: boolean): void;
 }
@@ -55,8 +54,7 @@
     private resolveOutcome!: (outcome: AttemptOutcome) => void;
     private cancelSend: CancelSend | undefined;
     private head: TargetAnswerHead | undefined;
-    private readonly failureChunks: Buffer[] = [];
-    private failureBytes = 0;
+    private readonly failureBody = new GrowingBuffer();
     private hasEnded = false;
 
     public constructor(
@@ -120,16 +118,16 @@
             return;
         }
         if (!isSuccess(this.head.status)) {
-            this.failureChunks.push(chunk);
-            this.failureBytes += chunk.length;
-            if (this.failureBytes > mostFailureBytes) {
+            this.failureBody.add(chunk);
+            if (this.failureBody.length > mostFailureBytes) {
                 this.fail("a failure with an endless body");
             }
             return;
         }
-        this.observer.handleData();
         const output = this.relay.handleData(chunk);
-        if (output !== "none") {
+        if (output === "overlong") {
+            this.fail("an event without end");
+        } else if (output !== "none") {
             this.observer.handleOutput(output === "first");
         }
     }
@@ -143,7 +141,7 @@
             const reason = decoded.isOtherTarget ? "other-target" : "refused";
             this.endAttempt({ kind: "not-run", reason, detail: `status ${status}` });
         } else if (!isSuccess(status)) {
-            this.endAttempt({ kind: "failed", answer: { ...this.head, body: Buffer.concat(this.failureChunks) } });
+            this.endAttempt({ kind: "failed", answer: { ...this.head, body: this.failureBody.take() } });
         } else if (this.relay.handleEnd()) {
             this.endAttempt({ kind: "answered" });
         } else {
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -1,9 +1,16 @@
+import { GrowingBuffer } from "../base/growingBuffer.js";
+
 /** One whole event of a stream, byte for byte as the target sent it. */
 export interface StreamEvent {
     readonly bytes: Buffer;
     readonly id: string | undefined;
 }
 
+/**
+ * Largest event that is waited for. A target in trouble may send bytes without an empty line for as long as it likes, and all
+ * of them would be held.
+ */
+const mostEventBytes = 262_144;
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idPattern = /^id: ?(.*)$/m;
@@ -12,46 +19,57 @@
  * Cuts an event stream (WHATWG HTML, server-sent events) into whole events.
  *
  * A target may stop in the middle of an event. Passed on as it comes, the fragment would be joined with the event that
- * a resumed stream begins with; so only whole events are handed on.
+ * a resumed stream begins with; so only whole events are handed on. Each byte is looked at once, in whatever pieces it comes.
  */
 export class EventSplitter {
-    private rest: Buffer = Buffer.alloc(0);
+    private readonly rest = new GrowingBuffer();
+    private lineBytes = 0;
+    private endsWithReturn = false;
+    /** Whether the event has a line already: an empty one at its beginning ends no event and stays with it. */
+    private hasLine = false;
 
     /** Whether a fragment of an event is held back. */
     public get hasRest(): boolean {
         return this.rest.length > 0;
     }
 
+    /** Whether the fragment is longer than any event may be, so that its end is not waited for. */
+    public get isOverlong(): boolean {
+        return this.rest.length > mostEventBytes;
+    }
+
     /** Takes more of the stream and returns the events that are complete. */
     public add(chunk: Buffer): readonly StreamEvent[] {
-        const data = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
         const events: StreamEvent[] = [];
         let start = 0;
-        let end = findEventEnd(data, start);
-        while (end !== undefined) {
-            const bytes = data.subarray(start, end);
-            events.push({ bytes, id: idPattern.exec(bytes.toString("latin1"))?.[1]?.trim() });
-            start = end;
-            end = findEventEnd(data, start);
+        let from = 0;
+        for (let end = chunk.indexOf(lineFeed); end >= 0; end = chunk.indexOf(lineFeed, from)) {
+            this.recordLineBytes(chunk, from, end);
+            const isEmpty = this.lineBytes === (this.endsWithReturn ? 1 : 0);
+            this.lineBytes = 0;
+            this.endsWithReturn = false;
+            from = end + 1;
+            const endsEvent = isEmpty && this.hasLine;
+            if (endsEvent) {
+                events.push(this.takeEvent(chunk.subarray(start, from)));
+                start = from;
+            }
+            this.hasLine = !endsEvent;
         }
-        this.rest = data.subarray(start);
+        this.recordLineBytes(chunk, from, chunk.length);
+        this.rest.add(chunk.subarray(start));
         return events;
     }
-}
 
-/** Index behind the empty line that ends the event beginning at `start`; undefined when it is not there yet. */
-function findEventEnd(data: Buffer, start: number): number | undefined {
-    let lineStart = start;
-    for (let index = start; index < data.length; index++) {
-        if (data[index] !== lineFeed) {
-            continue;
-        }
-        const length = index - lineStart - (index > lineStart && data[index - 1] === carriageReturn ? 1 : 0);
-        // An empty line at the beginning ends no event; it stays with the event that follows.
-        if (length === 0 && lineStart > start) {
-            return index + 1;
+    private recordLineBytes(chunk: Buffer, from: number, to: number): void {
+        if (to > from) {
+            this.lineBytes += to - from;
+            this.endsWithReturn = chunk[to - 1] === carriageReturn;
         }
-        lineStart = index + 1;
     }
-    return undefined;
+
+    private takeEvent(last: Buffer): StreamEvent {
+        const bytes = this.rest.length === 0 ? last : Buffer.concat([this.rest.take(), last]);
+        return { bytes, id: idPattern.exec(bytes.toString("latin1"))?.[1]?.trim() };
+    }
 }
--- a/src/gateway/eventStreamRelay.ts
+++ b/src/gateway/eventStreamRelay.ts
@@ -50,6 +50,9 @@
         for (const event of this.splitter.add(chunk)) {
             hasOutput = this.writeEvent(event) || hasOutput;
         }
+        if (this.splitter.isOverlong) {
+            return "overlong";
+        }
         if (!hasOutput) {
             return "none";
         }
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -13,6 +13,7 @@
 import { IdleShare } from "../decisions/shares/idleShare.js";
 import { OutputLength } from "../decisions/shares/outputLength.js";
 import { RetryBudget, type RetryFloors } from "../decisions/retries/retryBudget.js";
+import { listSeedIps, parseAddress } from "./addresses.js";
 import { AccountSummary } from "./accountSummary.js";
 import { CallerServer } from "./callerServer.js";
 import { ConfigurationHolder } from "./configurationHolder.js";
@@ -89,7 +90,10 @@
                 clock,
                 random,
                 logger,
-                connectTimeoutMs: settings.connectTimeoutMs,
+                connectionLimits: {
+                    connectTimeoutMs: settings.connectTimeoutMs,
+                    mostAnswerBytes: settings.mostAnswerBytes,
+                },
                 getHealth: () => source.health,
             }),
         );
@@ -338,12 +342,3 @@
         return [...new Set([...settings.seeds, ...peers])].filter(address => address !== settings.control);
     }
 }
-
-function parseAddress(address: string): readonly [string, number] {
-    const [host, port] = address.split(":");
-    return [host, Number(port)];
-}
-
-function listSeedIps(settings: GatewaySettings): readonly string[] {
-    return settings.seeds.map(seed => parseAddress(seed)[0]);
-}
--- a/src/gateway/relay.ts
+++ b/src/gateway/relay.ts
@@ -14,7 +14,12 @@
 }
 
 /** What a piece of a target's answer brought. */
-export type RelayedOutput = "none" | "first" | "more";
+export type RelayedOutput =
+    | "none"
+    | "first"
+    | "more"
+    /** The answer is longer than any may be, or holds an event that is; its end is not waited for. */
+    | "overlong";
 
 /** Passes one request's answer on to its caller, over one attempt or several. */
 export interface AnswerRelay {
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -26,7 +26,6 @@
 const anyIdleMs = 60_000;
 /** A send that is not asked for is booked whatever the target has to do. */
 const anyBounds = { mostWaitMs: 0, mostUse: 1 };
-/** Attempts that surely did not run cost nothing, but their number is bounded all the same. */
 const mostUnrunAttempts = 4;
 
 /** One request's way to its target and back. */
@@ -221,7 +220,6 @@
             canStart: () => !context.directory.isClosed(target),
             handleSent: () => this.watchSilence(),
             handleHead: head => context.directory.observeAnswer(target, availability, head),
-            handleData: () => this.watchSilence(),
             handleOutput: isFirst => this.handleOutput(send, isFirst),
         });
         this.current = attempt;
@@ -245,6 +243,7 @@
 
     private handleOutput(send: TargetSend, isFirst: boolean): void {
         this.timing.recordOutput(this.context.clock.nowMs());
+        this.watchSilence();
         if (isFirst) {
             send.handleFirstOutput();
         }
@@ -342,6 +341,7 @@
         this.current?.stop(reason);
     }
 
+    /** Waits for output; bytes alone don't count, as a target in trouble may trickle some without an event among them. */
     private watchSilence(): void {
         if (this.isRepeatable) {
             this.silence.start(computeSilenceLimit(this.routed.route, this.relay.isCommitted));
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -41,6 +41,8 @@
      * after a second, and another target is at hand.
      */
     connectTimeoutMs: z.number().positive().default(350),
+    /** A target's answer with a longer body is broken off: a target in trouble may send bytes without end. */
+    mostAnswerBytes: z.number().int().positive().default(33_554_432),
     /** Requests sent once more, over all routers: `ratio` of the first sends within the window, and `slack` on top. */
     retryBudget: z.object({
         ratio: z.number().min(0).default(0.1),
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -10,6 +10,7 @@
 import type { ServedService } from "./configuration.js";
 import type { TargetEntry } from "./fleetSource.js";
 import type { GrantReply } from "./grants/grantMessage.js";
+import type { ConnectionLimits } from "./targetConnection.js";
 import { TargetConnections } from "./targetConnections.js";
 
 /** What other routers have under way at a target. */
@@ -67,13 +68,13 @@
         entry: TargetEntry,
         service: ServedService | undefined,
         random: Random,
-        connectTimeoutMs: number,
+        limits: ConnectionLimits,
         private readonly availabilities: AvailabilityRegistry,
     ) {
         this.currentEntry = entry;
         this.idHash = hashFast(entry.id);
         this.currentAvailability = availabilities.find(this.incarnation);
-        this.connections = new TargetConnections(entry.address, connectTimeoutMs);
+        this.connections = new TargetConnections(entry.address, limits);
         this.circuit = new CircuitBreaker(random);
         this.applyService(service);
     }
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -9,6 +9,16 @@
 const idleMarginMs = 1_000;
 const longestIdleMs = 60_000;
 const keepAliveProbeMs = 1_000;
+const firstFinalStatus = 200;
+/**
+ * Bytes of an answer beyond its body: status line, headers, interim answers, the encoding of chunks and trailers. A target in
+ * trouble may send any of them without end, and the HTTP parser reports nothing of a chunk's extension.
+ */
+const mostOverheadBytes = 262_144;
+/** The encoding of a chunk of one byte takes five more. */
+const overheadOfBodyByte = 8;
+/** Interim answers (1xx) to one request. */
+const mostInterimAnswers = 16;
 /** Shared: creating an error's stack text is the main cost of closing a socket. */
 const closedError = new Error("the connection is closed");
 
@@ -46,20 +56,27 @@
 /** Stops a request; its connection is closed, which makes the target drop it. */
 export type CancelSend = () => void;
 
+/** Bounds on connections to targets. */
+export interface ConnectionLimits {
+    readonly connectTimeoutMs: number;
+    /** A longer body is broken off. */
+    readonly mostAnswerBytes: number;
+}
+
 /** One connection to a target; carries one request at a time. */
 export class TargetConnection implements Disposable {
     private readonly client: Client;
     private socket: Socket | undefined;
     private hasSocketError = false;
     private closed = false;
-    private carrying = false;
+    private exchange: Exchange | undefined;
     /** Monotonic time of the last use. */
     public lastUsedAtMs = 0;
 
     /** `onDidClose`: the connection can't be used any more. */
     public constructor(
         address: string,
-        connectTimeoutMs: number,
+        { connectTimeoutMs, mostAnswerBytes }: ConnectionLimits,
         private readonly onDidClose: (connection: TargetConnection) => void,
     ) {
         const connect = buildConnector({ timeout: connectTimeoutMs });
@@ -67,6 +84,7 @@
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
+            maxResponseSize: mostAnswerBytes,
             keepAliveTimeout: idleWithoutHintMs,
             keepAliveTimeoutThreshold: idleMarginMs,
             keepAliveMaxTimeout: longestIdleMs,
@@ -85,7 +103,7 @@
 
     /** Whether an idle connection can take a request. */
     public get isUsable(): boolean {
-        return !this.closed && !this.carrying;
+        return !this.closed && this.exchange === undefined;
     }
 
     /** Whether it was ever up; a fresh one has no connection yet. */
@@ -95,15 +113,16 @@
 
     /** Sends a request. */
     public send(request: TargetRequest, listener: AnswerListener): CancelSend {
-        this.carrying = true;
         const exchange = new Exchange(listener, {
             hasSocketError: () => this.hasSocketError,
             hasPeer: () => this.socket?.remotePort !== undefined,
+            countBytesRead: () => this.socket?.bytesRead ?? 0,
             release: () => {
-                this.carrying = false;
+                this.exchange = undefined;
             },
             close: () => this.close(),
         });
+        this.exchange = exchange;
         this.client.dispatch(
             {
                 method: request.method as Dispatcher.HttpMethod,
@@ -128,6 +147,7 @@
         socket.once("error", () => {
             this.hasSocketError = true;
         });
+        socket.on("readable", () => this.exchange?.checkOverhead());
     }
 
     private close(): void {
@@ -144,6 +164,8 @@
     hasSocketError(): boolean;
     /** Whether the kernel still knows the peer; asked once at most, as Node remembers the answer. */
     hasPeer(): boolean;
+    /** Bytes read from the connection so far. */
+    countBytesRead(): number;
     release(): void;
     close(): void;
 }
@@ -155,6 +177,9 @@
     /** Only the connection's end tells where the answer ends. */
     private isUnframed = false;
     private isOver = false;
+    private interimAnswers = 0;
+    private bytesReadBefore = 0;
+    private bodyBytes = 0;
 
     public constructor(
         private readonly listener: AnswerListener,
@@ -173,12 +198,21 @@
             return;
         }
         this.isSent = true;
+        this.bytesReadBefore = this.owner.countBytesRead();
         this.listener.handleSent();
     }
 
     public onResponseStart(...head: [Dispatcher.DispatchController, number, IncomingHttpHeaders]): void {
         const [, status, headers] = head;
-        if (!this.isOver && status >= 200) {
+        if (this.isOver) {
+            return;
+        }
+        if (status < firstFinalStatus) {
+            this.interimAnswers += 1;
+            if (this.interimAnswers > mostInterimAnswers) {
+                this.fail("broken", "interim answers without end");
+            }
+        } else {
             this.isUnframed = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
             this.listener.handleHead(status, headers);
         }
@@ -187,10 +221,19 @@
     public onResponseData(...data: [Dispatcher.DispatchController, Buffer]): void {
         const [, chunk] = data;
         if (!this.isOver) {
+            this.bodyBytes += chunk.length;
             this.listener.handleData(chunk);
         }
     }
 
+    /** Breaks the connection off when far more has been read from it than the answer's body. */
+    public checkOverhead(): void {
+        const overheadBytes = this.owner.countBytesRead() - this.bytesReadBefore - this.bodyBytes;
+        if (!this.isOver && overheadBytes > mostOverheadBytes + this.bodyBytes * overheadOfBodyByte) {
+            this.fail("broken", "bytes without end that are no answer");
+        }
+    }
+
     public onResponseEnd(): void {
         if (this.isOver) {
             return;
--- a/src/gateway/targetConnections.ts
+++ b/src/gateway/targetConnections.ts
@@ -1,5 +1,5 @@
 import type { Disposable } from "../base/lifecycle.js";
-import { TargetConnection } from "./targetConnection.js";
+import { TargetConnection, type ConnectionLimits } from "./targetConnection.js";
 
 /** The connections to one target. */
 export class TargetConnections implements Disposable {
@@ -8,7 +8,7 @@
 
     public constructor(
         private readonly address: string,
-        private readonly connectTimeoutMs: number,
+        private readonly limits: ConnectionLimits,
     ) {}
 
     public get size(): number {
@@ -32,9 +32,7 @@
         if (this.connections.size >= limit && !this.closeOneIdle()) {
             return undefined;
         }
-        const connection = new TargetConnection(this.address, this.connectTimeoutMs, closed =>
-            this.connections.delete(closed),
-        );
+        const connection = new TargetConnection(this.address, this.limits, closed => this.connections.delete(closed));
         this.connections.add(connection);
         return connection;
     }
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -10,6 +10,7 @@
 import type { FleetChange, SourceHealth, TargetEntry } from "./fleetSource.js";
 import type { LeavingTarget } from "./peers/peerMessage.js";
 import { Target } from "./target.js";
+import type { ConnectionLimits } from "./targetConnection.js";
 import type { AnswerHead, TargetSignals } from "./wire.js";
 
 /**
@@ -31,8 +32,7 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: Logger;
-    /** Longest wait for a connection to a target. */
-    readonly connectTimeoutMs: number;
+    readonly connectionLimits: ConnectionLimits;
     /** How the link to the platform stands; undefined without one. */
     readonly getHealth: () => SourceHealth | undefined;
 }
@@ -280,12 +280,12 @@
     }
 
     private addTarget(entry: TargetEntry): void {
-        const { random, connectTimeoutMs } = this.options;
+        const { random, connectionLimits } = this.options;
         const target = new Target(
             entry,
             this.services.get(entry.service),
             random,
-            connectTimeoutMs,
+            connectionLimits,
             this.availabilities,
         );
         this.setCold(target, entry.coldLeftMs);
--- a/src/gateway/wholeAnswerRelay.ts
+++ b/src/gateway/wholeAnswerRelay.ts
@@ -1,3 +1,4 @@
+import { GrowingBuffer } from "../base/growingBuffer.js";
 import type { CallerExchange } from "./callerExchange.js";
 import type { AnswerRelay, RelayedOutput, TargetAnswerHead } from "./relay.js";
 import type { HeaderCodec } from "./wire.js";
@@ -10,8 +11,7 @@
 
 /** Passes on an answer that is no stream. */
 export class WholeAnswerRelay implements AnswerRelay {
-    private readonly chunks: Buffer[] = [];
-    private held = 0;
+    private readonly held = new GrowingBuffer();
     private head: TargetAnswerHead | undefined;
 
     public readonly canResume = false;
@@ -34,16 +34,15 @@
     }
 
     public handleData(chunk: Buffer): RelayedOutput {
-        const isFirst = this.held === 0 && !this.isCommitted;
+        const isFirst = this.held.length === 0 && !this.isCommitted;
         if (this.isCommitted) {
             this.caller.write(chunk);
             return "more";
         }
-        this.chunks.push(chunk);
-        this.held += chunk.length;
-        if (this.held > mostHeldBytes && this.head !== undefined) {
+        this.held.add(chunk);
+        if (this.held.length > mostHeldBytes && this.head !== undefined) {
             this.caller.writeHead(this.head.status, this.codec.encodeForCaller(this.head.headers));
-            this.caller.write(Buffer.concat(this.chunks.splice(0)));
+            this.caller.write(this.held.take());
         }
         return isFirst ? "first" : "more";
     }
@@ -53,14 +52,13 @@
             this.caller.end();
         } else if (this.head !== undefined) {
             const headers = this.codec.encodeForCaller(this.head.headers);
-            this.caller.answer(this.head.status, headers, Buffer.concat(this.chunks));
+            this.caller.answer(this.head.status, headers, this.held.take());
         }
         return true;
     }
 
     public handleBreak(): void {
-        this.chunks.length = 0;
-        this.held = 0;
+        this.held.take();
         this.head = undefined;
     }
 }
--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -1,3 +1,4 @@
+import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
 import { request as sendHttp, type Agent, type IncomingHttpHeaders } from "node:http";
 import { SystemClock } from "../../src/base/clock.js";
@@ -49,8 +50,10 @@
 };
 const readinessPath = "/api/readyz";
 const deadlineMs = "8000";
-const portBlocks = 100;
 const portsOfBlock = 200;
+/** Blocks for the workers of one run of the tests, and runs on the machine at a time that have blocks of their own. */
+const blocksOfRun = 20;
+const concurrentRuns = 5;
 
 /** The configuration that most tests run with, in the platform's form. */
 export function createConfiguration(version: number, changes: object = {}): Record<string, unknown> {
@@ -245,14 +248,20 @@
  * Ports of this process begin here. They lie below those that the system gives to outgoing connections: a port that is free when
  * it is chosen would else be taken by a connection before it is listened on.
  */
-const firstPort = 10_000 + (process.pid % portBlocks) * portsOfBlock;
+const firstPort = 10_000 + computeBlock() * portsOfBlock;
 let portsTaken = 0;
 
+/** A block that no other worker has: by process ids alone, two workers often had the same one. */
+function computeBlock(): number {
+    const worker = Number(process.env.VITEST_POOL_ID ?? process.pid) % blocksOfRun;
+    return (process.ppid % concurrentRuns) * blocksOfRun + worker;
+}
+
 /** A port that nobody listens on just now, and that this process has not named lately. */
 export async function findFreePort(): Promise<number> {
     for (;;) {
         const port = firstPort + (portsTaken++ % portsOfBlock);
-        if (await canListen(port)) {
+        if ((await canListen(port)) && (await canBind(port))) {
             return port;
         }
     }
@@ -265,3 +274,12 @@
         server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
 }
+
+/** The same for datagrams, which routers exchange. */
+function canBind(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = createSocket("udp4");
+        socket.once("error", () => resolve(false));
+        socket.bind(port, "127.0.0.1", () => socket.close(() => resolve(true)));
+    });
+}
--- a/test/gateway/grants/grantClient.test.ts
+++ b/test/gateway/grants/grantClient.test.ts
@@ -27,7 +27,7 @@
         clock,
         random: new SeededRandom(1),
         logger: new NoopLogger(),
-        connectTimeoutMs: 1,
+        connectionLimits: { connectTimeoutMs: 1, mostAnswerBytes: 1 },
         getHealth: () => undefined,
     });
     directory.applyChange({
--- a/test/gateway/grants/grantOwner.test.ts
+++ b/test/gateway/grants/grantOwner.test.ts
@@ -36,7 +36,7 @@
         clock,
         random: new SeededRandom(1),
         logger: new NoopLogger(),
-        connectTimeoutMs: 1,
+        connectionLimits: { connectTimeoutMs: 1, mostAnswerBytes: 1 },
         getHealth: () => undefined,
     });
     const entry = { id, service: "engines", address: "10.1.0.1:1", dataCentre: "a", slots: 8, coldLeftMs: 0 };
--- a/test/gateway/withheldRequest.test.ts
+++ b/test/gateway/withheldRequest.test.ts
@@ -2,7 +2,7 @@
 import { TargetConnection, type SendFailure } from "../../src/gateway/targetConnection.js";
 import { TargetServer } from "../fakes/usersPlatform/targetServer.js";
 
-const connectTimeoutMs = 5_000;
+const limits = { connectTimeoutMs: 5_000, mostAnswerBytes: 1_000 };
 const server = { current: new TargetServer("engine-1", true) };
 
 beforeEach(async () => {
@@ -14,7 +14,7 @@
 
 // A connection takes up to a second to be set up, and its target may want nothing any more by then.
 it("is not written once the connection is up, and says so", async () => {
-    const connection = new TargetConnection(server.current.address, connectTimeoutMs, () => undefined);
+    const connection = new TargetConnection(server.current.address, limits, () => undefined);
     const failure = await new Promise<SendFailure | "sent">(resolve => {
         connection.send(
             { method: "POST", path: "/", headers: [], body: Buffer.from("body") },
