Roll out versions: orders, exposure, evidence and steps

Change: a target's version is known everywhere (placement, sources of copies, resent requests, log). An order is followed in three steps. canary: each router sends at most 0.8 of the exposure share of its own requests to the new version, so that the sum over all routers keeps the rule without a message between them; the requests go to one of its targets, by routes in turn. ramp and switch follow once sequential tests (Wald; Page for a later onset) over all routes and on each route show no rise in failures or slow answers; complete is written when every router reports that nothing runs at the old version. Any router may decide: the two first by rendezvous sum up the reports, and the store takes a write only if nothing was written since the writer's read, so that an end is never taken back, also with two deciders, late writes and lost answers; it is written again when the store comes back from an older copy.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -21,6 +21,7 @@
 import type { PeerView } from "../../src/gateway/peers/peerView.js";
 import { TargetLoads } from "../../src/gateway/peers/targetLoads.js";
 import { Quarantine } from "../../src/gateway/quarantine/quarantine.js";
+import { Rollouts } from "../../src/gateway/rollouts/rollouts.js";
 import { Registry } from "../../src/gateway/registry.js";
 import { gatewaySettingsSchema } from "../../src/gateway/settings.js";
 import { TargetDirectory } from "../../src/gateway/targetDirectory.js";
@@ -116,6 +117,7 @@
             peers: createPeerView(this.peers, options.getExactUses),
             grants: grants.client,
             quarantine: createQuarantine(options, this.peers),
+            rollouts: createRollouts(options, this.peers, this.directory),
             load: options.load ?? { shedShare: 0, loop: { delayMs: 0, utilization: 0 } },
             shares: this.shares,
             retryBudgets: new Registry(() => new RetryBudget()),
@@ -145,6 +147,26 @@
     return `edge-dc-central-a-${index}`;
 }
 
+/** No service is rolled out, so that all requests may go to all targets. */
+function createRollouts(options: ModelRouterOptions, peers: PeerState, directory: TargetDirectory): Rollouts {
+    const { index, clock, random, setTimer } = options;
+    return new Rollouts({
+        ownId: formatRouterId(index),
+        peers,
+        directory,
+        records: {
+            read: () => okAsync({ status: undefined, endOffset: 0 }),
+            write: () => okAsync("superseded"),
+        },
+        transport: { sendRollout: () => undefined },
+        clock,
+        random,
+        setTimer,
+        logger: new NoopLogger(),
+        getLimit: () => ({ share: 0, slack: 0 }),
+    });
+}
+
 /** Model engines do not crash under requests, so that the quarantine stays empty. */
 function createQuarantine({ index, clock, setTimer }: ModelRouterOptions, peers: PeerState): Quarantine {
     return new Quarantine({
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -500,7 +500,7 @@
             selector,
             outputTokens: charge.outputTokens,
             chargedTokens: charge.askedTokens,
-            isTried: () => false,
+            isLeftOut: () => false,
             getTimeLeftMs: () => call.askedAtMs + timeLeftMs - nowMs,
         });
         admission.check([service], admitted => {
@@ -563,7 +563,7 @@
             handleFirstOutput: () => {
                 this.findSecond(call.account, this.clock.nowMs()).begun += call.promptTokens;
                 this.signals?.handleAnswer(router, target, engineIndex, this.clock.nowMs());
-                send.handleFirstOutput();
+                send.handleOutput(true);
             },
             handleEnd: stream => {
                 send.close({ kind: "answered" });
@@ -716,6 +716,7 @@
         slots: engineSlots,
         state: "ready",
         coldLeftMs: 0,
+        version: undefined,
         startedAtMs: 1,
     };
 }
--- a/src/gateway/answerTiming.ts
+++ b/src/gateway/answerTiming.ts
@@ -3,6 +3,18 @@
 /** Whether an answer kept the objectives of its route, and by what it missed them. */
 export type Timeliness = "in-time" | "late-first-output" | "late-pause";
 
+/** How an answer kept its objectives. */
+export interface TimingFacts {
+    readonly objectiveMs: number;
+    readonly pauseObjectiveMs: number;
+    /** Time from its arrival to its first output; milliseconds. */
+    readonly firstOutputMs: number | undefined;
+    /** Between two outputs; milliseconds. */
+    readonly longestPauseMs: number;
+    /** Undefined without output. */
+    readonly timeliness: Timeliness | undefined;
+}
+
 /** Follows one answer as its caller sees it: the first output, and the longest pause between two outputs. */
 export class AnswerTiming {
     private firstAtMs: number | undefined;
@@ -45,4 +57,11 @@
         }
         return kind === "stream" && this.longestMs > pauseObjectiveMs ? "late-pause" : "in-time";
     }
+
+    /** What is known of it, for the log. */
+    public get facts(): TimingFacts {
+        const { objectiveMs, pauseObjectiveMs } = this.route;
+        const { firstOutputMs, longestPauseMs, timeliness } = this;
+        return { objectiveMs, pauseObjectiveMs, firstOutputMs, longestPauseMs, timeliness };
+    }
 }
--- a/src/gateway/fleetSource.ts
+++ b/src/gateway/fleetSource.ts
@@ -1,6 +1,7 @@
 import type { Event } from "../base/event.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { QuarantineRecords } from "./quarantine/quarantineRecords.js";
+import type { RolloutOrder, RolloutRecords, RolloutStatus } from "./rollouts/rolloutRecords.js";
 import type { ServedConfiguration } from "./configuration.js";
 
 /** A target as it registered itself. */
@@ -11,6 +12,8 @@
     /** `IP:PORT`. */
     readonly address: string;
     readonly dataCentre: string;
+    /** Of its software; undefined when it does not say. */
+    readonly version: string | undefined;
     readonly slots: number;
     readonly state: "ready" | "draining";
     /** How much longer the target is cold, as it said when the entry was written; milliseconds. */
@@ -25,7 +28,10 @@
     /** `entry` undefined: the registration is gone. */
     | { readonly kind: "target"; readonly id: string; readonly entry: TargetEntry | undefined }
     /** A data centre is to get no requests, or may get them again. */
-    | { readonly kind: "data-centre"; readonly dataCentre: string; readonly isOut: boolean };
+    | { readonly kind: "data-centre"; readonly dataCentre: string; readonly isOut: boolean }
+    /** `order` undefined: the operators took it back. */
+    | { readonly kind: "rollout"; readonly service: string; readonly order: RolloutOrder | undefined }
+    | { readonly kind: "rollout-status"; readonly status: RolloutStatus };
 
 /** How the link to the platform stands. */
 export interface SourceHealth {
@@ -51,6 +57,8 @@
     readonly health: SourceHealth;
     /** Where held requests outlast all routers. */
     readonly heldRequests: QuarantineRecords;
+    /** Where routers agree on how roll-outs stand. */
+    readonly rollouts: RolloutRecords;
     start(): void;
     /** What was read from the platform; undefined before all of it was. */
     createSnapshot(): SourceSnapshot | undefined;
--- a/src/gateway/flowEndings.ts
+++ b/src/gateway/flowEndings.ts
@@ -1,18 +1,16 @@
 import type { CallerExchange } from "./callerExchange.js";
 import { createOwnAnswer, type OwnAnswerReason } from "./ownAnswer.js";
 import type { AdmissionFacts } from "./requestAdmission.js";
-import type { Timeliness } from "./answerTiming.js";
+import type { TimingFacts } from "./answerTiming.js";
 import type { AnswerRelay, StoredAnswer } from "./relay.js";
+import type { Selection } from "./targetSelector.js";
 import type { HeaderCodec } from "./wire.js";
 
-/** What is known of a request's way when it ends. */
-export interface FlowFacts extends AdmissionFacts {
-    /** Targets it was meant for. */
-    readonly attempts: number;
-    /** Targets in the order tried, each with how its attempt ended. */
-    readonly tried: readonly string[];
-    /** The last one. */
+/** Where a request was sent last; undefined: nowhere. */
+export interface SelectionFacts {
     readonly target: string | undefined;
+    /** Of the target's software. */
+    readonly version: string | undefined;
     readonly service: string | undefined;
     /** Time to the first event that was expected there; milliseconds. */
     readonly expectedMs: number | undefined;
@@ -24,16 +22,16 @@
     readonly fetchedTokens: number | undefined;
     /** Part of the target's reading time that its owner had given away with this request; undefined without a grant. */
     readonly engineUse: number | undefined;
+}
+
+/** What is known of a request's way when it ends. */
+export interface FlowFacts extends AdmissionFacts, SelectionFacts, TimingFacts {
+    /** Targets it was meant for. */
+    readonly attempts: number;
+    /** Targets in the order tried, each with how its attempt ended. */
+    readonly tried: readonly string[];
     /** Part that owners may give away, as learnt by this router. */
     readonly readingShare: number | undefined;
-    readonly objectiveMs: number;
-    readonly pauseObjectiveMs: number;
-    /** Time from its arrival to its first output; milliseconds. */
-    readonly firstOutputMs: number | undefined;
-    /** Between two outputs; milliseconds. */
-    readonly longestPauseMs: number;
-    /** Undefined without output. */
-    readonly timeliness: Timeliness | undefined;
     /** What it counts against its account's share: asked for, and given to it by a target. */
     readonly askedTokens: number;
     readonly servedTokens: number;
@@ -47,6 +45,20 @@
     readonly status: number | undefined;
 }
 
+/** What a selection expected. */
+export function describeSelection(selection: Selection | undefined): SelectionFacts {
+    return {
+        target: selection?.target.id,
+        version: selection?.target.entry.version,
+        service: selection?.service.name,
+        expectedMs: selection?.expectedMs,
+        tokensAhead: selection?.tokensAhead,
+        newTokens: selection?.newTokens,
+        fetchedTokens: selection?.fetch?.tokens,
+        engineUse: selection?.grant?.use,
+    };
+}
+
 /** Gives a request its final answer when its target does not. */
 export class FlowEndings {
     public constructor(
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -13,6 +13,7 @@
 import type { LoadSource } from "./loadMonitor.js";
 import type { PeerView } from "./peers/peerView.js";
 import type { Quarantine } from "./quarantine/quarantine.js";
+import type { Rollouts } from "./rollouts/rollouts.js";
 import type { Registry } from "./registry.js";
 import type { GatewaySettings } from "./settings.js";
 import type { TargetDirectory } from "./targetDirectory.js";
@@ -30,6 +31,7 @@
     readonly peers: PeerView;
     readonly grants: GrantClient;
     readonly quarantine: Quarantine;
+    readonly rollouts: Pick<Rollouts, "open" | "observe" | "isTrusted">;
     /** How this router keeps up. */
     readonly load: Pick<LoadSource, "shedShare" | "loop">;
     readonly shares: AccountShares;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -19,7 +19,8 @@
 import { ConfigurationHolder } from "./configurationHolder.js";
 import type { EngineInspector } from "./engineInspector.js";
 import { HeldPartsLoader } from "./heldPartsLoader.js";
-import type { FleetChange, FleetSource } from "./fleetSource.js";
+import { FleetChanges } from "./fleetChanges.js";
+import type { FleetSource } from "./fleetSource.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService } from "./gatewayService.js";
 import { createGrants } from "./grants/createGrants.js";
@@ -32,6 +33,7 @@
 import type { LoadSource } from "./loadMonitor.js";
 import { Registry } from "./registry.js";
 import { RequestLog } from "./requestLog.js";
+import { Rollouts } from "./rollouts/rollouts.js";
 import { createMetricsApp, createReadinessApp } from "./sideServers.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import { buildFigures, describeRouter, describeState, listAccounts } from "./gatewayState.js";
@@ -79,6 +81,7 @@
     private readonly handover: Handover;
     private readonly heldParts: HeldPartsLoader;
     private readonly quarantine: Quarantine;
+    private readonly rollouts: Rollouts;
     private settings: GatewaySettings;
     private isStopping = false;
 
@@ -138,6 +141,7 @@
                 logger,
                 onDidReceiveGrantMessage: (senderId, message) => grants.exchange.handleMessage(senderId, message),
                 onDidReceiveCrashMessage: message => this.quarantine.applyMessage(message),
+                onDidReceiveRolloutMessage: (senderId, message) => this.rollouts.applyMessage(senderId, message),
             }),
         );
         this.quarantine = this.store.add(
@@ -153,6 +157,20 @@
                 logger,
             }),
         );
+        this.rollouts = this.store.add(
+            new Rollouts({
+                ownId: settings.daemonId,
+                peers: this.peers,
+                directory,
+                records: source.rollouts,
+                transport: this.exchange,
+                clock,
+                random,
+                setTimer: setRuntimeTimer,
+                logger,
+                getLimit: () => this.settings.exposure,
+            }),
+        );
         this.load = this.store.add(parts.load);
         const getSettings = (): GatewaySettings => this.settings;
         this.context = {
@@ -168,6 +186,7 @@
             peers: this.peers,
             grants: grants.client,
             quarantine: this.quarantine,
+            rollouts: this.rollouts,
             load: this.load,
             shares,
             retryBudgets: new Registry(
@@ -193,7 +212,9 @@
         this.store.add(directory.onDidReceiveSignal(signal => this.metrics.recordSignal(signal)));
         this.store.add(source);
         this.store.add(source.onDidRewind(() => this.quarantine.writeHeldAgain()));
-        this.store.add(source.onDidChange(change => this.applyChange(change)));
+        this.store.add(source.onDidRewind(() => this.rollouts.handleRewind()));
+        const changes = new FleetChanges(this.context, this.rollouts, limits => this.callers.applyLimits(limits));
+        this.store.add(source.onDidChange(change => changes.apply(change)));
         this.store.add(
             this.service.onDidEnd(ended => {
                 requestLog.write(ended);
@@ -301,23 +322,6 @@
         return { perAccount: perRouter, perRouter };
     }
 
-    private applyChange(change: FleetChange): void {
-        const { configuration, directory, logger } = this.context;
-        if (change.kind !== "configuration") {
-            directory.applyChange(change);
-            return;
-        }
-        const before = configuration.current?.version;
-        const { version, limits } = change.configuration;
-        if (!configuration.apply(change.configuration)) {
-            logger.write("info", "an older configuration is left aside", { version, inForce: before });
-            return;
-        }
-        directory.applyConfiguration(change.configuration);
-        this.callers.applyLimits(limits);
-        logger.write("info", "configuration in force", { version, before });
-    }
-
     private async listenAside(app: Hono, address: string): Promise<void> {
         const [host, port] = parseAddress(address);
         const listener = await listenOn(app, host, port);
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -1,4 +1,5 @@
 import { createSocket, type Socket } from "node:dgram";
+import type { Result } from "neverthrow";
 import type { Clock } from "../../base/clock.js";
 import { DisposableStore, type Disposable } from "../../base/lifecycle.js";
 import type { Logger } from "../../base/log.js";
@@ -14,6 +15,13 @@
 import { aggregationPeriodMs } from "./accountAggregation.js";
 import { decodePeerMessage, encodePeerMessage } from "./peerMessage.js";
 import { decodeTotalsMessage, encodeTotalsMessage, isTotalsDatagram, type TotalsMessage } from "./totalsMessage.js";
+import {
+    decodeRolloutMessage,
+    encodeRolloutMessage,
+    isRolloutDatagram,
+    type RolloutMessage,
+} from "../rollouts/rolloutMessage.js";
+import type { RolloutTransport } from "../rollouts/rollouts.js";
 import type { PeerState } from "./peerState.js";
 
 /** A log line for datagrams that can't be decoded is written at most this often; milliseconds. */
@@ -30,6 +38,8 @@
     readonly onDidReceiveGrantMessage: (senderId: string, message: GrantMessage) => void;
     /** A report of crashes from a router that is known. */
     readonly onDidReceiveCrashMessage: (message: CrashMessage) => void;
+    /** A report on a roll-out from a router that is known. */
+    readonly onDidReceiveRolloutMessage: (senderId: string, message: RolloutMessage) => void;
 }
 
 /**
@@ -37,7 +47,7 @@
  *
  * Datagrams and not calls: no message needs a repeat, and a peer that is gone costs nothing but the send.
  */
-export class PeerExchange implements GrantTransport, CrashTransport, Disposable {
+export class PeerExchange implements GrantTransport, CrashTransport, RolloutTransport, Disposable {
     private readonly store = new DisposableStore();
     private timer: NodeJS.Timeout | undefined;
     private totalsTimer: NodeJS.Timeout | undefined;
@@ -91,6 +101,14 @@
         }
     }
 
+    public sendRollout(routerId: string, message: RolloutMessage): void {
+        const { state, port } = this.options;
+        const ip = state.findAddress(routerId);
+        if (ip !== undefined) {
+            this.socket?.send(encodeRolloutMessage(message), port, ip, () => undefined);
+        }
+    }
+
     private handleDatagram(data: Buffer, senderIp: string): void {
         if (isGrantDatagram(data)) {
             this.handleGrantDatagram(data, senderIp);
@@ -104,6 +122,10 @@
             this.handleTotalsDatagram(data, senderIp);
             return;
         }
+        if (isRolloutDatagram(data)) {
+            this.handleRolloutDatagram(data, senderIp);
+            return;
+        }
         decodePeerMessage(data).match(
             message => this.options.state.applyMessage(message),
             error => this.reportFault(error.message),
@@ -111,39 +133,40 @@
     }
 
     private handleGrantDatagram(data: Buffer, senderIp: string): void {
-        const { state, onDidReceiveGrantMessage } = this.options;
-        const senderId = state.findRouter(senderIp);
-        if (senderId === undefined) {
-            this.reportFault("from an unknown router");
-            return;
-        }
-        decodeGrantMessage(data).match(
-            message => onDidReceiveGrantMessage(senderId, message),
-            error => this.reportFault(error.message),
-        );
+        const { onDidReceiveGrantMessage } = this.options;
+        this.handleKnown(senderIp, decodeGrantMessage(data), onDidReceiveGrantMessage);
     }
 
     private handleCrashDatagram(data: Buffer, senderIp: string): void {
-        const { state, onDidReceiveCrashMessage } = this.options;
-        if (state.findRouter(senderIp) === undefined) {
-            this.reportFault("from an unknown router");
-            return;
-        }
-        decodeCrashMessage(data).match(
-            message => onDidReceiveCrashMessage(message),
-            error => this.reportFault(error.message),
-        );
+        const { onDidReceiveCrashMessage } = this.options;
+        this.handleKnown(senderIp, decodeCrashMessage(data), (...[, message]) => onDidReceiveCrashMessage(message));
     }
 
     private handleTotalsDatagram(data: Buffer, senderIp: string): void {
         const { state } = this.options;
-        const senderId = state.findRouter(senderIp);
+        this.handleKnown(senderIp, decodeTotalsMessage(data), (senderId, message) =>
+            state.applyTotals(senderId, message),
+        );
+    }
+
+    private handleRolloutDatagram(data: Buffer, senderIp: string): void {
+        const { onDidReceiveRolloutMessage } = this.options;
+        this.handleKnown(senderIp, decodeRolloutMessage(data), onDidReceiveRolloutMessage);
+    }
+
+    /** Hands a message on if its sender is a known router. */
+    private handleKnown<T>(
+        senderIp: string,
+        message: Result<T, Error>,
+        handle: (senderId: string, message: T) => void,
+    ): void {
+        const senderId = this.options.state.findRouter(senderIp);
         if (senderId === undefined) {
             this.reportFault("from an unknown router");
             return;
         }
-        decodeTotalsMessage(data).match(
-            message => state.applyTotals(senderId, message),
+        message.match(
+            value => handle(senderId, value),
             error => this.reportFault(error.message),
         );
     }
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -61,8 +61,8 @@
     readonly outputTokens: number;
     /** What it counts against its account's share. */
     readonly chargedTokens: number;
-    /** Targets that it was already sent to. */
-    readonly isTried: TargetFilter;
+    /** Targets that it must not go to. */
+    readonly isLeftOut: TargetFilter;
     readonly getTimeLeftMs: () => number;
 }
 
@@ -173,8 +173,8 @@
     }
 
     private select(services: readonly string[], mostUse: number): Selection | undefined {
-        const { routed, selector, isTried } = this.options;
-        return selector.select(services, routed.head, routed.route.hasPrompts, isTried, mostUse);
+        const { routed, selector, isLeftOut } = this.options;
+        return selector.select(services, routed.head, routed.route.hasPrompts, isLeftOut, mostUse);
     }
 
     /** Without an owner this router goes by what it believes of the target. */
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -6,11 +6,12 @@
 import { Attempt, type AttemptOutcome, type StopReason, type UnrunReason } from "./attempt.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { EventStreamRelay } from "./eventStreamRelay.js";
-import { FlowEndings, type FlowEnd } from "./flowEndings.js";
+import { describeSelection, FlowEndings, type FlowEnd } from "./flowEndings.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { AnswerRelay, StoredAnswer } from "./relay.js";
 import { RequestRetries } from "./requestRetries.js";
 import type { RequestWatch } from "./quarantine/requestWatch.js";
+import type { RequestVersions } from "./rollouts/requestVersions.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import { computeSilenceLimit, SilenceTimer } from "./silenceTimer.js";
 import type { Target } from "./target.js";
@@ -24,7 +25,7 @@
  */
 const freshConnectionMs = 250;
 const anyIdleMs = 60_000;
-/** A send that is not asked for is booked whatever the target has to do. */
+/** A send that is not asked for is booked in any case. */
 const anyBounds = { mostWaitMs: 0, mostUse: 1 };
 const mostUnrunAttempts = 4;
 
@@ -34,6 +35,7 @@
     private readonly selector: TargetSelector;
     private readonly relay: AnswerRelay;
     private readonly tried = new Set<Target>();
+    private versions: RequestVersions | undefined;
     /** Targets tried and how each attempt ended, for the log. */
     private readonly history: string[] = [];
     private readonly deadlineAtMs: number;
@@ -72,19 +74,9 @@
         this.endings = new FlowEndings(caller, context.codec, head.requestId, this.relay, () => ({
             attempts: this.tried.size,
             tried: this.history,
-            target: this.selection?.target.id,
-            service: this.selection?.service.name,
-            expectedMs: this.selection?.expectedMs,
-            tokensAhead: this.selection?.tokensAhead,
-            newTokens: this.selection?.newTokens,
-            fetchedTokens: this.selection?.fetch?.tokens,
-            engineUse: this.selection?.grant?.use,
+            ...describeSelection(this.selection),
             readingShare: this.findReadingShare()?.current,
-            objectiveMs: route.objectiveMs,
-            pauseObjectiveMs: route.pauseObjectiveMs,
-            firstOutputMs: this.timing.firstOutputMs,
-            longestPauseMs: this.timing.longestPauseMs,
-            timeliness: this.timing.timeliness,
+            ...this.timing.facts,
             ...this.admission,
             askedTokens: this.charge.askedTokens,
             servedTokens: this.charge.servedTokens,
@@ -113,6 +105,7 @@
 
     private async runAttempts(): Promise<FlowEnd> {
         const services = this.selector.orderServices(this.routed.route);
+        this.versions = this.context.rollouts.open(services[0], this.routed.route.name);
         this.recordFirst(services[0]);
         for (;;) {
             const selection = this.sent === 0 ? await this.selectFirst(services) : this.selectNext(services);
@@ -135,7 +128,8 @@
     /** The target for a further send; its owner is informed, and not asked. */
     private selectNext(services: readonly string[]): Selection | undefined {
         const { head, route } = this.routed;
-        const selection = this.selector.select(services, head, route.hasPrompts, target => this.tried.has(target));
+        this.versions?.chooseBaseline();
+        const selection = this.selector.select(services, head, route.hasPrompts, target => this.isLeftOut(target));
         if (selection === undefined || selection.tokensAhead === 0) {
             this.selection = selection ?? this.selection;
             return selection;
@@ -150,8 +144,11 @@
             bounds: anyBounds,
             spanMs: route.pauseObjectiveMs,
         });
-        this.selection = { ...selection, grant };
-        return this.selection;
+        return (this.selection = { ...selection, grant });
+    }
+
+    private isLeftOut(target: Target): boolean {
+        return this.tried.has(target) || this.versions?.isAllowed(target) === false;
     }
 
     /** Counts what is asked: the request at the service it goes to first, and its tokens with its account. */
@@ -171,10 +168,14 @@
             selector,
             outputTokens: this.charge.outputTokens,
             chargedTokens: this.charge.askedTokens,
-            isTried: target => this.tried.has(target),
+            isLeftOut: target => this.isLeftOut(target),
             getTimeLeftMs: () => this.deadlineAtMs - context.clock.nowMs(),
         });
         const admitted = await new Promise<AdmittedSelection>(resolve => admission.check(services, resolve));
+        if (admitted.selection === undefined && this.versions?.hasFallback === true) {
+            this.versions.chooseBaseline();
+            return this.selectFirst(services);
+        }
         this.admission = admitted.facts;
         if (admitted.selection === undefined) {
             return this.endings.refuse(admitted.reason, admitted.retryAfterMs);
@@ -228,6 +229,7 @@
             return { kind: "stopped", reason: this.stopReason };
         }
         this.charge.recordServed();
+        this.versions?.recordSent();
         const outcome = await attempt.run(connection, {
             method: method ?? "GET",
             path: url ?? "/",
@@ -244,9 +246,7 @@
     private handleOutput(send: TargetSend, isFirst: boolean): void {
         this.timing.recordOutput(this.context.clock.nowMs());
         this.watchSilence();
-        if (isFirst) {
-            send.handleFirstOutput();
-        }
+        send.handleOutput(isFirst);
     }
 
     /** The request's end, or undefined to try again. */
--- /dev/null
+++ b/src/gateway/rollouts/rollouts.ts
@@ -0,0 +1,290 @@
+import { CancellationTokenSource } from "../../base/cancellation.js";
+import type { Clock } from "../../base/clock.js";
+import { DisposableStore, type Disposable } from "../../base/lifecycle.js";
+import type { Logger } from "../../base/log.js";
+import type { Random } from "../../base/random.js";
+import type { SetTimer } from "../../base/timers.js";
+import type { ExposureLimit } from "../../decisions/rollouts/exposureBudget.js";
+import type { RolloutVerdict } from "../../decisions/rollouts/rolloutJudge.js";
+import type { RouteEvidence, VersionSample } from "../../decisions/rollouts/versionEvidence.js";
+import type { PeerView } from "../peers/peerView.js";
+import type { Target } from "../target.js";
+import type { TargetDirectory } from "../targetDirectory.js";
+import type { AttemptOutcome } from "../attempt.js";
+import { Registry } from "../registry.js";
+import { AnswerPace, type AnswerTimes } from "./answerPace.js";
+import { RequestVersions, type VersionSource } from "./requestVersions.js";
+import { RolloutDecider } from "./rolloutDecider.js";
+import type { RolloutMessage } from "./rolloutMessage.js";
+import type { RolloutOrder, RolloutRecords, RolloutStatus } from "./rolloutRecords.js";
+import { ServiceRollout } from "./serviceRollout.js";
+
+/** Sends a router's reports; undelivered ones are made up for by the next. */
+export interface RolloutTransport {
+    sendRollout(routerId: string, message: RolloutMessage): void;
+}
+
+/** What a {@link Rollouts} needs. */
+export interface RolloutsOptions {
+    readonly ownId: string;
+    readonly peers: Pick<PeerView, "routers" | "conditions">;
+    readonly directory: Pick<TargetDirectory, "listOpen" | "listAll" | "findService">;
+    readonly records: RolloutRecords;
+    readonly transport: RolloutTransport;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly setTimer: SetTimer;
+    readonly logger: Logger;
+    readonly getLimit: () => ExposureLimit;
+}
+
+/** How a roll-out stands, for people. */
+export interface RolloutView {
+    readonly service: string;
+    readonly version: string;
+    readonly state: RolloutStatus["state"] | "ordered";
+    readonly step: RolloutStatus["step"];
+    readonly reason: string;
+    readonly ageMs: number;
+    readonly durationMs: number;
+    /** Undefined at a router that does not sum up the evidence. */
+    readonly verdict: RolloutVerdict | undefined;
+    /** Sums over the fleet at a router that has a verdict, and this router's own counts elsewhere. */
+    readonly routes: readonly RouteEvidence[];
+}
+
+/** A send that has ended. */
+export interface ObservedSend {
+    readonly target: Target;
+    readonly route: string;
+    readonly outcome: AttemptOutcome;
+    readonly times: AnswerTimes;
+    readonly sentAtMs: number;
+}
+
+/** A target that has just started is slow, whatever its version; milliseconds. */
+const warmUpMs = 3_000;
+const firstServerFault = 500;
+/** How often routers report, and look whether a step is due; milliseconds. */
+const tickMs = 250;
+
+/** The roll-outs of all services: which version requests go to, what is observed of it, and how it goes on. */
+export class Rollouts implements VersionSource, Disposable {
+    private readonly store = new DisposableStore();
+    private readonly lifetime = this.store.add(new CancellationTokenSource());
+    private readonly byService = new Map<string, ServiceRollout>();
+    private readonly paces = new Registry(() => new AnswerPace());
+    private readonly deciders = new Map<string, RolloutDecider>();
+    private readonly incarnation: number;
+    private timer: Disposable | undefined;
+
+    public constructor(private readonly options: RolloutsOptions) {
+        this.incarnation = options.clock.nowDate().getTime();
+    }
+
+    public get directory(): RolloutsOptions["directory"] {
+        return this.options.directory;
+    }
+
+    public get random(): Random {
+        return this.options.random;
+    }
+
+    /** Chooses the versions that a request on the route may go to; `service`: where it goes first. */
+    public open(service: string | undefined, route: string): RequestVersions {
+        return new RequestVersions(this, service, route);
+    }
+
+    /** Whether the target's version is not one that may be bad: what such a target has read is not copied elsewhere. */
+    public isTrusted(target: Target): boolean {
+        const rollout = this.byService.get(target.entry.service);
+        return (
+            rollout === undefined ||
+            rollout.status?.state === "complete" ||
+            rollout.findRole(target.entry.version) === "baseline"
+        );
+    }
+
+    /** Takes how a send ended: evidence on a version that is rolled out, and what is usual. */
+    public observe(send: ObservedSend): void {
+        const result = describeOutcome(send.outcome);
+        if (result === undefined) {
+            return;
+        }
+        const { target, route, times, sentAtMs } = send;
+        const rollout = this.byService.get(target.entry.service);
+        const isCandidate = rollout?.isCandidate(target) === true && !rollout.hasEnded;
+        const pace = this.paces.find(`${target.entry.service} ${route}`);
+        const isWarm = sentAtMs >= Math.max(target.coldUntilMs, target.joinedAtMs + warmUpMs);
+        const isSlow = isWarm && result !== "broken" && pace.isSlow(times);
+        if (!isCandidate && result === "ok") {
+            pace.observe(times);
+        }
+        rollout?.observe({ route, isCandidate, targetHash: target.idHash, result, isSlow });
+    }
+
+    public findRollout(service: string): ServiceRollout | undefined {
+        return this.byService.get(service);
+    }
+
+    /** Takes the operators' order for a service; undefined: they took it back. */
+    public applyOrder(service: string, order: RolloutOrder | undefined): void {
+        const known = this.byService.get(service);
+        if (order === undefined) {
+            known?.withdraw();
+            return;
+        }
+        if (known?.order.version === order.version && !known.isWithdrawn) {
+            return;
+        }
+        const { peers, clock, logger, getLimit, records } = this.options;
+        const { routerIds, unheard } = peers.routers;
+        const isAgain = known?.order.version === order.version;
+        const rejected = isAgain ? known.rejectedVersions : (known?.listRejectedForNext() ?? []);
+        const rollout = new ServiceRollout(order, getLimit(), routerIds.length + unheard, rejected, clock);
+        if (isAgain && known.status !== undefined) {
+            rollout.applyStatus(known.status);
+        }
+        logger.write("info", "a roll-out is ordered", { ...order, rejected: rejected.join(" ") });
+        this.byService.set(service, rollout);
+        this.deciders.set(
+            service,
+            new RolloutDecider(rollout, { records, clock, logger, token: this.lifetime.token, source: this }),
+        );
+        this.startTimer();
+    }
+
+    /** Takes what the store holds of a service's roll-out. */
+    public applyStatus(status: RolloutStatus): void {
+        this.byService.get(status.service)?.applyStatus(status);
+    }
+
+    /** The store came back from an older copy: an end that it lost must not be forgotten. */
+    public handleRewind(): void {
+        this.deciders.forEach(decider => decider.handleRewind());
+        this.startTimer();
+    }
+
+    /** Takes another router's report. */
+    public applyMessage(senderId: string, message: RolloutMessage): void {
+        const rollout = this.byService.get(message.service);
+        if (rollout === undefined || rollout.order.version !== message.version) {
+            return;
+        }
+        rollout.applyAge(message.ageMs);
+        if (message.isBad) {
+            rollout.recordBad();
+        }
+        this.deciders.get(message.service)?.applyMessage(senderId, message);
+    }
+
+    /** What the new version's targets that take requests and are warm can do, over what the old version's can. */
+    public computeCapacityRatio(rollout: ServiceRollout): number {
+        const nowMs = this.options.clock.nowMs();
+        let candidate = 0;
+        let baseline = 0;
+        for (const target of this.options.directory.listOpen(rollout.order.service)) {
+            const role = rollout.findRole(target.entry.version);
+            candidate += role === "candidate" && target.coldUntilMs <= nowMs ? target.slots : 0;
+            baseline += role === "baseline" ? target.slots : 0;
+        }
+        return baseline === 0 ? (candidate === 0 ? 0 : Number.POSITIVE_INFINITY) : candidate / baseline;
+    }
+
+    /** This router's requests under way at the old version. */
+    public countBaselineRunning(rollout: ServiceRollout): number {
+        return this.listTargets(rollout)
+            .filter(target => rollout.findRole(target.entry.version) !== "candidate")
+            .reduce((sum, target) => sum + target.ownRunning, 0);
+    }
+
+    /** All known targets of the roll-out's service. */
+    public listTargets(rollout: ServiceRollout): readonly Target[] {
+        return this.options.directory.listAll().filter(({ entry }) => entry.service === rollout.order.service);
+    }
+
+    public listAll(): readonly RolloutView[] {
+        return [...this.byService.values()].map(rollout => {
+            const { order, status, step, ageMs } = rollout;
+            const decider = this.deciders.get(order.service);
+            return {
+                service: order.service,
+                version: order.version,
+                state: status?.state ?? "ordered",
+                step,
+                reason: status?.reason ?? "",
+                ageMs: Math.round(ageMs),
+                durationMs: order.durationMs,
+                verdict: decider?.verdict,
+                routes: decider?.routes ?? rollout.evidence.routes,
+            };
+        });
+    }
+
+    public dispose(): void {
+        this.lifetime.cancel();
+        this.timer?.dispose();
+        this.store.dispose();
+    }
+
+    private startTimer(): void {
+        this.timer ??= this.options.setTimer(tickMs, () => {
+            this.timer = undefined;
+            this.sendReports();
+        });
+    }
+
+    private sendReports(): void {
+        const routerIds = [this.options.ownId, ...this.options.peers.conditions.keys()];
+        let isActive = false;
+        for (const [service, rollout] of this.byService) {
+            const decider = this.deciders.get(service);
+            if (decider !== undefined && decider.isActive && this.directory.findService(service) !== undefined) {
+                isActive = true;
+                const message = this.createMessage(rollout);
+                const addressees = decider.chooseDeciders(routerIds, this.options.ownId);
+                decider.applyMessage(this.options.ownId, message);
+                for (const routerId of message.isBad ? routerIds : addressees) {
+                    if (routerId !== this.options.ownId) {
+                        this.options.transport.sendRollout(routerId, message);
+                    }
+                }
+                decider.advance(routerIds);
+            } else if (decider?.isActive === true) {
+                isActive = true;
+            }
+        }
+        if (isActive) {
+            this.startTimer();
+        }
+    }
+
+    private createMessage(rollout: ServiceRollout): RolloutMessage {
+        return {
+            incarnation: this.incarnation,
+            service: rollout.order.service,
+            version: rollout.order.version,
+            ageMs: rollout.ageMs,
+            step: rollout.step,
+            baselineRunning: this.countBaselineRunning(rollout),
+            isBad: rollout.isBad,
+            evidence: rollout.evidence,
+        };
+    }
+}
+
+/** What a send's end says of its target's version; undefined: nothing. */
+function describeOutcome(outcome: AttemptOutcome): VersionSample["result"] | undefined {
+    switch (outcome.kind) {
+        case "answered":
+            return "ok";
+        case "failed":
+            return outcome.answer.status >= firstServerFault ? "failed" : "ok";
+        case "broken":
+            return "broken";
+        case "stopped":
+            return outcome.reason === "silent" || outcome.reason === "deadline" ? "failed" : undefined;
+        case "not-run":
+            return undefined;
+    }
+}
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -54,6 +54,13 @@
         overage: z.number().positive().default(1),
         slack: z.number().min(0),
     }),
+    /** What a version that may be bad gets while it is rolled out: `share` of its service's requests, and `slack` on top. */
+    exposure: z
+        .object({
+            share: z.number().positive().max(1).default(0.1),
+            slack: z.number().min(0).default(0),
+        })
+        .default({ share: 0.1, slack: 0 }),
     /** Span over which an account's fair share is worked out. */
     shareWindowSeconds: z.number().positive().default(4),
     logLevel: z.enum(logLevels).default("info"),
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -233,6 +233,7 @@
             this.options.logger.write("info", "a target was started anew", { target: id });
             known.clearParts();
             known.connections.closeIdle();
+            known.joinedAtMs = this.options.clock.nowMs();
             this.setCold(known, this.services.get(entry.service)?.coldStartMs ?? 0);
         }
         known.applyEntry(entry);
@@ -288,18 +289,20 @@
             connectionLimits,
             this.availabilities,
         );
+        target.joinedAtMs = this.options.clock.nowMs();
         this.setCold(target, entry.coldLeftMs);
         this.targets.set(entry.id, target);
         this.byHash.set(target.idHash, target);
         const known = this.byService.get(entry.service) ?? [];
         known.push(target);
         this.byService.set(entry.service, known);
-        const { id, service, address, dataCentre, state, coldLeftMs } = entry;
+        const { id, service, address, dataCentre, version, state, coldLeftMs } = entry;
         this.options.logger.write("info", "a target joined", {
             target: id,
             service,
             address,
             dataCentre,
+            version,
             state,
             coldLeftMs,
         });
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -179,7 +179,10 @@
     /** Engines that others may copy from; one that fails or is about to go would make the request wait for nothing. */
     private listSources(service: ServedService): readonly Target[] {
         const nowMs = this.context.clock.nowMs();
-        return this.context.directory.listOpen(service.name).filter(target => target.circuit.canStart(nowMs));
+        const { directory, rollouts } = this.context;
+        return directory
+            .listOpen(service.name)
+            .filter(target => target.circuit.canStart(nowMs) && rollouts.isTrusted(target));
     }
 
     private selectPlain(service: ServedService, candidates: readonly Target[]): Selection | undefined {
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -8,7 +8,7 @@
 export interface TargetSendOptions {
     readonly context: GatewayContext;
     readonly selection: Selection;
-    readonly routed: Pick<RoutedRequest, "head" | "figures">;
+    readonly routed: Pick<RoutedRequest, "head" | "figures" | "route">;
     readonly sendId: string;
     /** Tokens that it is expected to generate. */
     readonly outputTokens: number;
@@ -24,11 +24,14 @@
     private readonly startedAtMs: number;
     private readonly newParts: readonly string[];
     private isWaiting = true;
+    private firstOutputMs: number | undefined;
+    private outputs = 0;
 
     private readonly context: GatewayContext;
     private readonly selection: Selection;
     private readonly sendId: string;
     private readonly figures: RoutedRequest["figures"];
+    private readonly route: string;
 
     /** Use {@link openTargetSend}, which checks first. */
     public constructor({ context, selection, routed, sendId, outputTokens }: TargetSendOptions) {
@@ -36,6 +39,7 @@
         this.selection = selection;
         this.sendId = sendId;
         this.figures = routed.figures;
+        this.route = routed.route.name;
         const { target, newTokens } = selection;
         this.startedAtMs = context.clock.nowMs();
         target.ownRunning += 1;
@@ -47,7 +51,15 @@
         target.recordOwnWritten(newTokens + (selection.fetch?.tokens ?? 0) + outputTokens);
     }
 
-    public handleFirstOutput(): void {
+    public handleOutput(isFirst: boolean): void {
+        this.outputs += 1;
+        if (isFirst) {
+            this.handleFirstOutput();
+        }
+    }
+
+    private handleFirstOutput(): void {
+        this.firstOutputMs = this.context.clock.nowMs() - this.startedAtMs;
         const { target, tokensAhead, newTokens, service, fetch, grant } = this.selection;
         this.endWaiting();
         this.figures.record("begun");
@@ -78,10 +90,22 @@
                 // An answer of its own, such as a caller's fault, says nothing of whether the target can be reached.
                 this.selection.target.circuit.observeNeutralEnd(this.sendId);
         }
+        this.observeVersion(outcome);
         this.selection.grant?.report(outcome.kind === "not-run" ? "not-run" : "ended");
         this.end();
     }
 
+    /** What the send shows of the version of its target's software. */
+    private observeVersion(outcome: AttemptOutcome): void {
+        const { target, expectedMs } = this.selection;
+        const { firstOutputMs, outputs } = this;
+        const tookMs = this.context.clock.nowMs() - this.startedAtMs;
+        const msPerOutput =
+            firstOutputMs === undefined || outputs < 2 ? undefined : (tookMs - firstOutputMs) / (outputs - 1);
+        const times = { firstOutputMs: firstOutputMs ?? tookMs, expectedMs, msPerOutput };
+        this.context.rollouts.observe({ target, route: this.route, outcome, times, sentAtMs: this.startedAtMs });
+    }
+
     private recordSuccess(): void {
         const { target, tokensAhead } = this.selection;
         target.circuit.observeSuccess();
--- a/test/fakes/usersPlatform/storeServer.ts
+++ b/test/fakes/usersPlatform/storeServer.ts
@@ -19,6 +19,8 @@
     /** Calls that got 503. */
     public refused = 0;
     public pageSize = 500;
+    /** Appends take effect, and their answers are lost. */
+    public losesAppendAnswers = false;
     /** Rises each time that the store comes back from an older copy. */
     private era = 1;
 
@@ -48,6 +50,21 @@
         }
     }
 
+    /** The newest value of a key; undefined without one. */
+    public read(topicName: string, key: string): object | undefined {
+        const value = this.openTopic(topicName).newest.get(key)?.value;
+        return value === undefined ? undefined : (JSON.parse(value.toString()) as object);
+    }
+
+    /** All values of a key that were ever written, in order. */
+    public readHistory(topicName: string, key: string): readonly object[] {
+        return this.openTopic(topicName).records.flatMap(record => {
+            const keyEnd = 1 + record[0];
+            const isKey = record.subarray(1, keyEnd).toString() === key;
+            return isKey && record.length > keyEnd ? [JSON.parse(record.subarray(keyEnd).toString()) as object] : [];
+        });
+    }
+
     /** Whether any key of a topic has a value. */
     public hasKeys(topicName: string): boolean {
         return this.openTopic(topicName).newest.size > 0;
@@ -112,7 +129,9 @@
         if (url.pathname === "/api/log-newest") {
             this.answerNewest(topic, url.searchParams.get("after") ?? undefined, response);
         } else if (url.pathname === "/api/log-append") {
-            void this.answerAppend(url.searchParams.get("topic") ?? "", request, response);
+            const at = url.searchParams.get("at") ?? undefined;
+            const topicName = url.searchParams.get("topic") ?? "";
+            void this.answerAppend(topicName, at === undefined ? undefined : Number(at), request, response);
         } else if (url.pathname === "/api/log-read") {
             const from = Number(url.searchParams.get("from"));
             this.answerRead(topic, from, Number(url.searchParams.get("wait_ms") ?? 0), response);
@@ -121,12 +140,26 @@
         }
     }
 
-    /** Takes one record of a keyed topic: its length, the key's length, the key, the value. */
-    private async answerAppend(topicName: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    /** Takes one record of a keyed topic: its length, the key's length, the key, the value. `at`: the end that it needs. */
+    private async answerAppend(
+        topicName: string,
+        at: number | undefined,
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<void> {
         const chunks: Buffer[] = [];
         for await (const chunk of request) {
             chunks.push(chunk as Buffer);
         }
+        const { firstOffset, records } = this.openTopic(topicName);
+        const endOffset = firstOffset + records.length;
+        if (at !== undefined && at !== endOffset) {
+            response.writeHead(412).end(JSON.stringify({ end_offset: endOffset }));
+            return;
+        }
+        if (this.losesAppendAnswers) {
+            request.socket.destroy();
+        }
         const record = Buffer.concat(chunks).subarray(4);
         const keyEnd = 1 + record[0];
         const value = record.subarray(keyEnd).toString();
--- a/test/gateway/coldTarget.test.ts
+++ b/test/gateway/coldTarget.test.ts
@@ -74,6 +74,7 @@
                 slots: 8,
                 state: "ready",
                 coldLeftMs: 60_000,
+                version: undefined,
                 startedAtMs: undefined,
             },
         ],
@@ -117,7 +118,7 @@
         selector,
         outputTokens: 10,
         chargedTokens: 0,
-        isTried: () => false,
+        isLeftOut: () => false,
         getTimeLeftMs: () => 8_000,
     });
     admission.check([service], outcome => {
--- a/test/gateway/grants/grantClient.test.ts
+++ b/test/gateway/grants/grantClient.test.ts
@@ -41,6 +41,7 @@
             slots: 8,
             state: "ready",
             coldLeftMs: 0,
+            version: undefined,
             startedAtMs: undefined,
         },
     });
--- a/test/gateway/grants/grantOwner.test.ts
+++ b/test/gateway/grants/grantOwner.test.ts
@@ -39,7 +39,15 @@
         connectionLimits: { connectTimeoutMs: 1, mostAnswerBytes: 1 },
         getHealth: () => undefined,
     });
-    const entry = { id, service: "engines", address: "10.1.0.1:1", dataCentre: "a", slots: 8, coldLeftMs: 0 };
+    const entry = {
+        id,
+        service: "engines",
+        address: "10.1.0.1:1",
+        dataCentre: "a",
+        slots: 8,
+        coldLeftMs: 0,
+        version: "v1",
+    };
     directory.applyChange({ kind: "target", id, entry: { ...entry, state: "ready", startedAtMs } });
     const firstTokenModels = new Registry(() => new FirstTokenModel());
     const readingShares = new Registry(() => new ReadingShare());
--- /dev/null
+++ b/test/gateway/rollouts/rollouts.test.ts
@@ -0,0 +1,176 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { TargetServer } from "../../fakes/usersPlatform/targetServer.js";
+import { GatewayFixture, waitUntil } from "../gatewayFixture.js";
+
+const fixture = { current: new GatewayFixture() };
+const order = { service: "app", target: "v2", duration_s: 4 };
+const exposure = { share: 0.1, slack: 20 };
+const orderKey = "rollout/app";
+const callPauseMs = 4;
+
+interface WrittenStatus {
+    readonly state: string;
+    readonly step: string;
+    readonly target: string;
+}
+
+beforeEach(async () => {
+    fixture.current = new GatewayFixture();
+    await fixture.current.start();
+});
+
+afterEach(() => fixture.current.dispose());
+
+async function addTargets(version: string, count: number): Promise<readonly TargetServer[]> {
+    const indexes = [...Array(count).keys()];
+    return Promise.all(indexes.map(index => fixture.current.addTarget("app", `app-${version}-${index}`, { version })));
+}
+
+function readStatus(): WrittenStatus | undefined {
+    return fixture.current.store.read("keyed.status", orderKey) as WrittenStatus | undefined;
+}
+
+function listSteps(): readonly string[] {
+    const written = fixture.current.store.readHistory("keyed.status", orderKey) as readonly WrittenStatus[];
+    return written.map(({ state, step, target }) => (state === "running" ? step : `${state} ${target}`));
+}
+
+function countRan(targets: readonly TargetServer[]): number {
+    return targets.reduce((sum, target) => sum + target.ran.length, 0);
+}
+
+/** Sends requests on two routes, at all routers by turns, until the condition holds; returns how many, and the failures. */
+async function sendUntil(check: () => boolean): Promise<{ readonly sent: number; readonly failed: number }> {
+    const routers = fixture.current.routers.length;
+    const answers: Promise<boolean>[] = [];
+    while (!check()) {
+        const path = answers.length % 3 === 0 ? "/book/" : "/find/";
+        const headers = { "x-lynxarch-attempt-id": `r${answers.length}` };
+        const answer = fixture.current.send({ path, headers }, answers.length % routers);
+        answers.push(answer.then(({ status }) => status === 200));
+        await new Promise(resolve => setTimeout(resolve, callPauseMs));
+    }
+    const results = await Promise.all(answers);
+    return { sent: results.length, failed: results.filter(isOk => !isOk).length };
+}
+
+function hasEnded(): boolean {
+    const state = readStatus()?.state;
+    return state !== undefined && state !== "running";
+}
+
+describe("a roll-out", () => {
+    it("of a sound version completes once nothing runs at the old one, and no request fails", async () => {
+        const old = await addTargets("v1", 2);
+        const next = await addTargets("v2", 2);
+        await fixture.current.addRouter({ exposure });
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.write("keyed.op", orderKey, order);
+        const { failed } = await sendUntil(hasEnded);
+        const ranAtOld = countRan(old);
+        const ranAtNext = countRan(next);
+        const later = await sendUntil(() => countRan(next) - ranAtNext > 20);
+        expect(listSteps()).toEqual(["canary", "ramp", "switch", "complete v2"]);
+        expect({ failed: failed + later.failed, ranAtOld: countRan(old) - ranAtOld }).toEqual({
+            failed: 0,
+            ranAtOld: 0,
+        });
+    });
+
+    // A version that fails a part of its requests must be taken back, with no more requests than the exposure allows.
+    it("of a version that fails is rolled back within its exposure", async () => {
+        await addTargets("v1", 2);
+        const bad = await addTargets("v2", 2);
+        let count = 0;
+        bad.forEach(target => (target.chooseScript = () => (count++ % 2 === 0 ? "error" : "serve")));
+        await fixture.current.addRouter({ exposure });
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.write("keyed.op", orderKey, order);
+        const { sent } = await sendUntil(hasEnded);
+        const ranAtEnd = countRan(bad);
+        let more = 0;
+        await sendUntil(() => ++more > 50);
+        expect(listSteps().at(-1)).toBe("rolled_back v2");
+        expect(ranAtEnd).toBeLessThan(exposure.share * sent + exposure.slack);
+        expect(countRan(bad) - ranAtEnd).toBeLessThanOrEqual(1);
+    });
+
+    it("that is taken back while it runs is rolled back", async () => {
+        await addTargets("v1", 1);
+        await addTargets("v2", 1);
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.write("keyed.op", orderKey, order);
+        await waitUntil(() => readStatus() !== undefined);
+        fixture.current.store.write("keyed.op", orderKey, undefined);
+        await waitUntil(hasEnded);
+        expect(listSteps()).toEqual(["canary", "rolled_back v2"]);
+    });
+
+    // A version that was rolled back, or was replaced before it was complete, is not known to be sound and must get nothing.
+    it("of a third version sends nothing to the second", async () => {
+        await addTargets("v1", 2);
+        const replaced = await addTargets("v2", 1);
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.write("keyed.op", orderKey, order);
+        await waitUntil(() => readStatus() !== undefined);
+        fixture.current.store.write("keyed.op", orderKey, { ...order, target: "v3" });
+        await waitUntil(() => readStatus()?.target === "v3");
+        const ranBefore = countRan(replaced);
+        let count = 0;
+        await sendUntil(() => ++count > 100);
+        expect(countRan(replaced) - ranBefore).toBe(0);
+        expect(readStatus()).toMatchObject({ state: "running", target: "v3", rejected: ["v2"] });
+    });
+
+    it.each([
+        ["no JSON", "{"],
+        ["another service's", { ...order, service: "engines" }],
+        ["no version", { service: "app", duration_s: 4 }],
+    ])("whose order is %s is left aside, and all targets serve", async (...[, value]) => {
+        const targets = [...(await addTargets("v1", 1)), ...(await addTargets("v2", 1))];
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.write("keyed.op", orderKey, value);
+        await sendUntil(() => targets.every(target => target.ran.length > 0));
+        expect(readStatus()).toBeUndefined();
+    });
+
+    // Two routers that decide, and writes whose answers are lost, must not take an end back or end it twice.
+    it("goes one way while answers of the store are lost", async () => {
+        await addTargets("v1", 2);
+        await addTargets("v2", 2);
+        await fixture.current.addRouter({ exposure });
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.losesAppendAnswers = true;
+        fixture.current.store.write("keyed.op", orderKey, order);
+        await sendUntil(hasEnded);
+        expect(listSteps()).toEqual(["canary", "ramp", "switch", "complete v2"]);
+    });
+
+    // The store comes back from an older copy without the end: forgotten, a bad version would get requests again.
+    it("keeps its end where the store loses it", async () => {
+        await addTargets("v1", 1);
+        const bad = await addTargets("v2", 1);
+        bad.forEach(target => (target.usual = "error"));
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.write("keyed.op", orderKey, order);
+        await sendUntil(hasEnded);
+        fixture.current.store.removeLast("keyed.status", 1);
+        await waitUntil(hasEnded);
+        expect(readStatus()).toMatchObject({ state: "rolled_back", target: "v2" });
+    });
+
+    // A router that starts in the middle must not send to a version that was rolled back before.
+    it("that was rolled back is known to a router that starts later", async () => {
+        await addTargets("v1", 1);
+        const bad = await addTargets("v2", 1);
+        bad.forEach(target => (target.usual = "error"));
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.write("keyed.op", orderKey, order);
+        await sendUntil(hasEnded);
+        const ranBefore = countRan(bad);
+        await fixture.current.addRouter({ exposure });
+        let count = 0;
+        const { failed } = await sendUntil(() => ++count > 60);
+        expect({ failed, ran: countRan(bad) - ranBefore }).toEqual({ failed: 0, ran: 0 });
+    });
+});
