Roll-outs: watch step, times of answers, metrics, lynxarch rollouts, a model with faults

A version that breaks connections off took 8.3 s: breaks counted once a target and second, so as not to take a crash for many failures. One run of the tests over sockets also took jitter below 20 ms for a slow version.

Change: times are judged only where they say something; breaks count as failures once their target has answered later requests; once a version is shown to be sound it is watched with a third of the exposure until three fifths of the duration.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,13 @@
 import { measureFloods, printFloodFigures } from "./gateway/floodReport.js";
 import { floodScenarios } from "./gateway/floods.js";
 import { fleetSizes, measureSignals, noticedKinds, printSignalReport } from "./gateway/signalReport.js";
+import {
+    measureRollouts,
+    printRolloutFigures,
+    reportDelays,
+    rolloutSizes,
+    versionFaults,
+} from "./gateway/rolloutReport.js";
 import { ProductSystem } from "./product.js";
 import { scenarios } from "./scenarios.js";
 import { printFigures } from "./table.js";
@@ -14,6 +21,7 @@
     readonly cost?: boolean;
     readonly floods?: boolean;
     readonly signals?: boolean;
+    readonly rollouts?: boolean;
     readonly seeds: string | number;
     readonly scenario?: string;
     readonly seed: string | number;
@@ -37,6 +45,10 @@
         runSignals(options);
         return;
     }
+    if (options.rollouts === true) {
+        void runRollouts(options);
+        return;
+    }
     if (options.cost === true) {
         costSizes.forEach(size => {
             console.log(
@@ -73,6 +85,18 @@
     }
 }
 
+/** All faults of a version at all sizes and ages of reports. */
+async function runRollouts({ seeds, json }: Options): Promise<void> {
+    for (const size of rolloutSizes) {
+        for (const reportDelayMs of reportDelays) {
+            for (const fault of versionFaults) {
+                const figures = await measureRollouts(size, fault, reportDelayMs, Number(seeds));
+                console.log(json === true ? JSON.stringify(figures) : printRolloutFigures(figures));
+            }
+        }
+    }
+}
+
 /** Fleets of 4, 28 and 68 routers; one seed. */
 function runSignals({ seed, json }: Options): void {
     for (const size of fleetSizes) {
@@ -89,6 +113,7 @@
     .option("--scenario", "Run one scenario; all when left out")
     .option("--seed", "Seed of arrivals and chances; the same seed gives the same line", 1)
     .option("--floods", "Play accounts that flood routers whose news of one another is late, and exact")
+    .option("--rollouts", "versions that are sound or bad, rolled out at fleets of several sizes")
     .option("--signals", "Play engines that leave or pause, as only their answers show, by fleet size")
     .option("--seeds", "With --floods: plays seeds 1 to this", 10)
     .option("--json", "Print one JSON line per scenario")
--- a/src/cli/commandList.ts
+++ b/src/cli/commandList.ts
@@ -11,6 +11,7 @@
 import { explain } from "./commands/explain.js";
 import { heldList, heldRelease } from "./commands/held.js";
 import { keyIssue } from "./commands/keyIssue.js";
+import { rollouts } from "./commands/rollouts.js";
 import { shares } from "./commands/shares.js";
 import { status } from "./commands/status.js";
 import { targetDrain, targetResume } from "./commands/target.js";
@@ -35,6 +36,7 @@
     targetResume,
     heldList,
     heldRelease,
+    rollouts,
     accountCreate,
     keyIssue,
 ];
--- a/src/cli/commands/held.ts
+++ b/src/cli/commands/held.ts
@@ -1,17 +1,12 @@
-import { err, ok, safeTry, type Result } from "neverthrow";
+import { err, ok, safeTry } from "neverthrow";
 import { fetchHeldRequests, releaseHeldRequest } from "../../gateway/quarantine/heldRequestsApi.js";
 import { CommandFailedError, UnavailableError, UsageError, type CliError } from "../cliErrors.js";
-import type { Command, CommandOption, Invocation, Report } from "../command.js";
-import { getArgument, getText } from "../options.js";
+import type { Command, Report } from "../command.js";
+import { getArgument } from "../options.js";
+import { getRouterAddress, routerOption } from "../routerOption.js";
 import { formatTable } from "../table.js";
 
-const routerOption: CommandOption = {
-    name: "router",
-    kind: "text",
-    description: "HOST:PORT of a router's control address",
-};
 const msPerSecond = 1_000;
-const addressPattern = /^[^:\s]+:\d{1,5}$/;
 const digestPattern = /^[0-9a-f]{32}$/;
 
 /** Lists the requests that a router holds because targets crashed under them. */
@@ -21,7 +16,7 @@
     options: [routerOption],
     run: invocation =>
         safeTry<Report, CliError>(async function* () {
-            const address = yield* getRouter(invocation);
+            const address = yield* getRouterAddress(invocation);
             const held = yield* await fetchHeldRequests(address).mapErr(error => new UnavailableError(error.message));
             const rows = held.map(({ digest, incarnations, leftMs }) => [
                 digest,
@@ -39,7 +34,7 @@
     options: [routerOption],
     run: invocation =>
         safeTry<Report, CliError>(async function* () {
-            const address = yield* getRouter(invocation);
+            const address = yield* getRouterAddress(invocation);
             const digest = getArgument(invocation, 0);
             if (!digestPattern.test(digest)) {
                 return err(new UsageError("<digest> must be 32 hexadecimal digits, as in held list"));
@@ -52,10 +47,3 @@
                 : err(new CommandFailedError(`${address} knows nothing of ${digest}`));
         }),
 };
-
-function getRouter(invocation: Invocation): Result<string, UsageError> {
-    const address = getText(invocation, "router");
-    return address !== undefined && addressPattern.test(address)
-        ? ok(address)
-        : err(new UsageError("--router must be HOST:PORT"));
-}
--- a/src/decisions/rollouts/exposureBudget.ts
+++ b/src/decisions/rollouts/exposureBudget.ts
@@ -32,9 +32,9 @@
         this.credit = Math.min(1, (limit.slack * usedSlack) / Math.max(1, routerCount));
     }
 
-    /** A request for the service goes to a target, of whichever version. */
-    public recordRequest(): void {
-        this.credit = Math.min(mostCredit, this.credit + this.limit.share * usedShare);
+    /** A request for the service goes to a target, of whichever version. `part`: how much of the budget is to be used, 0 to 1. */
+    public recordRequest(part = 1): void {
+        this.credit = Math.min(mostCredit, this.credit + this.limit.share * usedShare * part);
     }
 
     /** Whether the version may get a request now. */
--- a/src/decisions/rollouts/rolloutJudge.ts
+++ b/src/decisions/rollouts/rolloutJudge.ts
@@ -25,7 +25,7 @@
 const slownessRise = 0.3;
 /** A sound version fails now and then, and some of its answers are slow; also one whose baseline shows none yet. */
 const leastFailureRate = 0.02;
-const leastSlowRate = 0.08;
+const leastSlowRate = 0.04;
 /** A baseline that does worse is in trouble of its own, and no measure. */
 const mostBaselineRate = 0.4;
 const falseAlarmRate = 0.0005;
@@ -35,8 +35,8 @@
 /** A route with a smaller part of the requests is judged with all others only. */
 const leastRoutePart = 0.03;
 
-/** Routers' reports of one crash arrive within this time; milliseconds. */
-const breakSpanMs = 1_000;
+/** Within this time routers report one crash, and know whether the target has survived; milliseconds. */
+const breakSpanMs = 5_000;
 
 interface RouteTests {
     readonly failures: SequentialTest;
@@ -63,8 +63,8 @@
             const { baseline, candidate: added } = computeIncrease(route, known);
             this.baseline.set(route.route, addCounts(this.baseline.get(route.route), baseline));
             this.candidate.set(route.route, addCounts(this.candidate.get(route.route), added));
-            if (added.requests > 0) {
-                this.observe(route.route, added, Math.min(breaks, added.requests - added.failures));
+            if (added.requests > 0 || added.failures > 0) {
+                this.observe(route.route, added, breaks);
                 breaks = 0;
             }
         }
@@ -115,15 +115,15 @@
         });
     }
 
-    private observe(route: string, { requests, failures, slow }: VersionCounts, breaks: number): void {
+    private observe(route: string, { requests, failures, timed, slow }: VersionCounts, breaks: number): void {
         const plans = this.createPlans();
-        this.pooled.failures.observe(plans.failures, requests, failures + breaks);
-        this.pooled.slow.observe(plans.slow, requests, slow);
+        this.pooled.failures.observe(plans.failures, Math.max(requests, failures + breaks), failures + breaks);
+        this.pooled.slow.observe(plans.slow, timed, slow);
         const tests = this.routes.get(route) ?? createTests();
         this.routes.set(route, tests);
         const routePlans = this.createRoutePlans(route);
-        tests.failures.observe(routePlans.failures, requests, failures);
-        tests.slow.observe(routePlans.slow, requests, slow);
+        tests.failures.observe(routePlans.failures, Math.max(requests, failures), failures);
+        tests.slow.observe(routePlans.slow, timed, slow);
     }
 
     /** At most one for each target and span: a target that crashes breaks the requests of all routers, and that is one event. */
@@ -146,7 +146,7 @@
         const total = addAll(this.baseline);
         return {
             failures: createPlan(computeRate(total.failures, total.requests, leastFailureRate), pooledRise),
-            slow: createPlan(computeRate(total.slow, total.requests, leastSlowRate), slownessRise),
+            slow: createPlan(computeRate(total.slow, total.timed, leastSlowRate), slownessRise),
         };
     }
 
@@ -154,7 +154,7 @@
         const total = this.baseline.get(route) ?? noCounts;
         return {
             failures: createPlan(computeRate(total.failures, total.requests, leastFailureRate), routeRise),
-            slow: createPlan(computeRate(total.slow, total.requests, leastSlowRate), slownessRise),
+            slow: createPlan(computeRate(total.slow, total.timed, leastSlowRate), slownessRise),
         };
     }
 }
@@ -177,6 +177,7 @@
     const difference = (now: VersionCounts, then: VersionCounts = noCounts): VersionCounts => ({
         requests: Math.max(0, now.requests - then.requests),
         failures: Math.max(0, now.failures - then.failures),
+        timed: Math.max(0, now.timed - then.timed),
         slow: Math.max(0, now.slow - then.slow),
     });
     return {
@@ -190,6 +191,7 @@
     return {
         requests: sum.requests + added.requests,
         failures: sum.failures + added.failures,
+        timed: sum.timed + added.timed,
         slow: sum.slow + added.slow,
     };
 }
--- a/src/decisions/rollouts/rolloutPlan.ts
+++ b/src/decisions/rollouts/rolloutPlan.ts
@@ -10,8 +10,10 @@
 
 /** How far a roll-out is; each step sends more requests to the new version. */
 export type RolloutStep =
-    /** A few, within the exposure that a bad version may get. */
+    /** A few, within the exposure that a bad version may get, until they show whether it is sound. */
     | "canary"
+    /** Fewer, as a fault may show later; what is left of the exposure is for the steps that follow. */
+    | "watch"
     /** A part of all. */
     | "ramp"
     /** All that its targets can take. */
@@ -47,7 +49,7 @@
 /** Part of the requests that the new version gets in the `ramp` step. */
 export const rampShare = 0.3;
 /** Parts of the duration. */
-const canaryPart = 0.5;
+const watchPart = 0.6;
 /** From here on a version that nothing speaks against need not be proved with the tests' full error rates. */
 const likelyCanaryPart = 0.62;
 const rampPart = 0.08;
@@ -69,6 +71,8 @@
     switch (progress.step) {
         case "canary":
             return chooseAfterCanary(progress);
+        case "watch":
+            return chooseAfterWatch(progress);
         case "ramp":
             return progress.stepAgeMs >= Math.max(leastRampMs, rampPart * progress.durationMs)
                 ? { next: "switch", reason: "no fault shows at a part of the load" }
@@ -79,18 +83,30 @@
 }
 
 function chooseAfterCanary(progress: RolloutProgress): RolloutDecision | undefined {
+    const { verdict, ageMs, durationMs } = progress;
+    if (verdict === "good") {
+        return { next: "watch", reason: "the version is shown to be sound" };
+    }
+    if (verdict === "likely-good" && ageMs >= likelyCanaryPart * durationMs) {
+        return { next: "watch", reason: "nothing speaks against the version" };
+    }
+    return ageMs < durationMs
+        ? undefined
+        : { next: "rolled-back", reason: "too few requests showed whether the version is sound" };
+}
+
+function chooseAfterWatch(progress: RolloutProgress): RolloutDecision | undefined {
     const { verdict, ageMs, durationMs, capacityRatio } = progress;
-    const isProved = verdict === "good" && ageMs >= canaryPart * durationMs;
-    const isLikely = verdict === "likely-good" && ageMs >= likelyCanaryPart * durationMs;
-    if ((isProved || isLikely) && capacityRatio >= leastCapacityRatio) {
-        return { next: "ramp", reason: isProved ? "the version is shown to be sound" : "nothing speaks against it" };
+    const isSound = verdict === "good" || verdict === "likely-good";
+    if (isSound && ageMs >= watchPart * durationMs && capacityRatio >= leastCapacityRatio) {
+        return { next: "ramp", reason: "no fault showed since" };
     }
     if (ageMs < durationMs) {
         return undefined;
     }
     return capacityRatio < leastCapacityRatio
         ? { next: "rolled-back", reason: "too few targets of the version take requests" }
-        : { next: "rolled-back", reason: "too few requests showed whether the version is sound" };
+        : { next: "rolled-back", reason: "a fault showed late, and may be one of the version" };
 }
 
 function chooseAfterSwitch({
--- a/src/decisions/rollouts/sequentialTest.ts
+++ b/src/decisions/rollouts/sequentialTest.ts
@@ -16,6 +16,9 @@
     readonly missRate: number;
 }
 
+/** Log-likelihood ratio of the newest samples from which a fault may have begun: two or three events in a row. */
+const leastDoubt = 1.5;
+
 /** What the samples so far show. */
 export type TestResult = "sound" | "faulty" | "open";
 
@@ -48,11 +51,12 @@
         if (this.isFaulty) {
             return "faulty";
         }
-        return this.logRatio <= Math.log(plan.missRate / (1 - plan.falseAlarmRate)) ? "sound" : "open";
+        const isShown = this.logRatio <= Math.log(plan.missRate / (1 - plan.falseAlarmRate));
+        return isShown && this.sinceSound < leastDoubt ? "sound" : "open";
     }
 
     /** Whether the samples speak for a sound population, though perhaps not yet with the error rates of the plan. */
     public isLikelySound(leastSamples: number): boolean {
-        return !this.isFaulty && this.samples >= leastSamples && this.logRatio < 0 && this.sinceSound <= 0;
+        return !this.isFaulty && this.samples >= leastSamples && this.logRatio < 0 && this.sinceSound < leastDoubt;
     }
 }
--- a/src/decisions/rollouts/versionEvidence.ts
+++ b/src/decisions/rollouts/versionEvidence.ts
@@ -4,7 +4,9 @@
     readonly requests: number;
     /** Answers that were failures of the target, or were not whole. */
     readonly failures: number;
-    /** Answers that took several times as long as was to be expected. */
+    /** Sends whose answer's time says something: neither broken off nor at a target that has just started. */
+    readonly timed: number;
+    /** Of these, answers that took several times as long as was to be expected. */
     readonly slow: number;
 }
 
@@ -28,7 +30,7 @@
 }
 
 /** Counts before the first observation. */
-export const noCounts: VersionCounts = { requests: 0, failures: 0, slow: 0 };
+export const noCounts: VersionCounts = { requests: 0, failures: 0, timed: 0, slow: 0 };
 
 /** One send that has ended. */
 export interface VersionSample {
@@ -36,7 +38,8 @@
     readonly isCandidate: boolean;
     readonly targetHash: number;
     readonly result: "ok" | "failed" | "broken";
-    readonly isSlow: boolean;
+    /** Undefined: the time of the answer says nothing. */
+    readonly isSlow: boolean | undefined;
 }
 
 /** Counts what a router observes of the two versions. */
@@ -53,7 +56,8 @@
             [side]: {
                 requests: counts.requests + 1,
                 failures: counts.failures + (result === "failed" ? 1 : 0),
-                slow: counts.slow + (isSlow ? 1 : 0),
+                timed: counts.timed + (isSlow === undefined ? 0 : 1),
+                slow: counts.slow + (isSlow === true ? 1 : 0),
             },
         });
         if (isCandidate && result === "broken") {
@@ -61,6 +65,16 @@
         }
     }
 
+    /** Requests that the target broke off turn out to be failures: it has answered later ones. */
+    public recordBreakFailures(route: string, count: number): void {
+        const before = this.routes.get(route);
+        if (before !== undefined) {
+            const { candidate } = before;
+            const failures = candidate.failures + count;
+            this.routes.set(route, { ...before, candidate: { ...candidate, failures } });
+        }
+    }
+
     public get evidence(): RolloutEvidence {
         return {
             routes: [...this.routes.values()],
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,4 +1,4 @@
-import { Hono } from "hono";
+import type { Hono } from "hono";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
 import { DisposableStore, type Disposable } from "../base/lifecycle.js";
@@ -24,7 +24,6 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService } from "./gatewayService.js";
 import { createGrants } from "./grants/createGrants.js";
-import { createHeldRequestsApp } from "./quarantine/heldRequestsApi.js";
 import { Quarantine } from "./quarantine/quarantine.js";
 import { ConnectProbe } from "./quarantine/targetProbe.js";
 import { PeerExchange } from "./peers/peerExchange.js";
@@ -34,11 +33,10 @@
 import { Registry } from "./registry.js";
 import { RequestLog } from "./requestLog.js";
 import { Rollouts } from "./rollouts/rollouts.js";
-import { createMetricsApp, createReadinessApp } from "./sideServers.js";
+import { createControlApp, createMetricsApp, createReadinessApp } from "./sideServers.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import { buildFigures, describeRouter, describeState, listAccounts } from "./gatewayState.js";
 import { Handover } from "./peers/handover.js";
-import { createHandoverApp } from "./peers/handoverApi.js";
 import { listenOn } from "../control/server.js";
 import type { GatewaySettings } from "./settings.js";
 import { TargetDirectory } from "./targetDirectory.js";
@@ -202,7 +200,7 @@
         this.callers = this.store.add(
             new CallerServer(this.service, logger, () => this.load.shouldLeaveBalancer, settings.limits),
         );
-        this.metrics = new GatewayMetrics(() => buildFigures(this.context, source, this.service, this.load));
+        this.metrics = new GatewayMetrics(() => buildFigures(this.context, source, this.service, this.rollouts));
         this.handover = this.store.add(
             new Handover({ source, logger, sleep: sleepOnTimer, listAddresses: () => this.listControlAddresses() }),
         );
@@ -248,12 +246,7 @@
             settings.readiness,
         );
         if (settings.control !== undefined) {
-            const app = new Hono();
-            app.route(
-                "/",
-                createHandoverApp(() => source.createSnapshot()),
-            );
-            app.route("/", createHeldRequestsApp(this.quarantine));
+            const app = createControlApp(() => source.createSnapshot(), this.quarantine, this.rollouts);
             await this.listenAside(app, settings.control);
         }
         if (settings.metricsPort !== undefined) {
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -1,7 +1,9 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { LoopSample } from "../decisions/admission/overload.js";
+import { RolloutMetrics } from "./rollouts/rolloutMetrics.js";
 import { AccountMetrics, type AccountReading } from "./accountMetrics.js";
 import type { EndedRequest } from "./gatewayService.js";
+import type { RolloutView } from "./rollouts/rollouts.js";
 import type { ReceivedSignal } from "./targetDirectory.js";
 
 const msPerSecond = 1_000;
@@ -20,6 +22,7 @@
     readonly heldRequests: number;
     /** Targets of each service by state. */
     readonly targets: readonly { readonly service: string; readonly state: string; readonly count: number }[];
+    readonly rollouts: readonly RolloutView[];
     readonly load: { readonly shedShare: number; readonly loop: LoopSample };
     readonly listAccounts: () => readonly AccountReading[];
 }
@@ -152,6 +155,7 @@
                 }
             },
         });
+        new RolloutMetrics(this.registry, () => this.getFigures().rollouts);
     }
 
     public get contentType(): string {
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -8,6 +8,7 @@
 import type { LoadSource } from "./loadMonitor.js";
 import type { RouterCondition } from "./peers/peerMessage.js";
 import type { GatewaySettings } from "./settings.js";
+import type { Rollouts } from "./rollouts/rollouts.js";
 import type { Target } from "./target.js";
 
 /** How a target stands in this router's eyes. */
@@ -32,8 +33,9 @@
     context: GatewayContext,
     source: FleetSource,
     { openRequests, accounts }: Pick<GatewayService, "openRequests" | "accounts">,
-    { shedShare, loop }: LoadSource,
+    rollouts: Pick<Rollouts, "listAll">,
 ): GatewayFigures {
+    const { shedShare, loop } = context.load;
     const nowMs = context.clock.nowMs();
     const out = context.directory.listDataCentresOut();
     const counts = new Map<string, { service: string; state: string; count: number }>();
@@ -51,6 +53,7 @@
         peerRound: context.peers.round,
         heldRequests: context.quarantine.listHeld().length,
         targets: [...counts.values()],
+        rollouts: rollouts.listAll(),
         load: { shedShare, loop },
         listAccounts: () => listAccounts(context, accounts),
     };
--- a/src/gateway/rollouts/answerPace.ts
+++ b/src/gateway/rollouts/answerPace.ts
@@ -15,8 +15,8 @@
 const slowFactor = 1.6;
 /** Before so many answers there is no usual time. */
 const leastSamples = 10;
-/** An answer is expected to take this long at least; milliseconds. */
-const leastExpectedMs = 20;
+/** Shorter times than this differ by chance alone; milliseconds. */
+const leastMs = 20;
 
 /** How long answers on one route usually take, and which ones take several times as long. */
 export class AnswerPace {
@@ -29,7 +29,7 @@
         this.samples += 1;
         this.firstRatio.observe(computeRatio(times));
         if (times.msPerOutput !== undefined) {
-            this.msPerOutput.observe(times.msPerOutput);
+            this.msPerOutput.observe(Math.max(leastMs, times.msPerOutput));
         }
     }
 
@@ -45,7 +45,7 @@
 }
 
 function computeRatio({ firstOutputMs, expectedMs }: AnswerTimes): number {
-    return firstOutputMs / Math.max(leastExpectedMs, expectedMs);
+    return Math.max(leastMs, firstOutputMs) / Math.max(leastMs, expectedMs);
 }
 
 function isBeyond(value: number | undefined, usual: number | undefined): boolean {
--- a/src/gateway/rollouts/requestVersions.ts
+++ b/src/gateway/rollouts/requestVersions.ts
@@ -32,7 +32,9 @@
         this.rollout = service === undefined ? undefined : source.findRollout(service);
         const { rollout } = this;
         if (rollout !== undefined) {
-            this.isCandidate = rollout.takeCandidate(route, source.random.next(), source.computeCapacityRatio(rollout));
+            this.isCandidate = rollout.takeCandidate(route, source.random.next(), () =>
+                source.computeCapacityRatio(rollout),
+            );
             this.candidates = this.isCandidate ? this.chooseTargets(rollout) : this.candidates;
             if (this.candidates.size === 0) {
                 this.chooseBaseline();
--- a/src/gateway/rollouts/rolloutMessage.ts
+++ b/src/gateway/rollouts/rolloutMessage.ts
@@ -31,11 +31,11 @@
 /** Rows of one message; keep it below the size at which networks fragment datagrams many times over. */
 const mostRoutes = 60;
 const mostTargets = 60;
-const steps = ["canary", "ramp", "switch"] as const satisfies readonly RolloutStep[];
+const steps = ["canary", "watch", "ramp", "switch"] as const satisfies readonly RolloutStep[];
 
 const count = z.number().int().min(0);
 const name = z.string().min(1).max(200);
-const counts = z.tuple([count, count, count]);
+const counts = z.tuple([count, count, count, count]);
 const wireSchema = z.tuple([
     z.literal(messageCode),
     count,
@@ -106,10 +106,10 @@
     });
 }
 
-function encodeCounts({ requests, failures, slow }: VersionCounts): [number, number, number] {
-    return [requests, failures, slow];
+function encodeCounts({ requests, failures, timed, slow }: VersionCounts): z.input<typeof counts> {
+    return [requests, failures, timed, slow];
 }
 
-function decodeCounts([requests, failures, slow]: readonly [number, number, number]): VersionCounts {
-    return { requests, failures, slow };
+function decodeCounts([requests, failures, timed, slow]: z.output<typeof counts>): VersionCounts {
+    return { requests, failures, timed, slow };
 }
--- a/src/gateway/rollouts/rollouts.ts
+++ b/src/gateway/rollouts/rollouts.ts
@@ -116,11 +116,14 @@
         const isCandidate = rollout?.isCandidate(target) === true && !rollout.hasEnded;
         const pace = this.paces.find(`${target.entry.service} ${route}`);
         const isWarm = sentAtMs >= Math.max(target.coldUntilMs, target.joinedAtMs + warmUpMs);
-        const isSlow = isWarm && result !== "broken" && pace.isSlow(times);
+        const isSlow = isWarm && result !== "broken" ? pace.isSlow(times) : undefined;
         if (!isCandidate && result === "ok") {
             pace.observe(times);
         }
         rollout?.observe({ route, isCandidate, targetHash: target.idHash, result, isSlow });
+        if (isCandidate) {
+            rollout.observeBreaks(send, result === "broken");
+        }
     }
 
     public findRollout(service: string): ServiceRollout | undefined {
--- a/src/gateway/rollouts/serviceRollout.ts
+++ b/src/gateway/rollouts/serviceRollout.ts
@@ -3,6 +3,7 @@
 import { ExposureBudget, type ExposureLimit } from "../../decisions/rollouts/exposureBudget.js";
 import { rampShare, type RolloutStep } from "../../decisions/rollouts/rolloutPlan.js";
 import type { Target } from "../target.js";
+import { PendingBreaks } from "./pendingBreaks.js";
 import type { RolloutOrder, RolloutStatus } from "./rolloutRecords.js";
 
 /** What a target's version is to a roll-out. */
@@ -12,13 +13,16 @@
     /** Named by an earlier order, and not complete. */
     | "rejected";
 
-const stepOrder: readonly RolloutStep[] = ["canary", "ramp", "switch"];
+const stepOrder: readonly RolloutStep[] = ["canary", "watch", "ramp", "switch"];
 /** Candidate requests by which one route may be ahead of the route with the fewest. */
 const mostRouteLead = 3;
+/** Part of the exposure that is used while a version that is shown to be sound is watched. */
+const watchShare = 0.35;
 
 /** One service's roll-out as this router knows it. */
 export class ServiceRollout {
     private readonly counter = new EvidenceCounter();
+    private readonly pendingBreaks = new PendingBreaks();
     private readonly budget: ExposureBudget;
     private readonly seenAtMs: number;
     private olderByMs = 0;
@@ -135,10 +139,10 @@
     }
 
     /**
-     * Whether a request on the route is to go to the new version; `point`: uniform in 0 to 1, `capacityRatio`: what the new version's
+     * Whether a request on the route is to go to the new version; `point`: uniform in 0 to 1, `getCapacityRatio`: what the new version's
      * targets can take over what the old version's do. True: {@link recordUnsent} must follow if it goes elsewhere.
      */
-    public takeCandidate(route: string, point: number, capacityRatio: number): boolean {
+    public takeCandidate(route: string, point: number, getCapacityRatio: () => number): boolean {
         if (this.currentStatus?.state === "complete") {
             return true;
         }
@@ -147,11 +151,12 @@
         }
         switch (this.step) {
             case "canary":
+            case "watch":
                 return this.takeSample(route);
             case "ramp":
-                return point < Math.min(rampShare, capacityRatio);
+                return point < Math.min(rampShare, getCapacityRatio());
             case "switch":
-                return point < capacityRatio;
+                return point < getCapacityRatio();
         }
     }
 
@@ -159,6 +164,7 @@
     public get targetPart(): number {
         switch (this.step) {
             case "canary":
+            case "watch":
                 return 0;
             case "ramp":
                 return rampShare;
@@ -168,12 +174,12 @@
     }
 
     public recordRequest(): void {
-        this.budget.recordRequest();
+        this.budget.recordRequest(this.step === "watch" ? watchShare : 1);
     }
 
     /** The request that was to go to the new version went elsewhere. */
     public recordUnsent(): void {
-        if (this.step === "canary") {
+        if (this.step === "canary" || this.step === "watch") {
             this.budget.recordUnsent();
         }
     }
@@ -184,6 +190,17 @@
         }
     }
 
+    /** Tells requests that a target of the new version broke off from those that ended with it. */
+    public observeBreaks(send: { target: Target; route: string; sentAtMs: number }, isBroken: boolean): void {
+        if (isBroken) {
+            this.pendingBreaks.record(send.target, send.route, this.clock.nowMs());
+            return;
+        }
+        for (const route of this.pendingBreaks.takeSurvived(send.target, send.sentAtMs)) {
+            this.counter.recordBreakFailures(route, 1);
+        }
+    }
+
     /** Routes with few candidate requests first, so that each is seen. */
     private takeSample(route: string): boolean {
         if (!this.budget.hasRoom) {
--- a/src/gateway/sideServers.ts
+++ b/src/gateway/sideServers.ts
@@ -1,5 +1,10 @@
 import { Hono } from "hono";
+import type { SourceSnapshot } from "./fleetSource.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
+import { createHandoverApp } from "./peers/handoverApi.js";
+import { createHeldRequestsApp, type HeldRequests } from "./quarantine/heldRequestsApi.js";
+import type { Rollouts } from "./rollouts/rollouts.js";
+import { createRolloutsApp } from "./rollouts/rolloutsApi.js";
 
 /** Path of the metrics page. */
 export const metricsPath = "/metrics";
@@ -21,3 +26,19 @@
     app.get("/state", context => context.json(describeState()));
     return app;
 }
+
+/** Serves other routers that start while the platform's store is away, and operators. */
+export function createControlApp(
+    createSnapshot: () => SourceSnapshot | undefined,
+    heldRequests: HeldRequests,
+    rollouts: Pick<Rollouts, "listAll">,
+): Hono {
+    const app = new Hono();
+    app.route("/", createHandoverApp(createSnapshot));
+    app.route("/", createHeldRequestsApp(heldRequests));
+    app.route(
+        "/",
+        createRolloutsApp(() => rollouts.listAll()),
+    );
+    return app;
+}
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -11,6 +11,7 @@
         isPlatformConnected: true,
         peers: 0,
         peerRound: { messageBytes: 0, periodMs: 100 },
+        rollouts: [],
         heldRequests: 0,
         targets: [],
         load: { shedShare: 0.1, loop: { delayMs: 30, utilization: 0.9 } },
--- /dev/null
+++ b/test/gateway/rollouts/rolloutMessage.property.test.ts
@@ -0,0 +1,47 @@
+import fc from "fast-check";
+import { expect, it } from "vitest";
+import {
+    decodeRolloutMessage,
+    encodeRolloutMessage,
+    isRolloutDatagram,
+    type RolloutMessage,
+} from "../../../src/gateway/rollouts/rolloutMessage.js";
+
+const seed = 20_261_204;
+const counts = fc.record({ requests: fc.nat(), failures: fc.nat(), timed: fc.nat(), slow: fc.nat() });
+const name = fc.string({ minLength: 1, maxLength: 30 });
+const messageArbitrary: fc.Arbitrary<RolloutMessage> = fc.record({
+    incarnation: fc.nat(),
+    service: name,
+    version: name,
+    ageMs: fc.nat(),
+    step: fc.constantFrom("canary", "watch", "ramp", "switch"),
+    baselineRunning: fc.nat(),
+    isBad: fc.boolean(),
+    evidence: fc.record({
+        routes: fc.array(fc.record({ route: name, candidate: counts, baseline: counts }), { maxLength: 10 }),
+        breaks: fc.array(fc.record({ targetHash: fc.nat(0xffffffff), breaks: fc.nat() }), { maxLength: 10 }),
+    }),
+});
+
+it("a report arrives as it was sent", () => {
+    fc.assert(
+        fc.property(messageArbitrary, message => {
+            const data = encodeRolloutMessage(message);
+            expect(isRolloutDatagram(data)).toBe(true);
+            expect(decodeRolloutMessage(data)._unsafeUnwrap()).toEqual(message);
+        }),
+        { seed, numRuns: 200 },
+    );
+});
+
+// Whatever arrives on the port must not end a router.
+it("bytes that are no report are an error", () => {
+    fc.assert(
+        fc.property(fc.uint8Array({ maxLength: 200 }), data => {
+            const decoded = decodeRolloutMessage(data);
+            expect(decoded.isErr() || decoded.isOk()).toBe(true);
+        }),
+        { seed, numRuns: 300 },
+    );
+});
--- a/test/gateway/rollouts/rollouts.test.ts
+++ b/test/gateway/rollouts/rollouts.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { fetchRollouts } from "../../../src/gateway/rollouts/rolloutsApi.js";
 import type { TargetServer } from "../../fakes/usersPlatform/targetServer.js";
 import { GatewayFixture, waitUntil } from "../gatewayFixture.js";
 
@@ -70,7 +71,7 @@
         const ranAtOld = countRan(old);
         const ranAtNext = countRan(next);
         const later = await sendUntil(() => countRan(next) - ranAtNext > 20);
-        expect(listSteps()).toEqual(["canary", "ramp", "switch", "complete v2"]);
+        expect(listSteps()).toEqual(["canary", "watch", "ramp", "switch", "complete v2"]);
         expect({ failed: failed + later.failed, ranAtOld: countRan(old) - ranAtOld }).toEqual({
             failed: 0,
             ranAtOld: 0,
@@ -95,6 +96,29 @@
         expect(countRan(bad) - ranAtEnd).toBeLessThanOrEqual(1);
     });
 
+    it("is shown to operators, with what is known of both versions", async () => {
+        await addTargets("v1", 2);
+        await addTargets("v2", 2);
+        await fixture.current.addRouter({ exposure });
+        fixture.current.store.write("keyed.op", orderKey, order);
+        await sendUntil(hasEnded);
+        const { control } = fixture.current.routers[0].settings;
+        const [view] = (await fetchRollouts(control ?? ""))._unsafeUnwrap();
+        const { state, version, reason, routes } = view;
+        expect({ state, version, reason, routes: routes.map(({ route }) => route).sort() }).toMatchInlineSnapshot(`
+          {
+            "reason": "nothing runs at the old version any more",
+            "routes": [
+              "r-book",
+              "r-find",
+            ],
+            "state": "complete",
+            "version": "v2",
+          }
+        `);
+        expect(routes.every(({ candidate, baseline }) => candidate.requests > 0 && baseline.requests > 0)).toBe(true);
+    });
+
     it("that is taken back while it runs is rolled back", async () => {
         await addTargets("v1", 1);
         await addTargets("v2", 1);
@@ -143,7 +167,7 @@
         fixture.current.store.losesAppendAnswers = true;
         fixture.current.store.write("keyed.op", orderKey, order);
         await sendUntil(hasEnded);
-        expect(listSteps()).toEqual(["canary", "ramp", "switch", "complete v2"]);
+        expect(listSteps()).toEqual(["canary", "watch", "ramp", "switch", "complete v2"]);
     });
 
     // The store comes back from an older copy without the end: forgotten, a bad version would get requests again.
