Soak: versions that are rolled out, sound and bad, and answers without end

Targets of a new version start beside the old ones, sound or with half of their answers failures; at complete the old ones stop at once. Checked: a roll-out goes one way, a bad version is never complete and stays within its exposure, and gets nothing once it was rolled back.

--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -18,6 +18,8 @@
     | "shed"
     | "error"
     | "hang"
+    /** Begins to answer, and goes on without end until the connection is closed. */
+    | "endless"
     /** Answers, and sends a second answer to the same request on the connection once the next request is there. */
     | "late-extra";
 
@@ -171,6 +173,11 @@
         if (script === "hang") {
             return;
         }
+        if (script === "endless") {
+            const { instanceId, isModel } = this;
+            sendEndlessly(response.socket ?? request.socket, received.id ?? "", instanceId, isModel);
+            return;
+        }
         response.setHeader("X-Lynxarch-Attempt-Id", received.id ?? "");
         response.setHeader("X-Lynxarch-Engine-Stamp", `stamp.${this.instanceId}`);
         if (script === "error") {
@@ -247,6 +254,24 @@
     }
 }
 
+/** An event, or a body without a length, that has no end. */
+function sendEndlessly(socket: Socket, id: string, instanceId: string, isModel: boolean): void {
+    const type = isModel ? "text/event-stream" : "text/plain";
+    socket.write(
+        `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nX-Lynxarch-Attempt-Id: ${id}\r\n` +
+            `X-Lynxarch-Engine-Stamp: stamp.${instanceId}\r\nConnection: close\r\n\r\n`,
+    );
+    const filler = Buffer.alloc(16_384, "x");
+    const writeOn = (): void => {
+        if (!socket.destroyed && socket.write(filler)) {
+            setImmediate(writeOn);
+        }
+    };
+    socket.on("drain", writeOn);
+    socket.on("error", () => undefined);
+    writeOn();
+}
+
 function toText(value: string | string[] | undefined): string | undefined {
     return Array.isArray(value) ? value[0] : value;
 }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -37,7 +37,8 @@
     const served = record.attempts.filter(({ status, isWhole }) => status === 200 && isWhole === true).length;
     const verdict = breaches.length === 0 ? "held" : "BREACHED";
     const counts = `${served} of ${record.attempts.length} served, ${plan.length} faults, recovered in ${recoveredMs} ms`;
-    console.log(`seed ${seed}: ${verdict}; ${counts}`);
+    const rollouts = record.rollouts.map(({ isBad, states }) => `${isBad ? "bad" : "sound"} ${states.at(-1) ?? "-"}`);
+    console.log(`seed ${seed}: ${verdict}; ${counts}${rollouts.map(text => `; version ${text}`).join("")}`);
     for (const { promise, evidence } of breaches.slice(0, breachesShown)) {
         console.log(`  ${promise}: ${evidence}`);
     }
--- a/test/soak/records.ts
+++ b/test/soak/records.ts
@@ -71,6 +71,20 @@
     readonly atMs: number;
 }
 
+/** An order to move a service to another version, and what the routers made of it. */
+export interface SoakRollout {
+    readonly service: string;
+    readonly version: string;
+    /** Half of the version's answers are failures. */
+    readonly isBad: boolean;
+    readonly orderedAtMs: number;
+    readonly durationMs: number;
+    /** All states that were written, in order. */
+    readonly states: readonly string[];
+    /** When the first final state was seen. */
+    readonly endedAtMs: number | undefined;
+}
+
 /** All that a run left behind. */
 export interface SoakRecord {
     readonly attempts: readonly CallerAttempt[];
@@ -79,6 +93,9 @@
     readonly words: readonly StoreWord[];
     /** Data centre of each target. */
     readonly dataCentres: ReadonlyMap<string, string>;
+    /** Software version of each target. */
+    readonly versions: ReadonlyMap<string, string>;
+    readonly rollouts: readonly SoakRollout[];
     /** Cold from the first to the second time. */
     readonly coldSpans: readonly { readonly target: string; readonly fromMs: number; readonly toMs: number }[];
     /** When everything was whole again, and the last measured calls began. */
--- a/test/soak/soakChecks.test.ts
+++ b/test/soak/soakChecks.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import type { CallerAttempt, SoakRecord, TargetArrival } from "./records.js";
+import type { CallerAttempt, SoakRecord, SoakRollout, TargetArrival } from "./records.js";
 import { checkRecord } from "./soakChecks.js";
 
 const attempt: CallerAttempt = {
@@ -38,10 +38,21 @@
     disturbances: [],
     words: [],
     dataCentres: new Map([["app-1", "dc-a"]]),
+    versions: new Map([["app-1", "v2"]]),
+    rollouts: [],
     coldSpans: [],
     healedAtMs: 20_000,
     crashes: [],
 };
+const rollout: SoakRollout = {
+    service: "app",
+    version: "v2",
+    isBad: false,
+    orderedAtMs: 5_000,
+    durationMs: 6_000,
+    states: ["running"],
+    endedAtMs: 7_000,
+};
 const stream: CallerAttempt = { ...attempt, kind: "once", path: "/once/a1" };
 const disturbed = [{ what: "router-pause router-1", scope: "router-1", fromMs: 8_000, toMs: 9_000 }];
 
@@ -89,6 +100,18 @@
             "work for a target that left",
             checkChanged({}, [arrival], { words: [{ kind: "draining", name: "app-1", atMs: 7_000 }] }),
         ],
+        [
+            "a roll-out that goes back",
+            checkChanged({}, [arrival], { rollouts: [{ ...rollout, states: ["complete", "running"] }] }),
+        ],
+        [
+            "a bad version that is complete",
+            checkChanged({}, [arrival], { rollouts: [{ ...rollout, isBad: true, states: ["complete"] }] }),
+        ],
+        [
+            "a version that was rolled back and gets more",
+            checkChanged({}, [arrival], { rollouts: [{ ...rollout, states: ["rolled_back"] }] }),
+        ],
         [
             "work for a data centre that is out",
             checkChanged({}, [arrival], { words: [{ kind: "data-centre-out", name: "dc-a", atMs: 7_000 }] }),
--- a/test/soak/soakChecks.ts
+++ b/test/soak/soakChecks.ts
@@ -1,6 +1,7 @@
 import type { Breach, CallerAttempt, SoakRecord, TargetArrival } from "./records.js";
 import { coldPerSecond, lastingKeys, timeoutMs } from "./soakOperator.js";
 import { Calmness } from "./calmness.js";
+import { checkExposure, checkOneWay, checkRolledBack } from "./rolloutChecks.js";
 import { checkFatal, checkLeaving, checkPauses } from "./signalChecks.js";
 
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -35,6 +36,8 @@
     checkColdLimit,
     checkNoReturn,
     checkLeaving,
+    checkOneWay,
+    checkExposure,
 ];
 
 /** Promises with a time bound, which hold for routers that nothing disturbs. */
@@ -48,6 +51,7 @@
     checkLost,
     checkPauses,
     checkFatal,
+    checkRolledBack,
 ];
 
 /** Compares what callers and targets saw with what is promised. */
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -6,6 +6,7 @@
 import type { SoakCallers } from "./soakCallers.js";
 import { coldStartMs, type SoakOperator } from "./soakOperator.js";
 import type { FaultKind, PlannedFault } from "./soakPlan.js";
+import type { SoakRollouts } from "./soakRollouts.js";
 import type { SoakRouter, SoakRouters } from "./soakRouters.js";
 import type { SoakTarget, SoakTargets } from "./soakTargets.js";
 
@@ -28,6 +29,7 @@
     readonly routers: SoakRouters;
     readonly operator: SoakOperator;
     readonly callers: SoakCallers;
+    readonly rollouts: SoakRollouts;
     readonly random: SeededRandom;
     readonly disturbances: Disturbance[];
 }
@@ -181,6 +183,10 @@
                     await sleepFor(fatalGapMs);
                 }
                 break;
+            case "target-version-sound":
+            case "target-version-bad":
+                await this.scene.rollouts.run(service, fault.kind === "target-version-bad");
+                break;
             case "target-moved":
                 // Its address goes to a target of the other service.
                 targets.end(target);
@@ -190,6 +196,7 @@
             case "target-grey":
             case "target-hang":
             case "target-spoilt":
+            case "target-endless":
             case "target-shed":
                 targets.setScript(target, getScript(fault), faultShare);
                 await sleepFor(fault.forMs);
@@ -245,6 +252,7 @@
         "target-grey": "error",
         "target-hang": "hang",
         "target-shed": "shed",
+        "target-endless": "endless",
     };
     return usual[kind] ?? pickFrom(spoils, pick);
 }
--- a/test/soak/soakPlan.ts
+++ b/test/soak/soakPlan.ts
@@ -40,7 +40,10 @@
 /** Drawn besides, so that the plans of earlier seeds keep their faults: what answers alone show, and requests that end targets. */
 export const signalKinds = ["target-leaves", "target-pauses", "target-fatal"] as const;
 
-export type FaultKind = (typeof faultKinds)[number] | (typeof signalKinds)[number];
+/** Drawn besides in the same way: versions that are rolled out, and answers without end. */
+export const versionKinds = ["target-version-sound", "target-version-bad", "target-endless"] as const;
+
+export type FaultKind = (typeof faultKinds)[number] | (typeof signalKinds)[number] | (typeof versionKinds)[number];
 
 /** One entry of a plan. */
 export interface PlannedFault {
@@ -60,6 +63,7 @@
 const seriesShare = 0.4;
 const seriesGapMs = 300;
 const mostSignals = 4;
+const mostVersions = 3;
 
 /** A random plan; the same for the same seed. Entries overlap and may repeat. */
 export function createPlan(random: SeededRandom, lengthMs: number): readonly PlannedFault[] {
@@ -82,9 +86,23 @@
 
 /** Targets that leave or pause, as their answers alone show; the same for the same seed. */
 export function createSignalPlan(random: SeededRandom, lengthMs: number): readonly PlannedFault[] {
-    const count = Math.floor(random.next() * (mostSignals + 1));
+    return createFaults(random, lengthMs, signalKinds, mostSignals);
+}
+
+/** Versions that are rolled out, and answers without end; the same for the same seed. */
+export function createVersionPlan(random: SeededRandom, lengthMs: number): readonly PlannedFault[] {
+    return createFaults(random, lengthMs, versionKinds, mostVersions);
+}
+
+function createFaults(
+    random: SeededRandom,
+    lengthMs: number,
+    kinds: readonly FaultKind[],
+    most: number,
+): readonly PlannedFault[] {
+    const count = Math.floor(random.next() * (most + 1));
     return Array.from({ length: count }, () => ({
-        kind: signalKinds[Math.floor(random.next() * signalKinds.length)],
+        kind: kinds[Math.floor(random.next() * kinds.length)],
         atMs: random.next() * lengthMs,
         forMs: shortestMs + random.next() * (longestMs - shortestMs),
         pick: random.next(),
--- a/test/soak/soakRouters.ts
+++ b/test/soak/soakRouters.ts
@@ -153,6 +153,8 @@
             store: { address: `127.0.0.1:${await storeLink.listen(0)}` },
             limits: { memoryMb: 350, maxDescriptors: 1_000 },
             retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 54 },
+            exposure: { share: 0.1, slack: 50 },
+            mostAnswerBytes: 1_000_000,
             coldLimit: { overage: 1.5, slack: 5 },
         };
         const settingsFile = join(this.folder, `${name}.json`);
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -5,7 +5,8 @@
 import { checkRecord } from "./soakChecks.js";
 import { SoakFaults } from "./soakFaults.js";
 import { SoakOperator } from "./soakOperator.js";
-import { createPlan, createSignalPlan, type PlannedFault } from "./soakPlan.js";
+import { createPlan, createSignalPlan, createVersionPlan, type PlannedFault } from "./soakPlan.js";
+import { SoakRollouts } from "./soakRollouts.js";
 import { SoakRouters, type RouterCrash } from "./soakRouters.js";
 import { SoakTargets } from "./soakTargets.js";
 
@@ -39,6 +40,7 @@
 const recoveryRoundMs = 700;
 const fewestInRound = 20;
 const signalSeedOffset = 1_000_000;
+const versionSeedOffset = 2_000_000;
 /** The platform's deployments allow 12 s; on a busy machine longer waits say nothing. */
 const recoverBoundMs = 12_000;
 const longestRecoveryMs = 60_000;
@@ -47,7 +49,8 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const random = new SeededRandom(options.seed);
     const signals = createSignalPlan(new SeededRandom(options.seed + signalSeedOffset), options.lengthMs);
-    const plan = [...createPlan(random, options.lengthMs), ...signals];
+    const versions = createVersionPlan(new SeededRandom(options.seed + versionSeedOffset), options.lengthMs);
+    const plan = [...createPlan(random, options.lengthMs), ...signals, ...versions];
     const routerCount = fewestRouters + Math.floor(random.next() * (mostRouters - fewestRouters + 1));
     const words: StoreWord[] = [];
     const disturbances: Disturbance[] = [];
@@ -55,6 +58,7 @@
     await store.start();
     const operator = new SoakOperator(store, words);
     const targets = new SoakTargets(store, random, words);
+    const rollouts = new SoakRollouts(store, targets);
     const routers = new SoakRouters(options.network, store.address);
     const callers = new SoakCallers(routers, operator, random);
     try {
@@ -66,7 +70,7 @@
         await routers.start(routerCount);
         await sleepFor(warmUpMs);
         callers.start(callerCount);
-        const faults = new SoakFaults({ store, targets, routers, operator, callers, random, disturbances });
+        const faults = new SoakFaults({ store, targets, routers, operator, callers, rollouts, random, disturbances });
         faults.start(plan);
         await sleepFor(options.lengthMs);
         await faults.waitForEnd();
@@ -81,6 +85,7 @@
             arrivals: targets.listArrivals(),
             disturbances,
             words,
+            rollouts: rollouts.listAll(),
             ...targets.describe(),
             healedAtMs,
             crashes: routers.crashes.filter(crash => options.includesTimed || !isEndedWhileBooting(crash)),
--- a/test/soak/soakTargets.ts
+++ b/test/soak/soakTargets.ts
@@ -10,6 +10,7 @@
     readonly id: string;
     readonly service: "engines" | "app";
     readonly dataCentre: string;
+    readonly version: string;
     readonly server: TargetServer;
     readonly link: Route;
     readonly linkPort: number;
@@ -36,6 +37,7 @@
 export class SoakTargets {
     private readonly all: SoakTarget[] = [];
     private readonly coldSpans: { target: string; fromMs: number; toMs: number }[] = [];
+    private readonly versions = new Map<string, string>();
     private count = 0;
 
     public constructor(
@@ -49,7 +51,13 @@
     }
 
     /** Starts a target. `coldMs`: how long it is cold; `linkPort`: an address that another one had. */
-    public async start(service: "engines" | "app", dataCentre: string, coldMs = 0, linkPort = 0): Promise<SoakTarget> {
+    public async start(
+        service: "engines" | "app",
+        dataCentre: string,
+        coldMs = 0,
+        linkPort = 0,
+        version = this.findVersion(service),
+    ): Promise<SoakTarget> {
         const id = `${service}-${++this.count}`;
         const server = new TargetServer(id, service === "engines");
         server.eventPauseMs = eventPauseMs;
@@ -61,6 +69,7 @@
             id,
             service,
             dataCentre,
+            version,
             server,
             link,
             linkPort: await link.listen(linkPort),
@@ -80,7 +89,7 @@
             service: target.service,
             address: `127.0.0.1:${target.linkPort}`,
             zone: target.dataCentre,
-            version: "v1",
+            version: target.version,
             slots,
             state: target.state === "draining" ? "draining" : "ready",
             cold_left_ms: Math.max(0, Math.round(target.coldUntilMs - performance.now())),
@@ -153,6 +162,24 @@
         open.filter(target => target.state === "ready").forEach(target => this.writeEntry(target));
     }
 
+    /** The version that targets of a service are replaced with. */
+    public findVersion(service: "engines" | "app"): string {
+        return this.versions.get(service) ?? "v1";
+    }
+
+    /** Targets of a version that serves the operators' order, and of those before it. */
+    public listVersion(service: "engines" | "app", version: string): readonly SoakTarget[] {
+        return this.all.filter(target => target.service === service && target.version === version);
+    }
+
+    /** The version is complete: all others stop at once, without draining. */
+    public setVersion(service: "engines" | "app", version: string): void {
+        this.versions.set(service, version);
+        this.open
+            .filter(target => target.service === service && target.version !== version)
+            .forEach(target => this.end(target));
+    }
+
     /** Lets a target answer a share of its requests in another way. */
     public setScript(target: SoakTarget, script: TargetScript, share: number): void {
         target.server.chooseScript = () => (this.random.next() < share ? script : "serve");
@@ -187,9 +214,10 @@
         );
     }
 
-    public describe(): Pick<SoakRecord, "dataCentres" | "coldSpans"> {
+    public describe(): Pick<SoakRecord, "dataCentres" | "versions" | "coldSpans"> {
         return {
             dataCentres: new Map(this.all.map(target => [target.id, target.dataCentre])),
+            versions: new Map(this.all.map(target => [target.id, target.version])),
             coldSpans: this.coldSpans,
         };
     }
