--- a/src/decisions/retries/retryBudget.ts
+++ b/src/decisions/retries/retryBudget.ts
@@ -1,3 +1,4 @@
+import type { RouterView } from "../limits/coldLimit.js";
 /**
  * Retry budget: retries as a share of first tries over the last ten seconds, per account and over the router.
  *
@@ -107,3 +108,12 @@
         this.newestBucket = bucket;
     }
 }
+
+/** Part of the fleet's slack for repeats that the routers hand out; the rest covers views of the fleet that differ. */
+const usedSlack = 0.6;
+
+/** One router's part of what the fleet may send once more beyond the ratio. */
+export function computeRetryFloors(slack: number, { routerIds, unheard }: RouterView): RetryFloors {
+    const perRouter = (slack * usedSlack) / (routerIds.length + unheard);
+    return { perAccount: perRouter, perRouter };
+}
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -5,6 +5,7 @@
 import { computeAcceptBacklog } from "../decisions/admission/acceptQueue.js";
 import type { CallerLimits } from "./configuration.js";
 import type { GatewaySettings } from "./settings.js";
+import type { ConnectionSharing } from "./connectionSharing.js";
 import type { GatewayService } from "./gatewayService.js";
 
 /** Headers up to this size are read before the configuration's own limit is known. */
@@ -33,11 +34,13 @@
     private connections = 0;
     private readonly crowdedFrom: number;
 
+    /** `sharing`: what else may become of a connection than to be served here; undefined: nothing. */
     public constructor(
         private readonly service: GatewayService,
         private readonly logger: Logger,
         private readonly shouldLeaveBalancer: () => boolean,
         private readonly limits: GatewaySettings["limits"],
+        private readonly sharing?: Pick<ConnectionSharing, "offer" | "findSender">,
     ) {
         const { maxDescriptors } = limits;
         this.server = createServer({
@@ -48,7 +51,14 @@
         });
         this.server.maxConnections = Math.floor(maxDescriptors * callerDescriptorShare);
         this.crowdedFrom = Math.floor(this.server.maxConnections * crowdedShare);
-        this.server.on("connection", socket => this.countConnection(socket));
+        const [serve] = this.server.listeners("connection");
+        this.server.removeAllListeners("connection");
+        this.server.on("connection", (socket: Socket) => {
+            if (this.sharing?.offer(socket) !== true) {
+                this.countConnection(socket);
+                serve.call(this.server, socket);
+            }
+        });
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("clientError", (error, socket) => answerClientError(error, socket as Socket));
         this.server.on("error", error =>
@@ -64,6 +74,11 @@
         });
     }
 
+    /** Serves a connection that did not come through this server's own address. */
+    public handleConnection(socket: Socket): void {
+        this.server.emit("connection", socket);
+    }
+
     /** The port it listens on; for tests that listen on any. */
     public get port(): number {
         const address = this.server.address();
@@ -99,7 +114,8 @@
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         // A caller that keeps its connection keeps its router; asked to close it, it is sent to another one.
-        if (this.closesConnections || this.shouldLeaveBalancer() || this.connections > this.crowdedFrom) {
+        const isShared = this.sharing?.findSender(request.socket) !== undefined;
+        if (isShared || this.closesConnections || this.shouldLeaveBalancer() || this.connections > this.crowdedFrom) {
             response.shouldKeepAlive = false;
         }
         this.service.handle(request, response).catch((error: unknown) => {
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -12,10 +12,11 @@
 import { FirstTokenModel } from "../decisions/placement/firstTokenModel.js";
 import { IdleShare } from "../decisions/shares/idleShare.js";
 import { OutputLength } from "../decisions/shares/outputLength.js";
-import { RetryBudget, type RetryFloors } from "../decisions/retries/retryBudget.js";
+import { computeRetryFloors, RetryBudget } from "../decisions/retries/retryBudget.js";
 import { listSeedIps, parseAddress } from "./addresses.js";
 import { AccountSummary } from "./accountSummary.js";
 import { CallerServer } from "./callerServer.js";
+import { ConnectionSharing, createSharingOptions, type SharedConnections } from "./connectionSharing.js";
 import { ConfigurationHolder } from "./configurationHolder.js";
 import type { EngineInspector } from "./engineInspector.js";
 import { HeldPartsLoader } from "./heldPartsLoader.js";
@@ -56,13 +57,11 @@
     readonly readinessPath: string;
 }
 
-/** After two looks of the balancer, one a second, nothing new comes; the margin covers a late look. */
+/** After two looks of the balancer, one a second, nothing new comes. */
 const leaveBalancerMs = 2_500;
 const openPollMs = 50;
-/** Left of the time to stop for closing sockets and ending the process. */
+/** For closing sockets and ending the process. */
 const exitMarginMs = 800;
-/** Part of the fleet's slack for repeats that the routers hand out; the rest covers views of the fleet that differ. */
-const usedSlack = 0.6;
 const msPerSecond = 1_000;
 
 /** A router that speaks to targets directly: servers, the platform's news, and the way it stops. */
@@ -74,6 +73,7 @@
     private readonly exchange: PeerExchange;
     private readonly service: GatewayService;
     private readonly callers: CallerServer;
+    private readonly sharing: ConnectionSharing;
     private readonly load: LoadSource;
     private readonly metrics: GatewayMetrics;
     private readonly handover: Handover;
@@ -188,7 +188,11 @@
             load: this.load,
             shares,
             retryBudgets: new Registry(
-                () => new RetryBudget(this.computeRetryFloors(), settings.retryBudget.windowSeconds * msPerSecond),
+                () =>
+                    new RetryBudget(
+                        computeRetryFloors(this.settings.retryBudget.slack, this.peers.routers),
+                        settings.retryBudget.windowSeconds * msPerSecond,
+                    ),
             ),
             firstTokenModels,
             readingShares,
@@ -197,10 +201,18 @@
             idleShares: new Registry(() => new IdleShare()),
         };
         this.service = this.store.add(new GatewayService(this.context));
+        this.sharing = this.store.add(
+            new ConnectionSharing(
+                createSharingOptions(settings, { peers: this.peers, load: this.load, clock, random }),
+                socket => this.callers.handleConnection(socket),
+            ),
+        );
         this.callers = this.store.add(
-            new CallerServer(this.service, logger, () => this.load.shouldLeaveBalancer, settings.limits),
+            new CallerServer(this.service, logger, () => this.load.shouldLeaveBalancer, settings.limits, this.sharing),
+        );
+        this.metrics = new GatewayMetrics(() =>
+            buildFigures(this.context, source, this.service, this.rollouts, this.sharing),
         );
-        this.metrics = new GatewayMetrics(() => buildFigures(this.context, source, this.service, this.rollouts));
         this.handover = this.store.add(
             new Handover({ source, logger, sleep: sleepOnTimer, listAddresses: () => this.listControlAddresses() }),
         );
@@ -235,19 +247,23 @@
         return this.peers.routers.routerIds.length;
     }
 
+    public get sharedConnections(): SharedConnections {
+        return this.sharing.shared;
+    }
+
     public async start(): Promise<void> {
         const { settings, source, logger } = this.parts;
         source.start();
         this.load.start();
         await this.exchange.start();
+        await this.sharing.listen();
         await this.callers.listen(...parseAddress(settings.callers));
         await this.listenAside(
             createReadinessApp(this.parts.readinessPath, () => this.isReady),
             settings.readiness,
         );
         if (settings.control !== undefined) {
-            const app = createControlApp(() => source.createSnapshot(), this.quarantine, this.rollouts);
-            await this.listenAside(app, settings.control);
+            await this.listenAside(createControlApp(source, this.quarantine, this.rollouts), settings.control);
         }
         if (settings.metricsPort !== undefined) {
             const app = createMetricsApp(this.metrics, () => describeState(this.context, source));
@@ -286,6 +302,7 @@
         await sleepOnTimer(leaveBalancerMs, cancellation.token);
         this.service.refuseNew();
         this.callers.stopAccepting();
+        this.sharing.stopAccepting();
         await this.waitForOpen(cancellation.token);
         clearTimeout(timer);
         logger.write("info", "stopped", { openRequests: this.service.openRequests });
@@ -297,24 +314,16 @@
     }
 
     private async waitForOpen(token: CancellationToken): Promise<void> {
-        while (this.service.openRequests > 0 && !token.isCancelled) {
+        while (this.service.openRequests + this.sharing.open > 0 && !token.isCancelled) {
             await sleepOnTimer(openPollMs, token);
         }
     }
 
     private updateRetryFloors(): void {
-        const floors = this.computeRetryFloors();
+        const floors = computeRetryFloors(this.settings.retryBudget.slack, this.peers.routers);
         this.context.retryBudgets.visitAll(budget => budget.setFloors(floors));
     }
 
-    /** This router's part of what the fleet may send once more beyond the ratio. */
-    private computeRetryFloors(): RetryFloors {
-        const { routerIds, unheard } = this.peers.routers;
-        const { slack } = this.settings.retryBudget;
-        const perRouter = (slack * usedSlack) / (routerIds.length + unheard);
-        return { perAccount: perRouter, perRouter };
-    }
-
     private async listenAside(app: Hono, address: string): Promise<void> {
         const [host, port] = parseAddress(address);
         const listener = await listenOn(app, host, port);
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -2,6 +2,7 @@
 import type { LoopSample } from "../decisions/admission/overload.js";
 import { RolloutMetrics } from "./rollouts/rolloutMetrics.js";
 import { AccountMetrics, type AccountReading } from "./accountMetrics.js";
+import type { SharedConnections } from "./connectionSharing.js";
 import type { EndedRequest } from "./gatewayService.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
 import type { ReceivedSignal } from "./targetDirectory.js";
@@ -23,6 +24,7 @@
     /** Targets of each service by state. */
     readonly targets: readonly { readonly service: string; readonly state: string; readonly count: number }[];
     readonly rollouts: readonly RolloutView[];
+    readonly sharedConnections: SharedConnections;
     readonly load: { readonly shedShare: number; readonly loop: LoopSample };
     readonly listAccounts: () => readonly AccountReading[];
 }
@@ -123,6 +125,18 @@
         addGauge("lynxarch_held_requests", "Requests that are held because targets crashed under them.", figures => {
             return figures.heldRequests;
         });
+        new Gauge({
+            name: "lynxarch_shared_connections",
+            help: "Callers' connections since the start: handed over to neighbours, received, or kept as none could be reached.",
+            labelNames: ["outcome"],
+            registers,
+            collect(): void {
+                const { handedOver, received, unreached } = getFigures().sharedConnections;
+                this.set({ outcome: "handed-over" }, handedOver);
+                this.set({ outcome: "received" }, received);
+                this.set({ outcome: "unreached" }, unreached);
+            },
+        });
         addGauge("lynxarch_peers", "Other routers with a recent message.", figures => figures.peers);
         addGauge("lynxarch_peer_message_bytes", "Size of the newest message to other routers.", figures => {
             return figures.peerRound.messageBytes;
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -1,5 +1,6 @@
 import { otherAccounts, type AccountFigures } from "./accountFigures.js";
 import type { AccountReading } from "./accountMetrics.js";
+import type { ConnectionSharing } from "./connectionSharing.js";
 import { computeShareUse } from "./computeShareUse.js";
 import type { GatewayFigures } from "./gatewayMetrics.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -34,6 +35,7 @@
     source: FleetSource,
     { openRequests, accounts }: Pick<GatewayService, "openRequests" | "accounts">,
     rollouts: Pick<Rollouts, "listAll">,
+    { shared }: Pick<ConnectionSharing, "shared">,
 ): GatewayFigures {
     const { shedShare, loop } = context.load;
     const nowMs = context.clock.nowMs();
@@ -54,6 +56,7 @@
         heldRequests: context.quarantine.listHeld().length,
         targets: [...counts.values()],
         rollouts: rollouts.listAll(),
+        sharedConnections: shared,
         load: { shedShare, loop },
         listAccounts: () => listAccounts(context, accounts),
     };
--- a/src/gateway/sideServers.ts
+++ b/src/gateway/sideServers.ts
@@ -1,5 +1,5 @@
 import { Hono } from "hono";
-import type { SourceSnapshot } from "./fleetSource.js";
+import type { FleetSource } from "./fleetSource.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { createHandoverApp } from "./peers/handoverApi.js";
 import { createHeldRequestsApp, type HeldRequests } from "./quarantine/heldRequestsApi.js";
@@ -29,12 +29,15 @@
 
 /** Serves other routers that start while the platform's store is away, and operators. */
 export function createControlApp(
-    createSnapshot: () => SourceSnapshot | undefined,
+    source: Pick<FleetSource, "createSnapshot">,
     heldRequests: HeldRequests,
     rollouts: Pick<Rollouts, "listAll">,
 ): Hono {
     const app = new Hono();
-    app.route("/", createHandoverApp(createSnapshot));
+    app.route(
+        "/",
+        createHandoverApp(() => source.createSnapshot()),
+    );
     app.route("/", createHeldRequestsApp(heldRequests));
     app.route(
         "/",
--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -41,7 +41,7 @@
 export const key = "key-of-north";
 const seed = 7;
 /** How busy the machine is that runs the tests must not decide what a router answers. */
-const idleLoad: LoadSource = {
+export const idleLoad: LoadSource = {
     shedShare: 0,
     shouldLeaveBalancer: false,
     loop: { delayMs: 0, utilization: 0 },
@@ -122,7 +122,7 @@
     }
 
     /** Starts a router on a loopback address of its own and waits until it is ready. */
-    public async addRouter(changes: object = {}, mustBeReady = true): Promise<GatewayDaemon> {
+    public async addRouter(changes: object = {}, mustBeReady = true, load = idleLoad): Promise<GatewayDaemon> {
         const ip = `127.0.0.${this.routers.length + 1}`;
         const settings = gatewaySettingsSchema.parse({
             daemonId: `router-${this.routers.length + 1}`,
@@ -159,7 +159,7 @@
             codec,
             source,
             engines,
-            load: idleLoad,
+            load,
             readinessPath,
         });
         await daemon.start();
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -12,6 +12,7 @@
         peers: 0,
         peerRound: { messageBytes: 0, periodMs: 100 },
         rollouts: [],
+        sharedConnections: { handedOver: 0, received: 0, unreached: 0 },
         heldRequests: 0,
         targets: [],
         load: { shedShare: 0.1, loop: { delayMs: 30, utilization: 0.9 } },
