--- a/src/gateway/rollouts/rolloutDecider.ts
+++ b/src/gateway/rollouts/rolloutDecider.ts
@@ -167,6 +167,8 @@
     private async write(next: RolloutStatus): Promise<void> {
         const { rollout, options } = this;
         const { records, logger, token } = options;
+        // What the decision was made on: while the store is read, another router's later status may arrive.
+        const before = rollout.status;
         this.isWriting = true;
         try {
             const stored = await records.read(next.service, token);
@@ -175,13 +177,15 @@
                 return;
             }
             const { status, endOffset } = stored.value;
-            const before = rollout.status;
             // The store knows a later order than this router.
             if (status !== undefined && this.isLaterOrder(status)) {
                 return;
             }
+            if (status !== undefined) {
+                rollout.applyStatus(status);
+            }
             // Another router was first.
-            if (status !== undefined && rollout.applyStatus(status) && !isSame(status, before)) {
+            if (status?.version === next.version && !isSame(status, before)) {
                 return;
             }
             if (this.mustWriteAgain && isSame(status, before)) {
