--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -38,6 +38,8 @@
     public constructor(
         public readonly request: IncomingMessage,
         private readonly response: ServerResponse,
+        /** The router that the caller reached and that handed its connection over; undefined: this one. */
+        public readonly handedOverBy?: string,
     ) {
         response.once("close", this.handleLeft);
         // Comes before the response's "close", and Node ends the connection on it all the same.
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -114,11 +114,16 @@
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         // A caller that keeps its connection keeps its router; asked to close it, it is sent to another one.
-        const isShared = this.sharing?.findSender(request.socket) !== undefined;
-        if (isShared || this.closesConnections || this.shouldLeaveBalancer() || this.connections > this.crowdedFrom) {
+        const handedOverBy = this.sharing?.findSender(request.socket);
+        if (
+            handedOverBy !== undefined ||
+            this.closesConnections ||
+            this.shouldLeaveBalancer() ||
+            this.connections > this.crowdedFrom
+        ) {
             response.shouldKeepAlive = false;
         }
-        this.service.handle(request, response).catch((error: unknown) => {
+        this.service.handle(request, response, handedOverBy).catch((error: unknown) => {
             const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
             this.logger.write("error", "a request's handling failed", { detail });
             response.destroy();
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -20,14 +20,18 @@
     readonly route: string | undefined;
     readonly account: string | undefined;
     readonly configurationVersion: number | undefined;
+    /** The router that the caller reached and that handed its connection over. */
+    readonly handedOverBy?: string | undefined;
     readonly tookMs: number;
     readonly end: Pick<FlowEnd, "outcome" | "reason" | "status"> & Partial<FlowEnd>;
 }
 
 /** A request with its route and account, or why it has none, by the configuration in force. */
-type RouteOutcome = { readonly version: number | undefined; readonly arrivedAtMs: number } & (
-    { readonly request: RoutedRequest } | { readonly request: undefined; readonly problem: OwnAnswerReason }
-);
+type RouteOutcome = {
+    readonly version: number | undefined;
+    readonly arrivedAtMs: number;
+    readonly handedOverBy: string | undefined;
+} & ({ readonly request: RoutedRequest } | { readonly request: undefined; readonly problem: OwnAnswerReason });
 
 /** A configuration is read within seconds of a start; callers come back then. */
 const noConfigurationRetryMs = 500;
@@ -67,8 +71,9 @@
         this.refusesNew = true;
     }
 
-    public async handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-        const caller = new CallerExchange(incoming, response);
+    /** `handedOverBy`: the router that the caller reached; undefined: this one. */
+    public async handle(incoming: IncomingMessage, response: ServerResponse, handedOverBy?: string): Promise<void> {
+        const caller = new CallerExchange(incoming, response, handedOverBy);
         const arrivedAtMs = this.context.clock.nowMs();
         this.open += 1;
         try {
@@ -165,6 +170,7 @@
             problem,
             version,
             arrivedAtMs,
+            handedOverBy: caller.handedOverBy,
         });
         if (configuration === undefined) {
             return createProblem("no-configuration");
@@ -186,7 +192,7 @@
         const identity = new RequestIdentity(name, request.method ?? "", request.url ?? "", body);
         const figures = this.accounts.createRequest(name, computeChargedTokens(this.context, { head, route }));
         const routed = { head, route, account: name, body, identity, arrivedAtMs, figures };
-        return { request: routed, version, arrivedAtMs };
+        return { request: routed, version, arrivedAtMs, handedOverBy: caller.handedOverBy };
     }
 
     private answerOwn(
@@ -210,7 +216,7 @@
         head: RequestHead,
         arrivedAtMs: number,
         end: EndedRequest["end"],
-        { request, version }: RouteOutcome,
+        { request, version, handedOverBy }: RouteOutcome,
     ): void {
         request?.figures.recordEnd(end);
         this.endEmitter.fire({
@@ -218,6 +224,7 @@
             route: request?.route.name,
             account: request?.account,
             configurationVersion: version,
+            handedOverBy,
             tookMs: this.context.clock.nowMs() - arrivedAtMs,
             end,
         });
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -62,12 +62,21 @@
     }
 }
 
-function createFields({ requestId, route, account, configurationVersion, tookMs, end }: EndedRequest): LogFields {
+function createFields({
+    requestId,
+    route,
+    account,
+    configurationVersion,
+    handedOverBy,
+    tookMs,
+    end,
+}: EndedRequest): LogFields {
     return {
         requestId,
         route,
         account,
         configurationVersion,
+        handedOverBy,
         tookMs: toWhole(tookMs),
         outcome: end.outcome,
         reason: end.reason,
