A connection is handed over only once its neighbour has taken it

A neighbour that has just started does not know its senders and closed what it was handed, after the request had been passed on; one that is busy does not read what its kernel has accepted.

Change: the neighbour sends one byte when it takes a connection; nothing is passed on before it, and without it within 150 ms this router serves the caller. Tests for a neighbour that closes, is silent, or answers with something else.

--- a/src/gateway/connectionRelay.ts
+++ b/src/gateway/connectionRelay.ts
@@ -9,8 +9,13 @@
     handleUnreached(socket: Socket): void;
 }
 
+/**
+ * What a neighbour sends first when it takes a connection. One that has just started does not know its senders yet, and one that is busy
+ * does not read what its kernel has accepted: without the byte a request that was passed on there would be lost.
+ */
+export const acceptByte = Buffer.from([0x06]);
 /** A neighbour that does not take a connection within this time is busy itself; milliseconds. */
-const connectTimeoutMs = 150;
+const acceptTimeoutMs = 150;
 /**
  * Turns of the event loop after a caller's first bytes within which the end of its connection is read, if it closed before: its
  * request must not be worked on for nobody.
@@ -50,7 +55,7 @@
                 localAddress: this.ownIp,
                 allowHalfOpen: true,
                 noDelay: true,
-                timeout: connectTimeoutMs,
+                timeout: acceptTimeoutMs,
             });
             relayed.connect(upstream, {
                 handleHandedOver: () => {
@@ -95,22 +100,20 @@
     }
 
     public connect(upstream: Socket, observer: RelayObserver): void {
-        upstream.once("connect", () => {
-            upstream.setTimeout(0);
-            this.stopHolding();
-            if (this.hasLeft) {
-                upstream.destroy();
-                return;
-            }
-            observer.handleHandedOver();
-            this.connectSides(upstream);
-        });
-        upstream.once("timeout", () => upstream.destroy(new Error("the neighbour does not answer")));
-        upstream.once("error", () => {
-            if (upstream.connecting || upstream.pending) {
-                this.release(observer);
+        let isOver = false;
+        const end = (handle: () => void): void => {
+            if (!isOver) {
+                isOver = true;
+                upstream.setTimeout(0);
+                handle();
             }
-        });
+        };
+        upstream.once("data", (first: Buffer) => end(() => this.handleAccepted(upstream, first, observer)));
+        upstream.once("timeout", () => upstream.destroy());
+        upstream.on("error", () => undefined);
+        upstream.once("end", () => upstream.destroy());
+        upstream.once("close", () => end(() => this.release(observer)));
+        this.socket.once("close", () => upstream.destroy());
     }
 
     private addHeld(chunk: Buffer): void {
@@ -142,15 +145,30 @@
         this.socket.off("end", this.handleLeft);
     }
 
+    private handleAccepted(upstream: Socket, first: Buffer, observer: RelayObserver): void {
+        upstream.pause();
+        if (!first.equals(acceptByte)) {
+            upstream.destroy();
+            this.release(observer);
+            return;
+        }
+        this.stopHolding();
+        if (this.hasLeft) {
+            upstream.destroy();
+            return;
+        }
+        upstream.removeAllListeners("end");
+        observer.handleHandedOver();
+        this.connectSides(upstream);
+    }
+
     /** The end of either side is passed on as it comes; a break ends both. */
     private connectSides(upstream: Socket): void {
         const { socket } = this;
         upstream.write(Buffer.concat(this.held.splice(0)));
         socket.pipe(upstream);
         upstream.pipe(socket);
-        upstream.once("error", () => socket.resetAndDestroy());
         upstream.once("close", hasError => (hasError ? socket.resetAndDestroy() : socket.destroySoon()));
-        socket.once("close", () => upstream.destroy());
     }
 
     private release(observer: RelayObserver): void {
--- a/src/gateway/connectionSharing.ts
+++ b/src/gateway/connectionSharing.ts
@@ -3,7 +3,7 @@
 import type { Disposable } from "../base/lifecycle.js";
 import type { Random } from "../base/random.js";
 import { ConnectionHandOver, type Neighbour } from "../decisions/admission/connectionHandOver.js";
-import { ConnectionRelay } from "./connectionRelay.js";
+import { acceptByte, ConnectionRelay } from "./connectionRelay.js";
 import type { LoadSource } from "./loadMonitor.js";
 import type { GatewaySettings } from "./settings.js";
 import type { RouterCondition } from "./peers/peerMessage.js";
@@ -133,6 +133,7 @@
         }
         this.counts.received += 1;
         this.received.set(socket, sender);
+        socket.write(acceptByte);
         this.serve(socket);
     }
 
--- a/test/gateway/sharedConnections.test.ts
+++ b/test/gateway/sharedConnections.test.ts
@@ -1,5 +1,6 @@
-import { connect } from "node:net";
+import { connect, createServer, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { SharedConnections } from "../../src/gateway/connectionSharing.js";
 import type { LoadSource } from "../../src/gateway/loadMonitor.js";
 import type { TargetServer } from "../fakes/usersPlatform/targetServer.js";
 import { createPromptHeaders, GatewayFixture, host, idleLoad, waitUntil } from "./gatewayFixture.js";
@@ -18,15 +19,13 @@
 async function startRouters(neighbourLoad: LoadSource = idleLoad): Promise<void> {
     await fixture.current.addRouter({}, true, busyLoad);
     await fixture.current.addRouter({}, true, neighbourLoad);
-    await waitUntil(
-        async () => (await readShared(0)) !== undefined && fixture.current.routers[0].daemon.knownRouters === 2,
-    );
+    await waitUntil(async () => readShared(0) !== undefined && fixture.current.routers[0].daemon.knownRouters === 2);
     // The neighbour's condition comes with its first message, which is there once it is known; its own view may be a round behind.
     await waitUntil(() => fixture.current.routers[1].daemon.knownRouters === 2);
 }
 
-function readShared(router: number): Promise<{ readonly handedOver: number; readonly received: number }> {
-    return Promise.resolve(fixture.current.routers[router].daemon.sharedConnections);
+function readShared(router: number): SharedConnections {
+    return fixture.current.routers[router].daemon.sharedConnections;
 }
 
 async function addApp(): Promise<TargetServer> {
@@ -41,7 +40,7 @@
         const answer = await fixture.current.send({ path: "/book/", headers, body: "seat 4" });
         expect({ status: answer.status, body: answer.body }).toEqual({ status: 200, body: "answer to a1" });
         expect(target.received.map(({ body }) => body)).toEqual(["seat 4"]);
-        expect([await readShared(0), await readShared(1)]).toMatchObject([{ handedOver: 1 }, { received: 1 }]);
+        expect([readShared(0), readShared(1)]).toMatchObject([{ handedOver: 1 }, { received: 1 }]);
     });
 
     it("carries a stream event by event", async () => {
@@ -52,7 +51,7 @@
             events: 5,
             isBroken: false,
         });
-        expect(await readShared(1)).toMatchObject({ received: 1 });
+        expect(readShared(1)).toMatchObject({ received: 1 });
     });
 
     // A close that is not passed on leaves a target at work for nobody.
@@ -64,7 +63,7 @@
         const call = fixture.current.send({ path: "/find/", headers, leaveAfterMs: 100 }).catch(() => undefined);
         await waitUntil(() => target.received.some(({ isAborted }) => isAborted));
         await call;
-        expect(await readShared(1)).toMatchObject({ received: 1 });
+        expect(readShared(1)).toMatchObject({ received: 1 });
     });
 
     // A caller that sent its request and gave up before it was read must not have it run.
@@ -109,12 +108,30 @@
         expect({ status: answer.status, received: target.received.length }).toEqual({ status: 200, received: 1 });
     });
 
+    // A neighbour that has just started does not know who hands over yet: what it closes at once must not be lost.
+    it.each([
+        ["closes it at once", (socket: Socket): unknown => socket.destroy()],
+        ["does not take it", (socket: Socket): unknown => socket],
+        ["answers with something else", (socket: Socket): unknown => socket.write("HTTP/1.1 400 Bad Request\r\n\r\n")],
+    ])("is served where it is when the neighbour %s", async (...[, handle]) => {
+        const target = await addApp();
+        await startRouters();
+        const { ip, peerPorts } = fixture.current.routers[1].settings;
+        fixture.current.routers[1].daemon.dispose();
+        const server = createServer(handle);
+        await new Promise<void>(resolve => server.listen(peerPorts[1], ip, () => resolve()));
+        const headers = { "x-lynxarch-attempt-id": "a1" };
+        const answer = await fixture.current.send({ path: "/book/", headers, body: "b" });
+        server.close();
+        expect({ status: answer.status, received: target.received.length }).toEqual({ status: 200, received: 1 });
+    });
+
     it("is served where it is when the neighbour is busy too", async () => {
         await addApp();
         await startRouters(busyLoad);
         const headers = { "x-lynxarch-attempt-id": "a1" };
         expect((await fixture.current.send({ path: "/book/", headers })).status).toBe(200);
-        expect([await readShared(0), await readShared(1)]).toMatchObject([{ handedOver: 0 }, { received: 0 }]);
+        expect([readShared(0), readShared(1)]).toMatchObject([{ handedOver: 0 }, { received: 0 }]);
     });
 });
 
