Roll-outs: an end that the store lost is written again; orders taken back before they began; callers that send nothing

Cause: since steps are compared with what they were decided on, a status behind the known one counted as another router's news, and the end was not written again after a rewind: rollouts.test.ts timed out (30 s). Reading the diff: an order that was taken back before anything was written kept reports and the status feed going for ever, and a connection that was to be handed over waited for its first bytes without a limit.

Change: only a status that is taken as news stops a write; such orders are done; 3 s for the first bytes.

--- a/src/gateway/connectionRelay.ts
+++ b/src/gateway/connectionRelay.ts
@@ -21,6 +21,8 @@
  * request must not be worked on for nobody.
  */
 const turnsUntilClose = 3;
+/** A caller that sends nothing for so long is closed, as a server closes it whose header is overdue; milliseconds. */
+const firstBytesTimeoutMs = 3_000;
 /** Read of a caller before its neighbour is connected; the rest stays in the kernel. */
 const mostHeldBytes = 65_536;
 
@@ -93,6 +95,7 @@
         private readonly socket: Socket,
         private readonly onDidRead: () => void,
     ) {
+        socket.setTimeout(firstBytesTimeoutMs, this.handleLeft);
         socket.on("data", this.handleData);
         socket.once("end", this.handleLeft);
         socket.on("error", () => socket.destroy());
@@ -141,6 +144,8 @@
 
     private stopHolding(): void {
         this.socket.pause();
+        this.socket.setTimeout(0);
+        this.socket.off("timeout", this.handleLeft);
         this.socket.off("data", this.handleData);
         this.socket.off("end", this.handleLeft);
     }
--- a/src/gateway/rollouts/rolloutDecider.ts
+++ b/src/gateway/rollouts/rolloutDecider.ts
@@ -53,7 +53,9 @@
 
     /** Whether there is still something to report or to decide. */
     public get isActive(): boolean {
-        return !this.rollout.hasEnded || this.mustWriteAgain;
+        const { status, isWithdrawn, hasEnded } = this.rollout;
+        const wasNeverBegun = isWithdrawn && status === undefined;
+        return (!hasEnded && !wasNeverBegun) || this.mustWriteAgain;
     }
 
     /** Undefined at a router that does not sum up the evidence. */
@@ -181,11 +183,8 @@
             if (status !== undefined && this.isLaterOrder(status)) {
                 return;
             }
-            if (status !== undefined) {
-                rollout.applyStatus(status);
-            }
-            // Another router was first.
-            if (status?.version === next.version && !isSame(status, before)) {
+            // Another router was first. A status behind the one that is known is what the store came back with from an older copy.
+            if (status !== undefined && rollout.applyStatus(status) && !isSame(status, before)) {
                 return;
             }
             if (this.mustWriteAgain && isSame(status, before)) {
--- a/test/gateway/rollouts/rolloutDecider.test.ts
+++ b/test/gateway/rollouts/rolloutDecider.test.ts
@@ -20,7 +20,7 @@
 const ended: RolloutStatus = { ...running, state: "complete", step: "switch" };
 
 /** A decider that has found its roll-out's time to be over and reads the store, whose answer the test gives. */
-function startWrite(): {
+function startWrite(known: RolloutStatus = running): {
     readonly rollout: ServiceRollout;
     readonly written: RolloutStatus[];
     readonly answer: (stored: StoredRollout) => Promise<void>;
@@ -39,7 +39,7 @@
     const source = { computeCapacityRatio: () => 1, listTargets: () => [] };
     const { token } = new CancellationTokenSource();
     const decider = new RolloutDecider(rollout, { records, clock, logger: new NoopLogger(), token, source });
-    rollout.applyStatus(running);
+    rollout.applyStatus(known);
     decider.chooseDeciders(["router-1"], "router-1");
     clock.advance(order.durationMs);
     decider.advance(["router-1"]);
@@ -70,3 +70,26 @@
     await answer({ status: ended, endOffset: 2 });
     expect(written).toEqual([]);
 });
+
+// The store comes back from an older copy, without the step that was written last.
+it("writes over a status that is behind the one that is known", async () => {
+    const { written, answer } = startWrite({ ...running, step: "watch" });
+    await answer({ status: running, endOffset: 1 });
+    expect(written.map(({ state }) => state)).toEqual(["rolled-back"]);
+});
+
+// An order that is taken back before anything was written has nothing to roll back; without an end its reports would go on for ever.
+it("is done where the order is taken back before its roll-out began", () => {
+    const clock = new ManualClock();
+    const rollout = new ServiceRollout(order, { share: 0.1, slack: 0 }, 1, [], clock);
+    const records: RolloutRecords = {
+        read: () => okAsync({ status: undefined, endOffset: 0 }),
+        write: () => okAsync("written"),
+    };
+    const source = { computeCapacityRatio: () => 1, listTargets: () => [] };
+    const { token } = new CancellationTokenSource();
+    const decider = new RolloutDecider(rollout, { records, clock, logger: new NoopLogger(), token, source });
+    const before = decider.isActive;
+    rollout.withdraw();
+    expect([before, decider.isActive]).toEqual([true, false]);
+});
