Soak: a version that was rolled back is looked for at its own service

The check compared versions without their services.

Change: it compares both, as strict for the service that was rolled back; soakChecks.test.ts still finds the breach.

--- a/test/soak/rolloutChecks.ts
+++ b/test/soak/rolloutChecks.ts
@@ -44,9 +44,10 @@
         .filter(({ states }) => states.includes("rolled_back"))
         .flatMap(rollout => {
             const endedAtMs = rollout.endedAtMs ?? Infinity;
-            const isLate = ({ target, atMs, id }: TargetArrival): boolean => {
+            const isLate = ({ target, service, atMs, id }: TargetArrival): boolean => {
                 const router = byId.get(id ?? "")?.router;
                 return (
+                    service === rollout.service &&
                     record.versions.get(target) === rollout.version &&
                     atMs > endedAtMs + applyBoundMs &&
                     router !== undefined &&
