A completed roll-out costs requests nothing more; what peers hand over is bounded

Cause, found by reading the change: an order stays in the store when its roll-out has ended, and each later request of the service sorted all targets of the new version by their ranks.

--- a/src/gateway/peers/handoverApi.ts
+++ b/src/gateway/peers/handoverApi.ts
@@ -5,6 +5,7 @@
 import { ResultAsync } from "neverthrow";
 import { z } from "zod";
 import { LynxarchError } from "../../base/errors.js";
+import { fetchBounded } from "../../control/boundedFetch.js";
 import type { SourceSnapshot } from "../fleetSource.js";
 
 /** A peer did not hand over what it knows. */
@@ -43,7 +44,7 @@
 /** Asks a peer for its records; undefined: it has none itself. Errors: no answer in time, or one of another form. */
 export function fetchSnapshot(address: string): ResultAsync<SourceSnapshot | undefined, HandoverError> {
     const client = createTRPCClient<typeof handoverRouter>({
-        links: [httpLink({ url: `http://${address}${endpoint}` })],
+        links: [httpLink({ url: `http://${address}${endpoint}`, fetch: fetchBounded })],
     });
     const answer = client.snapshot
         .query(undefined, { signal: AbortSignal.timeout(callTimeoutMs) })
--- a/src/gateway/quarantine/heldRequestsApi.ts
+++ b/src/gateway/quarantine/heldRequestsApi.ts
@@ -5,6 +5,7 @@
 import { ResultAsync } from "neverthrow";
 import { z } from "zod";
 import { LynxarchError } from "../../base/errors.js";
+import { fetchBounded } from "../../control/boundedFetch.js";
 import type { HeldRequest } from "../../decisions/quarantine/crashLedger.js";
 
 /** A router did not answer an operator's call about held requests. */
@@ -69,7 +70,9 @@
 }
 
 function createClient(address: string): ReturnType<typeof createTRPCClient<typeof heldRouter>> {
-    return createTRPCClient<typeof heldRouter>({ links: [httpLink({ url: `http://${address}${endpoint}` })] });
+    return createTRPCClient<typeof heldRouter>({
+        links: [httpLink({ url: `http://${address}${endpoint}`, fetch: fetchBounded })],
+    });
 }
 
 function toError(cause: unknown): HeldRequestsError {
--- a/src/gateway/rollouts/requestVersions.ts
+++ b/src/gateway/rollouts/requestVersions.ts
@@ -23,6 +23,7 @@
     private isSent = false;
     private candidates: ReadonlySet<Target> = new Set();
     private onlyVersion: boolean | undefined;
+    private openCandidate: boolean | undefined;
 
     public constructor(
         private readonly source: VersionSource,
@@ -31,7 +32,7 @@
     ) {
         this.rollout = service === undefined ? undefined : source.findRollout(service);
         const { rollout } = this;
-        if (rollout !== undefined) {
+        if (rollout !== undefined && !rollout.hasEnded) {
             this.isCandidate = rollout.takeCandidate(route, source.random.next(), () =>
                 source.computeCapacityRatio(rollout),
             );
@@ -44,7 +45,7 @@
 
     /** Whether the request may still go to another version than the one chosen first. */
     public get hasFallback(): boolean {
-        return this.isCandidate && this.rollout?.hasEnded === false;
+        return this.isCandidate;
     }
 
     public isAllowed(target: Target): boolean {
@@ -56,6 +57,9 @@
         if (role === "rejected") {
             return false;
         }
+        if (rollout.status?.state === "complete") {
+            return role === "candidate" || !this.hasOpenCandidate(rollout);
+        }
         const isChosen = this.isCandidate && target.entry.service === this.service;
         if (role === "candidate") {
             return isChosen ? this.candidates.has(target) : this.isOnlyVersion(rollout);
@@ -87,6 +91,14 @@
         return this.onlyVersion;
     }
 
+    /** The old targets stop when the roll-out is complete; one that is still listed is only tried where there is no other. */
+    private hasOpenCandidate(rollout: ServiceRollout): boolean {
+        this.openCandidate ??= this.source.directory
+            .listOpen(rollout.order.service)
+            .some(target => rollout.isCandidate(target));
+        return this.openCandidate;
+    }
+
     /** The same targets at all routers, so that those that get requests get them from all. */
     private chooseTargets(rollout: ServiceRollout): ReadonlySet<Target> {
         const open = this.source.directory
@@ -94,8 +106,7 @@
             .filter(target => rollout.isCandidate(target))
             .map(target => ({ target, rank: mixHashes(rankingSeed, target.idHash) }))
             .sort((a, b) => a.rank - b.rank);
-        const part = rollout.hasEnded ? 1 : rollout.targetPart;
-        const count = Math.max(1, Math.ceil(open.length * part));
+        const count = Math.max(1, Math.ceil(open.length * rollout.targetPart));
         return new Set(open.slice(0, count).map(({ target }) => target));
     }
 }
--- a/src/gateway/rollouts/rolloutsApi.ts
+++ b/src/gateway/rollouts/rolloutsApi.ts
@@ -5,6 +5,7 @@
 import { ResultAsync } from "neverthrow";
 import { z } from "zod";
 import { LynxarchError } from "../../base/errors.js";
+import { fetchBounded } from "../../control/boundedFetch.js";
 import type { RolloutView } from "./rollouts.js";
 
 /** A router did not answer an operator's call about roll-outs. */
@@ -50,7 +51,7 @@
 /** Roll-outs as a router knows them. Errors: no answer in time, or one of another form. */
 export function fetchRollouts(address: string): ResultAsync<readonly RolloutView[], RolloutsApiError> {
     const client = createTRPCClient<typeof rolloutsRouter>({
-        links: [httpLink({ url: `http://${address}${endpoint}` })],
+        links: [httpLink({ url: `http://${address}${endpoint}`, fetch: fetchBounded })],
     });
     const answer = client.list
         .query(undefined, { signal: AbortSignal.timeout(callTimeoutMs) })
--- a/src/gateway/rollouts/serviceRollout.ts
+++ b/src/gateway/rollouts/serviceRollout.ts
@@ -131,7 +131,7 @@
             return false;
         }
         const own = targets.filter(({ entry }) => entry.service === this.order.service);
-        return this.currentStatus?.state === "complete" || own.every(target => this.isCandidate(target));
+        return own.every(target => this.isCandidate(target));
     }
 
     public isCandidate({ entry }: Target): boolean {
@@ -143,9 +143,6 @@
      * targets can take over what the old version's do. True: {@link recordUnsent} must follow if it goes elsewhere.
      */
     public takeCandidate(route: string, point: number, getCapacityRatio: () => number): boolean {
-        if (this.currentStatus?.state === "complete") {
-            return true;
-        }
         if (this.currentStatus?.state !== "running" || this.knownBad || this.withdrawn) {
             return false;
         }
--- a/test/gateway/endlessSources.test.ts
+++ b/test/gateway/endlessSources.test.ts
@@ -3,11 +3,14 @@
 import { SystemClock } from "../../src/base/clock.js";
 import { CancellationTokenSource } from "../../src/base/cancellation.js";
 import { EngineLists } from "../../platform/engineLists.js";
+import { fetchSnapshot } from "../../src/gateway/peers/handoverApi.js";
 import { StoreClient } from "../../platform/storeClient.js";
 
 const filler = Buffer.alloc(16_384, "x");
 /** The bound on a store's page, with what the kernel holds between two ends of a connection on loopback. */
 const mostTakenBytes = 20_000_000;
+/** The same for what a peer hands over. */
+const mostTakenOfPeer = 30_000_000;
 const server: { current: Server } = { current: createServer() };
 let takenBytes: number[] = [];
 
@@ -67,3 +70,11 @@
     expect(list.isErr()).toBe(true);
     expect(Math.max(...takenBytes)).toBeLessThan(mostTakenBytes);
 });
+
+// A router that starts while the store is away asks its peers for the records.
+it("a peer's records without end are a failed call", async () => {
+    const snapshot = await fetchSnapshot(getAddress());
+    await waitForClose();
+    expect(snapshot.isErr()).toBe(true);
+    expect(Math.max(...takenBytes)).toBeLessThan(mostTakenOfPeer);
+});
