Model of roll-outs: the store away, its answers lost, deciders that end

Cause: the model's store answered at once and no decider ended, so that the promise under failing store and decider had no figure.

Change: three disruptions; in the last one the router that wrote last ends five times and starts anew without its counts. Also in npm test.

--- a/bench/gateway/rolloutModel.ts
+++ b/bench/gateway/rolloutModel.ts
@@ -1,11 +1,12 @@
-import { okAsync } from "neverthrow";
+import { errAsync, okAsync } from "neverthrow";
 import { ManualClock } from "../../src/base/clock.js";
 import { NoopLogger } from "../../src/base/log.js";
 import { toDisposable } from "../../src/base/lifecycle.js";
 import { SeededRandom, type Random } from "../../src/base/random.js";
+import { LynxarchError } from "../../src/base/errors.js";
 import type { AttemptOutcome } from "../../src/gateway/attempt.js";
 import type { RouterCondition } from "../../src/gateway/peers/peerMessage.js";
-import type { RolloutRecords, RolloutStatus } from "../../src/gateway/rollouts/rolloutRecords.js";
+import type { RolloutOrder, RolloutRecords, RolloutStatus } from "../../src/gateway/rollouts/rolloutRecords.js";
 import { Rollouts } from "../../src/gateway/rollouts/rollouts.js";
 import type { Target } from "../../src/gateway/target.js";
 import { TargetDirectory } from "../../src/gateway/targetDirectory.js";
@@ -29,6 +30,16 @@
     /** Breaks connections off. */
     | "breaks-30";
 
+/** What fails beside the version. */
+export type RolloutDisruption =
+    | "none"
+    /** The store answers nothing for a quarter of the duration, from a quarter on. */
+    | "store-away"
+    /** Writes take effect, and the answers of half of them are lost. */
+    | "answers-lost"
+    /** The router that wrote last ends, several times, and starts anew without what it knew. */
+    | "deciders-end";
+
 /** What a {@link RolloutModel} plays. */
 export interface RolloutScenario {
     readonly routers: number;
@@ -38,6 +49,7 @@
     /** From a router's report to its arrival at another one. */
     readonly reportDelayMs: number;
     readonly fault: VersionFault;
+    readonly disruption: RolloutDisruption;
     readonly seed: number;
 }
 
@@ -75,6 +87,15 @@
 /** Requests at one target beyond which a version fails that fails under load. */
 const heavyLoad = 3;
 
+/** Parts of the duration at which the router that wrote last ends. */
+const deciderEnds = [0.1, 0.3, 0.5, 0.65, 0.75] as const;
+const awayFrom = 0.25;
+const awayUntil = 0.5;
+
+class ModelStoreError extends LynxarchError {
+    public readonly code = "store-unavailable";
+}
+
 /** Plays one roll-out on a fleet of routers with a fake clock: the daemon's own decisions, and modelled targets and links. */
 export class RolloutModel {
     private readonly clock = new ManualClock();
@@ -82,6 +103,9 @@
     private readonly random: Random;
     private readonly directory: TargetDirectory;
     private readonly routers: Rollouts[] = [];
+    private readonly ids: readonly string[];
+    /** The router that wrote last. */
+    private lastWriter = 0;
     private stored: RolloutStatus | undefined;
     private storedCount = 0;
     private exposed = 0;
@@ -117,8 +141,8 @@
             },
         });
         this.addTargets("v1");
-        const ids = [...Array(scenario.routers).keys()].map(index => `router-${index}`);
-        ids.forEach(id => this.routers.push(this.createRouter(id, ids)));
+        this.ids = [...Array(scenario.routers).keys()].map(index => `router-${index}`);
+        this.ids.forEach((...[, index]) => this.routers.push(this.createRouter(index)));
     }
 
     public async run(): Promise<RolloutOutcome> {
@@ -126,9 +150,11 @@
         const endMs = startsAtMs + durationMs;
         this.events.add(startsAtMs, () => {
             this.addTargets("v2");
-            const order = { service, version: "v2", durationMs };
-            this.routers.forEach(router => router.applyOrder(service, order));
+            this.routers.forEach(router => router.applyOrder(service, this.createOrder()));
         });
+        if (this.scenario.disruption === "deciders-end") {
+            deciderEnds.forEach(part => this.events.add(startsAtMs + durationMs * part, () => this.endDecider()));
+        }
         if (this.scenario.fault === "none-crash") {
             this.events.add(startsAtMs + durationMs * 0.3, () => this.endTarget());
         }
@@ -172,14 +198,30 @@
         }
     }
 
-    private createRouter(ownId: string, ids: readonly string[]): Rollouts {
+    private createOrder(): RolloutOrder {
+        return { service, version: "v2", durationMs: this.scenario.durationMs };
+    }
+
+    private endDecider(): void {
+        const index = this.lastWriter;
+        this.routers[index].dispose();
+        this.routers[index] = this.createRouter(index);
+        this.routers[index].applyOrder(service, this.createOrder());
+        if (this.stored !== undefined) {
+            this.routers[index].applyStatus(this.stored);
+        }
+    }
+
+    private createRouter(index: number): Rollouts {
+        const { ids } = this;
+        const ownId = ids[index];
         const condition: RouterCondition = { dataCentre: "a", processorShare: 1, utilization: 0, isWithdrawn: false };
         const conditions = new Map(ids.filter(id => id !== ownId).map(id => [id, condition]));
         return new Rollouts({
             ownId,
             peers: { routers: { ownId, routerIds: ids, unheard: 0, isSettled: true }, conditions },
             directory: this.directory,
-            records: this.createRecords(),
+            records: this.createRecords(index),
             transport: {
                 sendRollout: (routerId, message) => {
                     const receiver = this.routers[Number(routerId.split("-")[1])];
@@ -199,19 +241,31 @@
         });
     }
 
-    private createRecords(): RolloutRecords {
+    private isStoreAway(): boolean {
+        const part = (this.clock.nowMs() - startsAtMs) / this.scenario.durationMs;
+        return this.scenario.disruption === "store-away" && part >= awayFrom && part < awayUntil;
+    }
+
+    private createRecords(index: number): RolloutRecords {
+        const away = new ModelStoreError("away");
         return {
-            read: () => okAsync({ status: this.stored, endOffset: this.storedCount }),
+            read: () =>
+                this.isStoreAway() ? errAsync(away) : okAsync({ status: this.stored, endOffset: this.storedCount }),
             write: (status, endOffset) => {
+                if (this.isStoreAway()) {
+                    return errAsync(away);
+                }
                 if (endOffset !== this.storedCount) {
                     return okAsync("superseded");
                 }
                 this.stored = status;
                 this.storedCount += 1;
+                this.lastWriter = index;
                 this.endedAtMs ??= status.state === "running" ? undefined : this.clock.nowMs();
                 const arrivesAtMs = this.clock.nowMs() + storeMs;
                 this.events.add(arrivesAtMs, () => this.routers.forEach(router => router.applyStatus(status)));
-                return okAsync("written");
+                const isLost = this.scenario.disruption === "answers-lost" && this.random.next() < 0.5;
+                return isLost ? errAsync(new ModelStoreError("no answer")) : okAsync("written");
             },
         };
     }
--- a/bench/gateway/rolloutReport.ts
+++ b/bench/gateway/rolloutReport.ts
@@ -1,4 +1,4 @@
-import { RolloutModel, type RolloutOutcome, type VersionFault } from "./rolloutModel.js";
+import { RolloutModel, type RolloutDisruption, type RolloutOutcome, type VersionFault } from "./rolloutModel.js";
 
 /** Size of a fleet that roll-outs are played on. */
 export interface RolloutSize {
@@ -10,6 +10,7 @@
 /** Figures of one fault at one size, over several seeds. */
 export interface RolloutFigures extends RolloutSize {
     readonly fault: VersionFault;
+    readonly disruption: RolloutDisruption;
     readonly reportDelayMs: number;
     readonly runs: number;
     readonly completed: number;
@@ -45,6 +46,8 @@
     "breaks-30",
 ];
 
+export const rolloutDisruptions: readonly RolloutDisruption[] = ["store-away", "answers-lost", "deciders-end"];
+
 const durationMs = 12_000;
 
 /** Plays one fault at one size with seeds 1 to `seeds`. */
@@ -53,15 +56,17 @@
     fault: VersionFault,
     reportDelayMs: number,
     seeds: number,
+    disruption: RolloutDisruption = "none",
 ): Promise<RolloutFigures> {
     const outcomes: RolloutOutcome[] = [];
     for (let seed = 1; seed <= seeds; seed++) {
-        outcomes.push(await new RolloutModel({ ...size, durationMs, reportDelayMs, fault, seed }).run());
+        outcomes.push(await new RolloutModel({ ...size, durationMs, reportDelayMs, fault, disruption, seed }).run());
     }
     const ended = outcomes.flatMap(({ endedAfterMs }) => (endedAfterMs === undefined ? [] : [endedAfterMs]));
     return {
         ...size,
         fault,
+        disruption,
         reportDelayMs,
         runs: seeds,
         completed: outcomes.filter(({ state }) => state === "complete").length,
@@ -74,10 +79,11 @@
 
 /** One line of a table. */
 export function printRolloutFigures(figures: RolloutFigures): string {
-    const { routers, reportDelayMs, fault, runs, completed, rolledBack } = figures;
+    const { routers, reportDelayMs, fault, disruption, runs, completed, rolledBack } = figures;
     return [
         `${routers} routers`.padEnd(12),
         `reports ${reportDelayMs} ms old`.padEnd(22),
+        disruption.padEnd(14),
         fault.padEnd(18),
         `complete ${completed}, rolled back ${rolledBack} of ${runs}`.padEnd(36),
         `after ${(figures.endedAfterMs / 1_000).toFixed(1)} s`.padEnd(14),
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,9 +9,12 @@
     measureRollouts,
     printRolloutFigures,
     reportDelays,
+    rolloutDisruptions,
     rolloutSizes,
     versionFaults,
+    type RolloutSize,
 } from "./gateway/rolloutReport.js";
+import type { RolloutDisruption, VersionFault } from "./gateway/rolloutModel.js";
 import { ProductSystem } from "./product.js";
 import { scenarios } from "./scenarios.js";
 import { printFigures } from "./table.js";
@@ -90,13 +93,28 @@
     for (const size of rolloutSizes) {
         for (const reportDelayMs of reportDelays) {
             for (const fault of versionFaults) {
-                const figures = await measureRollouts(size, fault, reportDelayMs, Number(seeds));
-                console.log(json === true ? JSON.stringify(figures) : printRolloutFigures(figures));
+                await printRollouts(size, fault, reportDelayMs, "none", { seeds, json });
+            }
+        }
+        for (const disruption of rolloutDisruptions) {
+            for (const fault of versionFaults) {
+                await printRollouts(size, fault, reportDelays[0], disruption, { seeds, json });
             }
         }
     }
 }
 
+async function printRollouts(
+    size: RolloutSize,
+    fault: VersionFault,
+    reportDelayMs: number,
+    disruption: RolloutDisruption,
+    { seeds, json }: Pick<Options, "seeds" | "json">,
+): Promise<void> {
+    const figures = await measureRollouts(size, fault, reportDelayMs, Number(seeds), disruption);
+    console.log(json === true ? JSON.stringify(figures) : printRolloutFigures(figures));
+}
+
 /** Fleets of 4, 28 and 68 routers; one seed. */
 function runSignals({ seed, json }: Options): void {
     for (const size of fleetSizes) {
--- a/test/bench/rollouts.test.ts
+++ b/test/bench/rollouts.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { measureRollouts, versionFaults } from "../../bench/gateway/rolloutReport.js";
+import { measureRollouts, rolloutDisruptions, versionFaults } from "../../bench/gateway/rolloutReport.js";
 
 const size = { routers: 23, requestsPerSecond: 265, targetsOfEach: 30 };
 const reportDelayMs = 1_000;
@@ -18,3 +18,23 @@
         expect(worstExposure).toBeLessThan(1);
     });
 });
+
+describe.each(rolloutDisruptions)("a roll-out at 23 routers under a disruption (%s)", disruption => {
+    it("completes a sound version", async () => {
+        const { completed } = await measureRollouts(size, "none", reportDelayMs, seeds, disruption);
+        expect(completed).toBe(seeds);
+    });
+
+    // With the store away, its answers lost or its deciders gone, a bad version must still stay within its exposure.
+    it.each(["fails-30", "fails-later"] as const)("takes a bad version back (%s)", async fault => {
+        const { rolledBack, worstExposure, lateRequests } = await measureRollouts(
+            size,
+            fault,
+            reportDelayMs,
+            seeds,
+            disruption,
+        );
+        expect({ rolledBack, lateRequests }).toEqual({ rolledBack: seeds, lateRequests: 0 });
+        expect(worstExposure).toBeLessThan(1);
+    });
+});
