Bound pieces and events of an answer, not only its bytes

Cause: measured on a whole router, twenty targets that send one byte a chunk took 1,323 ms of processor a second and left 177 of 288 other requests served (99 of 100 within 4.4 s): 256 KiB of such pieces are as many callbacks. Well-formed events without end had no bound but 32 MiB.

Change: 2,048 pieces for an event, 65,536 and one for each 32 bytes for a body, and two events for each token that the request may generate (1,000 at least). The measurement's callers come back after 500 ms: without a pause, refusals were most of what it measured before.

--- a/scripts/measureEndless.ts
+++ b/scripts/measureEndless.ts
@@ -22,8 +22,18 @@
 const targetCount = 20;
 const startMs = 3_000;
 const otherPauseMs = 20;
+/** A caller that is refused comes back after a while; without a pause refusals would be all that is measured. */
+const endlessPauseMs = 500;
 const tickMs = 10;
-const shapes: readonly EndlessShape[] = ["event", "unframed", "chunk-extension", "interim", "tiny-pieces", "header"];
+const shapes: readonly EndlessShape[] = [
+    "event",
+    "events",
+    "unframed",
+    "chunk-extension",
+    "interim",
+    "tiny-pieces",
+    "header",
+];
 
 sade("measure-endless", true)
     .option("--seconds", "how long each shape is played", 10)
@@ -60,7 +70,7 @@
     const endless = servers.map(async (...[, index]) => {
         while (performance.now() < untilMs) {
             await send(callers, "/once/", `e${index}`);
-            await sleepFor(tickMs);
+            await sleepFor(endlessPauseMs);
         }
     });
     const others: Promise<void>[] = [];
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -126,7 +126,7 @@
         }
         const output = this.relay.handleData(chunk);
         if (output === "overlong") {
-            this.fail("an event without end");
+            this.fail("an event or a stream without end");
         } else if (output !== "none") {
             this.observer.handleOutput(output === "first");
         }
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -11,6 +11,8 @@
  * of them would be held.
  */
 const mostEventBytes = 262_144;
+/** Pieces of one event: each costs far more than its bytes, and a target may send one byte at a time. */
+const mostPieces = 2_048;
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idPattern = /^id: ?(.*)$/m;
@@ -23,6 +25,7 @@
  */
 export class EventSplitter {
     private readonly rest = new GrowingBuffer();
+    private pieces = 0;
     private lineBytes = 0;
     private endsWithReturn = false;
     /** Whether the event has a line already: an empty one at its beginning ends no event and stays with it. */
@@ -35,12 +38,13 @@
 
     /** Whether the fragment is longer than any event may be, so that its end is not waited for. */
     public get isOverlong(): boolean {
-        return this.rest.length > mostEventBytes;
+        return this.rest.length > mostEventBytes || this.pieces > mostPieces;
     }
 
     /** Takes more of the stream and returns the events that are complete. */
     public add(chunk: Buffer): readonly StreamEvent[] {
         const events: StreamEvent[] = [];
+        this.pieces += 1;
         let start = 0;
         let from = 0;
         for (let end = chunk.indexOf(lineFeed); end >= 0; end = chunk.indexOf(lineFeed, from)) {
@@ -69,6 +73,7 @@
     }
 
     private takeEvent(last: Buffer): StreamEvent {
+        this.pieces = 0;
         const bytes = this.rest.length === 0 ? last : Buffer.concat([this.rest.take(), last]);
         return { bytes, id: idPattern.exec(bytes.toString("latin1"))?.[1]?.trim() };
     }
--- a/src/gateway/eventStreamRelay.ts
+++ b/src/gateway/eventStreamRelay.ts
@@ -3,6 +3,17 @@
 import type { AnswerRelay, RelayedOutput, TargetAnswerHead } from "./relay.js";
 import type { HeaderCodec } from "./wire.js";
 
+/** An event holds a token or more; the rest is for events without any, such as comments that keep a connection open. */
+const eventsPerToken = 2;
+const leastMostEvents = 1_000;
+/** Where the request does not say how much it may generate. */
+const mostEventsOfUnknown = 262_144;
+
+/** Events that a stream may have: a target in trouble may send events without end, each of them well formed. */
+function computeMostEvents(maxOutputTokens: number): number {
+    return maxOutputTokens > 0 ? Math.max(leastMostEvents, eventsPerToken * maxOutputTokens) : mostEventsOfUnknown;
+}
+
 /** Passes a stream on event by event, and joins it with a resumed run where one breaks off. */
 export class EventStreamRelay implements AnswerRelay {
     private splitter = new EventSplitter();
@@ -10,13 +21,17 @@
     private passedId: string | undefined;
     private passed = 0;
 
-    /** `askedFrom`: where the caller itself wants the stream to go on. */
+    private readonly mostEvents: number;
+
+    /** `askedFrom`: where the caller itself wants the stream to go on. `maxOutputTokens`: 0 when unknown. */
     public constructor(
         private readonly caller: CallerExchange,
         private readonly codec: HeaderCodec,
         private readonly isResumable: boolean,
         askedFrom: string | undefined,
+        maxOutputTokens: number,
     ) {
+        this.mostEvents = computeMostEvents(maxOutputTokens);
         this.passedId = askedFrom;
     }
 
@@ -50,7 +65,7 @@
         for (const event of this.splitter.add(chunk)) {
             hasOutput = this.writeEvent(event) || hasOutput;
         }
-        if (this.splitter.isOverlong) {
+        if (this.splitter.isOverlong || this.passed > this.mostEvents) {
             return "overlong";
         }
         if (!hasOutput) {
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -69,7 +69,7 @@
         this.retries = new RequestRetries(context, routed.account);
         const isStream = route.kind === "stream";
         this.relay = isStream
-            ? new EventStreamRelay(caller, context.codec, route.isResumable, head.lastEventId)
+            ? new EventStreamRelay(caller, context.codec, route.isResumable, head.lastEventId, head.maxOutputTokens)
             : new WholeAnswerRelay(caller, context.codec, head.lastEventId);
         this.endings = new FlowEndings(caller, context.codec, head.requestId, this.relay, () => ({
             attempts: this.tried.size,
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -17,6 +17,9 @@
 const mostOverheadBytes = 262_144;
 /** The encoding of a chunk of one byte takes five more. */
 const overheadOfBodyByte = 8;
+/** Pieces in which a body comes, beyond one for each 32 bytes: each costs far more than its bytes. */
+const mostPieces = 65_536;
+const bytesOfPiece = 32;
 /** Interim answers (1xx) to one request. */
 const mostInterimAnswers = 16;
 /** Shared: creating an error's stack text is the main cost of closing a socket. */
@@ -180,6 +183,7 @@
     private interimAnswers = 0;
     private bytesReadBefore = 0;
     private bodyBytes = 0;
+    private pieces = 0;
 
     public constructor(
         private readonly listener: AnswerListener,
@@ -222,6 +226,11 @@
         const [, chunk] = data;
         if (!this.isOver) {
             this.bodyBytes += chunk.length;
+            this.pieces += 1;
+            if (this.pieces > mostPieces + this.bodyBytes / bytesOfPiece) {
+                this.fail("broken", "a body in tiny pieces without end");
+                return;
+            }
             this.listener.handleData(chunk);
         }
     }
--- a/test/fakes/usersPlatform/endlessServer.ts
+++ b/test/fakes/usersPlatform/endlessServer.ts
@@ -6,6 +6,7 @@
     | "header"
     | "interim"
     | "event"
+    | "events"
     | "tiny-pieces"
     | "unframed"
     | "failure"
@@ -20,6 +21,7 @@
     header: [createHead("X-Filler: "), filler],
     interim: ["", Buffer.from("HTTP/1.1 102 Processing\r\n\r\n".repeat(500))],
     event: [`${createHead("Content-Type: text/event-stream")}\r\n\r\nid: 1\ndata: `, filler],
+    events: [`${createHead("Content-Type: text/event-stream")}\r\n\r\n`, Buffer.from("data: x\n\n".repeat(2_000))],
     "tiny-pieces": [
         `${createHead("Content-Type: text/event-stream")}\r\nTransfer-Encoding: chunked\r\n\r\n`,
         createTinyChunks(),
--- a/test/gateway/endlessAnswers.test.ts
+++ b/test/gateway/endlessAnswers.test.ts
@@ -44,7 +44,9 @@
         ["chunk-extension", "/book/", "app"],
         ["trailer", "/book/", "app"],
         ["event", "/once/", "engines"],
+        ["events", "/once/", "engines"],
         ["tiny-pieces", "/once/", "engines"],
+        ["tiny-pieces", "/book/", "app"],
         ["unframed", "/once/", "engines"],
     ] as const)("in a %s (%s) fails its request and is cut off", async (shape, path, service) => {
         await fixture.current.start();
