Log, count and show how a target's removal was read and why it is kept

Whoever looked for a request that reached a target after its leaving could not tell whether the removal had been read late or its target was kept, perhaps lapsed: the first line came when that time was over. Now: a line with the time it is kept, the last failed call and the age of the view; the age as a figure; reads of the store by outcome, throttled (429) told from failed, and re-reads of all keys by reason; recordRemovedForMs in the line of a request; condition 'removed' in /state.

--- a/src/gateway/fleetSource.ts
+++ b/src/gateway/fleetSource.ts
@@ -39,6 +39,28 @@
     readonly isConnected: boolean;
     /** Monotonic time of the last failure; undefined before the first. */
     readonly lastFailureAtMs: number | undefined;
+    /** Monotonic time; targets' records that were acknowledged before it have been read. Undefined before the first read. */
+    readonly targetsCoveredUntilMs: number | undefined;
+    /** Reads of the platform's records since the start, by whose records and how they ended. */
+    readonly reads: readonly ReadCount[];
+}
+
+/** How a read of the platform's records ended. */
+export type ReadOutcome =
+    | "answered"
+    /** Turned away for the rate of calls. */
+    | "throttled"
+    | "failed"
+    /** Records that had not been read are gone; all keys are read again. */
+    | "history-dropped"
+    /** The store came back from an older copy; all keys are read again. */
+    | "older-copy";
+
+/** Reads that ended alike. */
+export interface ReadCount {
+    readonly records: "operators" | "targets";
+    readonly outcome: ReadOutcome;
+    readonly count: number;
 }
 
 /** The platform's newest records as they are, to hand over to a router that can't read them itself. */
--- a/src/gateway/flowEndings.ts
+++ b/src/gateway/flowEndings.ts
@@ -30,6 +30,8 @@
     readonly attempts: number;
     /** Targets in the order tried, each with how its attempt ended. */
     readonly tried: readonly string[];
+    /** How long the target's record had been gone when the request was sent; undefined: it was there. Milliseconds. */
+    readonly recordRemovedForMs: number | undefined;
     /** Part that owners may give away, as learnt by this router. */
     readonly readingShare: number | undefined;
     /** What it counts against its account's share: asked for, and given to it by a target. */
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -4,6 +4,7 @@
 import { AccountMetrics, type AccountReading } from "./accountMetrics.js";
 import type { SharedConnections } from "./connectionSharing.js";
 import type { EndedRequest } from "./gatewayService.js";
+import type { ReadCount } from "./fleetSource.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
 import type { ReceivedSignal } from "./targetDirectory.js";
 
@@ -16,6 +17,9 @@
     readonly openRequests: number;
     readonly configurationVersion: number;
     readonly isPlatformConnected: boolean;
+    /** Age of what is known of targets; undefined before the first read. Milliseconds. */
+    readonly targetsViewAgeMs: number | undefined;
+    readonly storeReads: readonly ReadCount[];
     readonly peers: number;
     /** Bytes of the newest message to the other routers, and milliseconds until the next. */
     readonly peerRound: { readonly messageBytes: number; readonly periodMs: number };
@@ -122,6 +126,22 @@
         addGauge("lynxarch_platform_connected", "1 while the last call to the platform succeeded.", figures =>
             figures.isPlatformConnected ? 1 : 0,
         );
+        addGauge(
+            "lynxarch_targets_view_age_seconds",
+            "Time since which changes of targets in the platform's store may be unknown here; NaN before the first read.",
+            ({ targetsViewAgeMs }) => (targetsViewAgeMs === undefined ? Number.NaN : targetsViewAgeMs / msPerSecond),
+        );
+        new Gauge({
+            name: "lynxarch_store_reads",
+            help: "Reads of the platform's records since the start, by whose records and how they ended.",
+            labelNames: ["records", "outcome"],
+            registers,
+            collect(): void {
+                for (const { records, outcome, count } of getFigures().storeReads) {
+                    this.set({ records, outcome }, count);
+                }
+            },
+        });
         addGauge("lynxarch_held_requests", "Requests that are held because targets crashed under them.", figures => {
             return figures.heldRequests;
         });
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -13,13 +13,16 @@
 import type { Target } from "./target.js";
 
 /** How a target stands in this router's eyes. */
-export type TargetCondition = "ready" | "cold" | "draining" | "paused" | "out";
+export type TargetCondition = "ready" | "cold" | "draining" | "removed" | "paused" | "out";
 
 /** The condition that decides whether a target gets requests; the most restrictive one that holds. */
 export function describeCondition(target: Target, dataCentresOut: readonly string[], nowMs: number): TargetCondition {
     if (target.availability.leaving !== undefined) {
         return "draining";
     }
+    if (target.removedAtMs !== undefined) {
+        return "removed";
+    }
     if (dataCentresOut.includes(target.dataCentre)) {
         return "out";
     }
@@ -39,6 +42,7 @@
 ): GatewayFigures {
     const { shedShare, loop } = context.load;
     const nowMs = context.clock.nowMs();
+    const { health } = source;
     const out = context.directory.listDataCentresOut();
     const counts = new Map<string, { service: string; state: string; count: number }>();
     for (const target of context.directory.listAll()) {
@@ -50,7 +54,9 @@
     return {
         openRequests,
         configurationVersion: context.configuration.current?.version ?? 0,
-        isPlatformConnected: source.health.isConnected,
+        isPlatformConnected: health.isConnected,
+        targetsViewAgeMs: health.targetsCoveredUntilMs === undefined ? undefined : nowMs - health.targetsCoveredUntilMs,
+        storeReads: health.reads,
         peers: context.peers.routers.routerIds.length - 1,
         peerRound: context.peers.round,
         heldRequests: context.quarantine.listHeld().length,
@@ -109,6 +115,7 @@
             dataCentre: target.dataCentre,
             condition: describeCondition(target, out, nowMs),
             leaving: describeLeaving(target, nowMs),
+            recordRemovedForMs: target.removedAtMs === undefined ? undefined : nowMs - target.removedAtMs,
             pauseMs: target.availability.pause.computeLeftMs(nowMs),
             ownRunning: target.ownRunning,
             running: target.running,
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,7 +1,7 @@
 import { DisposableStore } from "../base/lifecycle.js";
-import type { ReadingShare } from "../decisions/admission/readingShare.js";
 import { AccountCharge } from "./accountCharge.js";
 import { noAdmission, RequestAdmission, type AdmittedSelection } from "./requestAdmission.js";
+import { findReadingShare, observeWholeAnswer } from "./answerLearning.js";
 import { AnswerTiming } from "./answerTiming.js";
 import { Attempt, type AttemptOutcome, type StopReason, type UnrunReason } from "./attempt.js";
 import type { CallerExchange } from "./callerExchange.js";
@@ -51,6 +51,7 @@
     /** The failure that a target answered with, while a repeat is under way. */
     private lastFailure: StoredAnswer | undefined;
     private selection: Selection | undefined;
+    private recordRemovedForMs: number | undefined;
     private readonly timing: AnswerTiming;
     private readonly charge: AccountCharge;
     private readonly retries: RequestRetries;
@@ -75,7 +76,8 @@
             attempts: this.tried.size,
             tried: this.history,
             ...describeSelection(this.selection),
-            readingShare: this.findReadingShare()?.current,
+            readingShare: findReadingShare(context, this.selection)?.current,
+            recordRemovedForMs: this.recordRemovedForMs,
             ...this.timing.facts,
             ...this.admission,
             askedTokens: this.charge.askedTokens,
@@ -219,7 +221,7 @@
         }
         const attempt = new Attempt(routed.head.requestId, context.codec, context.clock, this.relay, {
             canStart: () => !context.directory.isClosed(target),
-            handleSent: () => this.watchSilence(),
+            handleSent: () => this.handleSent(target),
             handleHead: head => context.directory.observeAnswer(target, availability, head),
             handleOutput: isFirst => this.handleOutput(send, isFirst),
         });
@@ -243,6 +245,11 @@
         return outcome;
     }
 
+    private handleSent({ removedAtMs }: Target): void {
+        this.recordRemovedForMs = removedAtMs === undefined ? undefined : this.context.clock.nowMs() - removedAtMs;
+        this.watchSilence();
+    }
+
     private handleOutput(send: TargetSend, isFirst: boolean): void {
         this.timing.recordOutput(this.context.clock.nowMs());
         this.watchSilence();
@@ -274,20 +281,10 @@
         }
     }
 
-    /** Learns from a whole answer. */
     private observeAnswer(): void {
-        const { selection, timing, routed } = this;
-        this.charge.observeOutput(this.relay.passedEvents, selection?.service.engine?.tokensPerEvent);
-        if (selection?.grant !== undefined) {
-            const isLate = timing.longestPauseMs > routed.route.pauseObjectiveMs;
-            this.findReadingShare()?.observe(isLate, selection.grant.use);
-        }
-    }
-
-    /** What is learnt of the service's engines; undefined for plain services. */
-    private findReadingShare(): ReadingShare | undefined {
-        const { selection } = this;
-        return selection?.grant === undefined ? undefined : this.context.readingShares.find(selection.service.name);
+        const { selection, charge, timing, relay } = this;
+        const { route } = this.routed;
+        observeWholeAnswer(this.context, { selection, route, charge, timing, passedEvents: relay.passedEvents });
     }
 
     private handleStopped(reason: StopReason): FlowEnd | undefined {
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -90,6 +90,7 @@
         newTokens: end.newTokens,
         fetchedTokens: end.fetchedTokens,
         engineUse: toRatio(end.engineUse),
+        recordRemovedForMs: toWhole(end.recordRemovedForMs),
         readingShare: toRatio(end.readingShare),
         objectiveMs: end.objectiveMs,
         firstOutputMs: toWhole(end.firstOutputMs),
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -61,6 +61,8 @@
     /** Smoothed time of a whole plain answer; milliseconds; 0 before the first. */
     public serviceTimeMs = 0;
     public coldUntilMs = Number.NEGATIVE_INFINITY;
+    /** When this router read that its record is gone; monotonic; undefined: the record is there. */
+    public removedAtMs: number | undefined;
     /** Since when this router knows of this start of it; monotonic. */
     public joinedAtMs = Number.NEGATIVE_INFINITY;
     private currentEntry: TargetEntry;
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -9,15 +9,11 @@
 import type { ServedConfiguration, ServedService } from "./configuration.js";
 import type { FleetChange, SourceHealth, TargetEntry } from "./fleetSource.js";
 import type { LeavingTarget } from "./peers/peerMessage.js";
+import { RemovedRecords } from "./removedRecords.js";
 import { Target } from "./target.js";
 import type { ConnectionLimits } from "./targetConnection.js";
 import type { AnswerHead, TargetSignals } from "./wire.js";
 
-/**
- * Entries lapse while the platform's store is away although their targets live, and are back within two seconds of its
- * return. Dropped at once, a whole service would be without targets for these seconds.
- */
-const lapseGraceMs = 2_300;
 const pauseSpread = 0.1;
 const mostPauseSpreadMs = 250;
 
@@ -42,7 +38,7 @@
     private readonly targets = new Map<string, Target>();
     private readonly byService = new Map<string, Target[]>();
     private readonly byHash = new Map<number, Target>();
-    private readonly lapsing = new Map<string, NodeJS.Timeout>();
+    private readonly removedRecords: RemovedRecords;
     private readonly dataCentresOut = new Set<string>();
     private readonly availabilities = new AvailabilityRegistry();
     private readonly signalEmitter = new Emitter<ReceivedSignal>();
@@ -50,7 +46,9 @@
 
     public readonly onDidReceiveSignal = this.signalEmitter.onDidFire;
 
-    public constructor(private readonly options: TargetDirectoryOptions) {}
+    public constructor(private readonly options: TargetDirectoryOptions) {
+        this.removedRecords = new RemovedRecords(options, id => this.remove(id));
+    }
 
     public applyConfiguration(configuration: ServedConfiguration): void {
         this.services = new Map(configuration.services.map(service => [service.name, service]));
@@ -174,9 +172,7 @@
 
     public dispose(): void {
         this.signalEmitter.dispose();
-        for (const timer of this.lapsing.values()) {
-            clearTimeout(timer);
-        }
+        this.removedRecords.dispose();
         for (const target of this.targets.values()) {
             target.dispose();
         }
@@ -215,13 +211,13 @@
             this.options.logger.write("info", "a record of an earlier start is left aside", { target: id });
             return;
         }
-        clearTimeout(this.lapsing.get(id));
-        this.lapsing.delete(id);
+        const known = this.targets.get(id);
         if (entry === undefined) {
-            this.applyRemoval(id);
+            if (known !== undefined && !this.removedRecords.handleRemoval(known)) {
+                this.remove(id);
+            }
             return;
         }
-        const known = this.targets.get(id);
         if (known === undefined || known.entry.address !== entry.address || known.entry.service !== entry.service) {
             this.remove(id);
             this.addTarget(entry);
@@ -237,6 +233,7 @@
             this.setCold(known, this.services.get(entry.service)?.coldStartMs ?? 0);
         }
         known.applyEntry(entry);
+        this.removedRecords.clear(known);
         this.setCold(known, entry.coldLeftMs);
         this.observeRecord(known);
     }
@@ -247,22 +244,6 @@
         }
     }
 
-    private applyRemoval(id: string): void {
-        const { clock, getHealth } = this.options;
-        const health = getHealth();
-        const failedAtMs = health?.isConnected === false ? clock.nowMs() : health?.lastFailureAtMs;
-        const graceMs = failedAtMs === undefined ? 0 : failedAtMs + lapseGraceMs - clock.nowMs();
-        if (graceMs <= 0 || !this.targets.has(id)) {
-            this.remove(id);
-            return;
-        }
-        const timer = setTimeout(() => {
-            this.lapsing.delete(id);
-            this.remove(id);
-        }, graceMs);
-        this.lapsing.set(id, timer);
-    }
-
     private applyDataCentre(dataCentre: string, isOut: boolean): void {
         const wasOut = this.dataCentresOut.has(dataCentre);
         this.options.logger.write("info", isOut ? "a data centre is out" : "a data centre is back", { dataCentre });
@@ -326,6 +307,9 @@
         const others = (this.byService.get(target.entry.service) ?? []).filter(other => other !== target);
         this.byService.set(target.entry.service, others);
         target.dispose();
-        this.options.logger.write("info", "a target is gone", { target: id, service: target.entry.service });
+        const { removedAtMs, entry } = target;
+        const removedForMs = removedAtMs === undefined ? 0 : Math.round(this.options.clock.nowMs() - removedAtMs);
+        this.removedRecords.clear(target);
+        this.options.logger.write("info", "a target is gone", { target: id, service: entry.service, removedForMs });
     }
 }
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -9,6 +9,8 @@
         openRequests: 0,
         configurationVersion: 1,
         isPlatformConnected: true,
+        targetsViewAgeMs: 250,
+        storeReads: [{ records: "targets", outcome: "history-dropped", count: 2 }],
         peers: 0,
         peerRound: { messageBytes: 0, periodMs: 100 },
         rollouts: [],
@@ -102,6 +104,22 @@
     });
 });
 
+describe("the view of the platform's records", () => {
+    // A target that has left goes on getting requests, and nothing tells whether its record was read late or kept.
+    it("tells its age and how reads ended", async () => {
+        const lines = [
+            ...(await listLines(new AccountFigures(), "lynxarch_targets_view")),
+            ...(await listLines(new AccountFigures(), "lynxarch_store_reads")),
+        ];
+        expect(lines).toMatchInlineSnapshot(`
+          [
+            "lynxarch_targets_view_age_seconds 0.25",
+            "lynxarch_store_reads{records="targets",outcome="history-dropped"} 2",
+          ]
+        `);
+    });
+});
+
 describe("the end of a request", () => {
     it("is one stage", () => {
         const ends = [
