--- a/src/base/cancellation.ts
+++ b/src/base/cancellation.ts
@@ -45,6 +45,7 @@
     private readonly controller = new AbortController();
     private readonly subscription: Disposable;
     private readonly timer: NodeJS.Timeout | undefined;
+    private lastChance: NodeJS.Immediate | undefined;
 
     /** `timeoutMs`: aborts by itself after this time. */
     public constructor(token: CancellationToken, timeoutMs?: number) {
@@ -53,7 +54,9 @@
             this.controller.abort();
         }
         if (timeoutMs !== undefined) {
-            this.timer = setTimeout(() => this.controller.abort(new Error(`no answer in ${timeoutMs} ms`)), timeoutMs);
+            const abort = (): void => this.controller.abort(new Error(`no answer in ${timeoutMs} ms`));
+            // After a stall of the event loop timers run before sockets are read, and the answer may wait there.
+            this.timer = setTimeout(() => (this.lastChance = setImmediate(abort)), timeoutMs);
         }
     }
 
@@ -64,5 +67,6 @@
     public dispose(): void {
         this.subscription.dispose();
         clearTimeout(this.timer);
+        clearImmediate(this.lastChance);
     }
 }
