Keep a target whose record is gone no longer than a departure may be kept

Callers: a target that had left got requests for 2,691 ms after the store's acknowledgement where a call had been throttled (429) just before, and 4,011 ms where one read hung; bound 2,000. Cause: any failed call, of either topic, made each removal of the next 2.3 s a lapse, counted from when the failure was noticed or over; nothing related that time to the bound. Class: a delay chosen by itself, and a clock taken for evidence.

Now (decisions/health/lapsePolicy.ts) a removal may be a lapse only after an outage: the store refused (5xx), or gave no answer for longer than contactMs. 429, one lost or reset call are none. The target is kept until records are back (2.3 s after the store's first answer), but no longer than the time at which an acknowledged departure binds, less the time of delivery: drainMs after what had been read, or contactMs after the last call that was lost, whichever is later. The end is checked by the clock at each send; the timer only cleans up.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -24,6 +24,7 @@
 import { Rollouts } from "../../src/gateway/rollouts/rollouts.js";
 import { Registry } from "../../src/gateway/registry.js";
 import { gatewaySettingsSchema } from "../../src/gateway/settings.js";
+import { NoLapses } from "../../src/decisions/health/lapsePolicy.js";
 import { TargetDirectory } from "../../src/gateway/targetDirectory.js";
 import { PlatformHeaders } from "../../platform/headers.js";
 
@@ -70,7 +71,7 @@
             random,
             logger,
             connectionLimits: { connectTimeoutMs: 1, mostAnswerBytes: 1 },
-            getHealth: () => undefined,
+            lapses: new NoLapses(),
         });
         this.shares = new AccountShares(windowMs);
         const loads = new TargetLoads(this.directory);
--- a/bench/gateway/rolloutModel.ts
+++ b/bench/gateway/rolloutModel.ts
@@ -9,6 +9,7 @@
 import type { RolloutOrder, RolloutRecords, RolloutStatus } from "../../src/gateway/rollouts/rolloutRecords.js";
 import { Rollouts } from "../../src/gateway/rollouts/rollouts.js";
 import type { Target } from "../../src/gateway/target.js";
+import { NoLapses } from "../../src/decisions/health/lapsePolicy.js";
 import { TargetDirectory } from "../../src/gateway/targetDirectory.js";
 import { EventQueue } from "./eventQueue.js";
 
@@ -123,7 +124,7 @@
             random: this.random,
             logger: new NoopLogger(),
             connectionLimits: { connectTimeoutMs: 1, mostAnswerBytes: 1 },
-            getHealth: () => undefined,
+            lapses: new NoLapses(),
         });
         this.directory.applyConfiguration({
             version: 1,
--- a/src/gateway/departureBudget.ts
+++ b/src/gateway/departureBudget.ts
@@ -1,3 +1,5 @@
+import type { RemovalBounds } from "../decisions/health/lapsePolicy.js";
+
 /**
  * How the time after which a leaving target must get nothing more is spent, at worst; milliseconds. The parts add up to that time:
  * whoever reads records or keeps targets takes its times from here.
@@ -16,7 +18,7 @@
 }
 
 /** Parts of the whole; they add up to 1. A store that is slow but up answers within `answer`. */
-const parts = { period: 0.4, wait: 0.15, answer: 0.2, pause: 0.1, delivery: 0.15 } as const;
+const parts = { period: 0.4, wait: 0.1, answer: 0.2, pause: 0.1, delivery: 0.2 } as const;
 
 /** Spends the time between a target's leaving, as the platform's store acknowledged it, and the last request that may reach it. */
 export function computeDepartureBudget(drainMs: number): DepartureBudget {
@@ -28,3 +30,8 @@
         deliveryMs: drainMs * parts.delivery,
     };
 }
+
+/** Bounds on how long a target may be kept whose record is gone. */
+export function computeRemovalBounds({ drainMs, contactMs }: Omit<RemovalBounds, "deliveryMs">): RemovalBounds {
+    return { drainMs, contactMs, deliveryMs: computeDepartureBudget(drainMs).deliveryMs };
+}
--- a/src/gateway/fleetSource.ts
+++ b/src/gateway/fleetSource.ts
@@ -1,9 +1,12 @@
 import type { Event } from "../base/event.js";
+import type { StoreContact } from "../decisions/health/lapsePolicy.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { QuarantineRecords } from "./quarantine/quarantineRecords.js";
 import type { RolloutOrder, RolloutRecords, RolloutStatus } from "./rollouts/rolloutRecords.js";
 import type { ServedConfiguration } from "./configuration.js";
 
+export type { StoreOutage } from "../decisions/health/lapsePolicy.js";
+
 /** A target as it registered itself. */
 export interface TargetEntry {
     /** Name of this incarnation's registration; a restarted target may keep it. */
@@ -37,10 +40,8 @@
 export interface SourceHealth {
     /** Whether the last call succeeded. */
     readonly isConnected: boolean;
-    /** Monotonic time of the last failure; undefined before the first. */
-    readonly lastFailureAtMs: number | undefined;
-    /** Monotonic time; targets' records that were acknowledged before it have been read. Undefined before the first read. */
-    readonly targetsCoveredUntilMs: number | undefined;
+    /** What is known of the store by reads of the targets' records. */
+    readonly targets: StoreContact;
     /** Reads of the platform's records since the start, by whose records and how they ended. */
     readonly reads: readonly ReadCount[];
 }
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -6,6 +6,7 @@
 import type { Random } from "../base/random.js";
 import { sleepOnTimer } from "../base/sleep.js";
 import { setRuntimeTimer } from "../base/timers.js";
+import { BoundedLapses } from "../decisions/health/lapsePolicy.js";
 import { DenialMemory } from "../decisions/admission/denialMemory.js";
 import { ReadingShare } from "../decisions/admission/readingShare.js";
 import { AccountShares } from "../decisions/shares/accountShares.js";
@@ -18,6 +19,7 @@
 import { CallerServer } from "./callerServer.js";
 import { ConnectionSharing, createSharingOptions, type SharedConnections } from "./connectionSharing.js";
 import { ConfigurationHolder } from "./configurationHolder.js";
+import { computeRemovalBounds } from "./departureBudget.js";
 import type { EngineInspector } from "./engineInspector.js";
 import { HeldPartsLoader } from "./heldPartsLoader.js";
 import { FleetChanges } from "./fleetChanges.js";
@@ -95,7 +97,7 @@
                     connectTimeoutMs: settings.connectTimeoutMs,
                     mostAnswerBytes: settings.mostAnswerBytes,
                 },
-                getHealth: () => source.health,
+                lapses: new BoundedLapses(() => source.health.targets, computeRemovalBounds(settings)),
             }),
         );
         const shares = new AccountShares(settings.shareWindowSeconds * msPerSecond);
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -20,7 +20,7 @@
     if (target.availability.leaving !== undefined) {
         return "draining";
     }
-    if (target.removedAtMs !== undefined) {
+    if (target.removal !== undefined) {
         return "removed";
     }
     if (dataCentresOut.includes(target.dataCentre)) {
@@ -55,7 +55,8 @@
         openRequests,
         configurationVersion: context.configuration.current?.version ?? 0,
         isPlatformConnected: health.isConnected,
-        targetsViewAgeMs: health.targetsCoveredUntilMs === undefined ? undefined : nowMs - health.targetsCoveredUntilMs,
+        targetsViewAgeMs:
+            health.targets.coveredUntilMs === undefined ? undefined : nowMs - health.targets.coveredUntilMs,
         storeReads: health.reads,
         peers: context.peers.routers.routerIds.length - 1,
         peerRound: context.peers.round,
@@ -115,7 +116,7 @@
             dataCentre: target.dataCentre,
             condition: describeCondition(target, out, nowMs),
             leaving: describeLeaving(target, nowMs),
-            recordRemovedForMs: target.removedAtMs === undefined ? undefined : nowMs - target.removedAtMs,
+            recordRemovedForMs: target.removal === undefined ? undefined : nowMs - target.removal.atMs,
             pauseMs: target.availability.pause.computeLeftMs(nowMs),
             ownRunning: target.ownRunning,
             running: target.running,
--- a/src/gateway/removedRecords.ts
+++ b/src/gateway/removedRecords.ts
@@ -1,21 +1,21 @@
 import type { Clock } from "../base/clock.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
-import type { SourceHealth } from "./fleetSource.js";
+import type { LapsePolicy, RemovalVerdict } from "../decisions/health/lapsePolicy.js";
 import type { Target } from "./target.js";
 
-/**
- * Records lapse while the platform's store is away although their targets live, and are back within two seconds of its
- * return. Dropped at once, a whole service would be without targets for these seconds.
- */
-const lapseGraceMs = 2_300;
-
 /** What {@link RemovedRecords} need. */
 export interface RemovedRecordsOptions {
     readonly clock: Clock;
     readonly logger: Logger;
-    /** How the link to the platform stands; undefined without one. */
-    readonly getHealth: () => SourceHealth | undefined;
+    readonly lapses: LapsePolicy;
+}
+
+/** That a target's record is gone although the target may live; monotonic times, milliseconds. */
+export interface RecordRemoval {
+    readonly atMs: number;
+    /** Until then the target may get requests. */
+    readonly keptUntilMs: number;
 }
 
 /** Targets whose records are gone, and which may live all the same. */
@@ -30,22 +30,21 @@
 
     /** Takes that a target's record is gone; false: the target is, too. */
     public handleRemoval(target: Target): boolean {
-        const { clock, getHealth } = this.options;
+        const { clock, lapses } = this.options;
         const nowMs = clock.nowMs();
-        const health = getHealth();
-        const failedAtMs = health?.isConnected === false ? nowMs : health?.lastFailureAtMs;
-        const graceMs = failedAtMs === undefined ? 0 : failedAtMs + lapseGraceMs - nowMs;
+        const verdict = lapses.checkRemoval(nowMs);
+        const { keptUntilMs } = verdict;
         this.clear(target);
-        if (graceMs <= 0) {
+        this.writeVerdict(target, verdict, nowMs);
+        if (keptUntilMs === undefined) {
             return false;
         }
-        target.removedAtMs = nowMs;
-        this.writeKept(target, graceMs, failedAtMs, health?.targetsCoveredUntilMs);
+        target.removal = { atMs: nowMs, keptUntilMs };
         const expire = (): void => {
             this.timers.delete(target.id);
             this.onDidExpire(target.id);
         };
-        this.timers.set(target.id, setTimeout(expire, graceMs));
+        this.timers.set(target.id, setTimeout(expire, keptUntilMs - nowMs));
         return true;
     }
 
@@ -53,7 +52,7 @@
     public clear(target: Target): void {
         clearTimeout(this.timers.get(target.id));
         this.timers.delete(target.id);
-        target.removedAtMs = undefined;
+        target.removal = undefined;
     }
 
     public dispose(): void {
@@ -63,15 +62,13 @@
         this.timers.clear();
     }
 
-    private writeKept(target: Target, graceMs: number, failedAtMs?: number, coveredUntilMs?: number): void {
-        const { clock, logger } = this.options;
-        const toAge = (atMs: number | undefined): number | undefined =>
-            atMs === undefined ? undefined : Math.round(clock.nowMs() - atMs);
-        logger.write("info", "a target's record is gone, perhaps lapsed; the target is kept for a time", {
-            target: target.id,
-            keptForMs: Math.round(graceMs),
-            failedAgoMs: toAge(failedAtMs),
-            viewAgeMs: toAge(coveredUntilMs),
+    private writeVerdict({ id }: Target, verdict: RemovalVerdict, nowMs: number): void {
+        const { keptUntilMs = nowMs, viewAgeMs, outageAgoMs } = verdict;
+        this.options.logger.write("info", "a target's record is gone", {
+            target: id,
+            keptForMs: Math.round(keptUntilMs - nowMs),
+            viewAgeMs: viewAgeMs === undefined ? undefined : Math.round(viewAgeMs),
+            outageAgoMs: outageAgoMs === undefined ? undefined : Math.round(outageAgoMs),
         });
     }
 }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -245,8 +245,8 @@
         return outcome;
     }
 
-    private handleSent({ removedAtMs }: Target): void {
-        this.recordRemovedForMs = removedAtMs === undefined ? undefined : this.context.clock.nowMs() - removedAtMs;
+    private handleSent({ removal }: Target): void {
+        this.recordRemovedForMs = removal === undefined ? undefined : this.context.clock.nowMs() - removal.atMs;
         this.watchSilence();
     }
 
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -11,6 +11,7 @@
 import type { TargetEntry } from "./fleetSource.js";
 import type { GrantReply } from "./grants/grantMessage.js";
 import type { ConnectionLimits } from "./targetConnection.js";
+import type { RecordRemoval } from "./removedRecords.js";
 import { TargetConnections } from "./targetConnections.js";
 
 /** What other routers have under way at a target. */
@@ -61,8 +62,8 @@
     /** Smoothed time of a whole plain answer; milliseconds; 0 before the first. */
     public serviceTimeMs = 0;
     public coldUntilMs = Number.NEGATIVE_INFINITY;
-    /** When this router read that its record is gone; monotonic; undefined: the record is there. */
-    public removedAtMs: number | undefined;
+    /** That its record is gone; undefined: the record is there. */
+    public removal: RecordRemoval | undefined;
     /** Since when this router knows of this start of it; monotonic. */
     public joinedAtMs = Number.NEGATIVE_INFINITY;
     private currentEntry: TargetEntry;
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -5,9 +5,10 @@
 import type { Logger } from "../base/log.js";
 import type { Random } from "../base/random.js";
 import { AvailabilityRegistry } from "../decisions/health/availabilityRegistry.js";
+import type { LapsePolicy } from "../decisions/health/lapsePolicy.js";
 import type { LeavingSource, TargetAvailability } from "../decisions/health/targetAvailability.js";
 import type { ServedConfiguration, ServedService } from "./configuration.js";
-import type { FleetChange, SourceHealth, TargetEntry } from "./fleetSource.js";
+import type { FleetChange, TargetEntry } from "./fleetSource.js";
 import type { LeavingTarget } from "./peers/peerMessage.js";
 import { RemovedRecords } from "./removedRecords.js";
 import { Target } from "./target.js";
@@ -29,8 +30,7 @@
     readonly random: Random;
     readonly logger: Logger;
     readonly connectionLimits: ConnectionLimits;
-    /** How the link to the platform stands; undefined without one. */
-    readonly getHealth: () => SourceHealth | undefined;
+    readonly lapses: LapsePolicy;
 }
 
 /** The targets that this router knows, and which of them may get requests. */
@@ -99,9 +99,11 @@
 
     /** Whether the target must not get even a request that was meant for it: it left, pauses or is out. */
     public isClosed(target: Target): boolean {
+        const nowMs = this.options.clock.nowMs();
         return (
             this.targets.get(target.id) !== target ||
-            target.availability.isClosed(this.options.clock.nowMs()) ||
+            isRemoved(target, nowMs) ||
+            target.availability.isClosed(nowMs) ||
             this.dataCentresOut.has(target.dataCentre)
         );
     }
@@ -198,8 +200,9 @@
         }
     }
 
-    private isReady({ availability, dataCentre }: Target, nowMs: number): boolean {
-        return availability.canTake(nowMs) && !this.dataCentresOut.has(dataCentre);
+    private isReady(target: Target, nowMs: number): boolean {
+        const { availability, dataCentre } = target;
+        return availability.canTake(nowMs) && !isRemoved(target, nowMs) && !this.dataCentresOut.has(dataCentre);
     }
 
     private applyEntry(id: string, entry: TargetEntry | undefined): void {
@@ -307,9 +310,14 @@
         const others = (this.byService.get(target.entry.service) ?? []).filter(other => other !== target);
         this.byService.set(target.entry.service, others);
         target.dispose();
-        const { removedAtMs, entry } = target;
-        const removedForMs = removedAtMs === undefined ? 0 : Math.round(this.options.clock.nowMs() - removedAtMs);
+        const { removal, entry } = target;
+        const removedForMs = removal === undefined ? 0 : Math.round(this.options.clock.nowMs() - removal.atMs);
         this.removedRecords.clear(target);
         this.options.logger.write("info", "a target is gone", { target: id, service: entry.service, removedForMs });
     }
 }
+
+/** Whether its time is over; asked at each send, as a timer is late while the event loop is busy. */
+function isRemoved({ removal }: Target, nowMs: number): boolean {
+    return removal !== undefined && nowMs >= removal.keptUntilMs;
+}
