--- a/test/gateway/targetRecords/departures.test.ts
+++ b/test/gateway/targetRecords/departures.test.ts
@@ -4,6 +4,8 @@
 
 const scene = { current: new RecordsScene() };
 const calmMs = 10_000;
+/** Three heartbeats of silence. */
+const lapseMs = 3_600;
 /** Offsets at which a target leaves, over one period of reads: right behind a read is the worst. */
 const offsetsMs = [0, 1, 5, 10, 50, 250, 500, 750, 990];
 
@@ -100,3 +102,30 @@
         expect(worstMs).toBeLessThanOrEqual(scene.current.drainMs);
     });
 });
+
+describe("a target that left before the store came back from an older copy", () => {
+    // The copy still has its record as ready, until it lapses there: taken for a new target, it would get requests again.
+    it("gets nothing more", async () => {
+        const { current } = scene;
+        current.writeRecord("target-1");
+        await current.advance(calmMs);
+        const copy = current.takeCopy();
+        current.removeRecord("target-1");
+        await current.advance(calmMs);
+        current.resumeFromCopy(copy);
+        setTimeout(() => current.removeRecord("target-1"), lapseMs);
+        expect(await current.measureOpen("target-1")).toBe(0);
+    });
+
+    it("gets requests where it is alive and its record stays", async () => {
+        const { current } = scene;
+        current.writeRecord("target-1");
+        await current.advance(calmMs);
+        const copy = current.takeCopy();
+        current.removeRecord("target-1");
+        await current.advance(calmMs);
+        current.resumeFromCopy(copy);
+        await current.advance(calmMs);
+        expect(current.isOpen("target-1")).toBe(true);
+    });
+});
--- a/test/gateway/targetRecords/recordsScene.ts
+++ b/test/gateway/targetRecords/recordsScene.ts
@@ -40,6 +40,7 @@
             logger,
             drainMs,
             contactMs,
+            heartbeatMs: 1_200,
         });
         this.directory = new TargetDirectory({
             clock,
