--- a/test/gateway/targetRecords/departures.test.ts
+++ b/test/gateway/targetRecords/departures.test.ts
@@ -103,6 +103,23 @@
     });
 });
 
+describe("an order of the operators", () => {
+    const boundMs = 2_000;
+
+    // The read that waits for it is not woken; noticed late, a configuration would not be in force in its time.
+    it("is in force in time though one read hangs", async () => {
+        const { current } = scene;
+        for (const offsetMs of offsetsMs) {
+            await current.advance(calmMs + offsetMs);
+            const writtenAtMs = current.nowMs;
+            current.writeOrder();
+            await setFor("deaf", 1_000);
+            await current.advance(calmMs);
+            expect((current.outAtMs ?? Number.POSITIVE_INFINITY) - writtenAtMs).toBeLessThanOrEqual(boundMs);
+        }
+    });
+});
+
 describe("a target that left before the store came back from an older copy", () => {
     // The copy still has its record as ready, until it lapses there: taken for a new target, it would get requests again.
     it("gets nothing more", async () => {
--- a/test/gateway/targetRecords/recordsScene.ts
+++ b/test/gateway/targetRecords/recordsScene.ts
@@ -22,6 +22,8 @@
     private readonly feed: StoreFeed;
     private readonly clock = new SystemClock();
     private writes = 0;
+    /** When an order of the operators was last in force. */
+    public outAtMs: number | undefined;
 
     public constructor(
         public readonly drainMs = 2_000,
@@ -49,7 +51,10 @@
             connectionLimits: { connectTimeoutMs: 350, mostAnswerBytes: 1_000 },
             lapses: new BoundedLapses(() => this.feed.health.targets, computeRemovalBounds({ drainMs, contactMs })),
         });
-        this.feed.onDidChange(change => this.directory.applyChange(change));
+        this.feed.onDidChange(change => {
+            this.directory.applyChange(change);
+            this.outAtMs = change.kind === "data-centre" ? this.nowMs : this.outAtMs;
+        });
         this.store.write("keyed.op", "note", {});
     }
 
@@ -82,6 +87,11 @@
         });
     }
 
+    /** The operators take a data centre out. */
+    public writeOrder(): void {
+        this.store.write("keyed.op", "evacuate/dc-b", {});
+    }
+
     /** The store takes a target's record away. */
     public removeRecord(id: string): void {
         this.store.write(topic, id, undefined);
