Reads wait for what the configuration's own bound leaves; targets are read as often as before

The targets' period is half of drainMs again, the wait 0.05, the delivery 0.15. Property test, 300 runs, and all of departures.test.ts hold.

--- a/deploy/router.ts
+++ b/deploy/router.ts
@@ -64,7 +64,7 @@
     );
     setLogOutput(line => output.write(line));
     const logger = new RoarrLogger(settings.daemonId, settings.logLevel);
-    const { drainMs, contactMs, heartbeatMs } = settings;
+    const { drainMs, contactMs, applyMs, heartbeatMs } = settings;
     const { address } = settings.store;
     const source = new StoreFeed({
         client: new StoreClient(address),
@@ -74,6 +74,7 @@
         logger,
         drainMs,
         contactMs,
+        applyMs,
         heartbeatMs,
     });
     const codec = new PlatformHeaders();
--- a/scripts/measuredRouter.ts
+++ b/scripts/measuredRouter.ts
@@ -28,7 +28,7 @@
     const clock = new SystemClock();
     const random = new SystemRandom();
     const logger = new RoarrLogger(settings.daemonId, settings.logLevel);
-    const { drainMs, contactMs, heartbeatMs } = settings;
+    const { drainMs, contactMs, applyMs, heartbeatMs } = settings;
     const { address } = settings.store;
     const daemon = new GatewayDaemon({
         settings,
@@ -44,6 +44,7 @@
             logger,
             drainMs,
             contactMs,
+            applyMs,
             heartbeatMs,
         }),
         engines: new EngineLists(clock),
--- a/src/gateway/departureBudget.ts
+++ b/src/gateway/departureBudget.ts
@@ -18,7 +18,7 @@
 }
 
 /** Parts of the whole; they add up to 1. A store that is slow but up answers within `answer`. */
-const parts = { period: 0.4, wait: 0.1, answer: 0.2, pause: 0.1, delivery: 0.2 } as const;
+const parts = { period: 0.5, wait: 0.05, answer: 0.2, pause: 0.1, delivery: 0.15 } as const;
 
 /** Spends the time between a target's leaving, as the platform's store acknowledged it, and the last request that may reach it. */
 export function computeDepartureBudget(drainMs: number): DepartureBudget {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -36,6 +36,8 @@
     drainMs: z.number().positive().default(2_000),
     /** A VM that nothing disturbed for so long must be up to date; how long calls to the store wait follows. */
     contactMs: z.number().positive().default(3_000),
+    /** A configuration must be in force after this time; how long reads of the operators' records wait follows. */
+    applyMs: z.number().positive().default(2_000),
     /** Targets write their records about so often; a record lapses after three such times of silence. */
     heartbeatMs: z.number().positive().default(1_200),
     /**
--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -147,7 +147,7 @@
         const clock = new SystemClock();
         const random = new SeededRandom(seed);
         const logger = new NoopLogger();
-        const { drainMs, contactMs, heartbeatMs } = settings;
+        const { drainMs, contactMs, applyMs, heartbeatMs } = settings;
         const { address } = settings.store;
         const source = new StoreFeed({
             client: new StoreClient(address),
@@ -157,6 +157,7 @@
             logger,
             drainMs,
             contactMs,
+            applyMs,
             heartbeatMs,
         });
         const codec = new PlatformHeaders();
--- a/test/gateway/targetRecords/recordsScene.ts
+++ b/test/gateway/targetRecords/recordsScene.ts
@@ -42,6 +42,7 @@
             logger,
             drainMs,
             contactMs,
+            applyMs: 2_000,
             heartbeatMs: 1_200,
         });
         this.directory = new TargetDirectory({
