Soak: a fault that ends leaves a bad version bad

Traced: the version's target engines-7 was the one that 'target-hang' took; when that fault ended the target's script was cleared, and engines-7 answered 168 of 169 requests that ended while engines-8 of the same version failed 14 of 34. So the version was not bad any more. The check stays; faults that end put back what lasts.

--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -242,9 +242,7 @@
             case "target-spoilt":
             case "target-endless":
             case "target-shed":
-                targets.setScript(target, getScript(fault), faultShare);
-                await sleepFor(fault.forMs);
-                target.server.chooseScript = undefined;
+                await targets.setScriptFor(target, getScript(fault), faultShare, fault.forMs);
                 break;
             default:
                 await this.runLinkFault(fault, target.link);
--- a/test/soak/soakTargets.ts
+++ b/test/soak/soakTargets.ts
@@ -39,6 +39,7 @@
     private readonly all: SoakTarget[] = [];
     private readonly coldSpans: { target: string; fromMs: number; toMs: number }[] = [];
     private readonly versions = new Map<string, string>();
+    private readonly lastingScripts = new Map<SoakTarget, () => TargetScript>();
     private count = 0;
 
     public constructor(
@@ -132,10 +133,15 @@
     /** Turns a share of its requests away and asks for a pause each time. */
     public async refuseForPause(target: SoakTarget, pauseMs: number, forMs: number): Promise<void> {
         target.server.retryAfter = (pauseMs / 1_000).toFixed(2);
-        this.setScript(target, "shed", pauseShare);
-        await new Promise(resolve => setTimeout(resolve, forMs));
+        await this.setScriptFor(target, "shed", pauseShare, forMs);
         target.server.retryAfter = undefined;
-        target.server.chooseScript = undefined;
+    }
+
+    /** Lets a target answer a share of its requests in another way for a time; then as before: a bad version stays bad. */
+    public async setScriptFor(target: SoakTarget, script: TargetScript, share: number, forMs: number): Promise<void> {
+        target.server.chooseScript = this.createChooser(script, share);
+        await new Promise(resolve => setTimeout(resolve, forMs));
+        target.server.chooseScript = this.lastingScripts.get(target);
     }
 
     /** Ends without a word; its entry lapses. */
@@ -193,9 +199,11 @@
             .forEach(target => this.end(target));
     }
 
-    /** Lets a target answer a share of its requests in another way. */
+    /** Lets a target answer a share of its requests in another way from now on. */
     public setScript(target: SoakTarget, script: TargetScript, share: number): void {
-        target.server.chooseScript = () => (this.random.next() < share ? script : "serve");
+        const choose = this.createChooser(script, share);
+        this.lastingScripts.set(target, choose);
+        target.server.chooseScript = choose;
     }
 
     public resumeAll(): void {
@@ -242,6 +250,10 @@
         }
     }
 
+    private createChooser(script: TargetScript, share: number): () => TargetScript {
+        return () => (this.random.next() < share ? script : "serve");
+    }
+
     private setCold(target: SoakTarget, coldMs: number): void {
         if (coldMs > 0) {
             const fromMs = performance.now();
