Tests of departures: lost answers and reads that are not woken, each by itself

Now one case loses the answers of the reads that begin within a period, and one stalls reads that wait, without other writers and with offsets in the wait itself; the property test loses answers too. Terms: stalled for deaf, schedule for weather.

--- a/test/fakes/usersPlatform/simulatedStore.ts
+++ b/test/fakes/usersPlatform/simulatedStore.ts
@@ -9,8 +9,11 @@
     type RecordStore,
 } from "../../../platform/storeClient.js";
 
-/** How the store behaves towards a caller; `deaf`: reads that wait for a change get no answer, though the store is up. */
-export type SimulatedCondition = "up" | "refusing" | "silent" | "resetting" | "throttling" | "deaf";
+/**
+ * How the store behaves towards a caller. `stalled`: reads that wait for a change get no answer, though the store is up; `losing`: the
+ * answers of reads that begin meanwhile are lost.
+ */
+export type SimulatedCondition = "up" | "refusing" | "silent" | "resetting" | "throttling" | "stalled" | "losing";
 
 interface Topic {
     readonly newest: Map<string, Buffer>;
@@ -27,7 +30,7 @@
     private readonly topics = new Map<string, Topic>();
     private era = 1;
     public condition: SimulatedCondition = "up";
-    /** Reads that followed changes and were given some. */
+    /** Reads of changes that were answered. */
     public answers = 0;
 
     /** Writes a record; undefined drops the key. */
@@ -67,7 +70,12 @@
         { waitMs, timeoutMs }: ReadTimes,
         token: CancellationToken,
     ): ResultAsync<LogPage, StoreError> {
-        return new ResultAsync(this.answer(timeoutMs, token, () => this.readPage(topicName, fromOffset, waitMs)));
+        const isLost = this.condition === "losing";
+        return new ResultAsync(
+            this.answer(timeoutMs, token, () =>
+                isLost ? Promise.resolve(undefined) : this.readPage(topicName, fromOffset, waitMs),
+            ),
+        );
     }
 
     public readNewest(
@@ -133,11 +141,11 @@
                 return { kind: "compacted", era };
             }
             if (fromOffset < endOffset || waitedMs >= waitMs) {
-                this.answers += fromOffset < endOffset ? 1 : 0;
+                this.answers += 1;
                 return { kind: "records", endOffset, records: records.slice(fromOffset - firstOffset), era };
             }
             await sleepOnTimer(pollMs, token);
-            if (this.condition === "silent" || this.condition === "deaf") {
+            if (this.condition === "silent" || this.condition === "stalled") {
                 return undefined;
             }
         }
--- a/test/fakes/usersPlatform/storeServer.ts
+++ b/test/fakes/usersPlatform/storeServer.ts
@@ -9,7 +9,7 @@
     /** Turns calls away for their rate. */
     | "throttling"
     /** Up, but reads that wait for a change are not woken; the end of this condition cuts them. */
-    | "deaf";
+    | "stalled";
 
 interface Topic {
     readonly records: Buffer[];
@@ -17,7 +17,7 @@
     firstOffset: number;
     readonly waiting: Set<() => void>;
     /** Reads that were not woken. */
-    readonly unheard: Set<ServerResponse>;
+    readonly stalled: Set<ServerResponse>;
 }
 
 /** Stand-in for the users' log store: keyed topics with long polls, in memory. */
@@ -39,10 +39,10 @@
     }
 
     public set condition(condition: StoreCondition) {
-        const wasDeaf = this.currentCondition === "deaf";
+        const wasStalled = this.currentCondition === "stalled";
         this.currentCondition = condition;
-        if (wasDeaf && condition !== "deaf") {
-            this.closeUnheard();
+        if (wasStalled && condition !== "stalled") {
+            this.closeStalled();
         }
     }
 
@@ -122,17 +122,17 @@
         this.server.closeAllConnections();
     }
 
-    private closeUnheard(): void {
-        for (const { unheard } of this.topics.values()) {
-            unheard.forEach(response => response.socket?.resetAndDestroy());
-            unheard.clear();
+    private closeStalled(): void {
+        for (const { stalled } of this.topics.values()) {
+            stalled.forEach(response => response.socket?.resetAndDestroy());
+            stalled.clear();
         }
     }
 
     private openTopic(name: string): Topic {
         let topic = this.topics.get(name);
         if (topic === undefined) {
-            topic = { records: [], newest: new Map(), firstOffset: 0, waiting: new Set(), unheard: new Set() };
+            topic = { records: [], newest: new Map(), firstOffset: 0, waiting: new Set(), stalled: new Set() };
             this.topics.set(name, topic);
         }
         return topic;
@@ -224,8 +224,8 @@
             if (this.condition === "silent" || response.destroyed) {
                 return;
             }
-            if (this.condition === "deaf" && hasWaited) {
-                topic.unheard.add(response);
+            if (this.condition === "stalled" && hasWaited) {
+                topic.stalled.add(response);
                 return;
             }
             response.setHeader("Store-Era", this.era);
--- a/test/gateway/targetRecords/departures.property.test.ts
+++ b/test/gateway/targetRecords/departures.property.test.ts
@@ -10,7 +10,7 @@
 const spanMs = 24_000;
 const tickMs = 20;
 const startMs = 4_000;
-/** Between what the bounds don't excuse: a router that gets no answer for longer can't know. */
+/** Between disturbances: a router that gets no answer for longer can't know. */
 const leastGapMs = 2_500;
 
 const impairments = ["silent", "refusing", "resetting"] as const;
@@ -38,7 +38,8 @@
 const gapMs = fc.integer({ min: leastGapMs, max: 8_000 });
 const disturbance: fc.Arbitrary<Disturbance> = fc.oneof(
     fc.record({ kind: fc.constantFrom(...impairments), gapMs, forMs: fc.integer({ min: 20, max: 6_000 }) }),
-    fc.record({ kind: fc.constant("deaf" as const), gapMs, forMs: fc.integer({ min: 20, max: 1_000 }) }),
+    fc.record({ kind: fc.constant("stalled" as const), gapMs, forMs: fc.integer({ min: 20, max: 1_000 }) }),
+    fc.record({ kind: fc.constant("losing" as const), gapMs, forMs: fc.integer({ min: 20, max: 300 }) }),
     fc.record({ kind: fc.constant("throttling" as const), gapMs, forMs: fc.integer({ min: 20, max: 300 }) }),
 );
 const plan: fc.Arbitrary<Plan> = fc.record({
@@ -56,7 +57,7 @@
 });
 
 /** When the store's condition changes, and whether the bounds hold meanwhile. */
-class Weather {
+class StoreSchedule {
     private readonly spans: readonly {
         readonly kind: SimulatedCondition;
         readonly from: number;
@@ -88,19 +89,19 @@
 async function listBreaches({ disturbances, departures, bounds, seed: random }: Plan): Promise<readonly string[]> {
     const { drainMs, contactMs } = bounds;
     const scene = new RecordsScene(drainMs, contactMs, random);
-    const weather = new Weather(disturbances);
+    const schedule = new StoreSchedule(disturbances);
     const breaches = new Set<string>();
     departures.forEach((...[, index]) => scene.writeRecord(`target-${index + 1}`));
     scene.start();
     for (let nowMs = 0; nowMs < spanMs; nowMs += tickMs) {
-        scene.store.condition = weather.findCondition(nowMs);
+        scene.store.condition = schedule.findCondition(nowMs);
         for (const [index, { atMs, how, dropsHistory }] of departures.entries()) {
             const id = `target-${index + 1}`;
             if (atMs >= nowMs && atMs < nowMs + tickMs) {
                 writeLeaving(scene, id, how, dropsHistory);
             }
-            const isBound = nowMs > atMs + tickMs + drainMs && weather.isStable(atMs, contactMs);
-            if (isBound && weather.isStable(nowMs, contactMs) && scene.isOpen(id)) {
+            const isBound = nowMs > atMs + tickMs + drainMs && schedule.isStable(atMs, contactMs);
+            if (isBound && schedule.isStable(nowMs, contactMs) && scene.isOpen(id)) {
                 breaches.add(`${id} ${how} at ${atMs}, open at ${nowMs}`);
             }
         }
@@ -121,7 +122,7 @@
     }
 }
 
-describe("targets that leave while the store is away, refuses, resets, throttles, is deaf or drops history", () => {
+describe("targets that leave while the store is away, refuses, resets, throttles, loses answers, stalls or drops history", () => {
     // Whatever the order, a request that reaches a target later than the bound breaks what its operators were promised.
     it("get nothing once the bound on draining is over", async () => {
         await fc.assert(
--- a/test/gateway/targetRecords/departures.test.ts
+++ b/test/gateway/targetRecords/departures.test.ts
@@ -6,6 +6,9 @@
 const calmMs = 10_000;
 /** Three heartbeats of silence. */
 const lapseMs = 3_600;
+const stallMs = 1_000;
+/** Less than two periods, so that one read of the targets begins in it. */
+const longestPeriodMs = 1_050;
 /** Offsets at which a target leaves, over one period of reads: right behind a read is the worst. */
 const offsetsMs = [0, 1, 5, 10, 50, 250, 500, 750, 990];
 
@@ -19,9 +22,9 @@
 afterEach(() => scene.current.dispose());
 
 /** The longest time that a target stays open after it left, when it leaves at each of the offsets. */
-async function measureWorst(leave: (id: string) => Promise<void>): Promise<number> {
+async function measureWorst(leave: (id: string) => Promise<void>, offsets = offsetsMs): Promise<number> {
     let worstMs = 0;
-    for (const [index, offsetMs] of offsetsMs.entries()) {
+    for (const [index, offsetMs] of offsets.entries()) {
         const id = `target-${index + 1}`;
         scene.current.writeRecord(id);
         await scene.current.advance(calmMs);
@@ -93,14 +96,27 @@
         expect(worstMs).toBeLessThanOrEqual(scene.current.drainMs);
     });
 
-    // Reads that follow changes get no answer for a second while the store takes changes, and are cut then.
-    it("gets nothing once the bound is over though one read hangs", async () => {
+    // Rest, lost call and pause add up.
+    it("gets nothing once the bound is over though the answer of the next read is lost", async () => {
         const worstMs = await measureWorst(async id => {
             writeLeaving(id);
-            await setFor("deaf", 1_000);
+            await setFor("losing", longestPeriodMs);
         });
         expect(worstMs).toBeLessThanOrEqual(scene.current.drainMs);
     });
+
+    // While nothing else is written reads wait; one that is not woken must be given up in time.
+    it("gets nothing once the bound is over though a read that waits is not woken", async () => {
+        scene.current.stopHeartbeats();
+        const worstMs = await measureWorst(
+            async id => {
+                writeLeaving(id);
+                await setFor("stalled", stallMs);
+            },
+            [...offsetsMs, 1_003, 1_010, 1_050, 1_090],
+        );
+        expect(worstMs).toBeLessThanOrEqual(scene.current.drainMs);
+    });
 });
 
 describe("an order of the operators", () => {
@@ -113,7 +129,7 @@
             await current.advance(calmMs + offsetMs);
             const writtenAtMs = current.nowMs;
             current.writeOrder();
-            await setFor("deaf", 1_000);
+            await setFor("stalled", stallMs);
             await current.advance(calmMs);
             expect((current.outAtMs ?? Number.POSITIVE_INFINITY) - writtenAtMs).toBeLessThanOrEqual(boundMs);
         }
--- a/test/gateway/targetRecords/recordsScene.ts
+++ b/test/gateway/targetRecords/recordsScene.ts
@@ -22,6 +22,7 @@
     private readonly feed: StoreFeed;
     private readonly clock = new SystemClock();
     private writes = 0;
+    private heartbeat: NodeJS.Timeout | undefined;
     /** When an order of the operators was last in force. */
     public outAtMs: number | undefined;
 
@@ -64,11 +65,16 @@
         this.feed.start();
         const tick = (): void => {
             this.writeRecord("target-0");
-            setTimeout(tick, heartbeatMs);
+            this.heartbeat = setTimeout(tick, heartbeatMs);
         };
         tick();
     }
 
+    /** Nothing is written any more but by the test: reads wait for it. */
+    public stopHeartbeats(): void {
+        clearTimeout(this.heartbeat);
+    }
+
     /** Milliseconds on the router's clock. */
     public get nowMs(): number {
         return this.clock.nowMs();
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -19,7 +19,7 @@
 /** After an outage of the store this long ago its acknowledgements bind. */
 const contactMs = 3_000;
 const throttledPart = 0.1;
-const longestDeafMs = 1_000;
+const longestStallMs = 1_000;
 const fatalCount = 8;
 const fatalGapMs = 700;
 const oneWay: readonly RouteMode[] = ["frozen-out", "frozen-back"];
@@ -152,8 +152,8 @@
             case "store-throttling":
                 await this.setStoreFor("throttling", fault.forMs * throttledPart);
                 break;
-            case "store-deaf":
-                await this.setStoreFor("deaf", Math.min(fault.forMs, longestDeafMs));
+            case "store-stalled":
+                await this.setStoreFor("stalled", Math.min(fault.forMs, longestStallMs));
                 break;
             case "store-garbage":
                 store.write("keyed.servers", "stranger", fault.pick < 0.5 ? "\u0000 not JSON" : { service: 7 });
@@ -285,7 +285,12 @@
     if (kind.startsWith("target-")) {
         return "targets";
     }
-    if (kind === "store-history" || kind === "store-garbage" || kind === "store-throttling" || kind === "store-deaf") {
+    if (
+        kind === "store-history" ||
+        kind === "store-garbage" ||
+        kind === "store-throttling" ||
+        kind === "store-stalled"
+    ) {
         return "planned";
     }
     const isWholeStore = kind === "store-away" || kind === "store-lapse";
--- a/test/soak/soakPlan.ts
+++ b/test/soak/soakPlan.ts
@@ -43,8 +43,8 @@
 /** Drawn besides in the same way: versions that are rolled out, and answers without end. */
 export const versionKinds = ["target-version-sound", "target-version-bad", "target-endless"] as const;
 
-/** Drawn besides in the same way: targets that leave without a word, and a store that is up and all the same brings no news. */
-export const recordKinds = ["target-removed", "target-removed-later", "store-throttling", "store-deaf"] as const;
+/** Drawn besides in the same way: targets that leave unannounced, and a store that is up while reads fail or stall. */
+export const recordKinds = ["target-removed", "target-removed-later", "store-throttling", "store-stalled"] as const;
 
 export type FaultKind =
     | (typeof faultKinds)[number]
--- a/test/soak/soakTargets.ts
+++ b/test/soak/soakTargets.ts
@@ -109,7 +109,7 @@
         this.end(target);
     }
 
-    /** Leaves without a word: its record goes, and it serves on for a while. */
+    /** Leaves unannounced: its record goes, and it serves on for a while. */
     public async removeRecord(target: SoakTarget): Promise<void> {
         if (target.state !== "ready") {
             return;
