Log resumed streams, and the versions of the targets that wrote an answer

A request's line named the last target's version alone, and not that the request resumes a stream.

Lines now have resumes, resumedAfterId and eventVersions (the version of each target whose output the caller received, as it was when the request was sent); lynxarch_resumed_streams_total counts responses of several targets by whether their versions are the same. No decision changes.

--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -643,6 +643,7 @@
                 maxOutputTokens: eventCount * this.options.engine.tokensPerEvent,
                 promptParts: parts,
                 lastEventId: undefined,
+                resumedRequestId: undefined,
             },
             route: this.route,
             account,
--- a/src/gateway/flowOutcomes.ts
+++ b/src/gateway/flowOutcomes.ts
@@ -32,6 +32,11 @@
     readonly tried: readonly string[];
     /** Time since the target's record was removed when the request was sent; milliseconds, undefined if the record was present. */
     readonly recordRemovedForMs: number | undefined;
+    /** Set if the caller resumes a stream: the request that received its first event, and the last event received. */
+    readonly resumedRequestId: string | undefined;
+    readonly resumedAfterId: string | undefined;
+    /** Versions of the targets whose output the caller received. */
+    readonly eventVersions: readonly string[];
     /** This router's estimate of the prefill share that owners may grant. */
     readonly readingShare: number | undefined;
     /** Tokens charged to the account: requested, and served by a target. */
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -76,6 +76,12 @@
         labelNames: ["service", "source"],
         registers: [this.registry],
     });
+    private readonly resumedStreams = new Counter({
+        name: "lynxarch_resumed_streams_total",
+        help: "Responses with events of several targets, by whether all targets had the same version.",
+        labelNames: ["service", "versions"],
+        registers: [this.registry],
+    });
     private readonly accounts = new AccountMetrics(this.registry);
     private readonly totalsAge = new Histogram({
         name: "lynxarch_account_sums_age_seconds",
@@ -215,6 +221,7 @@
         this.ownerReplies.inc({ outcome: "answered" }, (end.ownersAsked ?? 0) - (end.ownersSilent ?? 0));
         this.ownerReplies.inc({ outcome: "silent" }, end.ownersSilent ?? 0);
         this.recordShare(end);
+        this.recordResumption(service, end.eventVersions ?? []);
         if (end.firstOutputMs !== undefined) {
             this.firstOutput.observe({ service }, end.firstOutputMs / msPerSecond);
             this.longestPause.observe({ service }, (end.longestPauseMs ?? 0) / msPerSecond);
@@ -237,6 +244,12 @@
         return this.registry.metrics();
     }
 
+    private recordResumption(service: string, eventVersions: readonly string[]): void {
+        if (eventVersions.length > 1) {
+            this.resumedStreams.inc({ service, versions: new Set(eventVersions).size === 1 ? "same" : "mixed" });
+        }
+    }
+
     private recordShare({ askedTokens = 0, shareUse }: EndedRequest["end"]): void {
         if (askedTokens > 0 && shareUse !== undefined) {
             this.totalsAge.observe(shareUse.sumsAgeMs / msPerSecond);
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -5,6 +5,7 @@
 import { ResponseTiming } from "./responseTiming.js";
 import { Attempt, type AttemptOutcome, type StopReason, type NotExecutedReason } from "./attempt.js";
 import type { CallerExchange } from "./callerExchange.js";
+import { recordAttempt } from "./grants/recordedGrant.js";
 import { EventStreamRelay } from "./eventStreamRelay.js";
 import { describeSelection, FlowOutcomes, type FlowOutcome } from "./flowOutcomes.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -12,6 +13,7 @@
 import { RequestRetries } from "./requestRetries.js";
 import type { RequestGuard } from "./quarantine/requestGuard.js";
 import type { RequestVersions } from "./rollouts/requestVersions.js";
+import { EventVersions } from "./streams/eventVersions.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import { computeInactivityLimit, InactivityTimer } from "./inactivityTimer.js";
 import type { Target } from "./target.js";
@@ -25,8 +27,6 @@
  */
 const maxIdleIfNotRepeatableMs = 250;
 const maxIdleIfRepeatableMs = 60_000;
-/** Bounds for an attempt that is only reported to the owner, which records it without a check. */
-const uncheckedBounds = { maxWaitMs: 0, maxUsage: 1 };
 /** Maximum number of attempts that ended without execution. */
 const maxNotExecutedAttempts = 4;
 
@@ -51,6 +51,7 @@
     private mayHaveBeenExecuted = false;
     /** Error response of the last target, kept while the request is retried. */
     private lastErrorResponse: StoredResponse | undefined;
+    private readonly eventVersions = new EventVersions();
     private selection: Selection | undefined;
     private recordRemovedForMs: number | undefined;
     private readonly timing: ResponseTiming;
@@ -79,6 +80,9 @@
             ...describeSelection(this.selection),
             readingShare: findPrefillShare(context, this.selection)?.current,
             recordRemovedForMs: this.recordRemovedForMs,
+            resumedRequestId: head.resumedRequestId,
+            resumedAfterId: head.lastEventId,
+            eventVersions: this.eventVersions.all,
             ...this.timing.details,
             ...this.admission,
             askedTokens: this.charge.askedTokens,
@@ -137,16 +141,7 @@
             this.selection = selection ?? this.selection;
             return selection;
         }
-        const grant = this.context.grants.record({
-            target: selection.target,
-            head,
-            copiedTokens: selection.fetch?.tokens ?? 0,
-            outputTokens: this.charge.outputTokens,
-            account: this.routed.account,
-            chargedTokens: 0,
-            bounds: uncheckedBounds,
-            windowMs: route.pauseObjectiveMs,
-        });
+        const grant = recordAttempt(this.context, selection, this.routed, this.charge.outputTokens);
         return (this.selection = { ...selection, grant });
     }
 
@@ -191,6 +186,7 @@
         const { context, routed } = this;
         const { target, service } = selection;
         const { availability } = target;
+        const { version } = target.entry;
         const maxIdleMs = this.isRepeatable ? maxIdleIfRepeatableMs : maxIdleIfNotRepeatableMs;
         const limit = this.selector.computeConnectionLimit(service);
         const nowMs = context.clock.nowMs();
@@ -224,7 +220,7 @@
             canStart: () => !context.directory.isClosed(target),
             handleSent: () => this.handleSent(target),
             handleHead: head => context.directory.observeResponse(target, availability, head),
-            handleOutput: isFirst => this.handleOutput(send, isFirst),
+            handleOutput: isFirst => this.handleOutput(send, version, isFirst),
         });
         this.current = attempt;
         if (this.stopReason !== undefined) {
@@ -251,7 +247,8 @@
         this.startInactivityTimer();
     }
 
-    private handleOutput(send: TargetSend, isFirst: boolean): void {
+    private handleOutput(send: TargetSend, version: string | undefined, isFirst: boolean): void {
+        this.eventVersions.record(this.tried.size, version);
         this.timing.recordOutput(this.context.clock.nowMs());
         this.startInactivityTimer();
         send.handleOutput(isFirst);
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -107,6 +107,9 @@
         decidedBy: end.decidedBy,
         decisionMs: toRounded(end.decisionMs),
         tried: end.tried?.join(" "),
+        resumes: end.resumedRequestId,
+        resumedAfterId: end.resumedAfterId,
+        eventVersions: end.eventVersions?.join(" "),
     };
 }
 
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -20,6 +20,8 @@
     readonly promptParts: readonly PromptPart[];
     /** Id of the event after which a stream is resumed; undefined for a new stream. */
     readonly lastEventId: string | undefined;
+    /** Id of the caller's request that received the resumed stream's first event; undefined if the caller doesn't name it. */
+    readonly resumedRequestId: string | undefined;
 }
 
 /** Values that the router adds to a request's headers for its target. */
--- a/test/gateway/coldTarget.test.ts
+++ b/test/gateway/coldTarget.test.ts
@@ -49,6 +49,7 @@
     maxOutputTokens: 10,
     promptParts: [],
     lastEventId: undefined,
+    resumedRequestId: undefined,
 };
 /** Rate of a cold target for the whole fleet; divided among four sharers, each of them may send one request per second. */
 const coldRequestsPerSecond = 6;
--- a/test/gateway/grants/grantClient.test.ts
+++ b/test/gateway/grants/grantClient.test.ts
@@ -76,6 +76,7 @@
             maxOutputTokens: 10,
             promptParts: [],
             lastEventId: undefined,
+            resumedRequestId: undefined,
         },
         copiedTokens: 0,
         outputTokens: 10,
