Failing tests: streams continued at another version of their targets

Three of 12 streams resumed at a router that did not serve them, 5 of 12 after their router ended and 1 of 12 inside one response hold output of targets of two versions (stand-ins, real sockets).

--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -34,6 +34,8 @@
     readonly isChunked?: boolean;
     /** Closes the connection after this time; milliseconds. */
     readonly disconnectAfterMs?: number;
+    /** Closes the connection once the response has this many events. */
+    readonly disconnectAfterEvents?: number;
     /** Keeps connections between requests; without it each request has its own connection. */
     readonly agent?: Agent;
 }
@@ -203,7 +205,12 @@
                 },
                 response => {
                     const chunks: Buffer[] = [];
-                    response.on("data", (chunk: Buffer) => chunks.push(chunk));
+                    response.on("data", (chunk: Buffer) => {
+                        chunks.push(chunk);
+                        if (countEvents(chunks) >= (call.disconnectAfterEvents ?? Infinity)) {
+                            response.destroy();
+                        }
+                    });
                     response.on("error", () => undefined);
                     response.on("close", () =>
                         resolve({
@@ -250,6 +257,10 @@
     };
 }
 
+function countEvents(chunks: readonly Buffer[]): number {
+    return Buffer.concat(chunks).toString().split("\n\n").length - 1;
+}
+
 /** Waits until a condition is true, or until the test's time-out. */
 export async function waitUntil(check: () => boolean | Promise<boolean>): Promise<void> {
     while (!(await check())) {
--- /dev/null
+++ b/test/gateway/streams/streamFixture.ts
@@ -0,0 +1,104 @@
+import { createPromptHeaders, GatewayFixture, waitUntil, type CallerResponse } from "../gatewayFixture.js";
+
+/** What a caller received of a stream over all of its attempts. */
+export interface CallerStream {
+    /** Request ids of the attempts. */
+    readonly ids: readonly string[];
+    readonly responses: readonly CallerResponse[];
+}
+
+/** Summary of several streams. */
+export interface StreamSummary {
+    /** Streams with events of several versions. */
+    readonly mixed: number;
+    /** Streams whose last response is complete. */
+    readonly complete: number;
+    /** Codes of the routers' own last responses. */
+    readonly refusals: readonly string[];
+}
+
+/** Time between two events of a target, long enough to interrupt a stream between them; milliseconds. */
+const eventPauseMs = 40;
+const eventsBeforeDisconnect = 2;
+
+/** Routers in front of targets of several versions, and callers that resume streams. */
+export class StreamFixture extends GatewayFixture {
+    private readonly versions = new Map<string, string>();
+
+    /** Starts this many targets of each version, and the routers. */
+    public async startFleet(counts: Readonly<Record<string, number>>, routerCount: number): Promise<void> {
+        await this.start();
+        for (const [version, count] of Object.entries(counts)) {
+            await this.addVersion(version, count);
+        }
+        await this.addRouters(routerCount);
+    }
+
+    public async addRouters(count: number): Promise<void> {
+        for (let index = 0; index < count; index++) {
+            await this.addRouter();
+        }
+        await waitUntil(() => this.routers.every(({ daemon }) => daemon.knownRouterCount === this.routers.length));
+    }
+
+    public async addVersion(version: string, count: number): Promise<void> {
+        for (let index = 0; index < count; index++) {
+            const target = await this.addTarget("engines", `${version}-${this.targets.length}`, { version });
+            target.eventPauseMs = eventPauseMs;
+            this.versions.set(target.instanceId, version);
+        }
+    }
+
+    /** Sends a request for a stream; its caller disconnects after some events. */
+    public async openStream(id: string, router: number, path = "/plan/x"): Promise<CallerStream> {
+        const headers = createPromptHeaders(id, { "x-lynxarch-prefix-hash": `${id}:1000` });
+        const call = { path, headers, body: `body of ${id}`, disconnectAfterEvents: eventsBeforeDisconnect };
+        return { ids: [id], responses: [await this.send(call, router)] };
+    }
+
+    /** Begins several streams at a router at the same time. */
+    public openStreams(count: number, router: number, prefix = "s"): Promise<readonly CallerStream[]> {
+        return Promise.all(
+            Array.from({ length: count }, (...[, index]) => this.openStream(`${prefix}${index}`, router)),
+        );
+    }
+
+    /** Resumes a stream after the last received event. `isNamed`: whether the request names the first attempt. */
+    public async resumeStream(stream: CallerStream, router: number, isNamed = true): Promise<CallerStream> {
+        const [first] = stream.ids;
+        const id = `${first}-${stream.ids.length}`;
+        const received = stream.responses.map(({ body }) => body).join("");
+        const headers = createPromptHeaders(id, {
+            "x-lynxarch-prefix-hash": `${first}:1000`,
+            "last-event-id": String(received.split("\n\n").length - 1),
+            ...(isNamed ? { resumes: first } : {}),
+        });
+        const response = await this.send({ path: "/plan/x", headers, body: `body of ${first}` }, router);
+        return { ids: [...stream.ids, id], responses: [...stream.responses, response] };
+    }
+
+    /** Resumes streams at the same time, in reverse order, so that they would be spread over the targets in another way. */
+    public resumeStreams(streams: readonly CallerStream[], router: number): Promise<readonly CallerStream[]> {
+        return Promise.all([...streams].reverse().map(stream => this.resumeStream(stream, router)));
+    }
+
+    public describeStreams(streams: readonly CallerStream[]): StreamSummary {
+        const last = streams.map(({ responses }) => responses[responses.length - 1]);
+        return {
+            mixed: streams.filter(stream => new Set(this.listVersions(stream)).size > 1).length,
+            complete: last.filter(({ status, isIncomplete }) => status === 200 && !isIncomplete).length,
+            refusals: last.filter(({ status }) => status !== 200).map(({ body }) => parseCode(body)),
+        };
+    }
+
+    /** Versions of the targets that ran the stream's requests. */
+    private listVersions({ ids }: CallerStream): readonly string[] {
+        return this.targets
+            .filter(target => target.ran.some(request => ids.includes(request.id ?? "")))
+            .map(target => this.versions.get(target.instanceId)!);
+    }
+}
+
+function parseCode(body: string): string {
+    return (JSON.parse(body) as { readonly code: string }).code;
+}
