Continue a stream only at the version of the targets that began it

Cause: a stream's version was no part of its state. A repeat inside an answer took any target, or during a roll-out the baseline; a caller's own resumption reached a router that knew nothing of the stream.

A flow binds its stream to the service and version of the target that wrote the first event, as they were when the request was sent (StreamBinding); every later attempt is filtered by it, also against a roll-out's rejected and rolled-back versions and its exposure budget (ResumptionVersions). While a service has, or recently had, several versions, the record of a begun stream goes to two other routers, chosen by rendezvous hashing over account and request id; a router that gets a resumption asks four of the ranking and takes the first that knows it. With one version nothing is sent; the records follow once a second one appears. A stopping router sends all its records on. Without a record a stream goes on only if no asked router has seen a second version for as long as streams last; otherwise it is refused with 503 (stream-version-unknown, stream-version-gone), before anything is sent. Callers who name no request (earlier deployments) are served while there is one version.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -25,6 +25,7 @@
 import { LazyMap } from "../../src/gateway/lazyMap.js";
 import { gatewaySettingsSchema } from "../../src/gateway/settings.js";
 import { NoExpiryGrace } from "../../src/decisions/health/recordExpiryPolicy.js";
+import { StreamVersions } from "../../src/gateway/streams/streamVersions.js";
 import { TargetDirectory } from "../../src/gateway/targetDirectory.js";
 import { PlatformHeaders } from "../../platform/headers.js";
 
@@ -119,6 +120,7 @@
             grants: grants.client,
             quarantine: createQuarantine(options, this.peers),
             rollouts: createRollouts(options, this.peers, this.directory),
+            streams: createStreams(options, this.peers, this.directory),
             load: options.load ?? { shedShare: 0, loop: { delayMs: 0, utilization: 0 } },
             shares: this.shares,
             retryBudgets: new LazyMap(() => new RetryBudget()),
@@ -168,6 +170,13 @@
     });
 }
 
+/** Model engines have one version, so that no record is sent. */
+function createStreams(options: ModelRouterOptions, peers: PeerState, directory: TargetDirectory): StreamVersions {
+    const { index, clock, setTimer } = options;
+    const transport = { sendStreamVersions: () => undefined };
+    return new StreamVersions({ ownId: formatRouterId(index), peers, directory, transport, clock, setTimer });
+}
+
 /** Model engines do not crash under requests, so that the quarantine stays empty. */
 function createQuarantine({ index, clock, setTimer }: ModelRouterOptions, peers: PeerState): Quarantine {
     return new Quarantine({
--- a/scripts/measurePeers.ts
+++ b/scripts/measurePeers.ts
@@ -121,6 +121,7 @@
                     onDidReceiveGrantMessage: () => undefined,
                     onDidReceiveCrashMessage: () => undefined,
                     onDidReceiveRolloutMessage: () => undefined,
+                    onDidReceiveStreamVersionMessage: () => undefined,
                 }),
             ),
         };
--- a/src/gateway/flowOutcomes.ts
+++ b/src/gateway/flowOutcomes.ts
@@ -3,6 +3,7 @@
 import type { AdmissionDetails } from "./requestAdmission.js";
 import type { TimingDetails } from "./responseTiming.js";
 import type { ResponseRelay, StoredResponse } from "./responseRelay.js";
+import type { BindingDetails } from "./streams/streamBinding.js";
 import type { Selection } from "./targetSelector.js";
 import type { HeaderCodec } from "./wire.js";
 
@@ -25,7 +26,7 @@
 }
 
 /** Details of a request's processing, as logged when it ends. */
-export interface FlowDetails extends AdmissionDetails, SelectionDetails, TimingDetails {
+export interface FlowDetails extends AdmissionDetails, SelectionDetails, TimingDetails, BindingDetails {
     /** Number of targets that were tried. */
     readonly attempts: number;
     /** Targets in the order of the attempts, each with the kind of its outcome. */
@@ -81,7 +82,7 @@
     }
 
     /** Refuses a request that was not executed. */
-    public refuse(reason: RouterResponseReason, retryAfterMs: number): FlowOutcome {
+    public refuse(reason: RouterResponseReason, retryAfterMs: number | undefined): FlowOutcome {
         return this.answer(reason, retryAfterMs, "refused", reason);
     }
 
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -14,6 +14,7 @@
 import type { PeerView } from "./peers/peerView.js";
 import type { Quarantine } from "./quarantine/quarantine.js";
 import type { Rollouts } from "./rollouts/rollouts.js";
+import type { StreamVersions } from "./streams/streamVersions.js";
 import type { LazyMap } from "./lazyMap.js";
 import type { GatewaySettings } from "./settings.js";
 import type { TargetDirectory } from "./targetDirectory.js";
@@ -31,7 +32,9 @@
     readonly peers: PeerView;
     readonly grants: GrantClient;
     readonly quarantine: Quarantine;
-    readonly rollouts: Pick<Rollouts, "open" | "observe" | "isTrusted">;
+    readonly rollouts: Pick<Rollouts, "open" | "openResumption" | "observe" | "isTrusted">;
+    /** Versions that began streams. */
+    readonly streams: Pick<StreamVersions, "find" | "record">;
     /** Load of this router's event loop. */
     readonly load: Pick<LoadSource, "shedShare" | "loop">;
     readonly shares: AccountShares;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -6,7 +6,6 @@
 import type { Random } from "../base/random.js";
 import { sleepOnTimer } from "../base/sleep.js";
 import { setRuntimeTimer } from "../base/timers.js";
-import { BoundedExpiryGrace } from "../decisions/health/recordExpiryPolicy.js";
 import { DenialCache } from "../decisions/admission/denialCache.js";
 import { PrefillShare } from "../decisions/admission/prefillShare.js";
 import { AccountShares } from "../decisions/shares/accountShares.js";
@@ -19,7 +18,7 @@
 import { CallerServer } from "./callerServer.js";
 import { ConnectionSharing, createSharingOptions, type SharedConnectionCounts } from "./connectionSharing.js";
 import { ConfigurationHolder } from "./configurationHolder.js";
-import { computeRemovalBounds } from "./drainBudget.js";
+import { createDirectory } from "./createDirectory.js";
 import type { EngineInspector } from "./engineInspector.js";
 import { CachedPartsLoader } from "./cachedPartsLoader.js";
 import { FleetChangeHandler } from "./fleetChangeHandler.js";
@@ -42,7 +41,7 @@
 import { SnapshotTransfer } from "./peers/snapshotTransfer.js";
 import { listenOn } from "../control/server.js";
 import type { GatewaySettings } from "./settings.js";
-import { TargetDirectory } from "./targetDirectory.js";
+import { StreamVersions } from "./streams/streamVersions.js";
 import type { HeaderCodec } from "./wire.js";
 
 /** Dependencies of a {@link GatewayDaemon}. */
@@ -82,24 +81,14 @@
     private readonly cachedParts: CachedPartsLoader;
     private readonly quarantine: Quarantine;
     private readonly rollouts: Rollouts;
+    private readonly streams: StreamVersions;
     private settings: GatewaySettings;
     private isStopping = false;
 
     public constructor(private readonly parts: GatewayDaemonOptions) {
         this.settings = parts.settings;
         const { settings, clock, random, logger, codec, source } = parts;
-        const directory = this.store.add(
-            new TargetDirectory({
-                clock,
-                random,
-                logger,
-                connectionLimits: {
-                    connectTimeoutMs: settings.connectTimeoutMs,
-                    mostAnswerBytes: settings.mostAnswerBytes,
-                },
-                expiryPolicy: new BoundedExpiryGrace(() => source.health.targets, computeRemovalBounds(settings)),
-            }),
-        );
+        const directory = this.store.add(createDirectory(settings, source, parts));
         const shares = new AccountShares(settings.shareWindowSeconds * msPerSecond);
         const loads = new TargetLoads(directory);
         this.peers = new PeerState({
@@ -154,8 +143,10 @@
                 onDidReceiveGrantMessage: (senderId, message) => grants.exchange.handleMessage(senderId, message),
                 onDidReceiveCrashMessage: message => this.quarantine.applyMessage(message),
                 onDidReceiveRolloutMessage: (senderId, message) => this.rollouts.applyMessage(senderId, message),
+                onDidReceiveStreamVersionMessage: (senderId, message) => this.streams.applyMessage(senderId, message),
             }),
         );
+        this.streams = this.store.add(new StreamVersions({ ...common, transport: this.exchange }));
         this.quarantine = this.store.add(
             new Quarantine({
                 ...common,
@@ -188,6 +179,7 @@
             grants: grants.client,
             quarantine: this.quarantine,
             rollouts: this.rollouts,
+            streams: this.streams,
             load: this.load,
             shares,
             retryBudgets: new LazyMap(
@@ -313,6 +305,7 @@
         this.sharing.stopAccepting();
         await this.waitForOpen(cancellation.token);
         clearTimeout(timer);
+        this.streams.sendAll();
         logger.write("info", "stopped", { openRequests: this.service.openRequests });
     }
 
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -82,6 +82,12 @@
         labelNames: ["service", "versions"],
         registers: [this.registry],
     });
+    private readonly resumptions = new Counter({
+        name: "lynxarch_resumptions_total",
+        help: "Requests that resume a stream, by how the version that began it was found and how they ended.",
+        labelNames: ["origin", "outcome"],
+        registers: [this.registry],
+    });
     private readonly accounts = new AccountMetrics(this.registry);
     private readonly totalsAge = new Histogram({
         name: "lynxarch_account_sums_age_seconds",
@@ -221,7 +227,10 @@
         this.ownerReplies.inc({ outcome: "answered" }, (end.ownersAsked ?? 0) - (end.ownersSilent ?? 0));
         this.ownerReplies.inc({ outcome: "silent" }, end.ownersSilent ?? 0);
         this.recordShare(end);
-        this.recordResumption(service, end.eventVersions ?? []);
+        this.recordEventVersions(service, end.eventVersions ?? []);
+        if (end.originSource !== undefined) {
+            this.resumptions.inc({ origin: end.originSource, outcome: end.outcome });
+        }
         if (end.firstOutputMs !== undefined) {
             this.firstOutput.observe({ service }, end.firstOutputMs / msPerSecond);
             this.longestPause.observe({ service }, (end.longestPauseMs ?? 0) / msPerSecond);
@@ -244,7 +253,7 @@
         return this.registry.metrics();
     }
 
-    private recordResumption(service: string, eventVersions: readonly string[]): void {
+    private recordEventVersions(service: string, eventVersions: readonly string[]): void {
         if (eventVersions.length > 1) {
             this.resumedStreams.inc({ service, versions: new Set(eventVersions).size === 1 ? "same" : "mixed" });
         }
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -112,6 +112,7 @@
         targets: context.directory.listAll().map(target => ({
             id: target.id,
             service: target.entry.service,
+            version: target.entry.version,
             address: target.entry.address,
             dataCentre: target.dataCentre,
             condition: describeCondition(target, out, nowMs),
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -22,6 +22,13 @@
     type RolloutMessage,
 } from "../rollouts/rolloutMessage.js";
 import type { RolloutTransport } from "../rollouts/rollouts.js";
+import {
+    decodeStreamVersionMessage,
+    encodeStreamVersionMessage,
+    isStreamVersionDatagram,
+    type StreamVersionMessage,
+} from "../streams/streamVersionMessage.js";
+import type { StreamVersionTransport } from "../streams/streamVersions.js";
 import type { PeerState } from "./peerState.js";
 
 /** Minimum interval between log lines about dropped datagrams; milliseconds. */
@@ -40,6 +47,8 @@
     readonly onDidReceiveCrashMessage: (message: CrashMessage) => void;
     /** A report on a roll-out was received from a known router. */
     readonly onDidReceiveRolloutMessage: (senderId: string, message: RolloutMessage) => void;
+    /** A message about the versions of streams was received from a known router. */
+    readonly onDidReceiveStreamVersionMessage: (senderId: string, message: StreamVersionMessage) => void;
 }
 
 /**
@@ -47,7 +56,9 @@
  *
  * Uses datagrams instead of calls: no message needs a retry, and a peer that has stopped costs no more than the send.
  */
-export class PeerExchange implements GrantTransport, CrashTransport, RolloutTransport, Disposable {
+export class PeerExchange
+    implements GrantTransport, CrashTransport, RolloutTransport, StreamVersionTransport, Disposable
+{
     private readonly store = new DisposableStore();
     private timer: NodeJS.Timeout | undefined;
     private totalsTimer: NodeJS.Timeout | undefined;
@@ -109,6 +120,14 @@
         }
     }
 
+    public sendStreamVersions(routerId: string, message: StreamVersionMessage): void {
+        const { state, port } = this.options;
+        const ip = state.findAddress(routerId);
+        if (ip !== undefined) {
+            this.socket?.send(encodeStreamVersionMessage(message), port, ip, () => undefined);
+        }
+    }
+
     private handleDatagram(data: Buffer, senderIp: string): void {
         if (isGrantDatagram(data)) {
             this.handleGrantDatagram(data, senderIp);
@@ -126,6 +145,11 @@
             this.handleRolloutDatagram(data, senderIp);
             return;
         }
+        if (isStreamVersionDatagram(data)) {
+            const { onDidReceiveStreamVersionMessage } = this.options;
+            this.handleKnown(senderIp, decodeStreamVersionMessage(data), onDidReceiveStreamVersionMessage);
+            return;
+        }
         decodePeerMessage(data).match(
             message => this.options.state.applyMessage(message),
             error => this.reportDropped(error.message),
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -12,8 +12,8 @@
 import type { ResponseRelay, StoredResponse } from "./responseRelay.js";
 import { RequestRetries } from "./requestRetries.js";
 import type { RequestGuard } from "./quarantine/requestGuard.js";
-import type { RequestVersions } from "./rollouts/requestVersions.js";
 import { EventVersions } from "./streams/eventVersions.js";
+import { StreamBinding } from "./streams/streamBinding.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import { computeInactivityLimit, InactivityTimer } from "./inactivityTimer.js";
 import type { Target } from "./target.js";
@@ -36,7 +36,7 @@
     private readonly selector: TargetSelector;
     private readonly relay: ResponseRelay;
     private readonly tried = new Set<Target>();
-    private versions: RequestVersions | undefined;
+    private readonly binding: StreamBinding;
     /** Each attempt's target and the kind of its outcome, for the log. */
     private readonly history: string[] = [];
     private readonly deadlineAtMs: number;
@@ -70,6 +70,7 @@
         this.timing = new ResponseTiming(route, arrivedAtMs);
         this.charge = new AccountCharge(context, routed);
         this.retries = new RequestRetries(context, routed.account);
+        this.binding = new StreamBinding(context, routed);
         const isStream = route.kind === "stream";
         this.relay = isStream
             ? new EventStreamRelay(caller, context.codec, route.isResumable, head.lastEventId, head.maxOutputTokens)
@@ -83,6 +84,7 @@
             resumedRequestId: head.resumedRequestId,
             resumedAfterId: head.lastEventId,
             eventVersions: this.eventVersions.all,
+            ...this.binding.details,
             ...this.timing.details,
             ...this.admission,
             askedTokens: this.charge.askedTokens,
@@ -112,8 +114,12 @@
 
     private async runAttempts(): Promise<FlowOutcome> {
         const services = this.selector.orderServices(this.routed.route);
-        this.versions = this.context.rollouts.open(services[0], this.routed.route.name);
-        this.recordFirstAttempt(services[0]);
+        this.retries.recordFirstAttempt(services[0]);
+        this.charge.recordRequested();
+        const refusal = await this.binding.open(services);
+        if (refusal !== undefined) {
+            return this.outcomes.refuse(refusal.reason, refusal.retryAfterMs);
+        }
         for (;;) {
             const selection = this.sent === 0 ? await this.selectFirst(services) : this.selectNext(services);
             if (selection === undefined) {
@@ -135,7 +141,7 @@
     /** Selects the target of a further attempt; the attempt is reported to the owner without asking for a grant. */
     private selectNext(services: readonly string[]): Selection | undefined {
         const { head, route } = this.routed;
-        this.versions?.chooseBaseline();
+        this.binding.versions?.chooseBaseline();
         const selection = this.selector.select(services, head, route.hasPrompts, target => this.isExcluded(target));
         if (selection === undefined || selection.tokensAhead === 0) {
             this.selection = selection ?? this.selection;
@@ -146,15 +152,7 @@
     }
 
     private isExcluded(target: Target): boolean {
-        return this.tried.has(target) || this.versions?.isAllowed(target) === false;
-    }
-
-    /** Counts the request for its first service's retry budget, and its requested tokens for the account. */
-    private recordFirstAttempt(service: string | undefined): void {
-        if (service !== undefined) {
-            this.retries.recordFirstAttempt(service);
-        }
-        this.charge.recordRequested();
+        return this.tried.has(target) || this.binding.versions?.isAllowed(target) === false;
     }
 
     /** Selects the target of the first attempt, or refuses the request. */
@@ -170,8 +168,8 @@
             getRemainingMs: () => this.deadlineAtMs - context.clock.nowMs(),
         });
         const admitted = await new Promise<AdmissionOutcome>(resolve => admission.check(services, resolve));
-        if (admitted.selection === undefined && this.versions?.hasFallback === true) {
-            this.versions.chooseBaseline();
+        if (admitted.selection === undefined && this.binding.versions?.hasFallback === true) {
+            this.binding.versions.chooseBaseline();
             return this.selectFirst(services);
         }
         this.admission = admitted.details;
@@ -220,7 +218,7 @@
             canStart: () => !context.directory.isClosed(target),
             handleSent: () => this.handleSent(target),
             handleHead: head => context.directory.observeResponse(target, availability, head),
-            handleOutput: isFirst => this.handleOutput(send, version, isFirst),
+            handleOutput: isFirst => this.handleOutput(send, target, version, isFirst),
         });
         this.current = attempt;
         if (this.stopReason !== undefined) {
@@ -228,7 +226,7 @@
             return { kind: "stopped", reason: this.stopReason };
         }
         this.charge.recordServed();
-        this.versions?.recordSent();
+        this.binding.versions?.recordSent(target);
         const outcome = await attempt.run(connection, {
             method: method ?? "GET",
             path: url ?? "/",
@@ -247,7 +245,8 @@
         this.startInactivityTimer();
     }
 
-    private handleOutput(send: TargetSend, version: string | undefined, isFirst: boolean): void {
+    private handleOutput(send: TargetSend, target: Target, version: string | undefined, isFirst: boolean): void {
+        this.binding.observeOutput(target, version);
         this.eventVersions.record(this.tried.size, version);
         this.timing.recordOutput(this.context.clock.nowMs());
         this.startInactivityTimer();
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -109,6 +109,8 @@
         tried: end.tried?.join(" "),
         resumes: end.resumedRequestId,
         resumedAfterId: end.resumedAfterId,
+        originSource: end.originSource,
+        streamVersion: end.streamVersion,
         eventVersions: end.eventVersions?.join(" "),
     };
 }
--- a/src/gateway/requestRetries.ts
+++ b/src/gateway/requestRetries.ts
@@ -15,10 +15,12 @@
         private readonly account: string | undefined,
     ) {}
 
-    /** Counts the first attempt for the service's budget. */
-    public recordFirstAttempt(service: string): void {
-        const { retryBudgets, clock } = this.context;
-        retryBudgets.getOrCreate(service).recordFirstAttempt(this.account ?? sharedBudgetKey, clock.nowMs());
+    /** Counts the first attempt for the service's budget; undefined if the route has no service. */
+    public recordFirstAttempt(service: string | undefined): void {
+        if (service !== undefined) {
+            const { retryBudgets, clock } = this.context;
+            retryBudgets.getOrCreate(service).recordFirstAttempt(this.account ?? sharedBudgetKey, clock.nowMs());
+        }
     }
 
     /** Takes a retry from the service's budget; false if the budget is exhausted. */
--- a/src/gateway/rollouts/requestVersions.ts
+++ b/src/gateway/rollouts/requestVersions.ts
@@ -3,6 +3,7 @@
 import type { Target } from "../target.js";
 import type { TargetDirectory } from "../targetDirectory.js";
 import type { ServiceRollout } from "./serviceRollout.js";
+import type { VersionSelection } from "./versionSelection.js";
 
 /** What a {@link RequestVersions} depends on. */
 export interface VersionSource {
@@ -17,7 +18,7 @@
 const rankingSeed = 0x726f6c6c;
 
 /** Selects the versions of a service that one request may be sent to; selected once per request, so that all its attempts agree. */
-export class RequestVersions {
+export class RequestVersions implements VersionSelection {
     private readonly rollout: ServiceRollout | undefined;
     private isCandidate = false;
     private isSent = false;
--- a/src/gateway/rollouts/rollouts.ts
+++ b/src/gateway/rollouts/rollouts.ts
@@ -14,6 +14,7 @@
 import { LazyMap } from "../lazyMap.js";
 import { SlowResponseDetector, type ResponseTimes } from "./slowResponseDetector.js";
 import { RequestVersions, type VersionSource } from "./requestVersions.js";
+import { ResumptionVersions, type StreamVersionFilter } from "./resumptionVersions.js";
 import { RolloutDecider } from "./rolloutDecider.js";
 import type { RolloutMessage } from "./rolloutMessage.js";
 import type { RolloutOrder, RolloutRecords, RolloutStatus } from "./rolloutRecords.js";
@@ -95,6 +96,11 @@
         return new RequestVersions(this, service, route);
     }
 
+    /** Versions that a begun stream may be resumed at. */
+    public openResumption(isStreamVersion: StreamVersionFilter): ResumptionVersions {
+        return new ResumptionVersions(this, isStreamVersion);
+    }
+
     /** Whether the target's version is established. Cached parts of a target whose version may be bad are not copied to others. */
     public isTrusted(target: Target): boolean {
         const rollout = this.byService.get(target.entry.service);
--- a/src/gateway/rollouts/serviceRollout.ts
+++ b/src/gateway/rollouts/serviceRollout.ts
@@ -161,6 +161,11 @@
         }
     }
 
+    /** Whether the candidate receives single requests within the exposure budget. */
+    private get isSampled(): boolean {
+        return !this.hasEnded && (this.step === "canary" || this.step === "watch");
+    }
+
     /** Share of the candidate's targets that receive requests: few requests put a real load only on few targets. */
     public get targetShare(): number {
         switch (this.step) {
@@ -181,11 +186,34 @@
 
     /** Refunds the exposure of a request that was selected for the candidate but sent elsewhere. */
     public recordUnsent(): void {
-        if (this.step === "canary" || this.step === "watch") {
+        if (this.isSampled) {
             this.budget.recordUnsent();
         }
     }
 
+    /** Whether a stream that this version began may be resumed at a target of it. */
+    public canResume(version: string | undefined): boolean {
+        switch (this.findRole(version)) {
+            case "rejected":
+                return false;
+            case "baseline":
+                return true;
+            case "candidate":
+                return (
+                    !this.knownBad &&
+                    this.status?.state !== "rolled-back" &&
+                    (this.isSampled ? this.budget.hasCapacity : true)
+                );
+        }
+    }
+
+    /** Counts a resumed stream that is sent to a target of this version. */
+    public recordResumption(version: string | undefined): void {
+        if (this.findRole(version) === "candidate" && this.isSampled) {
+            this.budget.recordExposed();
+        }
+    }
+
     public observe(sample: VersionSample): void {
         if (this.currentStatus?.state === "running") {
             this.counter.observe(sample);
--- a/src/gateway/routerResponse.ts
+++ b/src/gateway/routerResponse.ts
@@ -7,6 +7,8 @@
     | "body-too-large"
     | "no-target"
     | "targets-pausing"
+    | "stream-version-unknown"
+    | "stream-version-gone"
     | "late"
     | "over-share"
     | "busy"
@@ -21,6 +23,8 @@
     "no-configuration": [503, "The router has no configuration yet"],
     "no-target": [503, "No target serves this now"],
     "targets-pausing": [503, "All targets that could serve this want no requests for a time"],
+    "stream-version-unknown": [503, "The version of the targets that began the stream is not known"],
+    "stream-version-gone": [503, "No target has the version that began the stream"],
     late: [503, "The request can't be answered in time now"],
     "over-share": [429, "The client account has had its fair share"],
     busy: [503, "The router has too many open requests"],
--- /dev/null
+++ b/src/gateway/streams/streamBinding.ts
@@ -0,0 +1,134 @@
+import type { ServiceVersion } from "../../decisions/versions/streamVersionTable.js";
+import type { GatewayContext } from "../gatewayContext.js";
+import type { RoutedRequest } from "../routedRequest.js";
+import type { VersionSelection } from "../rollouts/versionSelection.js";
+import type { Target } from "../target.js";
+import type { StreamOrigin } from "./streamVersions.js";
+
+/** Why a stream can't be resumed. `retryAfterMs`: undefined if a retry would not help. */
+export interface ResumptionRefusal {
+    readonly reason: "stream-version-unknown" | "stream-version-gone";
+    readonly retryAfterMs: number | undefined;
+}
+
+/** How the version that began a resumed stream was found; "unnamed": the caller did not name the request that began it. */
+export type OriginSource = StreamOrigin["kind"] | "unnamed";
+
+/** A stream's version, for the log. */
+export interface BindingDetails {
+    /** Set if the caller resumes a stream. */
+    readonly originSource: OriginSource | undefined;
+    /** Version that the stream is bound to; undefined before its first event. */
+    readonly streamVersion: string | undefined;
+}
+
+/** A stream can be resumed for a multiple of its timeout, as callers' deadlines may be longer than the route's timeout. */
+const lifetimePerTimeout = 2;
+/** Retry time if routers that may know the stream's version did not reply. */
+const unknownRetryMs = 300;
+
+/** Keeps a request's stream at the version of the target that wrote its first event. Requests for other responses may go anywhere. */
+export class StreamBinding {
+    private readonly isStream: boolean;
+    private selection: VersionSelection | undefined;
+    private began: ServiceVersion | undefined;
+    private originSource: OriginSource | undefined;
+
+    public constructor(
+        private readonly context: Pick<GatewayContext, "rollouts" | "directory" | "streams">,
+        private readonly routed: RoutedRequest,
+    ) {
+        this.isStream = routed.route.kind === "stream";
+    }
+
+    /** Versions that the next attempt may go to; undefined before {@link open}. */
+    public get versions(): VersionSelection | undefined {
+        return this.selection;
+    }
+
+    public get details(): BindingDetails {
+        return { originSource: this.originSource, streamVersion: this.began?.version };
+    }
+
+    /** Selects the versions for the first attempt. Returns why a resumed stream can't be continued, if it can't. */
+    public async open(services: readonly string[]): Promise<ResumptionRefusal | undefined> {
+        const { lastEventId, resumedRequestId } = this.routed.head;
+        if (!this.isStream || (lastEventId === undefined && resumedRequestId === undefined)) {
+            return this.openAny(services);
+        }
+        if (resumedRequestId === undefined) {
+            this.originSource = "unnamed";
+            return this.openUnnamed(services);
+        }
+        const origin = await this.context.streams.find({
+            account: this.routed.account,
+            requestId: resumedRequestId,
+            services,
+            lifetimeMs: this.computeLifetimeMs(),
+        });
+        this.originSource = origin.kind;
+        switch (origin.kind) {
+            case "recorded":
+                // The route no longer leads to the service that began the stream.
+                return services.includes(origin.began.service)
+                    ? this.openVersions([origin.began])
+                    : this.openAny(services);
+            case "sole":
+                return this.openVersions(origin.versions);
+            case "unknown":
+                return {
+                    reason: "stream-version-unknown",
+                    retryAfterMs: origin.mayBeKnown ? unknownRetryMs : undefined,
+                };
+        }
+    }
+
+    /** Binds the stream to the version of the target that writes its first event. `version`: as it was when the request was sent. */
+    public observeOutput(target: Target, version: string | undefined): void {
+        if (!this.isStream || this.began !== undefined) {
+            return;
+        }
+        const { head, account, route } = this.routed;
+        this.began = { service: target.entry.service, version: version ?? "" };
+        this.selection = this.createSelection([this.began]);
+        const requestId = head.resumedRequestId ?? head.requestId;
+        if (requestId !== undefined) {
+            const leftMs = head.remainingMs ?? route.timeoutMs;
+            this.context.streams.record(
+                { account, requestId, lifetimeMs: this.computeLifetimeMs() },
+                this.began,
+                leftMs,
+            );
+        }
+    }
+
+    private openAny(services: readonly string[]): undefined {
+        this.selection = this.context.rollouts.open(services[0], this.routed.route.name);
+    }
+
+    /** Without the id of the request that began it, a stream's version is only known if there is no other one. */
+    private openUnnamed(services: readonly string[]): ResumptionRefusal | undefined {
+        const { versions } = this.context.directory;
+        const isMixed = services.some(service => versions.listCurrent(service).length > 1);
+        return isMixed ? { reason: "stream-version-unknown", retryAfterMs: undefined } : this.openAny(services);
+    }
+
+    private openVersions(versions: readonly ServiceVersion[]): ResumptionRefusal | undefined {
+        this.selection = this.createSelection(versions);
+        const isServed = this.context.directory.listAll().some(target => hasVersion(target, versions));
+        return isServed ? undefined : { reason: "stream-version-gone", retryAfterMs: undefined };
+    }
+
+    private createSelection(versions: readonly ServiceVersion[]): VersionSelection {
+        return this.context.rollouts.openResumption(target => hasVersion(target, versions));
+    }
+
+    private computeLifetimeMs(): number {
+        const { head, route } = this.routed;
+        return Math.max(route.timeoutMs * lifetimePerTimeout, head.remainingMs ?? 0);
+    }
+}
+
+function hasVersion({ entry }: Target, versions: readonly ServiceVersion[]): boolean {
+    return versions.some(({ service, version }) => entry.service === service && (entry.version ?? "") === version);
+}
--- /dev/null
+++ b/src/gateway/streams/streamVersions.ts
@@ -0,0 +1,267 @@
+import { createHash } from "node:crypto";
+import type { Clock } from "../../base/clock.js";
+import type { Disposable } from "../../base/lifecycle.js";
+import type { SetTimer } from "../../base/timers.js";
+import { selectRecordHolders } from "../../decisions/versions/recordHolders.js";
+import {
+    StreamVersionTable,
+    type ServiceVersion,
+    type StreamEntry,
+} from "../../decisions/versions/streamVersionTable.js";
+import type { SeenVersions } from "../../decisions/versions/versionHistory.js";
+import type { PeerView } from "../peers/peerView.js";
+import type { TargetDirectory } from "../targetDirectory.js";
+import { maxEntries, type StreamQuery, type StreamReply, type StreamVersionMessage } from "./streamVersionMessage.js";
+
+/** Sends messages to other routers; delivery is not guaranteed. */
+export interface StreamVersionTransport {
+    sendStreamVersions(routerId: string, message: StreamVersionMessage): void;
+}
+
+/** Dependencies of {@link StreamVersions}. */
+export interface StreamVersionsOptions {
+    readonly ownId: string;
+    readonly peers: Pick<PeerView, "conditions">;
+    readonly directory: Pick<TargetDirectory, "versions">;
+    readonly transport: StreamVersionTransport;
+    readonly clock: Clock;
+    readonly setTimer: SetTimer;
+}
+
+/** A stream that a caller resumes. */
+export interface ResumedStream {
+    readonly account: string | undefined;
+    /** Request that received the stream's first event. */
+    readonly requestId: string;
+    /** Services that may serve the request. */
+    readonly services: readonly string[];
+    /** Longest time for which a stream of the request's kind can be resumed; milliseconds. */
+    readonly lifetimeMs: number;
+}
+
+/** Which version began a stream. */
+export type StreamOrigin =
+    | { readonly kind: "recorded"; readonly began: ServiceVersion }
+    /** There is no record, but each service has had only one version for as long as the stream can have lasted. */
+    | { readonly kind: "sole"; readonly versions: readonly ServiceVersion[] }
+    /** `mayBeKnown`: some routers that may have a record did not reply. */
+    | { readonly kind: "unknown"; readonly mayBeKnown: boolean };
+
+interface PendingQuery {
+    readonly stream: ResumedStream;
+    readonly waitingFor: Set<string>;
+    readonly replies: StreamReply[];
+    readonly timer: Disposable;
+    readonly resolve: (origin: StreamOrigin) => void;
+}
+
+/** Number of other routers that hold a stream's record. */
+const recordHolders = 2;
+/** Number of routers asked for a record; more than hold it, as views of the fleet differ while routers start and stop. */
+const askedRouters = 4;
+/** Time-out of a query: a round trip takes a few milliseconds; the rest allows for a pause of an event loop. */
+const replyTimeoutMs = 40;
+/** Maximum number of open queries; further streams count as unknown. */
+const maxPendingQueries = 2_000;
+const keyBytes = 12;
+/** Time by which one router may see the last target of a version go earlier than another one; milliseconds. */
+const viewLagMs = 10_000;
+
+/**
+ * Knows which version of a service began a stream, also for streams that other routers served: routers end, and callers resume their
+ * streams at any other one.
+ *
+ * A stream's version is recorded here when its first event arrives. While the service has several versions, the record is also
+ * sent to two other routers, which any router finds by the stream's id. While there is only one, nothing is sent; once a second one
+ * appears, the records of streams that can still be resumed follow.
+ */
+export class StreamVersions implements Disposable {
+    private readonly table = new StreamVersionTable();
+    /** Streams whose records are only here, as their service had a single version. */
+    private readonly unsent = new StreamVersionTable();
+    private readonly pending = new Map<number, PendingQuery>();
+    private lastQueryId = 0;
+
+    private readonly subscription: Disposable;
+
+    public constructor(private readonly options: StreamVersionsOptions) {
+        this.subscription = options.directory.versions.onDidAdd(service => this.handleAddedVersion(service));
+    }
+
+    /** Records the version of the target that wrote a stream's first event. `leftMs`: for how long the stream can be resumed. */
+    public record(stream: Omit<ResumedStream, "services">, began: ServiceVersion, leftMs: number): void {
+        const { directory, clock } = this.options;
+        const nowMs = clock.nowMs();
+        const entry = { key: createKey(stream), began, leftMs };
+        this.table.record(entry, nowMs);
+        if (directory.versions.findSeen(began.service, stream.lifetimeMs + viewLagMs).kind === "sole") {
+            this.unsent.record(entry, nowMs);
+        } else {
+            this.sendRecords([entry]);
+        }
+    }
+
+    /** Finds out which version began a stream, here or at the routers that may hold its record. */
+    public find(stream: ResumedStream): Promise<StreamOrigin> {
+        const key = createKey(stream);
+        const known = this.table.find(key, this.options.clock.nowMs());
+        if (known !== undefined) {
+            return Promise.resolve(toOrigin(known));
+        }
+        const routers = selectRecordHolders(key, this.listOthers(), askedRouters);
+        if (this.pending.size >= maxPendingQueries) {
+            return Promise.resolve({ kind: "unknown", mayBeKnown: true });
+        }
+        if (routers.length === 0) {
+            return Promise.resolve(this.resolveOrigin(stream, [], 0));
+        }
+        return new Promise(resolve => this.sendQuery(key, stream, routers, resolve));
+    }
+
+    /** Handles a message of a known router. */
+    public applyMessage(senderId: string, message: StreamVersionMessage): void {
+        const nowMs = this.options.clock.nowMs();
+        switch (message.kind) {
+            case "records":
+                message.entries.forEach(entry => this.table.record(entry, nowMs));
+                break;
+            case "query":
+                this.options.transport.sendStreamVersions(senderId, this.createReply(message, nowMs));
+                break;
+            case "reply":
+                this.applyReply(senderId, message);
+        }
+    }
+
+    /** Sends all records to other routers before this one ends. */
+    public sendAll(): void {
+        this.sendRecords(this.table.listAll(this.options.clock.nowMs()));
+    }
+
+    public dispose(): void {
+        this.subscription.dispose();
+        for (const { timer } of this.pending.values()) {
+            timer.dispose();
+        }
+        this.pending.clear();
+    }
+
+    private sendQuery(
+        key: string,
+        stream: ResumedStream,
+        routers: readonly string[],
+        resolve: (origin: StreamOrigin) => void,
+    ): void {
+        const { transport, setTimer } = this.options;
+        const queryId = ++this.lastQueryId;
+        const timer = setTimer(replyTimeoutMs, () => this.endQuery(queryId));
+        this.pending.set(queryId, { stream, waitingFor: new Set(routers), replies: [], timer, resolve });
+        const { services, lifetimeMs: periodMs } = stream;
+        for (const routerId of routers) {
+            transport.sendStreamVersions(routerId, { kind: "query", queryId, key, services, periodMs });
+        }
+    }
+
+    private applyReply(senderId: string, reply: StreamReply): void {
+        const query = this.pending.get(reply.queryId);
+        if (query?.waitingFor.delete(senderId) !== true) {
+            return;
+        }
+        query.replies.push(reply);
+        if (reply.entry !== undefined || query.waitingFor.size === 0) {
+            this.endQuery(reply.queryId);
+        }
+    }
+
+    private endQuery(queryId: number): void {
+        const query = this.pending.get(queryId);
+        if (query !== undefined) {
+            this.pending.delete(queryId);
+            query.timer.dispose();
+            query.resolve(this.resolveOrigin(query.stream, query.replies, query.waitingFor.size));
+        }
+    }
+
+    /** `silentRouters`: number of asked routers that did not reply. */
+    private resolveOrigin(stream: ResumedStream, replies: readonly StreamReply[], silentRouters: number): StreamOrigin {
+        const known = replies.map(({ entry }) => entry).find(entry => entry !== undefined);
+        if (known !== undefined) {
+            return toOrigin(known);
+        }
+        const { directory } = this.options;
+        const versions = stream.services.map((service, index) =>
+            mergeSeen(service, [
+                directory.versions.findSeen(service, stream.lifetimeMs),
+                ...replies.map(({ seen }) => seen.at(index) ?? incomplete),
+            ]),
+        );
+        const found = versions.filter(version => version !== undefined);
+        // The router that served the stream may be the only one that had seen its version. With fewer silent routers than hold a record,
+        // it or a holder of the record has replied, or the asking router is a holder itself.
+        const isCovered = silentRouters < recordHolders && found.length === versions.length && found.length > 0;
+        return isCovered ? { kind: "sole", versions: found } : { kind: "unknown", mayBeKnown: silentRouters > 0 };
+    }
+
+    private createReply({ queryId, key, services, periodMs }: StreamQuery, nowMs: number): StreamReply {
+        const { versions } = this.options.directory;
+        return {
+            kind: "reply",
+            queryId,
+            entry: this.table.find(key, nowMs),
+            seen: services.map(service => versions.findSeen(service, periodMs)),
+        };
+    }
+
+    /** Sends the records that are only here, once a service has a second version. */
+    private handleAddedVersion(service: string): void {
+        const { directory, clock } = this.options;
+        if (directory.versions.listCurrent(service).length > 1) {
+            this.sendRecords(this.unsent.takeService(service, clock.nowMs()));
+        }
+    }
+
+    /** Sends each record to the routers that hold it, with several records in a message. */
+    private sendRecords(entries: readonly StreamEntry[]): void {
+        const others = this.listOthers();
+        const byRouter = new Map<string, StreamEntry[]>();
+        for (const entry of entries) {
+            for (const routerId of selectRecordHolders(entry.key, others, recordHolders)) {
+                const batch = byRouter.get(routerId) ?? [];
+                batch.push(entry);
+                byRouter.set(routerId, batch);
+            }
+        }
+        for (const [routerId, batch] of byRouter) {
+            for (let start = 0; start < batch.length; start += maxEntries) {
+                const message = { kind: "records", entries: batch.slice(start, start + maxEntries) } as const;
+                this.options.transport.sendStreamVersions(routerId, message);
+            }
+        }
+    }
+
+    /** The other routers with a recent message; a router that has ended would hold no record. */
+    private listOthers(): readonly string[] {
+        return [...this.options.peers.conditions.keys()].filter(id => id !== this.options.ownId);
+    }
+}
+
+const incomplete: SeenVersions = { kind: "incomplete" };
+
+/** Key of a stream. An account can't find or overwrite the streams of another one. */
+function createKey({ account, requestId }: Pick<ResumedStream, "account" | "requestId">): string {
+    const digest = createHash("sha256")
+        .update(JSON.stringify([account ?? "", requestId]))
+        .digest();
+    return digest.subarray(0, keyBytes).toString("base64url");
+}
+
+function toOrigin({ began }: StreamEntry): StreamOrigin {
+    return began === undefined ? { kind: "unknown", mayBeKnown: false } : { kind: "recorded", began };
+}
+
+/** The only version of the service that any router has seen; undefined if there were several, or no router has seen the whole period. */
+function mergeSeen(service: string, all: readonly SeenVersions[]): ServiceVersion | undefined {
+    const sole = new Set(all.flatMap(seen => (seen.kind === "sole" ? [seen.version] : [])));
+    const [version] = sole;
+    return sole.size !== 1 || all.some(seen => seen.kind === "mixed") ? undefined : { service, version };
+}
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -11,6 +11,7 @@
 import type { FleetChange, TargetEntry } from "./fleetSource.js";
 import type { LeavingTarget } from "./peers/peerMessage.js";
 import { RecordRemovalTracker } from "./recordRemovalTracker.js";
+import { TargetVersions } from "./streams/targetVersions.js";
 import { Target } from "./target.js";
 import type { ConnectionLimits } from "./targetConnection.js";
 import type { ResponseHead, TargetSignals } from "./wire.js";
@@ -44,10 +45,13 @@
     private readonly availabilities = new AvailabilityRegistry();
     private readonly signalEmitter = new Emitter<ReceivedSignal>();
     private services: ReadonlyMap<string, ServiceConfiguration> = new Map();
+    /** Versions of each service's targets, and those of targets that are gone. */
+    public readonly versions: TargetVersions;
 
     public readonly onDidReceiveSignal = this.signalEmitter.onDidFire;
 
     public constructor(private readonly options: TargetDirectoryOptions) {
+        this.versions = new TargetVersions(options.clock);
         this.recordRemovals = new RecordRemovalTracker(options, id => this.remove(id));
     }
 
@@ -179,6 +183,7 @@
 
     public dispose(): void {
         this.signalEmitter.dispose();
+        this.versions.dispose();
         this.recordRemovals.dispose();
         for (const target of this.targets.values()) {
             target.dispose();
@@ -244,6 +249,7 @@
             existing.incarnationSeenAtMs = this.options.clock.nowMs();
             this.setCold(existing, this.services.get(entry.service)?.coldStartMs ?? 0);
         }
+        this.versions.update(existing.entry, entry);
         existing.applyEntry(entry);
         this.recordRemovals.clear(existing);
         this.setCold(existing, entry.coldLeftMs);
@@ -291,6 +297,7 @@
         const serviceTargets = this.byService.get(entry.service) ?? [];
         serviceTargets.push(target);
         this.byService.set(entry.service, serviceTargets);
+        this.versions.add(entry);
         const { id, service, address, dataCentre, version, state, coldLeftMs } = entry;
         this.options.logger.write("info", "target added", {
             target: id,
@@ -320,6 +327,7 @@
         this.availabilities.removeWithoutStartTime(target.incarnation);
         const others = (this.byService.get(target.entry.service) ?? []).filter(other => other !== target);
         this.byService.set(target.entry.service, others);
+        this.versions.remove(target.entry);
         target.dispose();
         const { removal, entry } = target;
         const removedForMs = removal === undefined ? 0 : Math.round(this.options.clock.nowMs() - removal.atMs);
--- a/test/gateway/streams/streamFixture.ts
+++ b/test/gateway/streams/streamFixture.ts
@@ -1,4 +1,10 @@
-import { createPromptHeaders, GatewayFixture, waitUntil, type CallerResponse } from "../gatewayFixture.js";
+import {
+    createPromptHeaders,
+    findFreePort,
+    GatewayFixture,
+    waitUntil,
+    type CallerResponse,
+} from "../gatewayFixture.js";
 
 /** What a caller received of a stream over all of its attempts. */
 export interface CallerStream {
@@ -36,7 +42,7 @@
 
     public async addRouters(count: number): Promise<void> {
         for (let index = 0; index < count; index++) {
-            await this.addRouter();
+            await this.addRouter({ metricsPort: await findFreePort() });
         }
         await waitUntil(() => this.routers.every(({ daemon }) => daemon.knownRouterCount === this.routers.length));
     }
@@ -49,6 +55,14 @@
         }
     }
 
+    /** Whether the router has read that the target has this version. */
+    public async hasVersion(router: number, instanceId: string, version: string): Promise<boolean> {
+        const { ip, metricsPort } = this.routers[router].settings;
+        const response = await fetch(`http://${ip}:${metricsPort}/state`);
+        const { targets } = (await response.json()) as { targets: readonly { id: string; version: string }[] };
+        return targets.some(target => target.id === instanceId && target.version === version);
+    }
+
     /** Sends a request for a stream; its caller disconnects after some events. */
     public async openStream(id: string, router: number, path = "/plan/x"): Promise<CallerStream> {
         const headers = createPromptHeaders(id, { "x-lynxarch-prefix-hash": `${id}:1000` });
