--- a/test/soak/records.ts
+++ b/test/soak/records.ts
@@ -13,6 +13,9 @@
     readonly sentAtMs: number;
     /** The connection had served a request before. */
     readonly isReused: boolean;
+    /** Set if it resumes a stream: the attempt that received its first event, and the number of events received. */
+    readonly resumes?: string;
+    readonly resumedAfter?: number;
     /** When the caller closed its connection; undefined: it waited. */
     leftAtMs?: number;
     endedAtMs?: number;
--- a/test/soak/soakChecks.test.ts
+++ b/test/soak/soakChecks.test.ts
@@ -239,3 +239,22 @@
         expect(checkChanged({ answer: "x" }, [arrival], { disturbances: disturbed })).toHaveLength(1);
     });
 });
+
+describe("streams with pieces of two versions", () => {
+    const pieces = [1, 2, 3, 4, 5].map(id => `id: ${id}\ndata: piece ${id} of ${id < 3 ? "v1" : "v2"}\n\n`);
+    const begun: CallerAttempt = { ...stream, kind: "resumable", isWhole: false, answer: pieces.slice(0, 2).join("") };
+    const resumed = { resumes: begun.id, resumedAfter: 2, isWhole: true, answer: pieces.slice(2).join("") };
+
+    function check(streamCount: number): readonly string[] {
+        const attempts = Array.from({ length: streamCount }, (...[, index]) => [
+            { ...begun, id: `s${index}` },
+            { ...begun, ...resumed, id: `r${index}`, resumes: `s${index}` },
+        ]).flat();
+        const breaches = checkRecord({ ...whole, attempts, arrivals: [] }, false);
+        return [...new Set(breaches.map(({ promise }) => promise))];
+    }
+
+    it("are a breach if there are more than the platform allows", () => {
+        expect([check(2), check(3)]).toEqual([[], ["a stream holds pieces of one version"]]);
+    });
+});
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -22,6 +22,7 @@
 const longestStallMs = 1_000;
 const fatalCount = 8;
 const fatalGapMs = 700;
+const besideDataCentres = ["dc-a", "dc-b"] as const;
 const oneWay: readonly RouteMode[] = ["frozen-out", "frozen-back"];
 const storeConditions: readonly StoreCondition[] = ["busy", "silent", "reset"];
 const spoils: readonly TargetScript[] = ["break-off", "tear-event", "reset-unframed", "late-extra"];
@@ -42,6 +43,7 @@
 export class SoakFaults {
     private readonly running: Promise<void>[] = [];
     private readonly timers: NodeJS.Timeout[] = [];
+    private besideCount = 0;
 
     public constructor(private readonly scene: FaultScene) {}
 
@@ -227,6 +229,12 @@
                     await sleepFor(fatalGapMs);
                 }
                 break;
+            case "target-version-beside":
+                await this.startBeside(fault, service);
+                break;
+            case "target-reborn-version":
+                await targets.startAnew(target, fault.forMs / 2, this.createVersion());
+                break;
             case "target-version-sound":
             case "target-version-bad":
                 await this.scene.rollouts.run(service, fault.kind === "target-version-bad");
@@ -249,6 +257,21 @@
         }
     }
 
+    /** Targets of another version join, and some of those before leave. */
+    private async startBeside({ pick }: PlannedFault, service: SoakTarget["service"]): Promise<void> {
+        const { targets } = this.scene;
+        const version = this.createVersion();
+        const former = targets.open.filter(target => target.service === service);
+        await Promise.all(
+            besideDataCentres.map(dataCentre => targets.start(service, dataCentre, coldStartMs, 0, version)),
+        );
+        await Promise.all(former.slice(0, Math.floor(pick * former.length)).map(target => targets.drain(target)));
+    }
+
+    private createVersion(): string {
+        return `beside-${++this.besideCount}`;
+    }
+
     private async runChange({ kind, forMs, pick }: PlannedFault): Promise<void> {
         const { operator } = this.scene;
         switch (kind) {
