--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -193,7 +193,8 @@
             return createProblem("unknown-key");
         }
         const name = needsKey ? account?.name : undefined;
-        const identity = new RequestIdentity(name, request.method ?? "", request.url ?? "", body);
+        const sharedParts = head.promptParts.slice(0, -1).map(part => part.id);
+        const identity = new RequestIdentity(name, request.method ?? "", request.url ?? "", body, sharedParts);
         const figures = this.accounts.createRequest(name, computeChargedTokens(this.context, { head, route }));
         const routed = { head, route, account: name, body, identity, arrivedAtMs, figures };
         return { request: routed, version, arrivedAtMs, handedOverBy: caller.handedOverBy };
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -45,6 +45,8 @@
     readonly logger: Logger;
 }
 
+/** Maximum number of prompt parts in a log line. */
+const maxLoggedParts = 8;
 /** Interval between attempts to read the held requests. */
 const readRetryMs = 1_000;
 
@@ -131,7 +133,12 @@
         const evidence = { digest, prefixHash, incarnation, weight };
         const isHeldNow = this.ledger.record(evidence, clock.nowMs());
         this.reports.sendEvidence([evidence]);
-        logger.write("warn", "a target crashed while it ran a request", { target: target.id, digest, weight });
+        logger.write("warn", "a target crashed while it ran a request", {
+            target: target.id,
+            digest,
+            weight,
+            parts: identity.sharedParts.slice(0, maxLoggedParts).join(" "),
+        });
         if (isHeldNow) {
             this.recordHeld(digest);
         }
--- a/src/gateway/quarantine/requestIdentity.ts
+++ b/src/gateway/quarantine/requestIdentity.ts
@@ -13,11 +13,13 @@
     public readonly prefixHash: number;
     private cachedDigest: string | undefined;
 
+    /** `sharedParts`: ids of the prompt parts that other requests may have as well. */
     public constructor(
         private readonly account: string | undefined,
         private readonly method: string,
         private readonly url: string,
         private readonly body: Buffer | undefined,
+        public readonly sharedParts: readonly string[] = [],
     ) {
         this.prefixHash = hashFast(JSON.stringify([account ?? "", method, url]));
     }
