Failing tests: one prompt part ends target after target

Twelve requests with one part in common, all else different, end 12 to 16 of 16 stand-in targets over three routers; with five ended and three more sent it must be 8 at most.

--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -42,6 +42,8 @@
 }
 
 const eventCount = 5;
+/** Time from the start of an answer that ends the target to its end. */
+const fatalDelayMs = 10;
 
 /** Stand-in for the users' engines and plain services. */
 export class TargetServer {
@@ -68,6 +70,9 @@
     public workMs = 0;
     /** A request with this body ends the target as soon as it runs: all connections are reset, and new ones refused. */
     public fatalBody: string | undefined;
+    /** A request whose prompt has this part ends the target once it has written `fatalPartEvents` events of the answer. */
+    public fatalPart: string | undefined;
+    public fatalPartEvents = 0;
     public hasEnded = false;
     /** Called when a request has ended it. */
     public onDidEnd: (() => void) | undefined;
@@ -172,6 +177,12 @@
             this.end();
             return;
         }
+        const promptParts = toText(request.headers["x-lynxarch-prefix-hash"]) ?? "";
+        const isFatal = this.fatalPart !== undefined && promptParts.includes(`${this.fatalPart}:`);
+        if (isFatal && this.fatalPartEvents === 0) {
+            setTimeout(() => this.end(), fatalDelayMs);
+            return;
+        }
         if (script === "hang") {
             return;
         }
@@ -187,7 +198,7 @@
             return;
         }
         await (this.isModel
-            ? this.answerStream(request, response, script)
+            ? this.answerStream(request, response, script, isFatal)
             : this.answerPlain(response, script, received));
     }
 
@@ -195,6 +206,7 @@
         request: IncomingMessage,
         response: ServerResponse,
         script: TargetScript,
+        isFatal: boolean,
     ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         response.writeHead(200, { "Content-Type": "text/event-stream" });
@@ -209,6 +221,10 @@
                 return;
             }
             response.write(event);
+            if (isFatal && id === this.fatalPartEvents) {
+                setTimeout(() => this.end(), fatalDelayMs);
+                return;
+            }
             if (script === "break-off" && id === first + 1) {
                 await new Promise(resolve => setTimeout(resolve, 5));
                 request.socket.resetAndDestroy();
