--- a/test/fakes/processes.ts
+++ b/test/fakes/processes.ts
@@ -2,17 +2,17 @@
 import { createServer } from "node:net";
 import { fileURLToPath } from "node:url";
 import { createInterface } from "node:readline";
+import { selectPortBlock } from "./portBlock.js";
 
 /** Root of the checkout. */
 export const rootFolder = fileURLToPath(new URL("../../", import.meta.url));
 
 const logLinesKept = 2_000;
-const firstPort = 20_000;
-const portCount = 12_000;
-const portStride = 97;
-let nextPortIndex = (process.pid * portStride) % portCount;
+/** Below the range that outgoing connections are given. */
+const { firstPort, count: portCount } = selectPortBlock(20_000, 12_000);
+let nextPortIndex = 0;
 
-/** A loopback port that nobody listens on; below the range that outgoing connections are given. */
+/** A loopback port that nobody listens on. */
 export async function findFreePort(): Promise<number> {
     for (let tries = 0; tries < portCount; tries++) {
         nextPortIndex = (nextPortIndex + 1) % portCount;
--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -12,6 +12,7 @@
 import { PlatformHeaders } from "../../platform/headers.js";
 import { StoreClient } from "../../platform/storeClient.js";
 import { StoreFeed } from "../../platform/storeFeed.js";
+import { selectPortBlock } from "../fakes/portBlock.js";
 import { StoreServer } from "../fakes/usersPlatform/storeServer.js";
 import { TargetServer } from "../fakes/usersPlatform/targetServer.js";
 
@@ -55,10 +56,6 @@
 };
 const readinessPath = "/api/readyz";
 const deadlineMs = "8000";
-const portsPerBlock = 200;
-/** Number of port blocks for the workers of one test run, and of concurrent test runs with separate blocks. */
-const blocksPerRun = 20;
-const maxConcurrentRuns = 5;
 
 /** The configuration of most tests, in the platform's format. */
 export function createConfiguration(version: number, changes: object = {}): Record<string, unknown> {
@@ -269,22 +266,16 @@
 }
 
 /**
- * First port of this process. The ports lie below the system's range for outgoing connections; otherwise a connection could take a
- * port between its selection and the call that listens on it.
+ * Ports of this process. They lie below the system's range for outgoing connections; otherwise a connection could take a port between
+ * its selection and the call that listens on it.
  */
-const firstPort = 10_000 + computeBlock() * portsPerBlock;
+const { firstPort, count: portCount } = selectPortBlock(10_000, 10_000);
 let nextPortIndex = 0;
 
-/** Computes the index of this worker's port block. Derived from process ids alone, two workers often had the same block. */
-function computeBlock(): number {
-    const worker = Number(process.env.VITEST_POOL_ID ?? process.pid) % blocksPerRun;
-    return (process.ppid % maxConcurrentRuns) * blocksPerRun + worker;
-}
-
 /** Returns a port that is free now and was not recently returned in this process. */
 export async function findFreePort(): Promise<number> {
     for (;;) {
-        const port = firstPort + (nextPortIndex++ % portsPerBlock);
+        const port = firstPort + (nextPortIndex++ % portCount);
         if ((await canListen(port)) && (await canBind(port))) {
             return port;
         }
