--- a/test/decisions/quarantine/partLedger.test.ts
+++ b/test/decisions/quarantine/partLedger.test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
+import { SeededRandom } from "../../../src/base/random.js";
 import { PartLedger } from "../../../src/decisions/quarantine/partLedger.js";
 
 const service = "engines";
@@ -161,3 +162,66 @@
         expect(listHeld(ledger)).toEqual([]);
     });
 });
+
+interface Stream {
+    readonly parts: readonly string[];
+    readonly engine: number;
+    readonly outputAtMs: number;
+    readonly endAtMs: number;
+}
+
+const engineCount = 84;
+const stepMs = 10;
+const streamsPerStep = 4;
+const runMs = 20_000;
+const crashPeriodMs = 500;
+const commonCount = 60;
+const rareCount = 5_000;
+
+/** Share of streams that are refused for a held part while `crashedAtOnce` engines crash in each period, without a fatal part. */
+function measureRefusedHarmless(crashedAtOnce: number): number {
+    const random = new SeededRandom(5);
+    const ledger = new PartLedger();
+    const streams: Stream[] = [];
+    let open: Stream[] = [];
+    let refused = 0;
+    let incarnation = 0;
+    for (let nowMs = 0; nowMs < runMs; nowMs += stepMs) {
+        for (let index = 0; index < streamsPerStep; index++) {
+            const rare = Math.floor(rareCount * random.next() ** 4);
+            const parts = [`common-${Math.floor(random.next() * commonCount)}`, `rare-${rare}`];
+            const outputAtMs = nowMs + 400 * random.next();
+            const engine = Math.floor(random.next() * engineCount);
+            const stream = { parts, engine, outputAtMs, endAtMs: outputAtMs + 2_000 * random.next() };
+            streams.push(stream);
+            if (ledger.check(service, parts, nowMs).kind === "clear") {
+                open.push(stream);
+            } else {
+                refused += 1;
+            }
+        }
+        for (const { parts } of open.filter(({ endAtMs }) => endAtMs <= nowMs)) {
+            ledger.recordResponse(service, parts, nowMs);
+        }
+        open = open.filter(({ endAtMs }) => endAtMs > nowMs);
+        for (let count = 0; nowMs % crashPeriodMs === 0 && count < crashedAtOnce; count++) {
+            const crashed = Math.floor(random.next() * engineCount);
+            incarnation += 1;
+            for (const { parts, outputAtMs } of open.filter(({ engine }) => engine === crashed)) {
+                const weight = nowMs < outputAtMs + 500 ? 1 : 0.25;
+                ledger.recordCrash({ service, incarnation, parts, weight }, nowMs);
+            }
+            open = open.filter(({ engine }) => engine !== crashed);
+        }
+    }
+    return refused / streams.length;
+}
+
+describe("harmless parts of streams on targets that crash repeatedly", () => {
+    it.each([1, 3, 10])(
+        "are held for less than one of a thousand streams with %i targets crashing at a time",
+        count => {
+            expect(measureRefusedHarmless(count)).toBeLessThan(0.001);
+        },
+    );
+});
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -74,6 +74,8 @@
     public fatalPart: string | undefined;
     public fatalPartEvents = 0;
     public hasEnded = false;
+    /** What ended it. */
+    public endedBy: "body" | "part" | undefined;
     /** Called when a request has ended it. */
     public onDidEnd: (() => void) | undefined;
     /** All its answers say that it is leaving; it goes on serving. */
@@ -113,8 +115,12 @@
     }
 
     /** Ends as a process that crashes does. */
-    private end(): void {
+    private end(cause: "body" | "part"): void {
+        if (this.hasEnded) {
+            return;
+        }
         this.hasEnded = true;
+        this.endedBy = cause;
         this.server.close();
         this.sockets.forEach(socket => socket.resetAndDestroy());
         this.onDidEnd?.();
@@ -174,13 +180,13 @@
         }
         received.ran = true;
         if (this.fatalBody !== undefined && received.body === this.fatalBody) {
-            this.end();
+            this.end("body");
             return;
         }
         const promptParts = toText(request.headers["x-lynxarch-prefix-hash"]) ?? "";
         const isFatal = this.fatalPart !== undefined && promptParts.includes(`${this.fatalPart}:`);
         if (isFatal && this.fatalPartEvents === 0) {
-            setTimeout(() => this.end(), fatalDelayMs);
+            setTimeout(() => this.end("part"), fatalDelayMs);
             return;
         }
         if (script === "hang") {
@@ -222,7 +228,7 @@
             }
             response.write(event);
             if (isFatal && id === this.fatalPartEvents) {
-                setTimeout(() => this.end(), fatalDelayMs);
+                setTimeout(() => this.end("part"), fatalDelayMs);
                 return;
             }
             if (script === "break-off" && id === first + 1) {
--- a/test/gateway/crashingParts.test.ts
+++ b/test/gateway/crashingParts.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { fetchHeldParts, releaseHeldPart } from "../../src/gateway/quarantine/heldRequestsApi.js";
 import { createPromptHeaders, GatewayFixture, waitUntil, type CallerResponse } from "./gatewayFixture.js";
 
 const fixture = { current: new GatewayFixture() };
@@ -78,3 +79,75 @@
         expect(countServed(sound)).toBe(sound.length);
     });
 });
+
+describe("requests beside those with a part that crashes targets", () => {
+    // Only one router has answered requests with the part that accompanies the fatal one; the others would hold both.
+    it("are served by all routers if one of them has answered their parts", async () => {
+        await startFleet(16);
+        for (let index = 0; index < 3; index++) {
+            await sendPrompt(`before-${index}`, ["common"], 0);
+        }
+        await sendInTurn("fatal", 8, () => ["common", fatalPart]);
+        const sound = await sendInTurn("after", 6, () => ["common"]);
+        expect([countServed(sound), countEnded() <= maxEnded + maxSentLater]).toEqual([sound.length, true]);
+    });
+
+    // Nothing tells the two parts apart until a request with one of them is answered.
+    it("are served after a trial if the parts of no request have been answered", async () => {
+        await startFleet(16);
+        await sendInTurn("fatal", 8, () => ["common", fatalPart]);
+        let tries = 0;
+        await waitUntil(
+            async () => countServed(await sendInTurn(`trial-${tries++}`, routerCount, () => ["common"])) > 0,
+        );
+        const sound = await sendInTurn("after", 6, () => ["common"]);
+        const fatal = await sendInTurn("late", 3, index => [fatalPart, `other${index}`]);
+        expect([countServed(sound), fatal.map(({ status }) => status)]).toEqual([sound.length, [502, 502, 502]]);
+    });
+
+    // A caller sends the part of another account along with a fatal one of its own.
+    it("are served if their part is sent along with the fatal one by another caller", async () => {
+        await startFleet(16);
+        await sendInTurn("fatal", 4, () => ["victim", fatalPart]);
+        const sound = await sendInTurn("victim", 9, () => ["victim"]);
+        expect(countServed(sound)).toBeGreaterThanOrEqual(sound.length / 2);
+    });
+});
+
+describe("a part that crashes targets", () => {
+    it("stays refused after a restart of all routers", async () => {
+        await startFleet(16);
+        await sendInTurn("fatal", 8, () => ["common", fatalPart]);
+        const ended = countEnded();
+        await waitUntil(() => fixture.current.store.hasKeys("keyed.quarantine-parts"));
+        fixture.current.routers.splice(0).forEach(({ daemon }) => daemon.dispose());
+        await fixture.current.addRouter();
+        const response = await sendPrompt("later", ["common", fatalPart], 0);
+        expect({ status: response.status, ended: countEnded(), code: parseCode(response.body) }).toEqual({
+            status: 502,
+            ended,
+            code: "part-crashes-targets",
+        });
+    });
+
+    // The cause of the crashes is fixed, but the next trial would only take place later.
+    it("is sent again by all routers once an operator has released it", async () => {
+        await startFleet(16);
+        await sendInTurn("before", 3, () => ["common"]);
+        await sendInTurn("fatal", 8, () => ["common", fatalPart]);
+        fixture.current.targets.forEach(target => (target.fatalPart = undefined));
+        const address = fixture.current.routers[0].settings.control!;
+        const held = (await fetchHeldParts(address))._unsafeUnwrap();
+        const isReleased = (await releaseHeldPart(address, "engines", fatalPart))._unsafeUnwrap();
+        const responses = await sendInTurn("later", 3, () => ["common", fatalPart]);
+        expect({ parts: held.map(({ parts }) => parts), isReleased, served: countServed(responses) }).toEqual({
+            parts: [[fatalPart]],
+            isReleased: true,
+            served: 3,
+        });
+    });
+});
+
+function parseCode(body: string): string {
+    return (JSON.parse(body) as { readonly code: string }).code;
+}
--- a/test/soak/records.ts
+++ b/test/soak/records.ts
@@ -13,6 +13,8 @@
     readonly sentAtMs: number;
     /** The connection had served a request before. */
     readonly isReused: boolean;
+    /** Its prompt has the part that ends targets. */
+    readonly hasFatalPart?: boolean;
     /** Set if it resumes a stream: the attempt that received its first event, and the number of events received. */
     readonly resumes?: string;
     readonly resumedAfter?: number;
@@ -68,6 +70,7 @@
         | "removed"
         | "gone"
         | "crashed"
+        | "crashed-by-part"
         | "data-centre-out"
         | "data-centre-in";
     /** Path, key, target or data centre. */
--- a/test/soak/signalChecks.ts
+++ b/test/soak/signalChecks.ts
@@ -6,6 +6,10 @@
 const pauseSlackMs = 500;
 const mostDuringPause = 2;
 const mostCrashes = 3;
+/** The platform's bounds on requests with a part that ends targets. */
+const mostPartCrashes = 5;
+const mostLateCrashes = 3;
+const contactMs = 3_000;
 
 interface Send {
     readonly attempt: CallerAttempt;
@@ -45,16 +49,31 @@
 
 /** A request that ends targets ends no more of them than it takes to recognize it. */
 export function checkFatal(record: SoakRecord, { calmness }: RecordIndex): readonly Breach[] {
-    const crashes = record.words.filter(({ kind }) => kind === "crashed").map(({ atMs }) => atMs);
-    const routers = new Set(record.attempts.map(({ router }) => router));
-    const isCalm = [...routers].every(router =>
-        calmness.isRouterCalm(router, Math.min(...crashes), Math.max(...crashes)),
-    );
-    return crashes.length > mostCrashes && isCalm
+    const crashes = listTimes(record, "crashed");
+    return crashes.length > mostCrashes && isCalm(record, calmness, crashes)
         ? [{ promise: "a request that ends targets is recognized", evidence: `${crashes.length} targets ended` }]
         : [];
 }
 
+/** Requests that share only a part under which targets end reach few targets once the platform's bound after the fifth end has passed. */
+export function checkFatalPart(record: SoakRecord, { calmness }: RecordIndex): readonly Breach[] {
+    const crashes = listTimes(record, "crashed-by-part");
+    const fifthAtMs = crashes.at(mostPartCrashes - 1) ?? Infinity;
+    const late = crashes.filter(atMs => atMs > fifthAtMs + contactMs);
+    return late.length > mostLateCrashes && isCalm(record, calmness, crashes)
+        ? [{ promise: "a part that ends targets is recognized", evidence: `${late.length} of ${crashes.length} late` }]
+        : [];
+}
+
+function listTimes(record: SoakRecord, kind: SoakRecord["words"][number]["kind"]): readonly number[] {
+    return record.words.filter(word => word.kind === kind).map(({ atMs }) => atMs);
+}
+
+function isCalm(record: SoakRecord, calmness: RecordIndex["calmness"], timesMs: readonly number[]): boolean {
+    const routers = new Set(record.attempts.map(({ router }) => router));
+    return [...routers].every(router => calmness.isRouterCalm(router, Math.min(...timesMs), Math.max(...timesMs)));
+}
+
 /** Sends by target and process of a router. */
 function listSendGroups(record: SoakRecord): readonly (readonly Send[])[] {
     const attempts = new Map(record.attempts.map(attempt => [attempt.id, attempt]));
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -3,7 +3,7 @@
 import type { CallerAttempt, CallKind } from "./records.js";
 import { host, lastingKeys, timeoutMs, type SoakOperator } from "./soakOperator.js";
 import type { SoakRouter, SoakRouters } from "./soakRouters.js";
-import { fatalBody } from "./soakTargets.js";
+import { fatalBody, fatalPart } from "./soakTargets.js";
 
 const kinds: readonly CallKind[] = ["resumable", "once", "book", "find", "version"];
 const longestRestMs = 90;
@@ -84,6 +84,16 @@
         connection.agent.destroy();
     }
 
+    /** Sends a request whose prompt has the part that ends targets; no two of them are alike. */
+    public async sendFatalPart(): Promise<void> {
+        const connection = this.openConnection();
+        const usual = this.createAttempt(connection, "once");
+        const attempt: CallerAttempt = { ...usual, key: Object.keys(lastingKeys)[0], hasFatalPart: true };
+        this.attempts.splice(this.attempts.indexOf(usual), 1, attempt);
+        await this.sendOne(connection, attempt);
+        connection.agent.destroy();
+    }
+
     /** Resumes a stream that broke off, or that its caller left, at any router; until it is whole or was resumed often enough. */
     private async resume(first: CallerAttempt): Promise<void> {
         let last = first;
@@ -136,7 +146,7 @@
                     "X-Lynxarch-Deadline-Ms": String(limitMs),
                     Authorization: `Bearer ${attempt.key}`,
                     ...forgedHeaders,
-                    ...(isStream ? this.createPromptHeaders(attempt.resumes ?? attempt.id) : {}),
+                    ...(isStream ? this.createPromptHeaders(attempt.resumes ?? attempt.id, attempt.hasFatalPart) : {}),
                     ...createResumptionHeaders(attempt),
                 },
             });
@@ -207,12 +217,12 @@
         return (isFormer ? revokedKey : undefined) ?? (isPassing ? passingKey : undefined) ?? lasting;
     }
 
-    private createPromptHeaders(id: string): Record<string, string> {
+    private createPromptHeaders(id: string, hasFatalPart = false): Record<string, string> {
         const shared = Math.floor(this.random.next() * sharedPartCount);
         return {
             "X-Lynxarch-Model": "m",
             "X-Lynxarch-Token-Count": `${sharedTokens + ownTokens},80`,
-            "X-Lynxarch-Prefix-Hash": `aa0${shared}:${sharedTokens},bb${id.slice(1)}:${ownTokens}`,
+            "X-Lynxarch-Prefix-Hash": `aa0${shared}:${sharedTokens},${hasFatalPart ? `${fatalPart}:1,` : ""}bb${id.slice(1)}:${ownTokens}`,
         };
     }
 }
--- a/test/soak/soakChecks.test.ts
+++ b/test/soak/soakChecks.test.ts
@@ -194,6 +194,16 @@
         expect({ counts, excused }).toEqual({ counts: [0, 1], excused: 0 });
     });
 
+    it("find requests with a part that go on to end targets", () => {
+        const words = [0, 1, 2, 3, 4, 4_000, 5_000, 6_000, 7_000].map((sinceMs, index) => ({
+            kind: "crashed-by-part" as const,
+            name: `e${index}`,
+            atMs: 10_000 + sinceMs,
+        }));
+        const counts = [8, 9].map(count => checkRecord({ ...whole, words: words.slice(0, count) }, true).length);
+        expect(counts).toEqual([0, 1]);
+    });
+
     it("find sends to a target that pauses", () => {
         const attempts = [0, 1, 2, 3].map(index => ({
             ...attempt,
--- a/test/soak/soakChecks.ts
+++ b/test/soak/soakChecks.ts
@@ -2,7 +2,7 @@
 import { coldPerSecond, lastingKeys, timeoutMs } from "./soakOperator.js";
 import { Calmness } from "./calmness.js";
 import { checkExposure, checkOneWay, checkRolledBack } from "./rolloutChecks.js";
-import { checkFatal, checkLeaving, checkPauses } from "./signalChecks.js";
+import { checkFatal, checkFatalPart, checkLeaving, checkPauses } from "./signalChecks.js";
 
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const pieces = [1, 2, 3, 4, 5].map(id => `id: ${id}\ndata: piece ${id}\n\n`);
@@ -59,6 +59,7 @@
     checkLost,
     checkPauses,
     checkFatal,
+    checkFatalPart,
     checkRolledBack,
 ];
 
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -22,6 +22,8 @@
 const longestStallMs = 1_000;
 const fatalCount = 8;
 const fatalGapMs = 700;
+const fatalPartCount = 24;
+const fatalPartGapMs = 250;
 const besideDataCentres = ["dc-a", "dc-b"] as const;
 const oneWay: readonly RouteMode[] = ["frozen-out", "frozen-back"];
 const storeConditions: readonly StoreCondition[] = ["busy", "silent", "reset"];
@@ -229,6 +231,12 @@
                     await sleepFor(fatalGapMs);
                 }
                 break;
+            case "target-fatal-part":
+                for (let index = 0; index < fatalPartCount; index++) {
+                    await this.scene.callers.sendFatalPart();
+                    await sleepFor(fatalPartGapMs);
+                }
+                break;
             case "target-version-beside":
                 await this.startBeside(fault, service);
                 break;
--- a/test/soak/soakPlan.ts
+++ b/test/soak/soakPlan.ts
@@ -46,8 +46,8 @@
 /** Drawn besides in the same way: targets that leave unannounced, and a store that is up while reads fail or stall. */
 export const recordKinds = ["target-removed", "target-removed-later", "store-throttling", "store-stalled"] as const;
 
-/** Drawn besides in the same way: versions that serve side by side without an order. */
-export const besideKinds = ["target-version-beside", "target-reborn-version"] as const;
+/** Drawn besides in the same way: versions that serve side by side without an order, and a part of prompts that ends targets. */
+export const besideKinds = ["target-version-beside", "target-reborn-version", "target-fatal-part"] as const;
 
 export type FaultKind =
     | (typeof faultKinds)[number]
--- a/test/soak/soakTargets.ts
+++ b/test/soak/soakTargets.ts
@@ -32,6 +32,8 @@
 const replaceMs = 500;
 /** A request with this body ends the target that runs it. */
 export const fatalBody = "ends whoever runs it";
+/** A request with this part in its prompt ends the target that answers it. */
+export const fatalPart = "dead";
 const forbiddenHeaders = ["authorization", "x-lynxarch-kv-hold", "x-lynxarch-pin-ms", "kv-from"] as const;
 
 /** The engines and plain services of a run, and their entries in the store. */
@@ -65,6 +67,7 @@
         server.eventPauseMs = eventPauseMs;
         server.workMs = workMs;
         server.fatalBody = fatalBody;
+        server.fatalPart = fatalPart;
         server.version = version;
         await server.start();
         const link = new Route("127.0.0.1", Number(server.address.split(":")[1]), []);
@@ -156,7 +159,8 @@
 
     /** A request has ended it: its address refuses connections, and another one takes its place later. */
     private async startSuccessor(target: SoakTarget): Promise<void> {
-        this.words.push({ kind: "crashed", name: target.id, atMs: performance.now() });
+        const kind = target.server.endedBy === "part" ? "crashed-by-part" : "crashed";
+        this.words.push({ kind, name: target.id, atMs: performance.now() });
         this.end(target);
         await new Promise(resolve => setTimeout(resolve, replaceMs));
         await this.start(target.service, target.dataCentre, coldStartMs);
