Wait for the router's own view in the test of expired entries

It now waits until the router reports that the record has been missing for half a second, and sends then: as strict, and independent of how long the steps before take.

--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -147,17 +147,25 @@
     // would have no target until their entries are written again.
     it("whose entries expire while the store is unavailable are kept until the entries are written again", async () => {
         await fixture.current.addTarget("app", "app-1");
-        await fixture.current.addRouter();
+        const metricsPort = await findFreePort();
+        await fixture.current.addRouter({ metricsPort });
         fixture.current.store.condition = "busy";
         // A pending long poll continues; only a refused call shows the router that the store is unavailable.
         await waitUntil(() => fixture.current.store.refused >= 2);
         fixture.current.store.write("keyed.servers", "app-1", undefined);
         fixture.current.store.condition = "up";
-        await new Promise(resolve => setTimeout(resolve, 900));
+        await waitUntil(async () => (await fetchRemovedForMs(metricsPort)) >= 500);
         expect(await fetchStatus()).toBe(200);
     });
 });
 
+/** For how long the first target's record has been removed, as the first router sees it; milliseconds, -1 while it is present. */
+async function fetchRemovedForMs(metricsPort: number): Promise<number> {
+    const response = await fetch(`http://${fixture.current.routers[0].settings.ip}:${metricsPort}/state`);
+    const { targets } = (await response.json()) as { targets: readonly { recordRemovedForMs?: number }[] };
+    return targets[0].recordRemovedForMs ?? -1;
+}
+
 describe("a router that starts", () => {
     // Engines have long shared parts cached from before the router was restarted. A router that does not fetch the lists of cached parts
     // sends each prompt to the target preferred by the part's hash, which may be any engine, and the part is prefilled there again.
