--- a/src/gateway/streams/streamVersions.ts
+++ b/src/gateway/streams/streamVersions.ts
@@ -90,14 +90,13 @@
 
     /** Records the version of the target that wrote a stream's first event. `leftMs`: for how long the stream can be resumed. */
     public record(stream: Omit<ResumedStream, "services">, began: ServiceVersion, leftMs: number): void {
-        const { directory, clock } = this.options;
-        const nowMs = clock.nowMs();
+        const nowMs = this.options.clock.nowMs();
         const entry = { key: createKey(stream), began, leftMs };
         this.table.record(entry, nowMs);
-        if (directory.versions.findSeen(began.service, stream.lifetimeMs + viewLagMs).kind === "sole") {
-            this.unsent.record(entry, nowMs);
-        } else {
+        if (this.isMixed(began, stream.lifetimeMs)) {
             this.sendRecords([entry]);
+        } else {
+            this.unsent.record(entry, nowMs);
         }
     }
 
@@ -133,9 +132,10 @@
         }
     }
 
-    /** Sends all records to other routers before this one ends. */
+    /** Sends the records of services with several versions to other routers before this one ends. */
     public sendAll(): void {
-        this.sendRecords(this.table.listAll(this.options.clock.nowMs()));
+        const entries = this.table.listAll(this.options.clock.nowMs());
+        this.sendRecords(entries.filter(({ began, leftMs }) => began !== undefined && this.isMixed(began, leftMs)));
     }
 
     public dispose(): void {
@@ -220,6 +220,11 @@
         }
     }
 
+    /** Whether other routers may have seen several versions of the service within the period. */
+    private isMixed({ service }: ServiceVersion, periodMs: number): boolean {
+        return this.options.directory.versions.findSeen(service, periodMs + viewLagMs).kind !== "sole";
+    }
+
     /** Sends each record to the routers that hold it, with several records in a message. */
     private sendRecords(entries: readonly StreamEntry[]): void {
         const others = this.listOthers();
