Refuse requests with all held parts at routers that don't run the trial

When a hold of prompt parts expires, one router lets a request through as a trial. The others answered requests with all of the held parts with 503 and Retry-After, as if a retry could help; such a request most likely crashes its target, so it gets 502 as before the hold's end. A request with some of the parts is still told to come back, as it may be sound.

--- a/src/decisions/quarantine/partLedger.ts
+++ b/src/decisions/quarantine/partLedger.ts
@@ -33,11 +33,12 @@
     readonly holdMs: number;
 }
 
-/** Decision on a request by the shared parts of its prompt. `trialParts`: the held parts of which it has some, or whose hold has expired. */
+/** Decision on a request by the shared parts of its prompt. */
 export type PartStatus =
     | { readonly kind: "clear" }
     | { readonly kind: "held" }
-    | { readonly kind: "trial"; readonly trialParts: readonly string[] };
+    /** It may run as a trial. `parts`: the held ones that it has; `hasAll`: whether they are all parts of a hold, which has expired. */
+    | { readonly kind: "trial"; readonly parts: readonly string[]; readonly hasAll: boolean };
 
 /** A change of what is held. */
 export interface HoldChange {
@@ -150,15 +151,17 @@
     /** Decides whether a request may run. */
     public check(service: string, parts: readonly string[], nowMs: number): PartStatus {
         const present = new Set(parts);
-        const trialParts: string[] = [];
+        const held: string[] = [];
+        let hasAll = false;
         for (const hold of this.holds.filter(candidate => candidate.service === service)) {
             const common = [...hold.parts].filter(part => present.has(part));
             if (common.length === hold.parts.size && nowMs < hold.untilMs) {
                 return { kind: "held" };
             }
-            trialParts.push(...common);
+            hasAll = hasAll || common.length === hold.parts.size;
+            held.push(...common);
         }
-        return trialParts.length === 0 ? { kind: "clear" } : { kind: "trial", trialParts };
+        return held.length === 0 ? { kind: "clear" } : { kind: "trial", parts: held, hasAll };
     }
 
     /** Whether a request that ran at a crashed target must not be sent to a further one. */
--- a/src/gateway/quarantine/partQuarantine.ts
+++ b/src/gateway/quarantine/partQuarantine.ts
@@ -112,7 +112,9 @@
                 return { kind: "held" };
             }
             if (status.kind === "trial") {
-                return this.takeTrial({ service, parts: status.trialParts }, nowMs);
+                const permit = this.takeTrial({ service, parts: status.parts }, nowMs);
+                // A request with all held parts most likely crashes its target, so that a retry would not help its caller.
+                return permit.kind === "busy" && status.hasAll ? { kind: "held" } : permit;
             }
         }
         return { kind: "not-needed" };
