Let a begun stream wait longer than a new one when its caller resumes it

A resumed stream may only go to the engines of its version, which are few after a crash or beside a release, and was admitted like a new one: refused as late, or for its account's share, which was charged when it began. What its caller has received and the engines have read is lost then. Where a router knows that the stream has begun (its record was found), it may wait twice the objective, and owners are asked without its account. Callers who name no request, and streams without a record, are admitted as before.

--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -500,6 +500,7 @@
             selector,
             outputTokens: charge.outputTokens,
             chargedTokens: charge.askedTokens,
+            isContinued: false,
             isExcluded: () => false,
             getRemainingMs: () => call.askedAtMs + timeLeftMs - nowMs,
         });
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -49,6 +49,11 @@
 
 /** Share of the objective that a plain request may spend waiting at its target. */
 const maxPlainWaitShare = 0.6;
+/**
+ * The work that a begun stream has received is lost if the stream is refused, so that it may wait longer than a new one and is not refused
+ * for its account's share, which was charged when it began.
+ */
+const continuedObjectiveFactor = 2;
 /** Maximum number of owners asked for one request: after three denials a further one is unlikely to be worth its cost. */
 const maxGrantRequests = 3;
 
@@ -61,6 +66,8 @@
     readonly outputTokens: number;
     /** Tokens charged to the account's share for this request. */
     readonly chargedTokens: number;
+    /** Whether the request continues a stream that a router has begun to serve. */
+    readonly isContinued: boolean;
     /** Excludes targets from the selection. */
     readonly isExcluded: TargetFilter;
     readonly getRemainingMs: () => number;
@@ -79,6 +86,12 @@
 
     public constructor(private readonly options: RequestAdmissionOptions) {}
 
+    /** Objective that the expected time is compared with; milliseconds. */
+    private get objectiveMs(): number {
+        const { routed, isContinued } = this.options;
+        return routed.route.objectiveMs * (isContinued ? continuedObjectiveFactor : 1);
+    }
+
     /** Calls `handleOutcome` exactly once, either synchronously or after the owners' replies. */
     public check(services: readonly string[], handleOutcome: (outcome: AdmissionOutcome) => void): void {
         this.shareUse = this.computeUsage();
@@ -94,7 +107,7 @@
     }
 
     private checkPlain(selection: Selection): AdmissionOutcome {
-        const isLate = selection.expectedMs > this.options.routed.route.objectiveMs * maxPlainWaitShare;
+        const isLate = selection.expectedMs > this.objectiveMs * maxPlainWaitShare;
         return isLate ? this.createRefusal("late", selection.expectedMs) : this.createSelected(selection);
     }
 
@@ -183,7 +196,7 @@
         const admission = checkPromptAdmission({
             expectedMs: selection.expectedMs,
             unloadedMs: selection.unloadedMs,
-            objectiveMs: routed.route.objectiveMs,
+            objectiveMs: this.objectiveMs,
             pauseObjectiveMs: routed.route.pauseObjectiveMs,
             remainingMs: getRemainingMs(),
             shareUse: this.shareUse,
@@ -198,7 +211,7 @@
         const { routed, getRemainingMs } = this.options;
         const bounds = computePromptBounds({
             unloadedMs,
-            objectiveMs: routed.route.objectiveMs,
+            objectiveMs: this.objectiveMs,
             pauseObjectiveMs: routed.route.pauseObjectiveMs,
             remainingMs: getRemainingMs(),
             shareUse: this.shareUse,
@@ -207,14 +220,14 @@
     }
 
     private createDemand({ target, fetch }: Selection, bounds: PromptBounds): GrantDemand {
-        const { routed, outputTokens, chargedTokens } = this.options;
+        const { routed, outputTokens, chargedTokens, isContinued } = this.options;
         return {
             target,
             head: routed.head,
             copiedTokens: fetch?.tokens ?? 0,
             outputTokens,
-            account: routed.account,
-            chargedTokens,
+            account: isContinued ? undefined : routed.account,
+            chargedTokens: isContinued ? 0 : chargedTokens,
             bounds,
             windowMs: routed.route.pauseObjectiveMs,
         };
@@ -234,10 +247,7 @@
     }
 
     private createDenial(reason: PromptBounds["reason"], capacityWaitMs: number): AdmissionOutcome {
-        return this.createRefusal(
-            reason,
-            computePromptRetryAfterMs(reason, this.options.routed.route.objectiveMs, capacityWaitMs),
-        );
+        return this.createRefusal(reason, computePromptRetryAfterMs(reason, this.objectiveMs, capacityWaitMs));
     }
 
     private createSelected(selection: Selection): AdmissionOutcome {
@@ -260,7 +270,7 @@
     }
 
     private computeUsage(): ShareUsage {
-        const { context, routed } = this.options;
-        return routed.route.hasPrompts ? computeShareUsage(context, routed.account) : zeroUsage;
+        const { context, routed, isContinued } = this.options;
+        return routed.route.hasPrompts && !isContinued ? computeShareUsage(context, routed.account) : zeroUsage;
     }
 }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -166,6 +166,7 @@
             selector,
             outputTokens: this.charge.outputTokens,
             chargedTokens: this.charge.askedTokens,
+            isContinued: this.binding.isContinued,
             isExcluded: target => this.isExcluded(target),
             getRemainingMs: () => this.deadlineAtMs - context.clock.nowMs(),
         });
--- a/src/gateway/streams/streamBinding.ts
+++ b/src/gateway/streams/streamBinding.ts
@@ -46,6 +46,11 @@
         return this.selection;
     }
 
+    /** Whether the caller resumes a stream that is known to have begun. */
+    public get isContinued(): boolean {
+        return this.originSource === "recorded";
+    }
+
     public get details(): BindingDetails {
         return { originSource: this.originSource, streamVersion: this.began?.version };
     }
