Bind a stream also to a target whose first output ends the attempt

A target that sends too many events in the first piece of its response has its attempt ended before that output is reported, although the events have gone to the caller. The flow binds it after the attempt too, if anything has been relayed.

--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -8,6 +8,7 @@
 import { recordAttempt } from "./grants/recordedGrant.js";
 import { EventStreamRelay } from "./eventStreamRelay.js";
 import { describeSelection, FlowOutcomes, type FlowOutcome } from "./flowOutcomes.js";
+import type { TargetEntry } from "./fleetSource.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { ResponseRelay, StoredResponse } from "./responseRelay.js";
 import { RequestRetries } from "./requestRetries.js";
@@ -96,8 +97,8 @@
 
     /** Processes the request. When the promise resolves, the final response has been sent or the caller has disconnected. */
     public async run(): Promise<FlowOutcome> {
-        const { clock } = this.context;
-        const timer = setTimeout(() => this.stop("deadline"), Math.max(0, this.deadlineAtMs - clock.nowMs()));
+        const remainingMs = this.deadlineAtMs - this.context.clock.nowMs();
+        const timer = setTimeout(() => this.stop("deadline"), Math.max(0, remainingMs));
         this.store.add({ dispose: () => clearTimeout(timer) });
         this.store.add(this.caller.token.onDidCancel(() => this.stop("left")));
         try {
@@ -186,8 +187,7 @@
     private async runAttempt(selection: Selection): Promise<AttemptOutcome> {
         const { context, routed } = this;
         const { target, service } = selection;
-        const { availability } = target;
-        const { version } = target.entry;
+        const { availability, entry } = target;
         const maxIdleMs = this.isRepeatable ? maxIdleIfRepeatableMs : maxIdleIfNotRepeatableMs;
         const limit = this.selector.computeConnectionLimit(service);
         const nowMs = context.clock.nowMs();
@@ -197,7 +197,6 @@
             selection.grant?.report("not-run");
             return { kind: "not-run", reason: "not-sent", detail: "all connections to the target are in use" };
         }
-        const { method, url } = this.caller.request;
         const headers = context.codec.encodeForTarget(this.caller.request.rawHeaders, {
             remainingMs: this.deadlineAtMs - nowMs,
             targetId: target.id,
@@ -221,7 +220,7 @@
             canStart: () => !context.directory.isClosed(target),
             handleSent: () => this.handleSent(target),
             handleHead: head => context.directory.observeResponse(target, availability, head),
-            handleOutput: isFirst => this.handleOutput(send, target, version, isFirst),
+            handleOutput: isFirst => this.handleOutput(send, entry, isFirst),
         });
         this.current = attempt;
         if (this.stopReason !== undefined) {
@@ -231,13 +230,16 @@
         this.charge.recordServed();
         this.binding.versions?.recordSent(target);
         const outcome = await attempt.run(connection, {
-            method: method ?? "GET",
-            path: url ?? "/",
+            method: this.caller.request.method ?? "GET",
+            path: this.caller.request.url ?? "/",
             headers,
             body: routed.body,
         });
         this.inactivityTimer.stop();
         this.current = undefined;
+        if (this.relay.isCommitted) {
+            this.binding.observeOutput(entry);
+        }
         target.connections.release(connection, context.clock.nowMs());
         send.close(outcome);
         return outcome;
@@ -248,9 +250,9 @@
         this.startInactivityTimer();
     }
 
-    private handleOutput(send: TargetSend, target: Target, version: string | undefined, isFirst: boolean): void {
-        this.binding.observeOutput(target, version);
-        this.outputs.record(this.tried.size, version, this.context.clock.nowMs());
+    private handleOutput(send: TargetSend, entry: TargetEntry, isFirst: boolean): void {
+        this.binding.observeOutput(entry);
+        this.outputs.record(this.tried.size, entry.version, this.context.clock.nowMs());
         this.timing.recordOutput(this.context.clock.nowMs());
         this.startInactivityTimer();
         send.handleOutput(isFirst);
--- a/src/gateway/streams/streamBinding.ts
+++ b/src/gateway/streams/streamBinding.ts
@@ -1,4 +1,5 @@
 import type { ServiceVersion } from "../../decisions/versions/streamVersionTable.js";
+import type { TargetEntry } from "../fleetSource.js";
 import type { GatewayContext } from "../gatewayContext.js";
 import type { RoutedRequest } from "../routedRequest.js";
 import type { VersionSelection } from "../rollouts/versionSelection.js";
@@ -88,13 +89,16 @@
         }
     }
 
-    /** Binds the stream to the version of the target that writes its first event. `version`: as it was when the request was sent. */
-    public observeOutput(target: Target, version: string | undefined): void {
+    /**
+     * Binds the stream to the version of the target that writes its first event. Also called after an attempt, as output that ends it, such
+     * as too many events at once, is not reported as output. `entry`: record of the target when the request was sent.
+     */
+    public observeOutput({ service, version }: TargetEntry): void {
         if (!this.isStream || this.began !== undefined) {
             return;
         }
         const { head, account, route } = this.routed;
-        this.began = { service: target.entry.service, version: version ?? "" };
+        this.began = { service, version: version ?? "" };
         this.selection = this.createSelection([this.began]);
         const requestId = head.resumedRequestId ?? head.requestId;
         if (requestId !== undefined) {
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -14,6 +14,8 @@
     | "reset-unframed-at-once"
     /** Answers without a length, ended by the connection's end. */
     | "unframed"
+    /** Sends far more events than were asked for, in one piece. */
+    | "burst"
     /** Says that it did not run the request. */
     | "shed"
     | "error"
@@ -42,6 +44,7 @@
 }
 
 const eventCount = 5;
+const burstCount = 1_500;
 /** Time from the start of an answer that ends the target to its end. */
 const fatalDelayMs = 10;
 
@@ -216,6 +219,10 @@
     ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         response.writeHead(200, { "Content-Type": "text/event-stream" });
+        if (script === "burst") {
+            response.end(Array.from({ length: burstCount }, (...[, index]) => `id: ${index + 1}\ndata:\n\n`).join(""));
+            return;
+        }
         for (let id = first; id <= eventCount; id++) {
             await new Promise(resolve => setTimeout(resolve, this.eventPauseMs));
             const writer = this.version === undefined ? "" : ` of ${this.version}`;
--- a/test/gateway/streams/resumedStreams.test.ts
+++ b/test/gateway/streams/resumedStreams.test.ts
@@ -36,6 +36,21 @@
     });
 });
 
+describe("a stream whose target sends too many events at once", () => {
+    // The first piece of the response is both the first output and the reason to end the attempt.
+    it("is not continued at another version", async () => {
+        await fixture.current.startFleet({ v1: 1, v2: 3 }, 1);
+        fixture.current.targets.forEach(target => (target.usual = "burst"));
+        const streams: CallerStream[] = [];
+        for (let index = 0; index < streamCount; index++) {
+            const id = `s${index}`;
+            const headers = createPromptHeaders(id, { "x-lynxarch-prefix-hash": `${id}:1000` });
+            streams.push({ ids: [id], responses: [await fixture.current.send({ path: "/plan/x", headers })] });
+        }
+        expect(fixture.current.describeStreams(streams).mixed).toBe(0);
+    });
+});
+
 describe("a stream that its caller resumes", () => {
     // The router that receives the resumed request did not serve the stream and selects a target of any version.
     it("is continued at the version that began it by a router that did not serve it", async () => {
