Doc lines and one name in the quarantine of prompt parts

Read as a newcomer: four members had no doc line, and a constant for the length of log lines had another name than its twin in the same folder. Nothing else changes.

--- a/src/decisions/quarantine/partLedger.ts
+++ b/src/decisions/quarantine/partLedger.ts
@@ -184,6 +184,7 @@
         }
     }
 
+    /** Parts that are held or wait for a trial. */
     public listHeld(nowMs: number): readonly HeldParts[] {
         return this.holds.map(hold => describeHold(hold, nowMs));
     }
--- a/src/decisions/versions/streamVersionTable.ts
+++ b/src/decisions/versions/streamVersionTable.ts
@@ -33,6 +33,7 @@
 export class StreamVersionTable {
     private readonly entries = new LRUCache<string, StoredEntry>({ max: maxStreams });
 
+    /** Adds a stream. A key that is used for streams of several versions names none of them from then on. */
     public record({ key, began, leftMs }: StreamEntry, nowMs: number): void {
         const known = this.findStored(key, nowMs);
         const untilMs = nowMs + Math.min(leftMs, maxLeftMs);
--- a/src/gateway/quarantine/partQuarantine.ts
+++ b/src/gateway/quarantine/partQuarantine.ts
@@ -64,7 +64,8 @@
 /** Interval between attempts to read the held parts. */
 const readRetryMs = 1_000;
 const writeRetryMs = 2_000;
-const sharedPartsLogged = 8;
+/** Maximum number of prompt parts in a log line. */
+const maxLoggedParts = 8;
 
 /** Detects prompt parts under which targets crash, and stops sending requests with them. */
 export class PartQuarantine implements Disposable {
@@ -120,6 +121,7 @@
         return { kind: "not-needed" };
     }
 
+    /** Ends a trial, so that another request can run as one. */
     public endTrial(trial: ServiceParts): void {
         this.trials.delete(createKey(trial));
     }
@@ -194,6 +196,7 @@
             .forEach(held => this.writeRecord(held));
     }
 
+    /** Parts that are held or wait for a trial. */
     public listHeld(): readonly HeldParts[] {
         return this.ledger.listHeld(this.options.clock.nowMs());
     }
@@ -299,5 +302,5 @@
 }
 
 function describe({ service, parts, holdMs }: HeldParts): Record<string, string | number> {
-    return { service, parts: parts.slice(0, sharedPartsLogged).join(" "), holdMs };
+    return { service, parts: parts.slice(0, maxLoggedParts).join(" "), holdMs };
 }
