Allowance for requests beyond their account's share while an engine is idle

Cause: the fraction of an engine's limit that an account beyond its share may use falls with its surplus and is zero at 1.34 times the fair level, however little the engine reads.

Change: with the setting fillsSpareCapacity, the owner of an engine adds an allowance (SpareAllowance) to this fraction. It rises while less than 0.85 of the limit is granted and requests are denied by their fraction, falls above 0.85, and is halved when a request within its account's share is denied. Routers send fractions down to -3, and the reply carries the fraction without the allowance, so that cached denials and the next owner compare like with like. The retry delay of a denial is at most the time in which the allowance rises by what is missing. Grant messages accept -3 to 0 in these two fields; the property test's wrong value for them is now -3.001. PrefillShare doubles its rise after 50 streams in time, with the same setting.

Without the setting nothing changes.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -4,7 +4,6 @@
 import { NoopLogger } from "../../src/base/log.js";
 import type { Random } from "../../src/base/random.js";
 import { DenialCache } from "../../src/decisions/admission/denialCache.js";
-import { PrefillShare } from "../../src/decisions/admission/prefillShare.js";
 import { AccountShares, type ReportedRouter } from "../../src/decisions/shares/accountShares.js";
 import { FirstTokenModel } from "../../src/decisions/placement/firstTokenModel.js";
 import { IdleShare } from "../../src/decisions/shares/idleShare.js";
@@ -14,9 +13,10 @@
 import { ConfigurationHolder } from "../../src/gateway/configurationHolder.js";
 import type { TargetEntry } from "../../src/gateway/fleetSource.js";
 import type { GatewayContext } from "../../src/gateway/gatewayContext.js";
-import { createGrants } from "../../src/gateway/grants/createGrants.js";
+import { createGrants, createPrefillShares } from "../../src/gateway/grants/createGrants.js";
 import type { GrantTransport } from "../../src/gateway/grants/grantClient.js";
 import type { GrantExchange } from "../../src/gateway/grants/grantExchange.js";
+import type { GrantSettings } from "../../src/gateway/grants/grantOwner.js";
 import { PeerState } from "../../src/gateway/peers/peerState.js";
 import type { PeerView } from "../../src/gateway/peers/peerView.js";
 import { TargetLoads } from "../../src/gateway/peers/targetLoads.js";
@@ -50,6 +50,8 @@
     readonly dataCentre?: string;
     /** Part of a core that it may use; 1 when left out. */
     readonly processorShare?: number;
+    /** Settings that differ from their defaults. */
+    readonly settings?: GrantSettings;
 }
 
 const seedRouters = 3;
@@ -96,20 +98,21 @@
             },
         });
         const firstTokenModels = new LazyMap(() => new FirstTokenModel());
-        const readingShares = new LazyMap(() => new PrefillShare());
+        const readingShares = createPrefillShares(options.settings ?? {});
         const grants = createGrants({
             ownId: formatRouterId(index),
             peers: this.peers,
             directory: this.directory,
             firstTokenModels,
             prefillShares: readingShares,
+            settings: options.settings,
             transport: options.transport,
             clock,
             setTimer: options.setTimer,
         });
         this.grants = grants.exchange;
         this.context = {
-            settings: createSettings(index),
+            settings: createSettings(index, options.settings),
             clock,
             random,
             logger,
@@ -222,7 +225,7 @@
     };
 }
 
-function createSettings(index: number): GatewayContext["settings"] {
+function createSettings(index: number, settings: GrantSettings = {}): GatewayContext["settings"] {
     const ip = formatRouterIp(index);
     return gatewaySettingsSchema.parse({
         daemonId: formatRouterId(index),
@@ -236,5 +239,6 @@
         limits: { memoryMb: 250, maxDescriptors: 4_096 },
         retryBudget: { slack: 0 },
         coldLimit: { slack: 0 },
+        ...settings,
     });
 }
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -15,6 +15,7 @@
 import type { GatewayConfiguration, RouteConfiguration } from "../../src/gateway/configuration.js";
 import { aggregationPeriodMs } from "../../src/gateway/peers/accountAggregation.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
+import type { GrantSettings } from "../../src/gateway/grants/grantOwner.js";
 import type { TargetEntry } from "../../src/gateway/fleetSource.js";
 import { encodePeerMessage } from "../../src/gateway/peers/peerMessage.js";
 import { maxControlBytesPerSecond } from "../../src/gateway/peers/peerState.js";
@@ -106,6 +107,8 @@
     readonly balancer?: FleetBalancer;
     /** Callers leave when they have no output so long after they asked; only those that are unread for a second when left out. */
     readonly patienceMs?: number;
+    /** Settings of all routers that differ from their defaults. */
+    readonly settings?: GrantSettings;
     /** How often a refused caller returns; never when left out. */
     readonly returns?: number;
     readonly runMs: number;
@@ -241,6 +244,7 @@
                     dataCentre: `dc-${Math.floor(index / (options.balancer?.routersPerDataCentre ?? routersPerDataCentre))}`,
                     processorShare: this.processors[index]?.share ?? 1,
                     reportsLeaving: options.signals?.noticed === "answers-and-peers",
+                    settings: options.settings,
                     setTimer: (ms, action) => this.setTimer(ms, action),
                     getExactUses: options.exactNews?.accounts === true ? () => this.listExactUses(index) : undefined,
                 }),
--- a/src/decisions/admission/engineBudget.ts
+++ b/src/decisions/admission/engineBudget.ts
@@ -42,6 +42,10 @@
     readonly usage: number;
     /** Time after which an equal request could be granted; milliseconds, 0 if this one is granted. */
     readonly retryAfterMs: number;
+    /** Granted fraction of the engine's limit in the window before the request. */
+    readonly limitUsage: number;
+    /** Further fraction of the limit that the request would need if nothing but its fraction denies it; otherwise 0. */
+    readonly missingUsage: number;
 }
 
 interface Grant {
@@ -85,27 +89,38 @@
         return this.entries.reduce((sum, grant) => sum + countRemainingTokens(grant, rate, nowMs), 0);
     }
 
+    /** Granted fraction of the engine's limit in the window. */
+    public computeLimitUsage(rate: EngineRate, windowMs: number, nowMs: number): number {
+        this.removeOld(nowMs);
+        return this.countUsed(windowMs, nowMs) / (rate.tokensPerMs * windowMs * rate.readingShare);
+    }
+
     /** Decides on a request and records the grant. A request that is received twice is recorded once. */
     public check(request: PrefillRequest, rate: EngineRate, nowMs: number): PrefillDecision {
         const queuedTokens = this.countQueuedTokens(rate, nowMs);
         const windowTokens = rate.tokensPerMs * request.windowMs;
         const usedTokens = this.countUsed(request.windowMs, nowMs);
+        const limit = windowTokens * rate.readingShare;
+        const limitUsage = usedTokens / limit;
         if (this.running.has(request.id)) {
-            return { granted: true, queuedTokens, usage: usedTokens / windowTokens, retryAfterMs: 0 };
+            const usage = usedTokens / windowTokens;
+            return { granted: true, queuedTokens, usage, retryAfterMs: 0, limitUsage, missingUsage: 0 };
         }
-        const limit = windowTokens * rate.readingShare * request.maxUsage;
-        const waits = [
+        const engineMs = Math.max(
             this.running.size >= rate.slots ? noSlotRetryMs : 0,
             Math.max(0, queuedTokens - request.maxQueuedTokens) / rate.tokensPerMs,
-            this.computeCapacityMs(request, limit, nowMs),
-        ];
-        const retryAfterMs = Math.max(...waits);
+        );
+        const capacityMs = this.computeCapacityMs(request, limit * request.maxUsage, nowMs);
+        const retryAfterMs = Math.max(engineMs, capacityMs);
         const granted = retryAfterMs === 0;
+        const isDeniedByFraction = engineMs === 0 && capacityMs > 0;
+        const neededUsage = (usedTokens + countOwnTokens(request)) / limit;
+        const missingUsage = isDeniedByFraction ? Math.max(0, neededUsage - request.maxUsage) : 0;
         if (granted) {
             this.record(request, rate, nowMs);
         }
         const usage = (usedTokens + (granted ? request.tokens : 0)) / windowTokens;
-        return { granted, queuedTokens, usage, retryAfterMs };
+        return { granted, queuedTokens, usage, retryAfterMs, limitUsage, missingUsage };
     }
 
     /** Records a request that is sent regardless of the limit. */
@@ -141,11 +156,12 @@
     }
 
     /** Time until the limit has capacity for the request; a prompt larger than the limit waits until no grant is in the window. */
-    private computeCapacityMs({ windowMs, tokens, maxUsage }: PrefillRequest, limit: number, nowMs: number): number {
+    private computeCapacityMs(request: PrefillRequest, limit: number, nowMs: number): number {
+        const { windowMs } = request;
         const used = this.entries.filter(grant => nowMs - grant.grantedAtMs < windowMs);
         let activeTokens = used.reduce((sum, grant) => sum + grant.tokens, 0);
         let capacityMs = 0;
-        const ownTokens = maxUsage > 1 ? 0 : tokens * ownTokensWeight;
+        const ownTokens = countOwnTokens(request);
         for (const grant of used) {
             if (activeTokens + ownTokens <= limit) {
                 break;
@@ -168,6 +184,11 @@
     }
 }
 
+/** Tokens of the request that must fit into the limit. */
+function countOwnTokens({ tokens, maxUsage }: PrefillRequest): number {
+    return maxUsage > 1 ? 0 : tokens * ownTokensWeight;
+}
+
 /** Tokens of a grant that the engine has not prefilled yet. */
 function countRemainingTokens(
     { tokens, prefilledAtMs, hasStarted }: Grant,
--- a/src/decisions/admission/prefillShare.ts
+++ b/src/decisions/admission/prefillShare.ts
@@ -25,13 +25,29 @@
 const firstStep = 0.06;
 /** Number of streams after which the step has its final size. */
 const settlingStreams = 100;
+/** Streams in time in a row from which the share may rise at twice the rate; at the target fraction three of them would be late. */
+const fastRiseStreams = 50;
+const fastRiseFactor = 2;
 /** A stream in time counts if at least this fraction of the share was in use at its start. */
 const minUsageFraction = 0.5;
 
+/** Options of a {@link PrefillShare}. */
+export interface PrefillShareOptions {
+    /**
+     * Whether streams in time count double while none of the last 50 was late. Each router observes only its own streams, and an overload of
+     * some minutes ends before the share has reached what streams tolerate. False when left out.
+     */
+    readonly risesFasterInTime?: boolean;
+}
+
 /** Estimates the prefill share of one service's engines. */
 export class PrefillShare {
     private share = initialShare;
     private streams = 0;
+    /** Streams in time since the last late one. */
+    private inTimeStreams = 0;
+
+    public constructor(private readonly options: PrefillShareOptions = {}) {}
 
     public get current(): number {
         return this.share;
@@ -45,7 +61,13 @@
         this.streams += 1;
         const progress = Math.min(1, this.streams / settlingStreams);
         const step = firstStep + (settledStep - firstStep) * progress;
-        const change = isLate ? -step : (step * targetLateFraction) / (1 - targetLateFraction);
+        this.inTimeStreams = isLate ? 0 : this.inTimeStreams + 1;
+        const rise = (step * targetLateFraction) / (1 - targetLateFraction);
+        const change = isLate ? -step : rise * this.riseFactor;
         this.share = Math.min(maxShare, Math.max(minShare, this.share * Math.exp(change)));
     }
+
+    private get riseFactor(): number {
+        return this.options.risesFasterInTime === true && this.inTimeStreams > fastRiseStreams ? fastRiseFactor : 1;
+    }
 }
--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -113,10 +113,13 @@
 }
 
 /** Computes the bounds that the owner of an engine applies to a request. */
-export function computePromptBounds(view: Omit<PromptAdmissionView, "expectedMs" | "idleShare">): PromptBounds {
+export function computePromptBounds(
+    view: Omit<PromptAdmissionView, "expectedMs" | "idleShare">,
+    minUsage = minOverShareUsage,
+): PromptBounds {
     const usableMs = computeUsableMs(view);
     const maxWaitMs = Math.max(usableMs - view.unloadedMs, usableMs / 2);
-    const maxUsage = computeMaxUsage(view.shareUse);
+    const maxUsage = computeMaxUsage(view.shareUse, minUsage);
     return isBeyondShare(view.shareUse)
         ? {
               maxWaitMs: Math.min(maxWaitMs, view.pauseObjectiveMs * overSharePauseFraction),
@@ -126,9 +129,24 @@
         : { maxWaitMs, maxUsage, reason: "late" };
 }
 
-/** Maximum fraction of an engine's limit that a request of the account may use. */
-export function computeMaxUsage(shareUse: ShareUsage): number {
-    return isBeyondShare(shareUse) ? computeOverShareUsage(shareUse.surplus) : maxWithinShareUsage;
+/**
+ * Maximum fraction of an engine's limit that a request of the account may use. `minUsage`: lower bound; below 0 where the engine's owner
+ * adds its allowance ({@link addAllowance}).
+ */
+export function computeMaxUsage(shareUse: ShareUsage, minUsage = minOverShareUsage): number {
+    return isBeyondShare(shareUse) ? computeOverShareUsage(shareUse.surplus, minUsage) : maxWithinShareUsage;
+}
+
+/** Whether a fraction of an engine's limit is that of a request within its account's share. */
+export function isWithinShareUsage(maxUsage: number): boolean {
+    return maxUsage > maxOverShareUsage;
+}
+
+/** Adds the allowance of an engine to the fraction of its limit that a request may use, for requests beyond their account's share. */
+export function addAllowance(maxUsage: number, allowance: number): number {
+    return isWithinShareUsage(maxUsage)
+        ? maxUsage
+        : Math.min(maxOverShareUsage, Math.max(minOverShareUsage, maxUsage + allowance));
 }
 
 /**
@@ -141,18 +159,18 @@
 }
 
 /** Usable fraction of an engine's limit for an account beyond its share; it falls with the account's surplus usage. */
-function computeOverShareUsage(surplus: number): number {
-    return Math.min(maxOverShareUsage, Math.max(minOverShareUsage, fairLevelUsage + (1 - surplus) * surplusUsageSlope));
+function computeOverShareUsage(surplus: number, minUsage: number): number {
+    return Math.min(maxOverShareUsage, Math.max(minUsage, fairLevelUsage + (1 - surplus) * surplusUsageSlope));
 }
 
 /**
  * Usable fraction of an engine's limit for an account, by the tokens that it was served at this engine relative to the engine's fair
  * level, regardless of the fleet's totals: above 1 only for small accounts, and small for an account that was served
- * much more than the others.
+ * much more than the others. `minUsage`: lower bound.
  */
-export function computeMaxEngineUsage(surplus: number): number {
+export function computeMaxEngineUsage(surplus: number, minUsage = minOverShareUsage): number {
     if (surplus > excessSurplusThreshold) {
-        return computeOverShareUsage(surplus);
+        return computeOverShareUsage(surplus, minUsage);
     }
     const position = Math.min(
         1,
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -7,7 +7,6 @@
 import { sleepOnTimer } from "../base/sleep.js";
 import { setRuntimeTimer } from "../base/timers.js";
 import { DenialCache } from "../decisions/admission/denialCache.js";
-import { PrefillShare } from "../decisions/admission/prefillShare.js";
 import { AccountShares } from "../decisions/shares/accountShares.js";
 import { FirstTokenModel } from "../decisions/placement/firstTokenModel.js";
 import { IdleShare } from "../decisions/shares/idleShare.js";
@@ -26,7 +25,7 @@
 import type { FleetSource } from "./fleetSource.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService } from "./gatewayService.js";
-import { createGrants } from "./grants/createGrants.js";
+import { createGrants, createPrefillShares } from "./grants/createGrants.js";
 import { Quarantine } from "./quarantine/quarantine.js";
 import { ConnectProbe } from "./quarantine/targetProbe.js";
 import { PeerExchange } from "./peers/peerExchange.js";
@@ -126,11 +125,12 @@
             sleep: sleepOnTimer,
         };
         const firstTokenModels = new LazyMap(() => new FirstTokenModel());
-        const prefillShares = new LazyMap(() => new PrefillShare());
+        const prefillShares = createPrefillShares(settings);
         const grants = createGrants({
             ...common,
             firstTokenModels,
             prefillShares,
+            settings,
             transport: { send: (routerId, message) => this.exchange.send(routerId, message) },
         });
         this.store.add(grants.client);
--- a/src/gateway/grants/createGrants.ts
+++ b/src/gateway/grants/createGrants.ts
@@ -1,10 +1,12 @@
 import type { Clock } from "../../base/clock.js";
 import type { SetTimer } from "../../base/timers.js";
+import { PrefillShare } from "../../decisions/admission/prefillShare.js";
 import { TargetOwners } from "../../decisions/placement/targetOwners.js";
+import { LazyMap } from "../lazyMap.js";
 import type { PeerView } from "../peers/peerView.js";
 import { GrantClient, type GrantTransport } from "./grantClient.js";
 import { GrantExchange } from "./grantExchange.js";
-import { GrantOwner, type GrantOwnerOptions } from "./grantOwner.js";
+import { GrantOwner, type GrantOwnerOptions, type GrantSettings } from "./grantOwner.js";
 
 /** Dependencies of {@link createGrants}. */
 export interface GrantsOptions extends GrantOwnerOptions {
@@ -21,6 +23,11 @@
     readonly exchange: GrantExchange;
 }
 
+/** Creates the estimates of the prefill share by service. */
+export function createPrefillShares({ fillsSpareCapacity = false }: GrantSettings): LazyMap<PrefillShare> {
+    return new LazyMap(() => new PrefillShare({ risesFasterInTime: fillsSpareCapacity }));
+}
+
 /** Creates the grant client, the grant owner and the exchange that dispatches messages to them. */
 export function createGrants(options: GrantsOptions): Grants {
     const { ownId, peers, transport, clock, setTimer } = options;
--- a/src/gateway/grants/grantMessage.ts
+++ b/src/gateway/grants/grantMessage.ts
@@ -1,6 +1,7 @@
 import { Decoder, Encoder } from "@msgpack/msgpack";
 import { err, ok, type Result } from "neverthrow";
 import { LynxarchError } from "../../base/errors.js";
+import { minSentUsage } from "../../decisions/admission/spareAllowance.js";
 import { isCount, isNonEmptyString } from "../wireValues.js";
 import type { PromptPart } from "../wire.js";
 
@@ -32,7 +33,10 @@
     readonly chargedTokens: number;
     /** Maximum time to wait for prompts queued before this one; milliseconds. */
     readonly maxWaitMs: number;
-    /** Maximum fraction of the engine's limit that may be in use; above 1 it may exceed the limit. */
+    /**
+     * Maximum fraction of the engine's limit that may be in use; above 1 it may exceed the limit. Below 0 the engine's owner has to add its
+     * allowance before the request may use the engine.
+     */
     readonly maxUsage: number;
     /** Window over which the limit applies; milliseconds, at least 1. */
     readonly windowMs: number;
@@ -55,7 +59,7 @@
     readonly usage: number;
     /**
      * Fraction of the limit that the request may use: that of the grant request, or less if the engine has already served its account
-     * much.
+     * much. Without the engine's allowance, so that fractions of several requests and engines compare.
      */
     readonly maxUsage: number;
     /** Time until a similar request could be granted; milliseconds. */
@@ -190,7 +194,7 @@
     if (!isCount(ownTokens) || !isCount(copiedTokens) || !isCount(outputTokens) || !isCount(accountHash)) {
         return undefined;
     }
-    if (!isCount(chargedTokens) || !isCount(maxWaitMs) || !isCount(maxUsage) || !isCount(windowMs) || windowMs < 1) {
+    if (!isCount(chargedTokens) || !isCount(maxWaitMs) || !isUsage(maxUsage) || !isCount(windowMs) || windowMs < 1) {
         return undefined;
     }
     if (typeof isUnconditional !== "boolean") {
@@ -222,7 +226,7 @@
     if (!isCount(newTokens) || !isCount(queuedTokens)) {
         return undefined;
     }
-    if (!isCount(usage) || !isCount(maxUsage) || !isCount(retryAfterMs)) {
+    if (!isCount(usage) || !isUsage(maxUsage) || !isCount(retryAfterMs)) {
         return undefined;
     }
     return {
@@ -247,6 +251,11 @@
     return progress === undefined ? undefined : { kind: "report", grantId, incarnation, targetHash, progress };
 }
 
+/** Whether a decoded value is a fraction of the limit in whole thousandths, at least the lowest one that routers send. */
+function isUsage(value: unknown): value is number {
+    return Number.isSafeInteger(value) && (value as number) >= minSentUsage * usageScale;
+}
+
 /** Decodes a flat list of id and token count pairs. Returns undefined for anything else. */
 function decodeParts(value: unknown): readonly PromptPart[] | undefined {
     if (!Array.isArray(value) || value.length > maxParts * 2 || value.length % 2 !== 0) {
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -1,11 +1,13 @@
 import { LRUCache } from "lru-cache";
 import type { Clock } from "../../base/clock.js";
-import { EngineBudget, type EngineRate } from "../../decisions/admission/engineBudget.js";
-import { computeMaxEngineUsage } from "../../decisions/admission/promptAdmission.js";
+import { EngineBudget, type EngineRate, type PrefillDecision } from "../../decisions/admission/engineBudget.js";
+import { addAllowance, computeMaxEngineUsage, isWithinShareUsage } from "../../decisions/admission/promptAdmission.js";
+import { minSentUsage, SpareAllowance } from "../../decisions/admission/spareAllowance.js";
 import type { PrefillShare } from "../../decisions/admission/prefillShare.js";
 import type { FirstTokenModel } from "../../decisions/placement/firstTokenModel.js";
 import { countMissingTokens } from "../../decisions/placement/promptPlacement.js";
 import { EngineShares } from "../../decisions/shares/engineShares.js";
+import type { GatewaySettings } from "../settings.js";
 import type { LazyMap } from "../lazyMap.js";
 import type { Target } from "../target.js";
 import type { TargetDirectory } from "../targetDirectory.js";
@@ -19,17 +21,38 @@
     readonly firstTokenModels: LazyMap<FirstTokenModel>;
     /** Prefill shares by service. */
     readonly prefillShares: LazyMap<PrefillShare>;
+    readonly settings?: GrantSettings;
 }
 
+/** Settings that change which requests are granted. All are off when left out. */
+export type GrantSettings = Partial<Pick<GatewaySettings, "fillsSpareCapacity">>;
+
 /** Maximum number of engines with state in memory; several times what one router of a large fleet owns. */
 const maxEngines = 4_096;
 /** Retry delay of a denial for a leaving target; covers several message rounds between routers. Milliseconds. */
 const leavingDenialMs = 4_000;
+/** Minimum retry delay where the allowance rises; about two message rounds between routers. Milliseconds. */
+const minDenialMs = 20;
+/** Engines without a request for this long are left out of the metrics; another router may own them by now. Milliseconds. */
+const recentRequestMs = 10_000;
+
+/** How much of the engines' limits is granted. */
+export interface SpareCapacity {
+    readonly engines: number;
+    /** Mean addition to the fraction of the limit for requests beyond their account's share. */
+    readonly allowance: number;
+    /** Mean granted fraction of the limit. */
+    readonly limitUsage: number;
+}
 
 /** State of one engine. */
 interface EngineState {
     readonly budget: EngineBudget;
     readonly shares: EngineShares;
+    readonly allowance: SpareAllowance;
+    /** Window of the newest request; milliseconds. */
+    windowMs: number;
+    requestedAtMs: number;
 }
 
 /** Grants or denies sends to the engines that this router owns, on behalf of all routers. */
@@ -52,14 +75,21 @@
         const nowMs = this.options.clock.nowMs();
         const rate = this.createRate(target);
         const newTokens = countNewTokens(target, request);
+        const engine = this.findEngine(request.targetHash);
+        const { budget, shares, allowance } = engine;
+        engine.windowMs = request.windowMs;
+        engine.requestedAtMs = nowMs;
+        const maxUsage = this.computeMaxUsage(request, nowMs);
+        if (this.fillsSpareCapacity) {
+            allowance.update(budget.computeLimitUsage(rate, request.windowMs, nowMs), request.windowMs, nowMs);
+        }
         const prefill = {
             id: formatGrantKey(senderId, request),
             tokens: newTokens,
             maxQueuedTokens: request.maxWaitMs * rate.tokensPerMs,
-            maxUsage: this.computeMaxUsage(request, nowMs),
+            maxUsage: this.fillsSpareCapacity ? addAllowance(maxUsage, allowance.current) : maxUsage,
             windowMs: request.windowMs,
         };
-        const { budget, shares } = this.findEngine(request.targetHash);
         shares.recordRequested(request.accountHash, request.chargedTokens, nowMs);
         const decision = budget.check(prefill, rate, nowMs);
         if (request.isUnconditional) {
@@ -69,8 +99,35 @@
             shares.recordGranted(request.accountHash, request.chargedTokens, nowMs);
             recordParts(target, request, newTokens);
         }
-        const { maxUsage } = prefill;
-        return { kind: "reply", grantId: request.grantId, isTargetKnown: true, newTokens, maxUsage, ...decision };
+        const { granted, queuedTokens, usage } = decision;
+        const retryAfterMs =
+            this.fillsSpareCapacity && !request.isUnconditional
+                ? applyDenial(allowance, decision, maxUsage, nowMs)
+                : decision.retryAfterMs;
+        const reply = { granted, newTokens, queuedTokens, usage, maxUsage, retryAfterMs };
+        return { kind: "reply", grantId: request.grantId, isTargetKnown: true, ...reply };
+    }
+
+    /** Means over the engines that this router was recently asked for; undefined without any. */
+    public computeSpareCapacity(): SpareCapacity | undefined {
+        const nowMs = this.options.clock.nowMs();
+        const sums = { engines: 0, allowance: 0, limitUsage: 0 };
+        for (const [targetHash, { budget, allowance, windowMs, requestedAtMs }] of this.engines.entries()) {
+            const target = this.options.directory.findByHash(targetHash);
+            if (target !== undefined && nowMs - requestedAtMs < recentRequestMs) {
+                sums.engines += 1;
+                sums.allowance += allowance.current;
+                sums.limitUsage += budget.computeLimitUsage(this.createRate(target), windowMs, nowMs);
+            }
+        }
+        const { engines, allowance, limitUsage } = sums;
+        return engines === 0
+            ? undefined
+            : { engines, allowance: allowance / engines, limitUsage: limitUsage / engines };
+    }
+
+    private get fillsSpareCapacity(): boolean {
+        return this.options.settings?.fillsSpareCapacity === true;
     }
 
     /** Applies a progress report. `senderId`: id of the router that holds the grant. */
@@ -87,13 +144,20 @@
     /** Fraction of the limit that the request may use: that in the request, or less if the engine has already served its account much. */
     private computeMaxUsage({ targetHash, accountHash, chargedTokens, maxUsage }: GrantRequest, nowMs: number): number {
         const surplus = this.findEngine(targetHash).shares.computeSurplus(accountHash, chargedTokens, nowMs);
-        return Math.min(maxUsage, computeMaxEngineUsage(surplus));
+        const engineUsage = computeMaxEngineUsage(surplus, this.fillsSpareCapacity ? minSentUsage : undefined);
+        return Math.min(maxUsage, engineUsage);
     }
 
     private findEngine(targetHash: number): EngineState {
         let engine = this.engines.get(targetHash);
         if (engine === undefined) {
-            engine = { budget: new EngineBudget(), shares: new EngineShares() };
+            engine = {
+                budget: new EngineBudget(),
+                shares: new EngineShares(),
+                allowance: new SpareAllowance(),
+                windowMs: 1,
+                requestedAtMs: Number.NEGATIVE_INFINITY,
+            };
             this.engines.set(targetHash, engine);
         }
         return engine;
@@ -109,6 +173,27 @@
     }
 }
 
+/**
+ * Records a denial in the engine's allowance. Returns the time after which an equal request could be granted: the allowance may rise before
+ * grants leave the window, and a router that kept the denial for longer would not ask for what is free. Milliseconds.
+ */
+function applyDenial(allowance: SpareAllowance, decision: PrefillDecision, maxUsage: number, nowMs: number): number {
+    const { granted, retryAfterMs, limitUsage, missingUsage } = decision;
+    if (granted) {
+        return 0;
+    }
+    if (isWithinShareUsage(maxUsage)) {
+        allowance.recordDenial("within-share", nowMs);
+        return retryAfterMs;
+    }
+    if (missingUsage === 0) {
+        return retryAfterMs;
+    }
+    allowance.recordDenial("over-share", nowMs);
+    const riseMs = Math.max(minDenialMs, allowance.estimateRiseMs(missingUsage, limitUsage));
+    return Math.min(retryAfterMs, riseMs);
+}
+
 /** A denial that holds until the sender has received from its peers that the target is leaving. */
 function createLeavingReply({ grantId, maxUsage }: GrantRequest): GrantReply {
     const denial = { newTokens: 0, queuedTokens: 0, usage: 1, maxUsage, retryAfterMs: leavingDenialMs };
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -5,6 +5,7 @@
     computePromptRetryAfterMs,
     type PromptBounds,
 } from "../decisions/admission/promptAdmission.js";
+import { minSentUsage } from "../decisions/admission/spareAllowance.js";
 import { zeroUsage, type ShareUsage } from "../decisions/shares/accountShares.js";
 import { computeShareUsage } from "./computeShareUsage.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -95,7 +96,7 @@
     /** Calls `handleOutcome` exactly once, either synchronously or after the owners' replies. */
     public check(services: readonly string[], handleOutcome: (outcome: AdmissionOutcome) => void): void {
         this.shareUse = this.computeUsage();
-        const selection = this.select(services, computeMaxUsage(this.shareUse));
+        const selection = this.select(services, computeMaxUsage(this.shareUse, this.minUsage));
         if (selection === undefined) {
             const { reason, retryAfterMs } = this.options.selector.explainNoTarget(services);
             handleOutcome(this.createRefusal(reason, retryAfterMs));
@@ -207,15 +208,21 @@
             : this.createRefusal(admission.reason, admission.retryAfterMs);
     }
 
+    /** Lower bound of the fraction of an engine's limit; undefined where owners add no allowance. */
+    private get minUsage(): number | undefined {
+        return this.options.context.settings.fillsSpareCapacity ? minSentUsage : undefined;
+    }
+
     private computeBounds({ unloadedMs }: Selection): PromptBounds {
         const { routed, getRemainingMs } = this.options;
-        const bounds = computePromptBounds({
+        const view = {
             unloadedMs,
             objectiveMs: this.objectiveMs,
             pauseObjectiveMs: routed.route.pauseObjectiveMs,
             remainingMs: getRemainingMs(),
             shareUse: this.shareUse,
-        });
+        };
+        const bounds = computePromptBounds(view, this.minUsage);
         return { ...bounds, maxUsage: Math.min(bounds.maxUsage, this.maxUsage) };
     }
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -70,6 +70,11 @@
      * lost if either of them fails.
      */
     handsOverConnections: z.boolean().default(false),
+    /**
+     * Whether requests of accounts beyond their share may use engines' capacity that would otherwise be idle. Off by default: routers of
+     * earlier builds drop the grant requests that are then sent, so that it must be set only once all routers run this build.
+     */
+    fillsSpareCapacity: z.boolean().default(false),
     /** Window over which an account's fair share is computed; seconds. */
     shareWindowSeconds: z.number().positive().default(4),
     logLevel: z.enum(logLevels).default("info"),
--- a/test/gateway/grants/grantMessage.property.test.ts
+++ b/test/gateway/grants/grantMessage.property.test.ts
@@ -10,6 +10,8 @@
 import { encodePeerMessage } from "../../../src/gateway/peers/peerMessage.js";
 
 const count = fc.nat();
+/** Below 0 where the owner's allowance is added. */
+const limitUsage = fc.integer({ min: -3_000, max: 2_000 }).map(value => value / 1_000);
 const hash = fc.integer({ min: 0, max: 0xffffffff });
 const part = fc.record({ id: fc.string({ minLength: 1, maxLength: 16 }), tokens: count });
 const message: fc.Arbitrary<GrantMessage> = fc.oneof(
@@ -25,7 +27,7 @@
         accountHash: hash,
         chargedTokens: count,
         maxWaitMs: count,
-        maxUsage: fc.nat({ max: 2_000 }).map(value => value / 1_000),
+        maxUsage: limitUsage,
         windowMs: fc.integer({ min: 1, max: 2_000 }),
         isUnconditional: fc.boolean(),
     }),
@@ -37,7 +39,7 @@
         newTokens: count,
         queuedTokens: count,
         usage: fc.nat({ max: 5_000 }).map(value => value / 1_000),
-        maxUsage: fc.nat({ max: 2_000 }).map(value => value / 1_000),
+        maxUsage: limitUsage,
         retryAfterMs: count,
     }),
     fc.record({
@@ -48,6 +50,10 @@
         progress: fc.constantFrom("started" as const, "ended" as const, "not-run" as const),
     }),
 );
+/** Positions of the fraction of the limit that a request may use, on the wire. */
+const limitUsagePositions = { request: 11, reply: 7, report: undefined } as const;
+/** In thousandths. */
+const lowestLimitUsage = -3_000;
 const runs = { seed: 5, numRuns: 300 };
 
 describe("messages about grants", () => {
@@ -76,7 +82,7 @@
         expect(isGrantDatagram(peerMessage)).toBe(false);
     });
 
-    // Codes and counts must be non-negative integers, and flags must be booleans.
+    // Codes and counts must be non-negative integers, and flags must be booleans. Fractions of the limit may be negative, down to -3.
     it("with a value of a wrong type, an extra entry or a missing one are an error", () => {
         const isRejected = (sent: GrantMessage, change: (wire: unknown[]) => void): boolean => {
             const wire = decode(encodeGrantMessage(sent)) as unknown[];
@@ -89,7 +95,9 @@
             fc.property(message, fc.nat(), fc.constantFrom(...wrong), (sent, position, value) => {
                 expect([
                     isRejected(sent, wire => {
-                        wire[position % wire.length] = value;
+                        const index = position % wire.length;
+                        const isLimitUsage = index === limitUsagePositions[sent.kind];
+                        wire[index] = value === -1 && isLimitUsage ? lowestLimitUsage - 1 : value;
                     }),
                     isRejected(sent, wire => wire.push(wire[1])),
                     isRejected(sent, wire => wire.pop()),
