--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -16,7 +16,7 @@
 import { createGrants, createPrefillShares } from "../../src/gateway/grants/createGrants.js";
 import type { GrantTransport } from "../../src/gateway/grants/grantClient.js";
 import type { GrantExchange } from "../../src/gateway/grants/grantExchange.js";
-import type { GrantSettings } from "../../src/gateway/grants/grantOwner.js";
+import type { GrantOwner, GrantSettings } from "../../src/gateway/grants/grantOwner.js";
 import { PeerState } from "../../src/gateway/peers/peerState.js";
 import type { PeerView } from "../../src/gateway/peers/peerView.js";
 import { TargetLoads } from "../../src/gateway/peers/targetLoads.js";
@@ -65,6 +65,7 @@
     public readonly directory: TargetDirectory;
     public readonly shares: AccountShares;
     public readonly grants: GrantExchange;
+    public readonly owner: GrantOwner;
 
     public constructor(options: ModelRouterOptions) {
         const { index, clock, random, windowMs } = options;
@@ -111,6 +112,7 @@
             setTimer: options.setTimer,
         });
         this.grants = grants.exchange;
+        this.owner = grants.owner;
         this.context = {
             settings: createSettings(index, options.settings),
             clock,
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -15,7 +15,7 @@
 import type { GatewayConfiguration, RouteConfiguration } from "../../src/gateway/configuration.js";
 import { aggregationPeriodMs } from "../../src/gateway/peers/accountAggregation.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
-import type { GrantSettings } from "../../src/gateway/grants/grantOwner.js";
+import type { GrantSettings, SpareCapacity } from "../../src/gateway/grants/grantOwner.js";
 import type { TargetEntry } from "../../src/gateway/fleetSource.js";
 import { encodePeerMessage } from "../../src/gateway/peers/peerMessage.js";
 import { maxControlBytesPerSecond } from "../../src/gateway/peers/peerState.js";
@@ -48,6 +48,8 @@
 const connectTimeoutMs = 1_000;
 /** Time between two checks of a router's readiness. */
 const checkPeriodMs = 1_000;
+/** Time between two samples of what is granted. */
+const samplePeriodMs = 100;
 /** When a caller returns whom a router shed. */
 const shedRetryMs = 500;
 /** Most of the time that is left in which a refused caller waits before it returns. */
@@ -157,6 +159,8 @@
     readonly peerPeriodMs: number;
     /** Of engines that leave or pause. */
     readonly signals: SignalFigures | undefined;
+    /** By second, means over the engines. */
+    readonly spareCapacity: readonly SpareCapacity[];
 }
 
 /** A caller's request, with what stays the same when it returns after a refusal. */
@@ -190,6 +194,10 @@
     return values.reduce((sum, value) => sum + value, 0);
 }
 
+function computeMean(values: readonly number[]): number {
+    return computeSum(values) / Math.max(1, values.length);
+}
+
 /** Whether the stream kept its objectives. */
 export function isInTime(stream: EngineStream, pauseObjectiveMs: number): boolean {
     const firstMs = (stream.firstAtMs ?? Number.POSITIVE_INFINITY) - stream.askedAtMs;
@@ -207,6 +215,7 @@
     private readonly routersById: ReadonlyMap<string, ModelRouter>;
     private readonly seconds: ReadonlyMap<string, AccountSecond[]>;
     private readonly ended: EngineStream[] = [];
+    private readonly spareSamples: readonly SpareCapacity[][];
     private readonly route: RouteConfiguration;
     private readonly signals: EngineSignals | undefined;
     private readonly engineIndexes: ReadonlyMap<string, number>;
@@ -252,6 +261,7 @@
         this.shedders = this.routers.map(router => new RequestShedder(router.context));
         this.routersById = new Map(this.routers.map((router, index) => [formatRouterId(index), router]));
         const secondCount = Math.ceil(runMs / msPerSecond);
+        this.spareSamples = Array.from({ length: secondCount }, () => []);
         this.seconds = new Map(
             loads.map(({ account }) => [account, Array.from({ length: secondCount }, () => createSecond())]),
         );
@@ -267,6 +277,9 @@
                 this.removeEngines(this.options.lost.count);
             }
             this.endLeaving(nowMs);
+            if (nowMs % samplePeriodMs === 0) {
+                this.recordSpareCapacity(nowMs);
+            }
             this.loads.forEach(load => this.addArrivals(load, nowMs));
             this.clock.advance(1);
         }
@@ -278,9 +291,24 @@
             rereadTokens: computeSum(engines.map(engine => engine.rereadTokens)),
             peerPeriodMs: computeSum(this.routers.map(router => router.peers.round.periodMs)) / this.routers.length,
             signals: this.signals?.figures,
+            spareCapacity: this.spareSamples.map(samples => ({
+                engines: Math.max(...samples.map(sample => sample.engines)),
+                allowance: computeMean(samples.map(sample => sample.allowance)),
+                limitUsage: computeMean(samples.map(sample => sample.limitUsage)),
+            })),
         };
     }
 
+    private recordSpareCapacity(nowMs: number): void {
+        const owned = this.routers.map(router => router.owner.computeSpareCapacity()).filter(all => all !== undefined);
+        const engines = computeSum(owned.map(own => own.engines));
+        this.spareSamples[Math.floor(nowMs / msPerSecond)].push({
+            engines,
+            allowance: computeSum(owned.map(own => own.allowance * own.engines)) / Math.max(1, engines),
+            limitUsage: computeSum(owned.map(own => own.limitUsage * own.engines)) / Math.max(1, engines),
+        });
+    }
+
     /** Each router sends its first message at a moment of its own within a period. */
     private startRounds(): void {
         const { peerPeriodMs = 100, routerCount } = this.options;
--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -12,6 +12,7 @@
  * with one bound for all accounts, the surplus would go to the accounts with the highest request rate. If no owner replies, the
  * router decides by its own estimates ({@link checkPromptAdmission}).
  */
+import { maxAllowance } from "./spareAllowance.js";
 import type { ShareUsage } from "../shares/accountShares.js";
 
 /** State on which the admission of a prompt is decided. */
@@ -99,6 +100,8 @@
 const excessSurplusThreshold = 1.75;
 /** Lower bound of the usable fraction: however much an account has been served, it may use an engine that would otherwise be idle. */
 const minOverShareUsage = 0;
+/** However far above the fair level an account is, the maximum allowance raises its fraction to that of an account at the level. */
+const minReachedUsage = fairLevelUsage - maxAllowance;
 /** Minimum retry delay: a caller that retries sooner finds the same queue; milliseconds. */
 const minRetryAfterMs = 80;
 
@@ -146,7 +149,7 @@
 export function addAllowance(maxUsage: number, allowance: number): number {
     return isWithinShareUsage(maxUsage)
         ? maxUsage
-        : Math.min(maxOverShareUsage, Math.max(minOverShareUsage, maxUsage + allowance));
+        : Math.min(maxOverShareUsage, Math.max(minOverShareUsage, Math.max(minReachedUsage, maxUsage) + allowance));
 }
 
 /**
--- a/src/decisions/admission/spareAllowance.ts
+++ b/src/decisions/admission/spareAllowance.ts
@@ -14,8 +14,8 @@
 
 /** Granted fraction of the limit up to which the allowance rises; above it, it falls. */
 const targetUsage = 0.85;
-/** Maximum allowance: it admits an account at the lowest fraction that is sent ({@link minSentUsage}) to an idle engine. */
-const maxAllowance = 3;
+/** Maximum allowance. */
+export const maxAllowance = 3;
 /** Lowest fraction of the limit that routers send for an account beyond its share; the allowance is added to it. */
 export const minSentUsage = -maxAllowance;
 /** Time in which the allowance rises from zero to its maximum at an idle engine; milliseconds. */
--- a/src/gateway/grants/createGrants.ts
+++ b/src/gateway/grants/createGrants.ts
@@ -20,6 +20,7 @@
 /** Both roles of a router: it requests grants from engine owners, and decides on grants for the engines that it owns. */
 export interface Grants {
     readonly client: GrantClient;
+    readonly owner: GrantOwner;
     readonly exchange: GrantExchange;
 }
 
@@ -41,5 +42,5 @@
         clock,
         setTimer,
     });
-    return { client, exchange: new GrantExchange(client, owner, transport) };
+    return { client, owner, exchange: new GrantExchange(client, owner, transport) };
 }
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -34,7 +34,7 @@
 /** Minimum retry delay where the allowance rises; about two message rounds between routers. Milliseconds. */
 const minDenialMs = 20;
 /** Engines without a request for this long are left out of the metrics; another router may own them by now. Milliseconds. */
-const recentRequestMs = 10_000;
+const recentRequestMs = 2_000;
 
 /** How much of the engines' limits is granted. */
 export interface SpareCapacity {
