--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -102,6 +102,8 @@
 const minOverShareUsage = 0;
 /** However far above the fair level an account is, the maximum allowance raises its fraction to that of an account at the level. */
 const minReachedUsage = fairLevelUsage - maxAllowance;
+/** Fraction of the objective over which the returns of requests beyond their deadline are spread. */
+const spreadRetryFraction = 0.25;
 /** Minimum retry delay: a caller that retries sooner finds the same queue; milliseconds. */
 const minRetryAfterMs = 80;
 
@@ -192,6 +194,26 @@
     return Math.max(minMs, capacityMs);
 }
 
+/**
+ * Whether no engine is expected to have output for the request before its deadline, of which the estimates are for the best one. A request
+ * for an engine without a queue is always sent: if it were refused, a wrong estimate of the engines' speed would never be corrected.
+ */
+export function isBeyondDeadline({
+    expectedMs,
+    unloadedMs,
+    remainingMs,
+}: Pick<PromptAdmissionView, "expectedMs" | "unloadedMs" | "remainingMs">): boolean {
+    return expectedMs > unloadedMs && expectedMs > remainingMs;
+}
+
+/**
+ * Retry delay for a request that is refused as it is beyond its deadline. `random`: 0 to 1; requests that were refused together must not
+ * return together.
+ */
+export function computeSpreadRetryMs(objectiveMs: number, random: number): number {
+    return minRetryAfterMs + objectiveMs * spreadRetryFraction * random;
+}
+
 /** Decides on a request by this router's own estimates, for an engine whose owner does not reply. */
 export function checkPromptAdmission(view: PromptAdmissionView): PromptAdmission {
     const waitMs = view.expectedMs - view.unloadedMs;
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -4,6 +4,7 @@
 import { AccountMetrics, type AccountSnapshot } from "./accountMetrics.js";
 import type { SharedConnectionCounts } from "./connectionSharing.js";
 import type { EndedRequest } from "./gatewayService.js";
+import type { SpareCapacity } from "./grants/grantOwner.js";
 import type { StoreReadCount } from "./fleetSource.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
 import type { ReceivedSignal } from "./targetDirectory.js";
@@ -32,6 +33,8 @@
     readonly rollouts: readonly RolloutView[];
     readonly sharedConnections: SharedConnectionCounts;
     readonly load: { readonly shedShare: number; readonly loop: LoopSample };
+    /** Means over the engines that this router owns; undefined without any. */
+    readonly spareCapacity: SpareCapacity | undefined;
     readonly listAccounts: () => readonly AccountSnapshot[];
 }
 
@@ -202,6 +205,16 @@
                 return statistics.load.loop.delayMs / msPerSecond;
             },
         );
+        addGauge(
+            "lynxarch_engine_granted_fraction",
+            "Granted fraction of the prefill limit, mean over the engines that this router owns; NaN without any.",
+            ({ spareCapacity }) => spareCapacity?.limitUsage ?? Number.NaN,
+        );
+        addGauge(
+            "lynxarch_engine_allowance",
+            "Addition to the fraction of the limit for accounts beyond their share, mean over owned engines; NaN without any.",
+            ({ spareCapacity }) => spareCapacity?.allowance ?? Number.NaN,
+        );
         new Gauge({
             name: "lynxarch_targets",
             help: "Targets that are known, by service and state.",
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -66,6 +66,7 @@
         rollouts: rollouts.listAll(),
         sharedConnections: shared,
         load: { shedShare, loop },
+        spareCapacity: context.grants.computeSpareCapacity(),
         listAccounts: () => listAccounts(context, accounts),
     };
 }
--- a/src/gateway/grants/grantClient.ts
+++ b/src/gateway/grants/grantClient.ts
@@ -7,7 +7,7 @@
 import type { Target } from "../target.js";
 import type { RequestHead } from "../wire.js";
 import type { GrantMessage, GrantProgress, GrantReply, GrantRequest } from "./grantMessage.js";
-import type { GrantOwner } from "./grantOwner.js";
+import type { GrantOwner, SpareCapacity } from "./grantOwner.js";
 
 /** A prompt for which a grant is requested, and the limits that apply to it. */
 export interface GrantDemand {
@@ -126,6 +126,11 @@
         pending.handleOutcome(this.createOutcome(reply, pending, senderId));
     }
 
+    /** What this router grants of the engines that it owns; undefined without any. */
+    public computeSpareCapacity(): SpareCapacity | undefined {
+        return this.options.localOwner.computeSpareCapacity();
+    }
+
     public dispose(): void {
         for (const { timer } of this.pending.values()) {
             timer.dispose();
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -3,6 +3,8 @@
     computeMaxUsage,
     computePromptBounds,
     computePromptRetryAfterMs,
+    computeSpreadRetryMs,
+    isBeyondDeadline,
     type PromptBounds,
 } from "../decisions/admission/promptAdmission.js";
 import { minSentUsage } from "../decisions/admission/spareAllowance.js";
@@ -132,6 +134,12 @@
             handleOutcome(this.createDenial(bounds.reason, deniedMs));
             return;
         }
+        if (context.settings.fillsSpareCapacity && this.isBeyondDeadline(selection)) {
+            this.recordDecision(this.grantRequests > 0 ? "owner" : "beliefs");
+            const retryAfterMs = computeSpreadRetryMs(this.objectiveMs, context.random.next());
+            handleOutcome(this.createRefusal("late", retryAfterMs));
+            return;
+        }
         this.grantRequests += 1;
         routed.figures.record("asked-owner");
         grants.submit(this.createDemand(selection, bounds), outcome => {
@@ -156,6 +164,10 @@
         });
     }
 
+    private isBeyondDeadline({ expectedMs, unloadedMs }: Selection): boolean {
+        return isBeyondDeadline({ expectedMs, unloadedMs, remainingMs: this.options.getRemainingMs() });
+    }
+
     /** How long the target's owner, or recently asked owners of other targets, deny such requests; milliseconds, 0 if they don't. */
     private computeDeniedMs({ target, service }: Selection, { maxUsage, reason }: PromptBounds): number {
         const { context, routed } = this.options;
--- a/test/decisions/admission/promptAdmission.test.ts
+++ b/test/decisions/admission/promptAdmission.test.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from "../../../src/base/random.js";
 import { AccountShares, computeFairLevel, zeroUsage } from "../../../src/decisions/shares/accountShares.js";
 import { IdleShare } from "../../../src/decisions/shares/idleShare.js";
-import { checkPromptAdmission } from "../../../src/decisions/admission/promptAdmission.js";
+import { checkPromptAdmission, computeSpreadRetryMs } from "../../../src/decisions/admission/promptAdmission.js";
 
 const tokensPerMs = 40;
 const fixedMs = 50;
@@ -107,6 +107,11 @@
     });
 });
 
+// Callers that are refused together would otherwise return together.
+it("spreads the returns of requests beyond their deadline over a quarter of the objective", () => {
+    expect([0, 0.5, 1].map(random => computeSpreadRetryMs(objectiveMs, random))).toEqual([80, 180, 280]);
+});
+
 describe("the fair level", () => {
     it("serves small accounts completely, and large ones equal amounts", () => {
         expect(computeFairLevel([10, 100, 200], 150)).toBe(70);
--- a/test/gateway/admissionFixture.ts
+++ b/test/gateway/admissionFixture.ts
@@ -4,6 +4,7 @@
 import { RequestStatistics } from "../../src/gateway/accountStatistics.js";
 import type { RouteConfiguration } from "../../src/gateway/configuration.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
+import type { GrantSettings } from "../../src/gateway/grants/grantOwner.js";
 import { RequestIdentity } from "../../src/gateway/quarantine/requestIdentity.js";
 import type { RequestAdmissionOptions } from "../../src/gateway/requestAdmission.js";
 import { TargetSelector } from "../../src/gateway/targetSelector.js";
@@ -57,13 +58,14 @@
 export const targetIds = Array.from({ length: 40 }, (...[, index]) => `e${index}`);
 
 /** Creates a router with one peer and a cold target; messages to the peer are appended to `sent`. */
-export function createRouter(targetId: string, sent: GrantMessage[]): ModelRouter {
+export function createRouter(targetId: string, sent: GrantMessage[], settings: GrantSettings = {}): ModelRouter {
     const clock = new ManualClock();
     const router = new ModelRouter({
         index: 0,
         clock,
         random: new SeededRandom(1),
         windowMs: 4_000,
+        settings,
         getExactUses: undefined,
         transport: { send: (...[, message]) => sent.push(message) > 0 },
         setTimer: () => ({ dispose: () => undefined }),
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -19,6 +19,7 @@
         heldParts: 0,
         targets: [],
         load: { shedShare: 0.1, loop: { delayMs: 30, utilization: 0.9 } },
+        spareCapacity: { engines: 2, allowance: 0.4, limitUsage: 0.7 },
         listAccounts: () =>
             statistics.listAll().map(([account, counts]) => ({
                 account,
@@ -105,6 +106,13 @@
     });
 });
 
+// Where requests are refused as over-share while little is granted, the allowance tells whether it rises.
+it("shows what the router grants of the engines that it owns", async () => {
+    const metrics = createMetrics(new AccountStatistics());
+    const lines = (await metrics.render()).split("\n").filter(line => line.startsWith("lynxarch_engine_"));
+    expect(lines).toEqual(["lynxarch_engine_granted_fraction 0.7", "lynxarch_engine_allowance 0.4"]);
+});
+
 describe("the view of the platform's records", () => {
     // If a target that has left still receives requests, the metrics must show whether its record was read late or was kept.
     it("shows its age and the outcomes of reads", async () => {
