--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -12,6 +12,7 @@
  * with one bound for all accounts, the surplus would go to the accounts with the highest request rate. If no owner replies, the
  * router decides by its own estimates ({@link checkPromptAdmission}).
  */
+import { maxAllowance } from "./spareAllowance.js";
 import type { ShareUsage } from "../shares/accountShares.js";
 
 /** State on which the admission of a prompt is decided. */
@@ -99,6 +100,10 @@
 const excessSurplusThreshold = 1.75;
 /** Lower bound of the usable fraction: however much an account has been served, it may use an engine that would otherwise be idle. */
 const minOverShareUsage = 0;
+/** However far above the fair level an account is, the maximum allowance raises its fraction to that of an account at the level. */
+const minReachedUsage = fairLevelUsage - maxAllowance;
+/** Fraction of the objective over which the returns of requests beyond their deadline are spread. */
+const spreadRetryFraction = 0.25;
 /** Minimum retry delay: a caller that retries sooner finds the same queue; milliseconds. */
 const minRetryAfterMs = 80;
 
@@ -113,10 +118,13 @@
 }
 
 /** Computes the bounds that the owner of an engine applies to a request. */
-export function computePromptBounds(view: Omit<PromptAdmissionView, "expectedMs" | "idleShare">): PromptBounds {
+export function computePromptBounds(
+    view: Omit<PromptAdmissionView, "expectedMs" | "idleShare">,
+    minUsage = minOverShareUsage,
+): PromptBounds {
     const usableMs = computeUsableMs(view);
     const maxWaitMs = Math.max(usableMs - view.unloadedMs, usableMs / 2);
-    const maxUsage = computeMaxUsage(view.shareUse);
+    const maxUsage = computeMaxUsage(view.shareUse, minUsage);
     return isBeyondShare(view.shareUse)
         ? {
               maxWaitMs: Math.min(maxWaitMs, view.pauseObjectiveMs * overSharePauseFraction),
@@ -126,9 +134,24 @@
         : { maxWaitMs, maxUsage, reason: "late" };
 }
 
-/** Maximum fraction of an engine's limit that a request of the account may use. */
-export function computeMaxUsage(shareUse: ShareUsage): number {
-    return isBeyondShare(shareUse) ? computeOverShareUsage(shareUse.surplus) : maxWithinShareUsage;
+/**
+ * Maximum fraction of an engine's limit that a request of the account may use. `minUsage`: lower bound; below 0 where the engine's owner
+ * adds its allowance ({@link addAllowance}).
+ */
+export function computeMaxUsage(shareUse: ShareUsage, minUsage = minOverShareUsage): number {
+    return isBeyondShare(shareUse) ? computeOverShareUsage(shareUse.surplus, minUsage) : maxWithinShareUsage;
+}
+
+/** Whether a fraction of an engine's limit is that of a request within its account's share. */
+export function isWithinShareUsage(maxUsage: number): boolean {
+    return maxUsage > maxOverShareUsage;
+}
+
+/** Adds the allowance of an engine to the fraction of its limit that a request may use, for requests beyond their account's share. */
+export function addAllowance(maxUsage: number, allowance: number): number {
+    return isWithinShareUsage(maxUsage)
+        ? maxUsage
+        : Math.min(maxOverShareUsage, Math.max(minOverShareUsage, Math.max(minReachedUsage, maxUsage) + allowance));
 }
 
 /**
@@ -141,18 +164,18 @@
 }
 
 /** Usable fraction of an engine's limit for an account beyond its share; it falls with the account's surplus usage. */
-function computeOverShareUsage(surplus: number): number {
-    return Math.min(maxOverShareUsage, Math.max(minOverShareUsage, fairLevelUsage + (1 - surplus) * surplusUsageSlope));
+function computeOverShareUsage(surplus: number, minUsage: number): number {
+    return Math.min(maxOverShareUsage, Math.max(minUsage, fairLevelUsage + (1 - surplus) * surplusUsageSlope));
 }
 
 /**
  * Usable fraction of an engine's limit for an account, by the tokens that it was served at this engine relative to the engine's fair
  * level, regardless of the fleet's totals: above 1 only for small accounts, and small for an account that was served
- * much more than the others.
+ * much more than the others. `minUsage`: lower bound.
  */
-export function computeMaxEngineUsage(surplus: number): number {
+export function computeMaxEngineUsage(surplus: number, minUsage = minOverShareUsage): number {
     if (surplus > excessSurplusThreshold) {
-        return computeOverShareUsage(surplus);
+        return computeOverShareUsage(surplus, minUsage);
     }
     const position = Math.min(
         1,
@@ -171,6 +194,26 @@
     return Math.max(minMs, capacityMs);
 }
 
+/**
+ * Whether no engine is expected to have output for the request before its deadline, of which the estimates are for the best one. A request
+ * for an engine without a queue is always sent: if it were refused, a wrong estimate of the engines' speed would never be corrected.
+ */
+export function isBeyondDeadline({
+    expectedMs,
+    unloadedMs,
+    remainingMs,
+}: Pick<PromptAdmissionView, "expectedMs" | "unloadedMs" | "remainingMs">): boolean {
+    return expectedMs > unloadedMs && expectedMs > remainingMs;
+}
+
+/**
+ * Retry delay for a request that is refused as it is beyond its deadline. `random`: 0 to 1; requests that were refused together must not
+ * return together.
+ */
+export function computeSpreadRetryMs(objectiveMs: number, random: number): number {
+    return minRetryAfterMs + objectiveMs * spreadRetryFraction * random;
+}
+
 /** Decides on a request by this router's own estimates, for an engine whose owner does not reply. */
 export function checkPromptAdmission(view: PromptAdmissionView): PromptAdmission {
     const waitMs = view.expectedMs - view.unloadedMs;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -123,10 +123,11 @@
             setTimer: setRuntimeTimer,
             sleep: sleepOnTimer,
         };
-        const learned = createLearnedState();
+        const learned = createLearnedState(settings);
         const grants = createGrants({
             ...common,
             ...learned,
+            settings,
             transport: { send: (routerId, message) => this.exchange.send(routerId, message) },
         });
         this.store.add(grants.client);
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -3,9 +3,12 @@
     computeMaxUsage,
     computePromptBounds,
     computePromptRetryAfterMs,
+    computeSpreadRetryMs,
+    isBeyondDeadline,
     type PromptBounds,
 } from "../decisions/admission/promptAdmission.js";
 import { computeShareReturnMs } from "../decisions/admission/shareReturn.js";
+import { minSentUsage } from "../decisions/admission/spareAllowance.js";
 import { zeroUsage, type ShareUsage } from "../decisions/shares/accountShares.js";
 import { computeShareUsage } from "./computeShareUsage.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -99,7 +102,7 @@
     /** Calls `handleOutcome` exactly once, either synchronously or after the owners' replies. */
     public check(services: readonly string[], handleOutcome: (outcome: AdmissionOutcome) => void): void {
         this.shareUse = this.computeUsage();
-        const selection = this.select(services, computeMaxUsage(this.shareUse));
+        const selection = this.select(services, computeMaxUsage(this.shareUse, this.minUsage));
         if (selection === undefined) {
             const { reason, retryAfterMs } = this.options.selector.explainNoTarget(services);
             handleOutcome(this.createRefusal(reason, retryAfterMs));
@@ -135,6 +138,12 @@
             handleOutcome(this.createDenial(bounds.reason, deniedMs));
             return;
         }
+        if (context.settings.fillsSpareCapacity && this.isBeyondDeadline(selection)) {
+            this.recordDecision(this.grantRequests > 0 ? "owner" : "beliefs");
+            const retryAfterMs = computeSpreadRetryMs(this.objectiveMs, context.random.next());
+            handleOutcome(this.createRefusal("late", retryAfterMs));
+            return;
+        }
         this.grantRequests += 1;
         routed.figures.record("asked-owner");
         grants.submit(this.createDemand(selection, bounds), outcome => {
@@ -159,6 +168,10 @@
         });
     }
 
+    private isBeyondDeadline({ expectedMs, unloadedMs }: Selection): boolean {
+        return isBeyondDeadline({ expectedMs, unloadedMs, remainingMs: this.options.getRemainingMs() });
+    }
+
     /** How long the target's owner, or recently asked owners of other targets, deny such requests; milliseconds, 0 if they don't. */
     private computeDeniedMs({ target, service }: Selection, { maxUsage, reason }: PromptBounds): number {
         const { context, routed } = this.options;
@@ -211,15 +224,21 @@
             : this.createRefusal(admission.reason, admission.retryAfterMs);
     }
 
+    /** Lower bound of the fraction of an engine's limit; undefined where owners add no allowance. */
+    private get minUsage(): number | undefined {
+        return this.options.context.settings.fillsSpareCapacity ? minSentUsage : undefined;
+    }
+
     private computeBounds({ unloadedMs }: Selection): PromptBounds {
         const { routed, getRemainingMs } = this.options;
-        const bounds = computePromptBounds({
+        const view = {
             unloadedMs,
             objectiveMs: this.objectiveMs,
             pauseObjectiveMs: routed.route.pauseObjectiveMs,
             remainingMs: getRemainingMs(),
             shareUse: this.shareUse,
-        });
+        };
+        const bounds = computePromptBounds(view, this.minUsage);
         return { ...bounds, maxUsage: Math.min(bounds.maxUsage, this.maxUsage) };
     }
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -75,6 +75,11 @@
      * its data centre have spare processor time. Has no effect where the routers of a data centre have about the same processor share.
      */
     returnsRequests: z.boolean().default(false),
+    /**
+     * Whether requests of accounts beyond their share may use engines' capacity that would otherwise be idle. Off by default: routers of
+     * earlier builds drop the grant requests that are then sent, so that it must be set only once all routers run this build.
+     */
+    fillsSpareCapacity: z.boolean().default(false),
     /** Window over which an account's fair share is computed; seconds. */
     shareWindowSeconds: z.number().positive().default(4),
     logLevel: z.enum(logLevels).default("info"),
