Bound the bytes held for slow readers over all streams

Cause: each response may leave 1 MiB unread, so some hundred slow callers exhaust a small router's memory although none exceeds its own bound.

A response counts until its socket has taken it, also after its end; a request body counts while its target has not taken it. The bytes are read after Node has offered an operation's writes to the socket, so a caller that reads costs one check.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,6 +3,7 @@
 import { GrowingBuffer } from "../base/growingBuffer.js";
 import type { CancelSend, SendFailure, TargetConnection, TargetRequest } from "./targetConnection.js";
 import type { ResponseRelay, StoredResponse, TargetResponseHead } from "./responseRelay.js";
+import type { UnsentBody } from "./unsentResponse.js";
 import type { ResponseHead, HeaderCodec } from "./wire.js";
 
 /** Why a request was certainly not executed by the target. */
@@ -37,6 +38,8 @@
     /** Whether the request may still be sent to the target; called just before the request is written. */
     canStart(): boolean;
     handleSent(): void;
+    /** The request's body is being written, or bytes of it were taken; undefined when the attempt has ended. */
+    handleBody(body: UnsentBody | undefined): void;
     /** The head of the target's response to this request; called before any of the response is relayed. */
     handleHead(head: ResponseHead): void;
     /** Output is sent to the caller. */
@@ -73,7 +76,11 @@
     public run(connection: TargetConnection, request: TargetRequest): Promise<AttemptOutcome> {
         this.cancelSend = connection.send(request, {
             canStart: () => this.observer.canStart(),
-            handleSent: () => this.observer.handleSent(),
+            handleSent: () => {
+                this.observer.handleSent();
+                this.observer.handleBody(connection);
+            },
+            handleDrain: () => this.observer.handleBody(connection),
             handleHead: (status, headers) => this.handleHead(status, headers),
             handleData: chunk => this.handleData(chunk),
             handleEnd: () => this.handleEnd(),
@@ -174,6 +181,7 @@
 
     private endAttempt(outcome: AttemptOutcome): void {
         this.hasEnded = true;
+        this.observer.handleBody(undefined);
         this.resolveOutcome(outcome);
     }
 }
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -2,6 +2,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import type { Disposable } from "../base/lifecycle.js";
+import type { UnsentBytes } from "./unsentBytes.js";
+import { UnsentResponse, type UnsentBody } from "./unsentResponse.js";
 
 /** Why the body of a request could not be read. */
 export type BodyReadError = "too-large" | "no-room" | "left";
@@ -27,6 +29,7 @@
     private readonly cancellation = new CancellationTokenSource();
     private ended = false;
     private left = false;
+    private readonly unsent: UnsentResponse | undefined;
     private readonly handleDisconnect = (): void => {
         if (!this.ended) {
             this.left = true;
@@ -40,7 +43,10 @@
         private readonly response: ServerResponse,
         /** Router that accepted the connection and handed it over to this one; undefined if this router accepted the connection. */
         public readonly handedOverBy?: string,
+        /** Bounds the unsent bytes of all responses together. */
+        unsentBytes?: UnsentBytes,
     ) {
+        this.unsent = unsentBytes && new UnsentResponse(unsentBytes, response, () => this.endSlowReader());
         response.once("close", this.handleDisconnect);
         // Fires before the response's "close". Node closes the connection in this case anyway.
         request.socket.once("end", this.handleDisconnect);
@@ -58,6 +64,11 @@
         return this.left;
     }
 
+    /** Why {@link token} was cancelled. */
+    public get endReason(): string {
+        return this.left ? "the caller disconnected" : "the reader was too slow";
+    }
+
     public get hasSentHead(): boolean {
         return this.response.headersSent;
     }
@@ -113,6 +124,7 @@
         } else {
             this.response.end(body);
         }
+        this.unsent?.handleWrite();
     }
 
     /** Sends the head of a response; its body follows. */
@@ -126,19 +138,34 @@
         if (this.ended) {
             return;
         }
-        this.response.write(data);
+        this.response.write(data, this.unsent?.handleFlush);
         if (this.response.writableLength > maxUnsentBytes) {
+            this.unsent?.recordOverlong();
             this.cancel();
         }
+        this.unsent?.handleWrite();
     }
 
     public end(): void {
         if (!this.ended) {
             this.ended = true;
             this.response.end();
+            this.unsent?.handleWrite();
         }
     }
 
+    /** Counts the request's unsent bytes for its client account. */
+    public setAccount(account: string | undefined): void {
+        if (this.unsent !== undefined) {
+            this.unsent.account = account;
+        }
+    }
+
+    /** Counts a body that is being written to a target as unsent; undefined when the attempt has ended. */
+    public setBody(body: UnsentBody | undefined): void {
+        this.unsent?.setBody(body);
+    }
+
     /**
      * Closes the connection in the middle of a response. HTTP clients detect the truncation, as the last chunk of the
      * transfer encoding is missing or fewer bytes than the content length have arrived.
@@ -151,6 +178,15 @@
         }
     }
 
+    /** Closes the connection of a response that is not read, also if its end has been written but not been sent. */
+    private endSlowReader(): void {
+        if (this.ended) {
+            this.response.destroy();
+        } else {
+            this.cancel();
+        }
+    }
+
     public dispose(): void {
         this.request.socket.off("end", this.handleDisconnect);
         this.cancellation.dispose();
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -7,6 +7,7 @@
 import type { StoreReadCount } from "./fleetSource.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
 import type { ReceivedSignal } from "./targetDirectory.js";
+import type { UnsentStatistics } from "./unsentBytes.js";
 
 const msPerSecond = 1_000;
 /** Cover usual latency objectives of a fraction of a second, and usual timeouts at the upper end; seconds. */
@@ -31,6 +32,7 @@
     readonly targets: readonly { readonly service: string; readonly state: string; readonly count: number }[];
     readonly rollouts: readonly RolloutView[];
     readonly sharedConnections: SharedConnectionCounts;
+    readonly unsent: UnsentStatistics;
     readonly load: { readonly shedShare: number; readonly loop: LoopSample };
     readonly listAccounts: () => readonly AccountSnapshot[];
 }
@@ -174,6 +176,23 @@
                 this.set({ outcome: "unreached" }, unreached);
             },
         });
+        addGauge("lynxarch_unsent_bytes", "Bytes held for callers and targets that read slowly.", statistics => {
+            return statistics.unsent.bytes;
+        });
+        addGauge("lynxarch_unsent_bytes_peak", "Largest number of such bytes since the start.", statistics => {
+            return statistics.unsent.peakBytes;
+        });
+        new Gauge({
+            name: "lynxarch_slow_streams_ended",
+            help: "Streams ended since the start because their readers were too slow, by the bound that was exceeded.",
+            labelNames: ["bound"],
+            registers,
+            collect(): void {
+                for (const [bound, count] of Object.entries(getStatistics().unsent.ended)) {
+                    this.set({ bound }, count);
+                }
+            },
+        });
         addGauge("lynxarch_peers", "Other routers with a recent message.", statistics => statistics.peers);
         addGauge("lynxarch_peer_message_bytes", "Size of the newest message to other routers.", statistics => {
             return statistics.peerRound.messageBytes;
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -12,6 +12,7 @@
 import { RequestFlow } from "./requestFlow.js";
 import { RequestShedder } from "./requestShedder.js";
 import type { RoutedRequest } from "./routedRequest.js";
+import { UnsentBytes } from "./unsentBytes.js";
 import type { RequestHead } from "./wire.js";
 
 /** A request that ended, with the details for its log line. */
@@ -49,6 +50,9 @@
     /** Request statistics by account. */
     public readonly accounts = new AccountStatistics();
 
+    /** Bytes held for slow readers. */
+    public readonly unsent: UnsentBytes;
+
     private readonly endEmitter = new Emitter<EndedRequest>();
     private open = 0;
     private bufferedBytes = 0;
@@ -59,6 +63,7 @@
 
     public constructor(private readonly context: GatewayContext) {
         this.shedder = new RequestShedder(context);
+        this.unsent = new UnsentBytes(context.clock, context.logger, () => context.settings.limits.memoryMb);
     }
 
     /** Number of requests without a final response. */
@@ -73,7 +78,7 @@
 
     /** `handedOverBy`: router that accepted the connection and handed it over; undefined if this router accepted it. */
     public async handle(incoming: IncomingMessage, response: ServerResponse, handedOverBy?: string): Promise<void> {
-        const caller = new CallerExchange(incoming, response, handedOverBy);
+        const caller = new CallerExchange(incoming, response, handedOverBy, this.unsent);
         const arrivedAtMs = this.context.clock.nowMs();
         this.open += 1;
         try {
@@ -147,6 +152,7 @@
 
     private async handleRouted(caller: CallerExchange, routed: RouteResult, request: RoutedRequest): Promise<void> {
         const { head, arrivedAtMs, identity } = request;
+        caller.setAccount(request.account);
         const services = request.route.destinations.map(({ service }) => service);
         const guard = new RequestGuard(this.context.quarantine, identity, services);
         const start = guard.start();
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -36,7 +36,7 @@
 export function buildStatistics(
     context: GatewayContext,
     source: FleetSource,
-    { openRequests, accounts }: Pick<GatewayService, "openRequests" | "accounts">,
+    { openRequests, accounts, unsent }: Pick<GatewayService, "openRequests" | "accounts" | "unsent">,
     rollouts: Pick<Rollouts, "listAll">,
     { shared }: Pick<ConnectionSharing, "shared">,
 ): GatewayStatistics {
@@ -65,6 +65,7 @@
         targets: [...counts.values()],
         rollouts: rollouts.listAll(),
         sharedConnections: shared,
+        unsent: unsent.statistics,
         load: { shedShare, loop },
         listAccounts: () => listAccounts(context, accounts),
     };
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -189,9 +189,8 @@
         const { target, service } = selection;
         const { availability, entry } = target;
         const maxIdleMs = this.isRepeatable ? maxIdleIfRepeatableMs : maxIdleIfNotRepeatableMs;
-        const limit = this.selector.computeConnectionLimit(service);
         const nowMs = context.clock.nowMs();
-        const connection = target.connections.open(limit, maxIdleMs, nowMs);
+        const connection = target.connections.open(this.selector.computeConnectionLimit(service), maxIdleMs, nowMs);
         this.tried.add(target);
         if (connection === undefined) {
             selection.grant?.report("not-run");
@@ -219,6 +218,7 @@
         const attempt = new Attempt(routed.head.requestId, context.codec, context.clock, this.relay, {
             canStart: () => !context.directory.isClosed(target),
             handleSent: () => this.handleSent(target),
+            handleBody: body => this.caller.setBody(body),
             handleHead: head => context.directory.observeResponse(target, availability, head),
             handleOutput: isFirst => this.handleOutput(send, entry, isFirst),
         });
@@ -291,7 +291,7 @@
 
     private handleStopped(reason: StopReason): FlowOutcome | undefined {
         if (reason === "left") {
-            return this.outcomes.createOutcome("left", "the caller disconnected", undefined);
+            return this.outcomes.createOutcome("left", this.caller.endReason, undefined);
         }
         if (reason === "silent") {
             this.sent += 1;
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -52,6 +52,8 @@
     handleSent(): void;
     handleHead(status: number, headers: IncomingHttpHeaders): void;
     handleData(chunk: Buffer): void;
+    /** The connection has taken all bytes of the request. */
+    handleDrain(): void;
     handleEnd(): void;
     handleFailure(failure: SendFailure, detail: string): void;
 }
@@ -114,6 +116,11 @@
         return this.socket !== undefined;
     }
 
+    /** Bytes of the current request that the connection has not taken. */
+    public get unsentBytes(): number {
+        return this.socket?.writableLength ?? 0;
+    }
+
     /** Sends a request; the connection must be usable. */
     public send(request: TargetRequest, listener: ResponseListener): CancelSend {
         const exchange = new Exchange(listener, {
@@ -151,6 +158,7 @@
             this.hasSocketError = true;
         });
         socket.on("readable", () => this.exchange?.checkOverhead());
+        socket.on("drain", () => this.exchange?.handleDrain());
     }
 
     private close(): void {
@@ -244,6 +252,12 @@
         }
     }
 
+    public handleDrain(): void {
+        if (!this.hasEnded) {
+            this.listener.handleDrain();
+        }
+    }
+
     public onResponseEnd(): void {
         if (this.hasEnded) {
             return;
--- a/test/gateway/withheldRequest.test.ts
+++ b/test/gateway/withheldRequest.test.ts
@@ -20,6 +20,7 @@
             { method: "POST", path: "/", headers: [], body: Buffer.from("body") },
             {
                 canStart: () => false,
+                handleDrain: () => undefined,
                 handleSent: () => resolve("sent"),
                 handleHead: () => undefined,
                 handleData: () => undefined,
