Test slow readers through a whole router

Cause: the budget was tested on its own and on exchanges only.

Change: 200 callers that read nothing at a router with 16 MB, and four bodies for a target that reads nothing.

Result: the peak stays within the budget, other accounts' streams are whole, and only the ended requests lose their connection.

--- a/test/gateway/slowReaders.test.ts
+++ b/test/gateway/slowReaders.test.ts
@@ -1,4 +1,4 @@
-import { connect, type Socket } from "node:net";
+import { connect, createServer as createTcpServer, type AddressInfo, type Socket } from "node:net";
 import { createServer, type Server } from "node:http";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -197,10 +197,31 @@
     });
 });
 
-describe("a router with callers that read nothing", () => {
+/** Fetches a router's metrics of unsent bytes. */
+async function fetchUnsent(ip: string, port: number): Promise<Record<string, number>> {
+    const page = await (await fetch(`http://${ip}:${port}/metrics`)).text();
+    const find = (name: string): number => {
+        const line = page.split("\n").find(candidate => candidate.startsWith(`${name} `));
+        return Number(line?.split(" ")[1]);
+    };
+    return {
+        bytes: find("lynxarch_unsent_bytes"),
+        peakBytes: find("lynxarch_unsent_bytes_peak"),
+        stream: find('lynxarch_slow_streams_ended{bound="stream"}'),
+        account: find('lynxarch_slow_streams_ended{bound="account"}'),
+        router: find('lynxarch_slow_streams_ended{bound="router"}'),
+    };
+}
+
+describe("a router with callers or targets that read nothing", () => {
     const fixture = { current: new GatewayFixture() };
-    const endless = new EndlessServer("unframed", 0);
     const sockets: Socket[] = [];
+    let endless: EndlessServer;
+
+    beforeEach(() => {
+        fixture.current = new GatewayFixture();
+        endless = new EndlessServer("unframed", 0);
+    });
 
     afterEach(() => {
         sockets.splice(0).forEach(socket => socket.destroy());
@@ -208,17 +229,16 @@
         fixture.current.dispose();
     });
 
-    // Endless responses to a hundred callers that read nothing fill the memory of a small router; other accounts' requests fail then.
+    // Endless responses to hundreds of callers that read nothing fill the memory of a small router; other accounts' requests fail then.
     it("keeps its budget and serves other callers' requests", async () => {
         const plain = { host, timeout_ms: 8_000, goal_ms: 3_000, service: "app", type: "non_idempotent" };
-        const [plan] = createConfiguration(1).routes as object[];
+        const usual = createConfiguration(1);
+        const [plan] = usual.routes as object[];
+        const [engines] = usual.services as object[];
         await fixture.current.start(
             createConfiguration(1, {
                 routes: [plan, { ...plain, name: "r-book", path_prefix: "/book/", max_attempts: 1 }],
-                services: [
-                    { name: "engines", max_conns: 100, engine: { slots: 8 } },
-                    { name: "app", max_conns: 500 },
-                ],
+                services: [engines, { name: "app", max_conns: 500 }],
                 tenants: [
                     { name: "north", api_keys: ["key-of-north"] },
                     { name: "south", api_keys: ["key-of-south"] },
@@ -234,7 +254,7 @@
         await fixture.current.addRouter({ metricsPort, limits: { memoryMb, maxDescriptors: 4_000 } });
         const [{ settings }] = fixture.current.routers;
         const [address, port] = settings.callers.split(":");
-        for (let index = 0; index < 100; index++) {
+        for (let index = 0; index < 200; index++) {
             const socket = connect(Number(port), address).pause();
             socket.on("error", () => undefined);
             socket.write(
@@ -243,31 +263,15 @@
             );
             sockets.push(socket);
         }
-        const countEnded = async (): Promise<Record<string, number>> => {
-            const page = await (await fetch(`http://${settings.ip}:${metricsPort}/metrics`)).text();
-            const find = (name: string): number =>
-                Number(
-                    page
-                        .split("\n")
-                        .find(line => line.startsWith(`${name} `))
-                        ?.split(" ")[1],
-                );
-            return {
-                peakBytes: find("lynxarch_unsent_bytes_peak"),
-                stream: find('lynxarch_slow_streams_ended{bound="stream"}'),
-                account: find('lynxarch_slow_streams_ended{bound="account"}'),
-                router: find('lynxarch_slow_streams_ended{bound="router"}'),
-            };
-        };
         const outcomes: object[] = [];
-        let ended = await countEnded();
-        for (let index = 0; ended.account + ended.router + ended.stream < 50; index++) {
+        let ended = await fetchUnsent(settings.ip, metricsPort);
+        for (let index = 0; ended.account + ended.router + ended.stream < 100; index++) {
             const { status, isIncomplete, body } = await fixture.current.send({
                 path: "/plan/x",
                 headers: createPromptHeaders(`n${index}`),
             });
             outcomes.push({ status, isIncomplete, events: body.split("\n\n").length - 1 });
-            ended = await countEnded();
+            ended = await fetchUnsent(settings.ip, metricsPort);
         }
         expect(new Set(outcomes.map(outcome => JSON.stringify(outcome)))).toEqual(
             new Set([JSON.stringify({ status: 200, isIncomplete: false, events: 5 })]),
@@ -275,4 +279,43 @@
         expect(ended.peakBytes).toBeLessThanOrEqual(budgetBytes);
         expect(ended.account + ended.router).toBeGreaterThan(0);
     });
+
+    // A target accepts connections and reads nothing. The bodies that wait for it fill the memory as unread responses do.
+    it("counts request bodies that a target does not take, and ends such requests", async () => {
+        const bodyBytes = 9_900_000;
+        const usual = createConfiguration(1);
+        await fixture.current.start(
+            createConfiguration(1, { limits: { ...(usual.limits as object), max_body_bytes: bodyBytes } }),
+        );
+        const target = createTcpServer(socket => void sockets.push(socket.pause()));
+        await new Promise<void>(resolve => target.listen(0, "127.0.0.1", () => resolve()));
+        const { port } = target.address() as AddressInfo;
+        const entry = { service: "app", address: `127.0.0.1:${port}`, zone: "dc-a", version: "v1", slots: 50 };
+        const born = 1_700_000_000_000;
+        fixture.current.store.write("keyed.servers", "silent", { ...entry, state: "ready", seqno: 1, born });
+        const metricsPort = await findFreePort();
+        // The bodies of four requests fit into a quarter of the memory; what the kernel leaves of them exceeds an eighth.
+        await fixture.current.addRouter({ metricsPort, limits: { memoryMb: 160, maxDescriptors: 1_000 } });
+        const [{ settings }] = fixture.current.routers;
+        const calls = [0, 1, 2, 3].map(index =>
+            fixture.current
+                .send({
+                    path: "/book/",
+                    headers: { "x-lynxarch-attempt-id": `b${index}` },
+                    body: "x".repeat(bodyBytes),
+                })
+                .then(({ status }) => String(status))
+                .catch((error: unknown) => (error as NodeJS.ErrnoException).code ?? String(error)),
+        );
+        await waitUntil(async () => (await fetchUnsent(settings.ip, metricsPort)).router > 0);
+        const outcomes = await Promise.all(calls);
+        const { bytes, peakBytes, router, account, stream } = await fetchUnsent(settings.ip, metricsPort);
+        target.close();
+        expect(peakBytes).toBeLessThanOrEqual(20 * bytesPerMb);
+        expect({ bytes, account, stream }).toEqual({ bytes: 0, account: 0, stream: 0 });
+        // How many are ended depends on the kernel's buffers; the others wait until their time-out.
+        expect(router).toBeLessThan(outcomes.length);
+        expect(outcomes.filter(outcome => outcome === "ECONNRESET").length).toBe(router);
+        expect(outcomes.filter(outcome => outcome === "504").length).toBe(outcomes.length - router);
+    });
 });
