--- /dev/null
+++ b/scripts/measureSlowReaders.ts
@@ -0,0 +1,254 @@
+/**
+ * Latency of other callers, memory and processor time of a router while many callers read their responses slowly:
+ * `npm run measure:slow-readers -- --callers 2000 --seconds 20`. A router as a process of its own with `limits.memoryMb` 250; targets, store
+ * and callers in this process, on loopback. In the first phase the callers read at once, in the second slowly, so that both relay the same.
+ *
+ * A loopback connection's kernel buffers hold some 4 MB, of which the machine has too little for 2,000 callers. Therefore every 20th
+ * caller reads nothing of a large response, until the router ends it; the others read a small one slowly, and the kernel holds it.
+ */
+import { spawn, type ChildProcess } from "node:child_process";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { createServer, request as sendHttp, type Server, type ServerResponse } from "node:http";
+import { connect, type AddressInfo, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import sade from "sade";
+import { StoreServer } from "../test/fakes/usersPlatform/storeServer.js";
+import { TargetServer } from "../test/fakes/usersPlatform/targetServer.js";
+import { createConfiguration, findFreePort, host } from "../test/gateway/gatewayFixture.js";
+
+interface Options {
+    readonly callers: string | number;
+    readonly seconds: string | number;
+}
+
+const program = "target/router.mjs";
+const ip = "127.0.0.1";
+const memoryMb = 250;
+const startMs = 3_000;
+const otherPauseMs = 10;
+const accountCount = 7;
+const tickMs = 10;
+/** Every 20th caller reads nothing of a large response. */
+const stoppedPeriod = 20;
+const stoppedPath = "/bulk/large";
+const slowPath = "/bulk/small";
+/** Bytes of one piece of a response, and time between two pieces. */
+const pieces = {
+    [stoppedPath]: { bytes: 65_536, pauseMs: 160 },
+    [slowPath]: { bytes: 4_096, pauseMs: 1_000 },
+} as const;
+/** A caller that reads slowly takes so many bytes at a time, half of what is sent. */
+const readBytes = 2_048;
+const readPauseMs = 1_000;
+
+interface Phase {
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    readonly served: number;
+    readonly sent: number;
+    readonly cpuMsPerSecond: number;
+}
+
+sade("measure-slow-readers", true)
+    .option("--callers", "number of slow callers", 2_000)
+    .option("--seconds", "length of each phase", 20)
+    .action((options: Options) => void run(Number(options.callers), Number(options.seconds)))
+    .parse(process.argv);
+
+async function run(callerCount: number, seconds: number): Promise<void> {
+    const store = new StoreServer();
+    await store.start();
+    store.write("keyed.op", "config", buildConfiguration());
+    const app = new TargetServer("app-1", false);
+    await app.start();
+    const slowTarget = await startSlowTarget();
+    const { port } = slowTarget.address() as AddressInfo;
+    addEntry(store, "app-1", "app", app.address);
+    addEntry(store, "bulk-1", "bulk", `${ip}:${port}`);
+    const callers = await findFreePort();
+    const metrics = await findFreePort();
+    const router = await startRouter(store.address, callers, metrics);
+    let hasEnded = false;
+    router.once("exit", () => {
+        hasEnded = true;
+    });
+    await sleepFor(startMs);
+    const fast = connectAll(callers, callerCount, true);
+    const without = await measurePhase(router, callers, seconds);
+    fast.forEach(socket => socket.destroy());
+    await sleepFor(startMs);
+    const sockets = connectAll(callers, callerCount, false);
+    const withSlow = await measurePhase(router, callers, seconds);
+    const page = await (await fetch(`http://${ip}:${metrics}/metrics`)).text();
+    const lines = page.split("\n").filter(line => /^lynxarch_(unsent|slow_streams)/.test(line));
+    process.stdout.write(
+        [
+            `${callerCount} callers that read: ${formatPhase(without)}`,
+            `${callerCount} that read slowly: ${formatPhase(withSlow)}; p99 ratio ${(withSlow.p99Ms / without.p99Ms).toFixed(2)}`,
+            `router ${hasEnded ? "DEAD" : "alive"}, peak ${readPeakMb(router)} MB resident; open slow callers ` +
+                `${sockets.filter(socket => !socket.destroyed).length}`,
+            ...lines,
+            "",
+        ].join("\n"),
+    );
+    router.kill("SIGKILL");
+    process.exit(0);
+}
+
+/** Sends requests of accounts that read quickly, at a steady rate. */
+async function measurePhase(router: ChildProcess, port: number, seconds: number): Promise<Phase> {
+    const cpuBefore = readCpuMs(router);
+    const untilMs = performance.now() + seconds * 1_000;
+    const took: number[] = [];
+    const open: Promise<void>[] = [];
+    let sent = 0;
+    while (performance.now() < untilMs) {
+        sent += 1;
+        const startedAtMs = performance.now();
+        const answered = send(port, `f${startedAtMs}-${sent}`).then(isServed => {
+            if (isServed) {
+                took.push(performance.now() - startedAtMs);
+            }
+        });
+        open.push(answered);
+        await sleepFor(otherPauseMs);
+    }
+    await Promise.all(open);
+    took.sort((a, b) => a - b);
+    const find = (quantile: number): number => took[Math.floor(took.length * quantile)] ?? Number.NaN;
+    const cpuMsPerSecond = (readCpuMs(router) - cpuBefore) / seconds;
+    return { p50Ms: find(0.5), p99Ms: find(0.99), served: took.length, sent, cpuMsPerSecond };
+}
+
+function formatPhase({ p50Ms, p99Ms, served, sent, cpuMsPerSecond }: Phase): string {
+    const times = `p50 ${p50Ms.toFixed(1)} ms, p99 ${p99Ms.toFixed(1)} ms`;
+    return `${served} of ${sent} served, ${times}, ${cpuMsPerSecond.toFixed(0)} ms of processor a second`;
+}
+
+function buildConfiguration(): object {
+    const plain = { host, timeout_ms: 60_000, goal_ms: 30_000, type: "non_idempotent", max_attempts: 1 };
+    const accounts = Array.from({ length: accountCount }, (...[, index]) => `slow-${index}`);
+    const { limits } = createConfiguration(1);
+    return {
+        version: 1,
+        routes: [
+            { ...plain, name: "r-book", path_prefix: "/book/", service: "app" },
+            { ...plain, name: "r-bulk", path_prefix: "/bulk/", service: "bulk" },
+        ],
+        services: [
+            { name: "app", max_conns: 500 },
+            { name: "bulk", max_conns: 8_000 },
+        ],
+        limits,
+        tenants: [...accounts, "fast"].map(name => ({ name, api_keys: [`key-of-${name}`] })),
+    };
+}
+
+/** A target that sends pieces at a steady rate until its connection is closed. */
+function startSlowTarget(): Promise<Server> {
+    const server = createServer((request, response) => {
+        request.resume();
+        response.writeHead(200, {
+            "X-Lynxarch-Attempt-Id": request.headers["x-lynxarch-attempt-id"] ?? "",
+            "X-Lynxarch-Engine-Stamp": "s",
+        });
+        sendPieces(response, request.url === stoppedPath ? stoppedPath : slowPath);
+    });
+    return new Promise(resolve => server.listen(0, ip, () => resolve(server)));
+}
+
+function sendPieces(response: ServerResponse, path: keyof typeof pieces): void {
+    const { bytes, pauseMs } = pieces[path];
+    const piece = Buffer.alloc(bytes, "x");
+    const timer = setInterval(() => {
+        if (!response.writableNeedDrain) {
+            response.write(piece);
+        }
+    }, pauseMs);
+    response.once("close", () => clearInterval(timer));
+    response.on("error", () => undefined);
+}
+
+function connectAll(port: number, count: number, readsAtOnce: boolean): readonly Socket[] {
+    return Array.from({ length: count }, (...[, index]) => connectOne(port, index, readsAtOnce));
+}
+
+function connectOne(port: number, index: number, readsAtOnce: boolean): Socket {
+    const isStopped = index % stoppedPeriod === 0;
+    const socket = connect(port, ip).pause();
+    socket.on("error", () => undefined);
+    socket.write(
+        `GET ${isStopped ? stoppedPath : slowPath} HTTP/1.1\r\nHost: ${host}\r\n` +
+            `Authorization: Bearer key-of-slow-${index % accountCount}\r\n` +
+            `X-Lynxarch-Attempt-Id: s${index}\r\nX-Lynxarch-Deadline-Ms: 60000\r\n\r\n`,
+    );
+    if (readsAtOnce) {
+        socket.resume();
+    } else if (!isStopped) {
+        const timer = setInterval(() => socket.read(readBytes), readPauseMs);
+        socket.once("close", () => clearInterval(timer));
+    }
+    return socket;
+}
+
+function addEntry(store: StoreServer, id: string, service: string, address: string): void {
+    const entry = { service, address, zone: "dc-a", slots: 8_000, state: "ready", seqno: 1 };
+    store.write("keyed.servers", id, entry);
+}
+
+async function startRouter(storeAddress: string, callers: number, metricsPort: number): Promise<ChildProcess> {
+    const file = join(mkdtempSync(join(tmpdir(), "lynxarch-")), "settings.json");
+    const peers = await findFreePort();
+    writeFileSync(
+        file,
+        JSON.stringify({
+            daemonId: "router-1",
+            ip,
+            dataCentre: "dc-a",
+            callers: `${ip}:${callers}`,
+            readiness: `${ip}:${await findFreePort()}`,
+            peerPorts: [peers, peers],
+            seeds: [],
+            store: { address: storeAddress },
+            limits: { memoryMb, maxDescriptors: 12_000 },
+            retryBudget: { slack: 50 },
+            coldLimit: { slack: 5 },
+            metricsPort,
+        }),
+    );
+    const flags = ["--max-old-space-size=160", "--max-semi-space-size=8"];
+    return spawn(process.execPath, [...flags, program, "--settings", file], { stdio: ["ignore", "ignore", "inherit"] });
+}
+
+/** Whether the request got a whole success. */
+function send(port: number, id: string): Promise<boolean> {
+    return new Promise(resolve => {
+        const headers = { host, authorization: "Bearer key-of-fast", "x-lynxarch-attempt-id": id };
+        const request = sendHttp(
+            { host: ip, port, path: "/book/", method: "POST", headers, agent: false },
+            response => {
+                response.resume();
+                response.on("error", () => undefined);
+                response.on("close", () => resolve(response.complete && response.statusCode === 200));
+            },
+        );
+        request.on("error", () => resolve(false));
+        request.end("b");
+    });
+}
+
+/** User and system time so far; a tick is a hundredth of a second. */
+function readCpuMs({ pid }: ChildProcess): number {
+    const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1].split(" ");
+    return (Number(fields[11]) + Number(fields[12])) * tickMs;
+}
+
+function readPeakMb({ pid }: ChildProcess): number {
+    const kilobytes = /VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1];
+    return Math.round(Number(kilobytes) / 1_024);
+}
+
+function sleepFor(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
