Merge part-readers: budget of unsent bytes

Conflicts in gatewayService, its state and metrics resolved by keeping both sides; 31 tests of the parts pass.

--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -9,6 +9,7 @@
 import type { StoreReadCount } from "./fleetSource.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
 import type { ReceivedSignal } from "./targetDirectory.js";
+import type { UnsentStatistics } from "./unsentBytes.js";
 
 const msPerSecond = 1_000;
 /** Cover usual latency objectives of a fraction of a second, and usual timeouts at the upper end; seconds. */
@@ -34,6 +35,7 @@
     readonly rollouts: readonly RolloutView[];
     readonly sharedConnections: SharedConnectionCounts;
     readonly refusedEarly: EarlyRefusalCounts;
+    readonly unsent: UnsentStatistics;
     readonly load: { readonly shedShare: number; readonly loop: LoopSample };
     /** Means over the engines that this router owns; undefined without any. */
     readonly spareCapacity: SpareCapacity | undefined;
@@ -190,6 +192,23 @@
                 this.set({ outcome: "shed" }, shed);
             },
         });
+        addGauge("lynxarch_unsent_bytes", "Bytes held for callers and targets that read slowly.", statistics => {
+            return statistics.unsent.bytes;
+        });
+        addGauge("lynxarch_unsent_bytes_peak", "Largest number of such bytes since the start.", statistics => {
+            return statistics.unsent.peakBytes;
+        });
+        new Gauge({
+            name: "lynxarch_slow_streams_ended",
+            help: "Streams ended since the start because their readers were too slow, by the bound that was exceeded.",
+            labelNames: ["bound"],
+            registers,
+            collect(): void {
+                for (const [bound, count] of Object.entries(getStatistics().unsent.ended)) {
+                    this.set({ bound }, count);
+                }
+            },
+        });
         addGauge("lynxarch_peers", "Other routers with a recent message.", statistics => statistics.peers);
         addGauge("lynxarch_peer_message_bytes", "Size of the newest message to other routers.", statistics => {
             return statistics.peerRound.messageBytes;
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -19,6 +19,7 @@
 import { RequestFlow } from "./requestFlow.js";
 import { RequestShedder } from "./requestShedder.js";
 import type { RoutedRequest } from "./routedRequest.js";
+import { UnsentBytes } from "./unsentBytes.js";
 import type { RequestHead } from "./wire.js";
 
 /** A request that ended, with the details for its log line. */
@@ -56,6 +57,9 @@
     /** Request statistics by account. */
     public readonly accounts = new AccountStatistics();
 
+    /** Bytes held for slow readers. */
+    public readonly unsent: UnsentBytes;
+
     private readonly endEmitter = new Emitter<EndedRequest>();
     private open = 0;
     private bufferedBytes = 0;
@@ -72,6 +76,7 @@
     ) {
         this.shedder = new RequestShedder(context);
         this.earlyRefusal = new EarlyRefusal(context, neighbours);
+        this.unsent = new UnsentBytes(context.clock, context.logger, () => context.settings.limits.memoryMb);
     }
 
     /** Number of requests without a final response. */
@@ -97,7 +102,8 @@
         this.open += 1;
         try {
             if (refusal === undefined) {
-                await this.handleAdmitted(new CallerExchange(incoming, response, handedOverBy), head, arrivedAtMs);
+                const caller = new CallerExchange(incoming, response, handedOverBy, this.unsent);
+                await this.handleAdmitted(caller, head, arrivedAtMs);
             } else {
                 this.fireEarlyRefusal(head, arrivedAtMs, refusal);
                 const ownHeaders = this.context.codec.encodeRouterResponse(head.requestId);
@@ -200,6 +206,7 @@
 
     private async handleRouted(caller: CallerExchange, routed: RouteResult, request: RoutedRequest): Promise<void> {
         const { head, arrivedAtMs, identity } = request;
+        caller.setAccount(request.account);
         const services = request.route.destinations.map(({ service }) => service);
         const guard = new RequestGuard(this.context.quarantine, identity, services);
         const start = guard.start();
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -36,7 +36,12 @@
 export function buildStatistics(
     context: GatewayContext,
     source: FleetSource,
-    { openRequests, accounts, refusedEarly }: Pick<GatewayService, "openRequests" | "accounts" | "refusedEarly">,
+    {
+        openRequests,
+        accounts,
+        refusedEarly,
+        unsent,
+    }: Pick<GatewayService, "openRequests" | "accounts" | "refusedEarly" | "unsent">,
     rollouts: Pick<Rollouts, "listAll">,
     { shared }: Pick<ConnectionSharing, "shared">,
 ): GatewayStatistics {
@@ -66,6 +71,7 @@
         targets: [...counts.values()],
         rollouts: rollouts.listAll(),
         sharedConnections: shared,
+        unsent: unsent.statistics,
         load: { shedShare, loop },
         spareCapacity: context.grants.computeSpareCapacity(),
         listAccounts: () => listAccounts(context, accounts),
