Consider former versions for a resumed stream whose first request is not named

Seen: a caller that resumes a stream with Last-Event-Id and without Resumes got the rest from another version under status 200, once the version that began the stream had left (4 of 4 streams).

Cause: StreamBinding.openUnnamed compared only the versions that targets have at the resumption, in this router's view.

Change: such a stream is looked up like a named one. The other routers are asked with the constant key "unnamed", which is no stream's key (these have 16 characters), and reply with the versions that they have seen within the stream's lifetime. The stream continues only if this router and the replies know a single version; this router's own list counts even if it has not observed the whole period. An unnamed stream is not yet refused where nobody has observed the whole period: routers that have just started could not serve any. No new messages or formats.

--- a/src/decisions/versions/versionHistory.ts
+++ b/src/decisions/versions/versionHistory.ts
@@ -39,12 +39,18 @@
         return [...(this.byService.get(service) ?? [])].filter(([, { targets }]) => targets > 0).map(([name]) => name);
     }
 
-    /** Versions of the service's targets within the last `periodMs`. */
-    public findSeen(service: string, periodMs: number, nowMs: number): SeenVersions {
+    /** Versions known of the service's targets within the last `periodMs`, whether or not the whole period was observed. */
+    public listSeen(service: string, periodMs: number, nowMs: number): readonly string[] {
         const fromMs = nowMs - periodMs;
-        const versions = [...(this.byService.get(service) ?? [])]
+        return [...(this.byService.get(service) ?? [])]
             .filter(([, { targets, lastSeenAtMs }]) => targets > 0 || lastSeenAtMs >= fromMs)
             .map(([name]) => name);
+    }
+
+    /** Versions of the service's targets within the last `periodMs`. */
+    public findSeen(service: string, periodMs: number, nowMs: number): SeenVersions {
+        const fromMs = nowMs - periodMs;
+        const versions = this.listSeen(service, periodMs, nowMs);
         if (versions.length > 1) {
             return { kind: "mixed" };
         }
--- a/src/gateway/streams/streamBinding.ts
+++ b/src/gateway/streams/streamBinding.ts
@@ -62,17 +62,13 @@
         if (!this.isStream || (lastEventId === undefined && resumedRequestId === undefined)) {
             return this.openAny(services);
         }
-        if (resumedRequestId === undefined) {
-            this.originSource = "unnamed";
-            return this.openUnnamed(services);
-        }
         const origin = await this.context.streams.find({
             account: this.routed.account,
             requestId: resumedRequestId,
             services,
             lifetimeMs: this.computeLifetimeMs(),
         });
-        this.originSource = origin.kind;
+        this.originSource = resumedRequestId === undefined ? "unnamed" : origin.kind;
         switch (origin.kind) {
             case "recorded":
                 // The route no longer leads to the service that began the stream.
@@ -80,7 +76,7 @@
                     ? this.openVersions([origin.began])
                     : this.openAny(services);
             case "sole":
-                return this.openVersions(origin.versions);
+                return this.openSole(origin.versions);
             case "unknown":
                 return {
                     reason: "stream-version-unknown",
@@ -115,11 +111,10 @@
         this.selection = this.context.rollouts.open(services[0], this.routed.route.name);
     }
 
-    /** Without the id of the request that began it, a stream's version is only known if there is no other one. */
-    private openUnnamed(services: readonly string[]): ResumptionRefusal | undefined {
-        const { versions } = this.context.directory;
-        const isMixed = services.some(service => versions.listCurrent(service).length > 1);
-        return isMixed ? { reason: "stream-version-unknown", retryAfterMs: undefined } : this.openAny(services);
+    /** A stream that is not named may have ended or never begun, so that it waits for a target like a new one. */
+    private openSole(versions: readonly ServiceVersion[]): ResumptionRefusal | undefined {
+        const refusal = this.openVersions(versions);
+        return this.originSource === "unnamed" ? undefined : refusal;
     }
 
     private openVersions(versions: readonly ServiceVersion[]): ResumptionRefusal | undefined {
--- a/src/gateway/streams/streamVersions.ts
+++ b/src/gateway/streams/streamVersions.ts
@@ -33,14 +33,17 @@
 /** A stream that a caller resumes. */
 export interface ResumedStream {
     readonly account: string | undefined;
-    /** Request that received the stream's first event. */
-    readonly requestId: string;
+    /** Request that received the stream's first event; undefined if the caller does not name it. */
+    readonly requestId: string | undefined;
     /** Services that may serve the request. */
     readonly services: readonly string[];
     /** Longest time for which a stream of the request's kind can be resumed; milliseconds. */
     readonly lifetimeMs: number;
 }
 
+/** A stream that has begun. */
+export type RecordedStream = Pick<ResumedStream, "account" | "lifetimeMs"> & { readonly requestId: string };
+
 /** Which version began a stream. */
 export type StreamOrigin =
     | { readonly kind: "recorded"; readonly began: ServiceVersion }
@@ -66,6 +69,8 @@
 /** Maximum number of open queries; further streams count as unknown. */
 const maxPendingQueries = 2_000;
 const keyBytes = 12;
+/** Key of queries for streams whose first request is not named. Differs from all keys of streams, as it is shorter. */
+const unnamedKey = "unnamed";
 /** Time by which one router may see the last target of a version go earlier than another one; milliseconds. */
 const viewLagMs = 10_000;
 
@@ -91,7 +96,7 @@
     }
 
     /** Records the version of the target that wrote a stream's first event. `leftMs`: for how long the stream can be resumed. */
-    public record(stream: Omit<ResumedStream, "services">, began: ServiceVersion, leftMs: number): void {
+    public record(stream: RecordedStream, began: ServiceVersion, leftMs: number): void {
         const nowMs = this.options.clock.nowMs();
         const entry = { key: createKey(stream), began, leftMs };
         this.table.record(entry, nowMs);
@@ -102,9 +107,13 @@
         }
     }
 
-    /** Finds out which version began a stream, here or at the routers that may hold its record. */
+    /**
+     * Finds out which version began a stream, here or at the routers that may hold its record. For a stream whose first request is not
+     * named, the other routers only tell which versions they have seen.
+     */
     public find(stream: ResumedStream): Promise<StreamOrigin> {
-        const key = createKey(stream);
+        const { account, requestId } = stream;
+        const key = requestId === undefined ? unnamedKey : createKey({ account, requestId });
         const known = this.table.find(key, this.options.clock.nowMs());
         if (known !== undefined) {
             return Promise.resolve(toOrigin(known));
@@ -190,13 +199,10 @@
         if (known !== undefined) {
             return toOrigin(known);
         }
-        const { directory } = this.options;
-        const versions = stream.services.map((service, index) =>
-            mergeSeen(service, [
-                directory.versions.findSeen(service, stream.lifetimeMs),
-                ...replies.map(({ seen }) => seen.at(index) ?? incomplete),
-            ]),
-        );
+        const versions = stream.services.map((service, index) => {
+            const seen = replies.map(reply => reply.seen.at(index) ?? incomplete);
+            return this.findSole(service, stream, seen);
+        });
         const found = versions.filter(version => version !== undefined);
         // The router that served the stream may be the only one that had seen its version. With fewer silent routers than hold a record,
         // it or a holder of the record has replied, or the asking router is a holder itself. With more, this router's own view decides.
@@ -206,6 +212,26 @@
             : { kind: "unknown", mayBeKnown: silentRouters > 0 };
     }
 
+    /**
+     * The only version of the service that any router has seen; undefined if there were several, or no router has seen the whole period.
+     * `replies`: what the other routers have seen.
+     */
+    private findSole(
+        service: string,
+        { requestId, lifetimeMs }: ResumedStream,
+        replies: readonly SeenVersions[],
+    ): ServiceVersion | undefined {
+        const { versions } = this.options.directory;
+        const all = [versions.findSeen(service, lifetimeMs), ...replies];
+        const own = versions.listSeen(service, lifetimeMs);
+        const names = new Set([...own, ...all.flatMap(seen => (seen.kind === "sole" ? [seen.version] : []))]);
+        const [version] = names;
+        const isObserved = requestId === undefined || all.some(({ kind }) => kind === "sole");
+        return isObserved && names.size === 1 && all.every(({ kind }) => kind !== "mixed")
+            ? { service, version }
+            : undefined;
+    }
+
     /** Whether this router knows by itself which versions the services have had while the stream can have lasted. */
     private hasOwnView({ services, lifetimeMs }: ResumedStream): boolean {
         const { directory, hasFreshView } = this.options;
@@ -266,7 +292,7 @@
 const incomplete: SeenVersions = { kind: "incomplete" };
 
 /** Key of a stream. An account can't find or overwrite the streams of another one. */
-function createKey({ account, requestId }: Pick<ResumedStream, "account" | "requestId">): string {
+function createKey({ account, requestId }: Pick<RecordedStream, "account" | "requestId">): string {
     const digest = createHash("sha256")
         .update(JSON.stringify([account ?? "", requestId]))
         .digest();
@@ -276,10 +302,3 @@
 function toOrigin({ began }: StreamEntry): StreamOrigin {
     return began === undefined ? { kind: "unknown", mayBeKnown: false } : { kind: "recorded", began };
 }
-
-/** The only version of the service that any router has seen; undefined if there were several, or no router has seen the whole period. */
-function mergeSeen(service: string, all: readonly SeenVersions[]): ServiceVersion | undefined {
-    const sole = new Set(all.flatMap(seen => (seen.kind === "sole" ? [seen.version] : [])));
-    const [version] = sole;
-    return sole.size !== 1 || all.some(seen => seen.kind === "mixed") ? undefined : { service, version };
-}
--- a/src/gateway/streams/targetVersions.ts
+++ b/src/gateway/streams/targetVersions.ts
@@ -41,6 +41,11 @@
         return this.history.listCurrent(service);
     }
 
+    /** Versions known of the service's targets within the last `periodMs`, whether or not the whole period was observed. */
+    public listSeen(service: string, periodMs: number): readonly string[] {
+        return this.history.listSeen(service, periodMs, this.clock.nowMs());
+    }
+
     /** Versions of the service's targets within the last `periodMs`. */
     public findSeen(service: string, periodMs: number): SeenVersions {
         return this.history.findSeen(service, periodMs, this.clock.nowMs());
--- /dev/null
+++ b/test/gateway/streams/formerVersions.test.ts
@@ -0,0 +1,73 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { createShortConfiguration, StreamFixture } from "./streamFixture.js";
+
+const fixture = { current: new StreamFixture() };
+const streamCount = 4;
+/** Short, so that the tests can outlast the time in which a stream can be resumed; milliseconds. */
+const shortTimeoutMs = 500;
+const lifetimeMs = 6 * shortTimeoutMs;
+
+beforeEach(() => {
+    fixture.current = new StreamFixture();
+});
+
+afterEach(() => fixture.current.dispose());
+
+function sleep(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+function createRefusals(code: string): object {
+    return { mixed: 0, complete: 0, refusals: Array.from({ length: streamCount }, () => code) };
+}
+
+const uptimes = [
+    { name: "less time than a stream can last", ms: 0 },
+    { name: "more time than a stream can last", ms: lifetimeMs + 200 },
+];
+
+describe.each(uptimes)("a stream whose version has left, at routers that have been up for $name", ({ ms }) => {
+    // Only the versions present at the resumption were considered: the stream went on at the new version under status 200.
+    it("is refused without the id of the request that began it", async () => {
+        fixture.current.deadlineMs = shortTimeoutMs;
+        await fixture.current.startFleet({ v1: 2 }, 2, createShortConfiguration(shortTimeoutMs));
+        await sleep(ms);
+        const streams = await fixture.current.openStreams(streamCount, 0);
+        await fixture.current.promoteVersion("v1", "v2");
+        const resumed = await Promise.all(
+            streams.map((stream, index) => fixture.current.resumeStream(stream, index % 2, false)),
+        );
+        expect(fixture.current.describeStreams(resumed)).toEqual(createRefusals("stream-version-unknown"));
+    });
+
+    it("is refused with it", async () => {
+        fixture.current.deadlineMs = 2 * lifetimeMs;
+        await fixture.current.startFleet({ v1: 2 }, 2, createShortConfiguration(shortTimeoutMs));
+        await sleep(ms);
+        const streams = await fixture.current.openStreams(streamCount, 0);
+        await fixture.current.promoteVersion("v1", "v2");
+        const resumed = await fixture.current.resumeStreams(streams, 1);
+        expect(fixture.current.describeStreams(resumed)).toEqual(createRefusals("stream-version-gone"));
+    });
+});
+
+describe("a stream that is resumed without the id of the request that began it", () => {
+    // A router that has started since sees a single version; only the others know the former one.
+    it("is refused by a router that has started after its version has left", async () => {
+        await fixture.current.startFleet({ v1: 2 }, 2);
+        const streams = await fixture.current.openStreams(streamCount, 0);
+        await fixture.current.promoteVersion("v1", "v2");
+        await fixture.current.addRouters(1);
+        const resumed = await Promise.all(streams.map(stream => fixture.current.resumeStream(stream, 2, false)));
+        expect(fixture.current.describeStreams(resumed)).toEqual(createRefusals("stream-version-unknown"));
+    });
+
+    it.each(uptimes)("goes on at the only version after $name", async ({ ms }) => {
+        await fixture.current.startFleet({ v1: 2 }, 2, createShortConfiguration(shortTimeoutMs));
+        await sleep(ms);
+        fixture.current.deadlineMs = lifetimeMs;
+        const streams = await fixture.current.openStreams(streamCount, 0);
+        const resumed = await Promise.all(streams.map(stream => fixture.current.resumeStream(stream, 1, false)));
+        expect(fixture.current.describeStreams(resumed)).toEqual({ mixed: 0, complete: streamCount, refusals: [] });
+    });
+});
--- a/test/gateway/streams/streamFixture.ts
+++ b/test/gateway/streams/streamFixture.ts
@@ -1,4 +1,5 @@
 import {
+    createConfiguration,
     createPromptHeaders,
     findFreePort,
     GatewayFixture,
@@ -30,10 +31,16 @@
 /** Routers in front of targets of several versions, and callers that resume streams. */
 export class StreamFixture extends GatewayFixture {
     private readonly versions = new Map<string, string>();
+    /** Time that callers allow for each request; milliseconds, undefined for that of most tests. */
+    public deadlineMs: number | undefined;
 
-    /** Starts this many targets of each version, and the routers. */
-    public async startFleet(counts: Readonly<Record<string, number>>, routerCount: number): Promise<void> {
-        await this.start();
+    /** Starts this many targets of each version, and the routers. `configuration`: that of most tests by default. */
+    public async startFleet(
+        counts: Readonly<Record<string, number>>,
+        routerCount: number,
+        configuration?: object,
+    ): Promise<void> {
+        await this.start(configuration);
         for (const [version, count] of Object.entries(counts)) {
             await this.addVersion(version, count);
         }
@@ -47,14 +54,35 @@
         await waitUntil(() => this.routers.every(({ daemon }) => daemon.knownRouterCount === this.routers.length));
     }
 
-    public async addVersion(version: string, count: number): Promise<void> {
+    public async addVersion(version: string, count: number, service = "engines"): Promise<void> {
         for (let index = 0; index < count; index++) {
-            const target = await this.addTarget("engines", `${version}-${this.targets.length}`, { version });
+            const target = await this.addTarget("engines", `${version}-${this.targets.length}`, { version, service });
             target.eventPauseMs = eventPauseMs;
             this.versions.set(target.instanceId, version);
         }
     }
 
+    /** Starts a target of the next version, removes all targets of the former one, and waits until all routers have read it. */
+    public async promoteVersion(former: string, next: string): Promise<void> {
+        await this.addVersion(next, 1);
+        const added = this.targets[this.targets.length - 1].instanceId;
+        for (const router of this.routers.keys()) {
+            await waitUntil(() => this.hasVersion(router, added, next));
+        }
+        await this.removeVersion(former);
+    }
+
+    /** Removes all targets of a version, and waits until all routers have read it. */
+    public async removeVersion(version: string): Promise<void> {
+        const removed = [...this.versions].filter(([, other]) => other === version).map(([id]) => id);
+        removed.forEach(id => this.store.write("keyed.servers", id, undefined));
+        for (const router of this.routers.keys()) {
+            for (const id of removed) {
+                await waitUntil(async () => !(await this.hasVersion(router, id, version)));
+            }
+        }
+    }
+
     /** Whether the router has read that the target has this version. */
     public async hasVersion(router: number, instanceId: string, version: string): Promise<boolean> {
         const { ip, metricsPort } = this.routers[router].settings;
@@ -65,7 +93,7 @@
 
     /** Sends a request for a stream; its caller disconnects after some events. */
     public async openStream(id: string, router: number, path = "/plan/x"): Promise<CallerStream> {
-        const headers = createPromptHeaders(id, { "x-lynxarch-prefix-hash": `${id}:1000` });
+        const headers = this.createHeaders(id, id);
         const call = { path, headers, body: `body of ${id}`, disconnectAfterEvents: eventsBeforeDisconnect };
         return { ids: [id], responses: [await this.send(call, router)] };
     }
@@ -82,11 +110,11 @@
         const [first] = stream.ids;
         const id = `${first}-${stream.ids.length}`;
         const received = stream.responses.map(({ body }) => body).join("");
-        const headers = createPromptHeaders(id, {
-            "x-lynxarch-prefix-hash": `${first}:1000`,
+        const headers = {
+            ...this.createHeaders(id, first),
             "last-event-id": String(received.split("\n\n").length - 1),
             ...(isNamed ? { resumes: first } : {}),
-        });
+        };
         const response = await this.send({ path: "/plan/x", headers, body: `body of ${first}` }, router);
         return { ids: [...stream.ids, id], responses: [...stream.responses, response] };
     }
@@ -105,6 +133,13 @@
         };
     }
 
+    private createHeaders(id: string, part: string): Record<string, string> {
+        const headers = createPromptHeaders(id, { "x-lynxarch-prefix-hash": `${part}:1000` });
+        return this.deadlineMs === undefined
+            ? headers
+            : { ...headers, "x-lynxarch-deadline-ms": String(this.deadlineMs) };
+    }
+
     /** Versions of the targets that ran the stream's requests. */
     private listVersions({ ids }: CallerStream): readonly string[] {
         return this.targets
@@ -113,6 +148,15 @@
     }
 }
 
+/** Configuration in which the timeout of the route of most streams is `timeoutMs`. */
+export function createShortConfiguration(timeoutMs: number): object {
+    const { routes, ...others } = createConfiguration(1);
+    const changed = (routes as readonly { readonly name: string }[]).map(route =>
+        route.name === "r-plan" ? { ...route, timeout_ms: timeoutMs, goal_ms: timeoutMs } : route,
+    );
+    return { ...others, routes: changed };
+}
+
 function parseCode(body: string): string {
     return (JSON.parse(body) as { readonly code: string }).code;
 }
