Refuse resumed streams whose service has left the route

Cause: StreamBinding opened a recorded stream as a new one if the route no longer named its service. Without a record, only services that the route names now were considered, and several of them with one version each counted as one origin.

Change: a recorded stream of another service is refused as stream-version-gone. The stream continues only if a single service, with a single version, can have begun it; a service that certainly had no target in that time does not count. Former routes are known since the start of the process only.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -134,7 +134,7 @@
     }
 
     private applyFleet(configuration: GatewayConfiguration, targets: readonly TargetEntry[]): void {
-        this.context.configuration.apply(configuration);
+        this.context.configuration.apply(configuration, this.context.clock.nowMs());
         this.directory.applyConfiguration(configuration);
         targets.forEach(entry => this.directory.applyChange({ kind: "target", id: entry.id, entry }));
     }
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -648,6 +648,7 @@
             },
             route: this.route,
             account,
+            path: "/",
             body: undefined,
             identity: new RequestIdentity(account, "POST", "/", undefined),
             arrivedAtMs: this.clock.nowMs(),
--- a/bench/gateway/streamFleet.ts
+++ b/bench/gateway/streamFleet.ts
@@ -209,9 +209,8 @@
 function isOriginOf(origin: StreamOrigin, { version }: ModelStream): boolean {
     switch (origin.kind) {
         case "recorded":
-            return origin.began.version === version;
         case "sole":
-            return origin.versions[0].version === version;
+            return origin.began.version === version;
         case "unknown":
             return true;
     }
--- a/src/decisions/versions/versionHistory.ts
+++ b/src/decisions/versions/versionHistory.ts
@@ -59,4 +59,9 @@
         }
         return versions.length === 1 ? { kind: "sole", version: versions[0] } : { kind: "mixed" };
     }
+
+    /** Whether it is certain that the service had no target within the last `periodMs`. */
+    public isUnused(service: string, periodMs: number, nowMs: number): boolean {
+        return nowMs - periodMs >= this.startedAtMs && this.listSeen(service, periodMs, nowMs).length === 0;
+    }
 }
--- a/src/gateway/configurationHolder.ts
+++ b/src/gateway/configurationHolder.ts
@@ -1,4 +1,5 @@
 import { RouteTable } from "../decisions/structures/routeTable.js";
+import { RouteHistory, type StreamRoute } from "../decisions/versions/routeHistory.js";
 import type { FleetSource } from "./fleetSource.js";
 import type { CallerLimits, AccountConfiguration, GatewayConfiguration, RouteConfiguration } from "./configuration.js";
 
@@ -15,6 +16,7 @@
 /** Holds the configuration in force; its version never decreases during the lifetime of the process. */
 export class ConfigurationHolder {
     private inForce: ActiveConfiguration | undefined;
+    private readonly streamRoutes = new RouteHistory();
 
     /** Undefined before the first configuration is received. */
     public get current(): ActiveConfiguration | undefined {
@@ -30,7 +32,7 @@
      * Puts a configuration in force; returns false when it is not newer than the current one. A read that started before a newer
      * configuration arrived, or a peer that lags behind, would otherwise restore routes and keys that operators have removed.
      */
-    public apply(configuration: GatewayConfiguration): boolean {
+    public apply(configuration: GatewayConfiguration, nowMs: number): boolean {
         if (this.inForce !== undefined && configuration.version <= this.inForce.version) {
             return false;
         }
@@ -48,6 +50,30 @@
             limits: configuration.limits,
             source: configuration,
         };
+        this.streamRoutes.record(listStreamRoutes(configuration), nowMs);
         return true;
     }
+
+    /**
+     * Services that the route of a stream's path has named within the last `periodMs`, as far as this process has read the
+     * configuration; undefined if it has changed too often.
+     */
+    public listStreamServices(
+        host: string,
+        path: string,
+        periodMs: number,
+        nowMs: number,
+    ): readonly string[] | undefined {
+        return this.streamRoutes.listServices(host, path, periodMs, nowMs);
+    }
+}
+
+function listStreamRoutes({ routes }: GatewayConfiguration): readonly StreamRoute[] {
+    return routes
+        .filter(({ kind }) => kind === "stream")
+        .map(({ host, pathPrefix, destinations }) => ({
+            host,
+            pathPrefix,
+            services: destinations.filter(({ weight }) => weight > 0).map(({ service }) => service),
+        }));
 }
--- a/src/gateway/fleetChangeHandler.ts
+++ b/src/gateway/fleetChangeHandler.ts
@@ -6,7 +6,7 @@
 /** Applies changes reported by the platform. */
 export class FleetChangeHandler {
     public constructor(
-        private readonly context: Pick<GatewayContext, "configuration" | "directory" | "logger">,
+        private readonly context: Pick<GatewayContext, "configuration" | "directory" | "logger" | "clock">,
         private readonly rollouts: Pick<Rollouts, "applyOrder" | "applyStatus">,
         private readonly applyLimits: (limits: CallerLimits) => void,
     ) {}
@@ -29,10 +29,10 @@
     }
 
     private applyConfiguration(next: GatewayConfiguration): void {
-        const { configuration, directory, logger } = this.context;
+        const { configuration, directory, logger, clock } = this.context;
         const before = configuration.current?.version;
         const { version, limits } = next;
-        if (!configuration.apply(next)) {
+        if (!configuration.apply(next, clock.nowMs())) {
             logger.write("info", "configuration ignored: not newer than the one in force", {
                 version,
                 inForce: before,
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -181,7 +181,8 @@
         if (configuration === undefined) {
             return createProblem("no-configuration");
         }
-        const route = configuration.routes.find(request.headers.host ?? "", request.url ?? "/");
+        const path = request.url ?? "/";
+        const route = configuration.routes.find(request.headers.host ?? "", path);
         if (route === undefined) {
             return createProblem("no-route");
         }
@@ -198,7 +199,7 @@
         const sharedParts = head.promptParts.slice(0, -1).map(part => part.id);
         const identity = new RequestIdentity(name, request.method ?? "", request.url ?? "", body, sharedParts);
         const figures = this.accounts.createRequest(name, computeChargedTokens(this.context, { head, route }));
-        const routed = { head, route, account: name, body, identity, arrivedAtMs, figures };
+        const routed = { head, route, account: name, path, body, identity, arrivedAtMs, figures };
         return { request: routed, version, arrivedAtMs, handedOverBy: caller.handedOverBy };
     }
 
--- a/src/gateway/routedRequest.ts
+++ b/src/gateway/routedRequest.ts
@@ -8,6 +8,8 @@
     readonly head: RequestHead;
     readonly route: RouteConfiguration;
     readonly account: string | undefined;
+    /** Path with an optional query. */
+    readonly path: string;
     readonly body: Buffer | undefined;
     readonly identity: RequestIdentity;
     /** Monotonic time of the request's arrival; milliseconds. */
--- a/src/gateway/streams/streamBinding.ts
+++ b/src/gateway/streams/streamBinding.ts
@@ -36,7 +36,10 @@
     private originSource: OriginSource | undefined;
 
     public constructor(
-        private readonly context: Pick<GatewayContext, "rollouts" | "directory" | "streams">,
+        private readonly context: Pick<
+            GatewayContext,
+            "rollouts" | "directory" | "streams" | "configuration" | "clock"
+        >,
         private readonly routed: RoutedRequest,
     ) {
         this.isStream = routed.route.kind === "stream";
@@ -62,21 +65,25 @@
         if (!this.isStream || (lastEventId === undefined && resumedRequestId === undefined)) {
             return this.openAny(services);
         }
+        const lifetimeMs = this.computeLifetimeMs();
+        const origins = this.listOrigins(services, lifetimeMs);
+        if (origins === undefined) {
+            this.originSource = "unknown";
+            return { reason: "stream-version-unknown", retryAfterMs: undefined };
+        }
         const origin = await this.context.streams.find({
             account: this.routed.account,
             requestId: resumedRequestId,
-            services,
-            lifetimeMs: this.computeLifetimeMs(),
+            services: origins,
+            lifetimeMs,
         });
         this.originSource = resumedRequestId === undefined ? "unnamed" : origin.kind;
         switch (origin.kind) {
             case "recorded":
-                // The route no longer leads to the service that began the stream.
-                return services.includes(origin.began.service)
-                    ? this.openVersions([origin.began])
-                    : this.openAny(services);
             case "sole":
-                return this.openSole(origin.versions);
+                return services.includes(origin.began.service)
+                    ? this.openVersion(origin.began)
+                    : { reason: "stream-version-gone", retryAfterMs: undefined };
             case "unknown":
                 return {
                     reason: "stream-version-unknown",
@@ -95,7 +102,7 @@
         }
         const { head, account, route } = this.routed;
         this.began = { service, version: version ?? "" };
-        this.selection = this.createSelection([this.began]);
+        this.selection = this.createSelection(this.began);
         const requestId = head.resumedRequestId ?? head.requestId;
         if (requestId !== undefined) {
             const leftMs = head.remainingMs ?? route.timeoutMs;
@@ -111,20 +118,25 @@
         this.selection = this.context.rollouts.open(services[0], this.routed.route.name);
     }
 
-    /** A stream that is not named may have ended or never begun, so that it waits for a target like a new one. */
-    private openSole(versions: readonly ServiceVersion[]): ResumptionRefusal | undefined {
-        const refusal = this.openVersions(versions);
-        return this.originSource === "unnamed" ? undefined : refusal;
+    /** Services that can have begun a stream; undefined if not all of them are known. */
+    private listOrigins(services: readonly string[], lifetimeMs: number): readonly string[] | undefined {
+        const { configuration, clock } = this.context;
+        const { route, path } = this.routed;
+        const named = configuration.listStreamServices(route.host, path, lifetimeMs, clock.nowMs());
+        return named === undefined ? undefined : [...new Set([...services, ...named])];
     }
 
-    private openVersions(versions: readonly ServiceVersion[]): ResumptionRefusal | undefined {
-        this.selection = this.createSelection(versions);
-        const isServed = this.context.directory.listAll().some(target => hasVersion(target, versions));
-        return isServed ? undefined : { reason: "stream-version-gone", retryAfterMs: undefined };
+    private openVersion(began: ServiceVersion): ResumptionRefusal | undefined {
+        this.selection = this.createSelection(began);
+        // A stream that is not named waits for a target like a new one: it may have had no event yet.
+        const isServed = this.context.directory.listAll().some(target => hasVersion(target, began));
+        return isServed || this.originSource === "unnamed"
+            ? undefined
+            : { reason: "stream-version-gone", retryAfterMs: undefined };
     }
 
-    private createSelection(versions: readonly ServiceVersion[]): VersionSelection {
-        return this.context.rollouts.openResumption(target => hasVersion(target, versions));
+    private createSelection(began: ServiceVersion): VersionSelection {
+        return this.context.rollouts.openResumption(target => hasVersion(target, began));
     }
 
     private computeLifetimeMs(): number {
@@ -133,6 +145,6 @@
     }
 }
 
-function hasVersion({ entry }: Target, versions: readonly ServiceVersion[]): boolean {
-    return versions.some(({ service, version }) => entry.service === service && (entry.version ?? "") === version);
+function hasVersion({ entry }: Target, { service, version }: ServiceVersion): boolean {
+    return entry.service === service && (entry.version ?? "") === version;
 }
--- a/src/gateway/streams/streamVersions.ts
+++ b/src/gateway/streams/streamVersions.ts
@@ -35,7 +35,7 @@
     readonly account: string | undefined;
     /** Request that received the stream's first event; undefined if the caller does not name it. */
     readonly requestId: string | undefined;
-    /** Services that may serve the request. */
+    /** Services that the request's route names or has named since the stream can have begun. */
     readonly services: readonly string[];
     /** Longest time for which a stream of the request's kind can be resumed; milliseconds. */
     readonly lifetimeMs: number;
@@ -47,8 +47,8 @@
 /** Which version began a stream. */
 export type StreamOrigin =
     | { readonly kind: "recorded"; readonly began: ServiceVersion }
-    /** There is no record, but each service has had only one version for as long as the stream can have lasted. */
-    | { readonly kind: "sole"; readonly versions: readonly ServiceVersion[] }
+    /** There is no record, but a single service has had targets for as long as the stream can have lasted, of a single version. */
+    | { readonly kind: "sole"; readonly began: ServiceVersion }
     /** `mayBeKnown`: some routers that may have a record did not reply. */
     | { readonly kind: "unknown"; readonly mayBeKnown: boolean };
 
@@ -199,19 +199,34 @@
         if (known !== undefined) {
             return toOrigin(known);
         }
-        const versions = stream.services.map((service, index) => {
-            const seen = replies.map(reply => reply.seen.at(index) ?? incomplete);
-            return this.findSole(service, stream, seen);
-        });
-        const found = versions.filter(version => version !== undefined);
+        const began = this.findOnlyVersion(stream, replies);
         // The router that served the stream may be the only one that had seen its version. With fewer silent routers than hold a record,
         // it or a holder of the record has replied, or the asking router is a holder itself. With more, this router's own view decides.
         const isCovered = silentRouters < recordHolders || this.hasOwnView(stream);
-        return isCovered && found.length === versions.length && found.length > 0
-            ? { kind: "sole", versions: found }
+        return isCovered && began !== undefined
+            ? { kind: "sole", began }
             : { kind: "unknown", mayBeKnown: silentRouters > 0 };
     }
 
+    /** The only version of any service that can have begun the stream; undefined if there may be several. */
+    private findOnlyVersion(stream: ResumedStream, replies: readonly StreamReply[]): ServiceVersion | undefined {
+        const possible = stream.services.flatMap((service, index) => {
+            const seen = replies.map(reply => reply.seen.at(index) ?? incomplete);
+            return this.isUnused(service, stream, seen) ? [] : [this.findSole(service, stream, seen)];
+        });
+        return possible.length === 1 ? possible[0] : undefined;
+    }
+
+    /** Whether the service has had no target since the stream can have begun. Replies don't tell that from several versions. */
+    private isUnused(service: string, { lifetimeMs }: ResumedStream, replies: readonly SeenVersions[]): boolean {
+        const { directory, hasFreshView } = this.options;
+        return (
+            hasFreshView() &&
+            directory.versions.isUnused(service, lifetimeMs) &&
+            replies.every(({ kind }) => kind !== "sole")
+        );
+    }
+
     /**
      * The only version of the service that any router has seen; undefined if there were several, or no router has seen the whole period.
      * `replies`: what the other routers have seen.
--- a/src/gateway/streams/targetVersions.ts
+++ b/src/gateway/streams/targetVersions.ts
@@ -51,6 +51,11 @@
         return this.history.findSeen(service, periodMs, this.clock.nowMs());
     }
 
+    /** Whether it is certain that the service had no target within the last `periodMs`. */
+    public isUnused(service: string, periodMs: number): boolean {
+        return this.history.isUnused(service, periodMs, this.clock.nowMs());
+    }
+
     public dispose(): void {
         this.addEmitter.dispose();
     }
--- a/test/gateway/admissionFixture.ts
+++ b/test/gateway/admissionFixture.ts
@@ -118,7 +118,7 @@
     const arrivedAtMs = context.clock.nowMs();
     return {
         context,
-        routed: { head, route, account, body: undefined, identity, arrivedAtMs, figures },
+        routed: { head, route, account, path: "/", body: undefined, identity, arrivedAtMs, figures },
         selector: new TargetSelector(context),
         outputTokens: 10,
         chargedTokens: 0,
