Extend the time for which a stream can be resumed to six timeouts

Seen: a stream that its caller had resumed once, and resumed again 1.3 s after its version had left with a timeout of 0.5 s, got the rest from the other version under status 200 (4 of 4 streams, with and without Resumes).

Cause: versions were considered for twice the route's timeout. Each resumption has a deadline of its own, so that a chain lasts longer.

How long records of streams are kept (the remaining time of the request that renewed them) is unchanged; a stream whose record has expired is refused while several versions are possible.

--- a/src/gateway/streams/streamBinding.ts
+++ b/src/gateway/streams/streamBinding.ts
@@ -23,8 +23,8 @@
     readonly streamVersion: string | undefined;
 }
 
-/** A stream can be resumed for a multiple of its timeout, as callers' deadlines may be longer than the route's timeout. */
-const lifetimePerTimeout = 2;
+/** A stream can be resumed for a multiple of its route's timeout: each of up to five resumptions has a deadline of its own. */
+const lifetimePerTimeout = 6;
 /** Retry time if routers that may know the stream's version did not reply. */
 const unknownRetryMs = 300;
 
--- a/test/gateway/streams/formerVersions.test.ts
+++ b/test/gateway/streams/formerVersions.test.ts
@@ -71,3 +71,18 @@
         expect(fixture.current.describeStreams(resumed)).toEqual({ mixed: 0, complete: streamCount, refusals: [] });
     });
 });
+
+describe("a stream that is resumed several times", () => {
+    // Each resumption has a deadline of its own, so that the stream lasts for longer than two timeouts.
+    it.each([true, false])("is not continued at another version after two timeouts (named: %s)", async isNamed => {
+        fixture.current.deadlineMs = shortTimeoutMs;
+        await fixture.current.startFleet({ v1: 2 }, 2, createShortConfiguration(shortTimeoutMs));
+        const streams = await fixture.current.openStreams(streamCount, 0);
+        fixture.current.targets.forEach(target => (target.usual = "break-off"));
+        const broken = await fixture.current.resumeStreams(streams, 1);
+        await fixture.current.promoteVersion("v1", "v2");
+        await sleep(2 * shortTimeoutMs + 300);
+        const resumed = await Promise.all(broken.map(stream => fixture.current.resumeStream(stream, 0, isNamed)));
+        expect(fixture.current.describeStreams(resumed)).toEqual(createRefusals("stream-version-unknown"));
+    });
+});
