Keep which versions services had in the platform's store

Seen: after all routers were killed, every resumed stream was refused for as long as a stream can last, also while a single version served.

Cause: only the routers' memory told which versions a service had. A router that has just started cannot exclude a second version.

Change: topic keyed.versions, key = service, value = {"observed_from", "first"?, "versions": [{"version", "last_seen"?}]}. VersionRecorder reads it once the targets are known (again every second until it succeeds) and writes conditionally when a version appears or its last target leaves: the first router of the ranking at once, the next two one and two seconds later if the record does not show it. A version without last_seen and without a target counts as seen until the record is read; observed_from and last_seen are taken 10 s later, and no later than now. "first" is set while the record goes back to the first start, when the topic had no record at all: no stream began before, so that a restart soon after the first start need not refuse. Records have at most 16 versions; what is removed (after an hour, or beyond 16) moves observed_from past it and clears "first". An unreadable record counts as absent, but not as a first start.

A stream whose first request is not named is now refused as well where no router has covered the stream's whole lifetime. A lookup that needs the history waits up to 300 ms for it. The record misses a version only if all routers end before it is written (at once, some milliseconds) and all its targets leave before a router starts.

Result: durableVersions.test.ts (real sockets; a stream goes on after all routers were killed with one version serving; refused with two, with one that just left, with one that left while no router was up, and with an unreadable topic or record). Each change of version costs 2 to 4 calls of 4 routers together.

--- a/bench/gateway/streamFleet.ts
+++ b/bench/gateway/streamFleet.ts
@@ -49,7 +49,7 @@
 const streamMs = 4_000;
 /** Time that a caller allows for a stream and its resumptions. */
 const callerLimitMs = 8_000;
-const lifetimeMs = 16_000;
+const lifetimeMs = 48_000;
 /** Routers have run for long enough to know the versions of a stream's whole life. */
 const startedAtMs = -60_000;
 const endAtMs = 10_000;
@@ -117,6 +117,7 @@
         const id = `router-${index}`;
         const versions = new TargetVersions(this.clock);
         versions.add(createEntry("v1"));
+        versions.applyHistory([], true);
         const streams = new StreamVersions({
             ownId: id,
             peers: { conditions: this.conditions },
--- a/src/gateway/fleetSource.ts
+++ b/src/gateway/fleetSource.ts
@@ -4,6 +4,7 @@
 import type { PartRecords } from "./quarantine/partRecords.js";
 import type { QuarantineRecords } from "./quarantine/quarantineRecords.js";
 import type { RolloutOrder, RolloutRecords, RolloutStatus } from "./rollouts/rolloutRecords.js";
+import type { VersionRecords } from "./streams/versionRecords.js";
 import type { GatewayConfiguration } from "./configuration.js";
 
 export type { StoreOutage } from "../decisions/health/recordExpiryPolicy.js";
@@ -85,6 +86,8 @@
     readonly heldParts: PartRecords;
     /** Records through which routers agree on the state of roll-outs. */
     readonly rollouts: RolloutRecords;
+    /** Records of the versions that services had, which persist when all routers stop. */
+    readonly versions: VersionRecords;
     /** Starts reading the platform's records. */
     start(): void;
     /** All records read from the platform; undefined before the first complete read. */
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -42,7 +42,8 @@
 import { SnapshotTransfer } from "./peers/snapshotTransfer.js";
 import { listenOn } from "../control/server.js";
 import type { GatewaySettings } from "./settings.js";
-import { StreamVersions } from "./streams/streamVersions.js";
+import { createStreams } from "./streams/createStreams.js";
+import type { StreamVersions } from "./streams/streamVersions.js";
 import type { HeaderCodec } from "./wire.js";
 
 /** Dependencies of a {@link GatewayDaemon}. */
@@ -149,9 +150,8 @@
             }),
         );
         const isViewFresh = (): boolean => hasFreshView(this.settings, source.health.targets, clock);
-        this.streams = this.store.add(
-            new StreamVersions({ ...common, transport: this.exchange, hasFreshView: isViewFresh }),
-        );
+        const streamOptions = { ...common, source, transport: this.exchange, hasFreshView: isViewFresh };
+        this.streams = createStreams(streamOptions, this.store);
         this.quarantine = this.store.add(
             new Quarantine({
                 ...common,
--- /dev/null
+++ b/src/gateway/streams/createStreams.ts
@@ -0,0 +1,22 @@
+import type { DisposableStore } from "../../base/lifecycle.js";
+import type { FleetSource } from "../fleetSource.js";
+import { StreamVersions, type StreamVersionsOptions } from "./streamVersions.js";
+import { VersionRecorder, type VersionRecorderOptions } from "./versionRecorder.js";
+
+/** Dependencies of the components that keep resumed streams at the version that began them. */
+export interface StreamsOptions
+    extends StreamVersionsOptions, Omit<VersionRecorderOptions, "records" | "hasTargets" | "directory" | "peers"> {
+    readonly peers: StreamVersionsOptions["peers"] & VersionRecorderOptions["peers"];
+    readonly source: Pick<FleetSource, "versions" | "isUsable" | "onDidRewind">;
+}
+
+/** Creates the lookup of streams' versions, and the recorder of the versions that services had. `store` owns both. */
+export function createStreams(options: StreamsOptions, store: DisposableStore): StreamVersions {
+    const { source } = options;
+    const recorder = store.add(
+        new VersionRecorder({ ...options, records: source.versions, hasTargets: () => source.isUsable }),
+    );
+    store.add(source.onDidRewind(() => recorder.handleRewind()));
+    void recorder.load();
+    return store.add(new StreamVersions(options));
+}
--- a/src/gateway/streams/streamVersions.ts
+++ b/src/gateway/streams/streamVersions.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { Clock } from "../../base/clock.js";
-import type { Disposable } from "../../base/lifecycle.js";
+import { DisposableStore, type Disposable } from "../../base/lifecycle.js";
 import type { SetTimer } from "../../base/timers.js";
 import { selectRecordHolders } from "../../decisions/versions/recordHolders.js";
 import {
@@ -66,6 +66,8 @@
 const askedRouters = 4;
 /** Time-out of a query: a round trip takes a few milliseconds; the rest allows for a pause of an event loop. */
 const replyTimeoutMs = 40;
+/** Maximum wait for the history of versions, whose read takes some milliseconds; milliseconds. */
+const historyTimeoutMs = 300;
 /** Maximum number of open queries; further streams count as unknown. */
 const maxPendingQueries = 2_000;
 const keyBytes = 12;
@@ -89,10 +91,14 @@
     private readonly pending = new Map<number, PendingQuery>();
     private lastQueryId = 0;
 
-    private readonly subscription: Disposable;
+    private readonly store = new DisposableStore();
+    /** Called when the history of versions has been read, or on their own timers. */
+    private readonly waiting = new Set<() => void>();
 
     public constructor(private readonly options: StreamVersionsOptions) {
-        this.subscription = options.directory.versions.onDidAdd(service => this.handleAddedVersion(service));
+        const { versions } = options.directory;
+        this.store.add(versions.onDidAdd(service => this.handleAddedVersion(service)));
+        this.store.add(versions.onDidLoadHistory(() => this.waiting.forEach(finish => finish())));
     }
 
     /** Records the version of the target that wrote a stream's first event. `leftMs`: for how long the stream can be resumed. */
@@ -111,19 +117,20 @@
      * Finds out which version began a stream, here or at the routers that may hold its record. For a stream whose first request is not
      * named, the other routers only tell which versions they have seen.
      */
-    public find(stream: ResumedStream): Promise<StreamOrigin> {
+    public async find(stream: ResumedStream): Promise<StreamOrigin> {
         const { account, requestId } = stream;
         const key = requestId === undefined ? unnamedKey : createKey({ account, requestId });
         const known = this.table.find(key, this.options.clock.nowMs());
         if (known !== undefined) {
-            return Promise.resolve(toOrigin(known));
+            return toOrigin(known);
         }
+        await this.waitForHistory();
         const routers = selectRecordHolders(key, this.listOthers(), askedRouters);
         if (this.pending.size >= maxPendingQueries) {
-            return Promise.resolve({ kind: "unknown", mayBeKnown: true });
+            return { kind: "unknown", mayBeKnown: true };
         }
         if (routers.length === 0) {
-            return Promise.resolve(this.resolveOrigin(stream, [], 0));
+            return this.resolveOrigin(stream, [], 0);
         }
         return new Promise(resolve => this.sendQuery(key, stream, routers, resolve));
     }
@@ -150,13 +157,30 @@
     }
 
     public dispose(): void {
-        this.subscription.dispose();
+        this.store.dispose();
         for (const { timer } of this.pending.values()) {
             timer.dispose();
         }
         this.pending.clear();
     }
 
+    /** Waits for the history of versions, which a starting router reads soon after the targets. */
+    private waitForHistory(): Promise<void> {
+        const { directory, setTimer } = this.options;
+        if (directory.versions.hasHistory || this.waiting.size >= maxPendingQueries) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const finish = (): void => {
+                this.waiting.delete(finish);
+                timer.dispose();
+                resolve();
+            };
+            const timer = setTimer(historyTimeoutMs, finish);
+            this.waiting.add(finish);
+        });
+    }
+
     private sendQuery(
         key: string,
         stream: ResumedStream,
@@ -205,7 +229,7 @@
         const isCovered = silentRouters < recordHolders || this.hasOwnView(stream);
         return isCovered && began !== undefined
             ? { kind: "sole", began }
-            : { kind: "unknown", mayBeKnown: silentRouters > 0 };
+            : { kind: "unknown", mayBeKnown: silentRouters > 0 || !this.options.directory.versions.hasHistory };
     }
 
     /** The only version of any service that can have begun the stream; undefined if there may be several. */
@@ -233,7 +257,7 @@
      */
     private findSole(
         service: string,
-        { requestId, lifetimeMs }: ResumedStream,
+        { lifetimeMs }: ResumedStream,
         replies: readonly SeenVersions[],
     ): ServiceVersion | undefined {
         const { versions } = this.options.directory;
@@ -241,7 +265,7 @@
         const own = versions.listSeen(service, lifetimeMs);
         const names = new Set([...own, ...all.flatMap(seen => (seen.kind === "sole" ? [seen.version] : []))]);
         const [version] = names;
-        const isObserved = requestId === undefined || all.some(({ kind }) => kind === "sole");
+        const isObserved = all.some(({ kind }) => kind === "sole");
         return isObserved && names.size === 1 && all.every(({ kind }) => kind !== "mixed")
             ? { service, version }
             : undefined;
--- a/test/fakes/usersPlatform/storeServer.ts
+++ b/test/fakes/usersPlatform/storeServer.ts
@@ -26,6 +26,11 @@
     private readonly server: Server = createServer((request, response) => this.handle(request, response));
     private currentCondition: StoreCondition = "up";
     public calls = 0;
+    /** Topics whose calls get 503. */
+    public readonly failingTopics = new Set<string>();
+    /** Topics that get 404 until their first record is written, as in the users' store. */
+    public readonly createdTopics = new Set<string>();
+    private readonly callsByTopic = new Map<string, number>();
     /** Calls that got 503. */
     public refused = 0;
     public pageSize = 500;
@@ -78,6 +83,11 @@
         return value === undefined ? undefined : (JSON.parse(value.toString()) as object);
     }
 
+    /** Number of calls that concern a topic. */
+    public countCalls(topicName: string): number {
+        return this.callsByTopic.get(topicName) ?? 0;
+    }
+
     /** All values of a key that were ever written, in order. */
     public readHistory(topicName: string, key: string): readonly object[] {
         return this.openTopic(topicName).records.flatMap(record => {
@@ -154,7 +164,18 @@
         }
         response.setHeader("Store-Era", this.era);
         const url = new URL(request.url ?? "/", "http://store");
-        const topic = this.openTopic(url.searchParams.get("topic") ?? "");
+        const name = url.searchParams.get("topic") ?? "";
+        this.callsByTopic.set(name, this.countCalls(name) + 1);
+        if (this.failingTopics.has(name)) {
+            response.writeHead(503).end();
+            return;
+        }
+        const topic = this.openTopic(name);
+        const isUnknown = topic.records.length + topic.firstOffset === 0 && url.pathname !== "/api/log-append";
+        if (isUnknown && this.createdTopics.has(name)) {
+            response.writeHead(404).end();
+            return;
+        }
         if (url.pathname === "/api/log-newest") {
             this.answerNewest(topic, url.searchParams.get("after") ?? undefined, response);
         } else if (url.pathname === "/api/log-append") {
--- a/test/gateway/streams/streamFixture.ts
+++ b/test/gateway/streams/streamFixture.ts
@@ -27,6 +27,8 @@
 /** Time between two events of a target, long enough to interrupt a stream between them; milliseconds. */
 const eventPauseMs = 40;
 const eventsBeforeDisconnect = 2;
+/** Topic in which the routers record the versions of services. */
+export const versionTopic = "keyed.versions";
 
 /** Routers in front of targets of several versions, and callers that resume streams. */
 export class StreamFixture extends GatewayFixture {
@@ -40,6 +42,7 @@
         routerCount: number,
         configuration?: object,
     ): Promise<void> {
+        this.store.createdTopics.add(versionTopic);
         await this.start(configuration);
         for (const [version, count] of Object.entries(counts)) {
             await this.addVersion(version, count);
@@ -83,6 +86,39 @@
         }
     }
 
+    /** Ends all routers without notice and starts as many others. */
+    public async startRoutersAgain(): Promise<void> {
+        await this.addRouters(this.endRouters());
+    }
+
+    /** Ends all routers without notice. Returns their number. */
+    public endRouters(): number {
+        const ended = this.routers.splice(0);
+        ended.forEach(({ daemon }) => daemon.dispose());
+        return ended.length;
+    }
+
+    /** Versions in the stored record of a service, by whether they have left; undefined without a record. */
+    public readRecord(service = "engines"): Readonly<Record<string, "present" | "left">> | undefined {
+        const record = this.store.read(versionTopic, service) as
+            { readonly versions: readonly { readonly version: string; readonly last_seen?: string }[] } | undefined;
+        return (
+            record &&
+            Object.fromEntries(
+                record.versions.map(({ version, last_seen: lastSeen }) => [
+                    version,
+                    lastSeen === undefined ? "present" : "left",
+                ]),
+            )
+        );
+    }
+
+    /** Waits until the stored record has these versions. */
+    public async waitForRecord(versions: Readonly<Record<string, "present" | "left">>): Promise<void> {
+        const expected = JSON.stringify(Object.entries(versions).sort());
+        await waitUntil(() => JSON.stringify(Object.entries(this.readRecord() ?? {}).sort()) === expected);
+    }
+
     /** Whether the router has read that the target has this version. */
     public async hasVersion(router: number, instanceId: string, version: string): Promise<boolean> {
         const { ip, metricsPort } = this.routers[router].settings;
@@ -120,8 +156,12 @@
     }
 
     /** Resumes streams at the same time, in reverse order, so that they would be spread over the targets in another way. */
-    public resumeStreams(streams: readonly CallerStream[], router: number): Promise<readonly CallerStream[]> {
-        return Promise.all([...streams].reverse().map(stream => this.resumeStream(stream, router)));
+    public resumeStreams(
+        streams: readonly CallerStream[],
+        router: number,
+        isNamed = true,
+    ): Promise<readonly CallerStream[]> {
+        return Promise.all([...streams].reverse().map(stream => this.resumeStream(stream, router, isNamed)));
     }
 
     public describeStreams(streams: readonly CallerStream[]): StreamSummary {
