--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -680,6 +680,7 @@
             },
             route: this.route,
             account,
+            path: "/",
             body: undefined,
             identity: new RequestIdentity(account, "POST", "/", undefined),
             arrivedAtMs: this.clock.nowMs(),
--- a/src/gateway/streams/streamBinding.ts
+++ b/src/gateway/streams/streamBinding.ts
@@ -23,8 +23,8 @@
     readonly streamVersion: string | undefined;
 }
 
-/** A stream can be resumed for a multiple of its timeout, as callers' deadlines may be longer than the route's timeout. */
-const lifetimePerTimeout = 2;
+/** A stream can be resumed for a multiple of its route's timeout: each of up to five resumptions has a deadline of its own. */
+const lifetimePerTimeout = 6;
 /** Retry time if routers that may know the stream's version did not reply. */
 const unknownRetryMs = 300;
 
@@ -36,7 +36,10 @@
     private originSource: OriginSource | undefined;
 
     public constructor(
-        private readonly context: Pick<GatewayContext, "rollouts" | "directory" | "streams">,
+        private readonly context: Pick<
+            GatewayContext,
+            "rollouts" | "directory" | "streams" | "configuration" | "clock"
+        >,
         private readonly routed: RoutedRequest,
     ) {
         this.isStream = routed.route.kind === "stream";
@@ -62,25 +65,25 @@
         if (!this.isStream || (lastEventId === undefined && resumedRequestId === undefined)) {
             return this.openAny(services);
         }
-        if (resumedRequestId === undefined) {
-            this.originSource = "unnamed";
-            return this.openUnnamed(services);
+        const lifetimeMs = this.computeLifetimeMs();
+        const origins = this.listOrigins(services, lifetimeMs);
+        if (origins === undefined) {
+            this.originSource = "unknown";
+            return { reason: "stream-version-unknown", retryAfterMs: undefined };
         }
         const origin = await this.context.streams.find({
             account: this.routed.account,
             requestId: resumedRequestId,
-            services,
-            lifetimeMs: this.computeLifetimeMs(),
+            services: origins,
+            lifetimeMs,
         });
-        this.originSource = origin.kind;
+        this.originSource = resumedRequestId === undefined ? "unnamed" : origin.kind;
         switch (origin.kind) {
             case "recorded":
-                // The route no longer leads to the service that began the stream.
-                return services.includes(origin.began.service)
-                    ? this.openVersions([origin.began])
-                    : this.openAny(services);
             case "sole":
-                return this.openVersions(origin.versions);
+                return services.includes(origin.began.service)
+                    ? this.openVersion(origin.began)
+                    : { reason: "stream-version-gone", retryAfterMs: undefined };
             case "unknown":
                 return {
                     reason: "stream-version-unknown",
@@ -99,7 +102,7 @@
         }
         const { head, account, route } = this.routed;
         this.began = { service, version: version ?? "" };
-        this.selection = this.createSelection([this.began]);
+        this.selection = this.createSelection(this.began);
         const requestId = head.resumedRequestId ?? head.requestId;
         if (requestId !== undefined) {
             const leftMs = head.remainingMs ?? route.timeoutMs;
@@ -115,21 +118,25 @@
         this.selection = this.context.rollouts.open(services[0], this.routed.route.name);
     }
 
-    /** Without the id of the request that began it, a stream's version is only known if there is no other one. */
-    private openUnnamed(services: readonly string[]): ResumptionRefusal | undefined {
-        const { versions } = this.context.directory;
-        const isMixed = services.some(service => versions.listCurrent(service).length > 1);
-        return isMixed ? { reason: "stream-version-unknown", retryAfterMs: undefined } : this.openAny(services);
+    /** Services that can have begun a stream; undefined if not all of them are known. */
+    private listOrigins(services: readonly string[], lifetimeMs: number): readonly string[] | undefined {
+        const { configuration, clock } = this.context;
+        const { route, path } = this.routed;
+        const named = configuration.listStreamServices(route.host, path, lifetimeMs, clock.nowMs());
+        return named === undefined ? undefined : [...new Set([...services, ...named])];
     }
 
-    private openVersions(versions: readonly ServiceVersion[]): ResumptionRefusal | undefined {
-        this.selection = this.createSelection(versions);
-        const isServed = this.context.directory.listAll().some(target => hasVersion(target, versions));
-        return isServed ? undefined : { reason: "stream-version-gone", retryAfterMs: undefined };
+    private openVersion(began: ServiceVersion): ResumptionRefusal | undefined {
+        this.selection = this.createSelection(began);
+        // A stream that is not named waits for a target like a new one: it may have had no event yet.
+        const isServed = this.context.directory.listAll().some(target => hasVersion(target, began));
+        return isServed || this.originSource === "unnamed"
+            ? undefined
+            : { reason: "stream-version-gone", retryAfterMs: undefined };
     }
 
-    private createSelection(versions: readonly ServiceVersion[]): VersionSelection {
-        return this.context.rollouts.openResumption(target => hasVersion(target, versions));
+    private createSelection(began: ServiceVersion): VersionSelection {
+        return this.context.rollouts.openResumption(target => hasVersion(target, began));
     }
 
     private computeLifetimeMs(): number {
@@ -138,6 +145,6 @@
     }
 }
 
-function hasVersion({ entry }: Target, versions: readonly ServiceVersion[]): boolean {
-    return versions.some(({ service, version }) => entry.service === service && (entry.version ?? "") === version);
+function hasVersion({ entry }: Target, { service, version }: ServiceVersion): boolean {
+    return entry.service === service && (entry.version ?? "") === version;
 }
--- a/src/gateway/streams/streamVersions.ts
+++ b/src/gateway/streams/streamVersions.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { Clock } from "../../base/clock.js";
-import type { Disposable } from "../../base/lifecycle.js";
+import { DisposableStore, type Disposable } from "../../base/lifecycle.js";
 import type { SetTimer } from "../../base/timers.js";
 import { selectRecordHolders } from "../../decisions/versions/recordHolders.js";
 import {
@@ -33,19 +33,22 @@
 /** A stream that a caller resumes. */
 export interface ResumedStream {
     readonly account: string | undefined;
-    /** Request that received the stream's first event. */
-    readonly requestId: string;
-    /** Services that may serve the request. */
+    /** Request that received the stream's first event; undefined if the caller does not name it. */
+    readonly requestId: string | undefined;
+    /** Services that the request's route names or has named since the stream can have begun. */
     readonly services: readonly string[];
     /** Longest time for which a stream of the request's kind can be resumed; milliseconds. */
     readonly lifetimeMs: number;
 }
 
+/** A stream that has begun. */
+export type RecordedStream = Pick<ResumedStream, "account" | "lifetimeMs"> & { readonly requestId: string };
+
 /** Which version began a stream. */
 export type StreamOrigin =
     | { readonly kind: "recorded"; readonly began: ServiceVersion }
-    /** There is no record, but each service has had only one version for as long as the stream can have lasted. */
-    | { readonly kind: "sole"; readonly versions: readonly ServiceVersion[] }
+    /** There is no record, but a single service has had targets for as long as the stream can have lasted, of a single version. */
+    | { readonly kind: "sole"; readonly began: ServiceVersion }
     /** `mayBeKnown`: some routers that may have a record did not reply. */
     | { readonly kind: "unknown"; readonly mayBeKnown: boolean };
 
@@ -63,9 +66,13 @@
 const askedRouters = 4;
 /** Time-out of a query: a round trip takes a few milliseconds; the rest allows for a pause of an event loop. */
 const replyTimeoutMs = 40;
+/** Maximum wait for the history of versions, whose read takes some milliseconds; milliseconds. */
+const historyTimeoutMs = 300;
 /** Maximum number of open queries; further streams count as unknown. */
 const maxPendingQueries = 2_000;
 const keyBytes = 12;
+/** Key of queries for streams whose first request is not named. Differs from all keys of streams, as it is shorter. */
+const unnamedKey = "unnamed";
 /** Time by which one router may see the last target of a version go earlier than another one; milliseconds. */
 const viewLagMs = 10_000;
 
@@ -84,14 +91,18 @@
     private readonly pending = new Map<number, PendingQuery>();
     private lastQueryId = 0;
 
-    private readonly subscription: Disposable;
+    private readonly store = new DisposableStore();
+    /** Called when the history of versions has been read, or on their own timers. */
+    private readonly waiting = new Set<() => void>();
 
     public constructor(private readonly options: StreamVersionsOptions) {
-        this.subscription = options.directory.versions.onDidAdd(service => this.handleAddedVersion(service));
+        const { versions } = options.directory;
+        this.store.add(versions.onDidAdd(service => this.handleAddedVersion(service)));
+        this.store.add(versions.onDidLoadHistory(() => this.waiting.forEach(finish => finish())));
     }
 
     /** Records the version of the target that wrote a stream's first event. `leftMs`: for how long the stream can be resumed. */
-    public record(stream: Omit<ResumedStream, "services">, began: ServiceVersion, leftMs: number): void {
+    public record(stream: RecordedStream, began: ServiceVersion, leftMs: number): void {
         const nowMs = this.options.clock.nowMs();
         const entry = { key: createKey(stream), began, leftMs };
         this.table.record(entry, nowMs);
@@ -102,19 +113,24 @@
         }
     }
 
-    /** Finds out which version began a stream, here or at the routers that may hold its record. */
-    public find(stream: ResumedStream): Promise<StreamOrigin> {
-        const key = createKey(stream);
+    /**
+     * Finds out which version began a stream, here or at the routers that may hold its record. For a stream whose first request is not
+     * named, the other routers only tell which versions they have seen.
+     */
+    public async find(stream: ResumedStream): Promise<StreamOrigin> {
+        const { account, requestId } = stream;
+        const key = requestId === undefined ? unnamedKey : createKey({ account, requestId });
         const known = this.table.find(key, this.options.clock.nowMs());
         if (known !== undefined) {
-            return Promise.resolve(toOrigin(known));
+            return toOrigin(known);
         }
+        await this.waitForHistory();
         const routers = selectRecordHolders(key, this.listOthers(), askedRouters);
         if (this.pending.size >= maxPendingQueries) {
-            return Promise.resolve({ kind: "unknown", mayBeKnown: true });
+            return { kind: "unknown", mayBeKnown: true };
         }
         if (routers.length === 0) {
-            return Promise.resolve(this.resolveOrigin(stream, [], 0));
+            return this.resolveOrigin(stream, [], 0);
         }
         return new Promise(resolve => this.sendQuery(key, stream, routers, resolve));
     }
@@ -141,13 +157,30 @@
     }
 
     public dispose(): void {
-        this.subscription.dispose();
+        this.store.dispose();
         for (const { timer } of this.pending.values()) {
             timer.dispose();
         }
         this.pending.clear();
     }
 
+    /** Waits for the history of versions, which a starting router reads soon after the targets. */
+    private waitForHistory(): Promise<void> {
+        const { directory, setTimer } = this.options;
+        if (directory.versions.hasHistory || this.waiting.size >= maxPendingQueries) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const finish = (): void => {
+                this.waiting.delete(finish);
+                timer.dispose();
+                resolve();
+            };
+            const timer = setTimer(historyTimeoutMs, finish);
+            this.waiting.add(finish);
+        });
+    }
+
     private sendQuery(
         key: string,
         stream: ResumedStream,
@@ -190,20 +223,52 @@
         if (known !== undefined) {
             return toOrigin(known);
         }
-        const { directory } = this.options;
-        const versions = stream.services.map((service, index) =>
-            mergeSeen(service, [
-                directory.versions.findSeen(service, stream.lifetimeMs),
-                ...replies.map(({ seen }) => seen.at(index) ?? incomplete),
-            ]),
-        );
-        const found = versions.filter(version => version !== undefined);
+        const began = this.findOnlyVersion(stream, replies);
         // The router that served the stream may be the only one that had seen its version. With fewer silent routers than hold a record,
         // it or a holder of the record has replied, or the asking router is a holder itself. With more, this router's own view decides.
         const isCovered = silentRouters < recordHolders || this.hasOwnView(stream);
-        return isCovered && found.length === versions.length && found.length > 0
-            ? { kind: "sole", versions: found }
-            : { kind: "unknown", mayBeKnown: silentRouters > 0 };
+        return isCovered && began !== undefined
+            ? { kind: "sole", began }
+            : { kind: "unknown", mayBeKnown: silentRouters > 0 || !this.options.directory.versions.hasHistory };
+    }
+
+    /** The only version of any service that can have begun the stream; undefined if there may be several. */
+    private findOnlyVersion(stream: ResumedStream, replies: readonly StreamReply[]): ServiceVersion | undefined {
+        const possible = stream.services.flatMap((service, index) => {
+            const seen = replies.map(reply => reply.seen.at(index) ?? incomplete);
+            return this.isUnused(service, stream, seen) ? [] : [this.findSole(service, stream, seen)];
+        });
+        return possible.length === 1 ? possible[0] : undefined;
+    }
+
+    /** Whether the service has had no target since the stream can have begun. Replies don't tell that from several versions. */
+    private isUnused(service: string, { lifetimeMs }: ResumedStream, replies: readonly SeenVersions[]): boolean {
+        const { directory, hasFreshView } = this.options;
+        return (
+            hasFreshView() &&
+            directory.versions.isUnused(service, lifetimeMs) &&
+            replies.every(({ kind }) => kind !== "sole")
+        );
+    }
+
+    /**
+     * The only version of the service that any router has seen; undefined if there were several, or no router has seen the whole period.
+     * `replies`: what the other routers have seen.
+     */
+    private findSole(
+        service: string,
+        { lifetimeMs }: ResumedStream,
+        replies: readonly SeenVersions[],
+    ): ServiceVersion | undefined {
+        const { versions } = this.options.directory;
+        const all = [versions.findSeen(service, lifetimeMs), ...replies];
+        const own = versions.listSeen(service, lifetimeMs);
+        const names = new Set([...own, ...all.flatMap(seen => (seen.kind === "sole" ? [seen.version] : []))]);
+        const [version] = names;
+        const isObserved = all.some(({ kind }) => kind === "sole");
+        return isObserved && names.size === 1 && all.every(({ kind }) => kind !== "mixed")
+            ? { service, version }
+            : undefined;
     }
 
     /** Whether this router knows by itself which versions the services have had while the stream can have lasted. */
@@ -266,7 +331,7 @@
 const incomplete: SeenVersions = { kind: "incomplete" };
 
 /** Key of a stream. An account can't find or overwrite the streams of another one. */
-function createKey({ account, requestId }: Pick<ResumedStream, "account" | "requestId">): string {
+function createKey({ account, requestId }: Pick<RecordedStream, "account" | "requestId">): string {
     const digest = createHash("sha256")
         .update(JSON.stringify([account ?? "", requestId]))
         .digest();
@@ -276,10 +341,3 @@
 function toOrigin({ began }: StreamEntry): StreamOrigin {
     return began === undefined ? { kind: "unknown", mayBeKnown: false } : { kind: "recorded", began };
 }
-
-/** The only version of the service that any router has seen; undefined if there were several, or no router has seen the whole period. */
-function mergeSeen(service: string, all: readonly SeenVersions[]): ServiceVersion | undefined {
-    const sole = new Set(all.flatMap(seen => (seen.kind === "sole" ? [seen.version] : [])));
-    const [version] = sole;
-    return sole.size !== 1 || all.some(seen => seen.kind === "mixed") ? undefined : { service, version };
-}
