--- a/test/gateway/streams/movedRoutes.test.ts
+++ b/test/gateway/streams/movedRoutes.test.ts
@@ -63,3 +63,38 @@
         expect(fixture.current.describeStreams(resumed)).toEqual(createRefusals("stream-version-unknown"));
     });
 });
+
+describe("a stream whose route names several services", () => {
+    async function startWithTwoServices(): Promise<void> {
+        const { routes, services, ...others } = createConfiguration(1) as Record<string, readonly { name: string }[]>;
+        const split = [
+            { service: "engines", weight: 9 },
+            { service: "engines-b", weight: 1 },
+        ];
+        const changed = routes.map(route =>
+            route.name === "r-plan" ? { ...route, service: undefined, split } : route,
+        );
+        const added = [...services, { ...services[0], name: "engines-b" }];
+        await fixture.current.startFleet({ v1: 2 }, 2, { ...others, routes: changed, services: added });
+    }
+
+    // A service without targets can't have begun the stream.
+    it.each([true, false])("goes on if only one of them has had targets (named: %s)", async isNamed => {
+        await startWithTwoServices();
+        const streams = await fixture.current.openStreams(streamCount, 0);
+        const lost = streams.map(({ ids, responses }) => ({ ids: [`lost-${ids[0]}`, ...ids], responses }));
+        const resumed = await fixture.current.resumeStreams(lost, 1, isNamed);
+        expect(fixture.current.describeStreams(resumed)).toEqual({ mixed: 0, complete: streamCount, refusals: [] });
+    });
+
+    // Each service has one version, and texts of two services fit together no better than those of two versions.
+    it("is refused without a record if two of them have targets", async () => {
+        await startWithTwoServices();
+        await fixture.current.addVersion("b1", 1, "engines-b");
+        const added = fixture.current.targets[2].instanceId;
+        await waitUntil(() => fixture.current.hasVersion(1, added, "b1"));
+        const streams = await fixture.current.openStreams(streamCount, 0);
+        const resumed = await fixture.current.resumeStreams(streams, 1, false);
+        expect(fixture.current.describeStreams(resumed)).toEqual(createRefusals("stream-version-unknown"));
+    });
+});
