Estimate each engine's speed from its reports and observed first outputs

Cause: a service has one prefill rate for all its engines, so that an engine of half the speed gets as many prompts as a fast one. The load header of engines was only stripped.

Change: the header is decoded (EngineLoad), EngineSpeed keeps a long-term factor and the current report per incarnation, and placement, expected times, the owner's rate, denial waits and plain service times use it. Routers report the slowdown to the owner (code 20) and owners reply with their factor (code 21), to peers that have shown that they decode these.

Result: without a fourth figure in any response of a service all factors are 1 and messages are as before.

--- a/src/decisions/placement/firstTokenModel.ts
+++ b/src/decisions/placement/firstTokenModel.ts
@@ -69,7 +69,8 @@
         return Math.max(0, (this.sumY - this.sumX / this.tokensPerMs) / this.weight);
     }
 
-    public estimateMs(tokens: number): number {
-        return this.fixedMs + tokens / this.tokensPerMs;
+    /** Expected time to the first event; milliseconds. `speedFactor`: time per prompt token at the engine relative to this model. */
+    public estimateMs(tokens: number, speedFactor = 1): number {
+        return this.fixedMs + (tokens * speedFactor) / this.tokensPerMs;
     }
 }
--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -23,6 +23,8 @@
     readonly waitingTokens: number;
     readonly running: number;
     readonly slots: number;
+    /** Time per prompt token at the engine relative to that of the request's {@link PromptRequest.tokensPerMs}. */
+    readonly speedFactor: number;
     /** Whether the engine is assumed to have cached a shared part of a prompt. */
     hasPart(partId: string): boolean;
 }
@@ -112,7 +114,8 @@
         const repeatedPrefillCost =
             missingTokens * (repeatedPrefillFactor - 1) * (candidate === preferred ? 1 - preferredTargetDiscount : 1);
         const costMs =
-            (newTokens + repeatedPrefillCost + (fetch?.tokens ?? 0) * copyFactor) / request.tokensPerMs +
+            ((newTokens + repeatedPrefillCost + (fetch?.tokens ?? 0) * copyFactor) * candidate.speedFactor) /
+                request.tokensPerMs +
             (fetch?.ms ?? 0) +
             computeLoadMs(candidate, request);
         if (costMs < bestCost) {
@@ -126,8 +129,8 @@
 /** Cost of the candidate's load and distance, independent of the parts that it has cached; milliseconds. */
 function computeLoadMs(candidate: PromptCandidate, { tokensPerMs, dataCentre }: PromptRequest): number {
     return (
-        candidate.waitingTokens / tokensPerMs +
-        candidate.running * batchMs +
+        (candidate.waitingTokens * candidate.speedFactor) / tokensPerMs +
+        candidate.running * batchMs * candidate.speedFactor +
         (candidate.running >= candidate.slots ? fullBatchMs : 0) +
         (candidate.dataCentre === dataCentre ? 0 : distanceMs)
     );
--- a/src/gateway/flowOutcomes.ts
+++ b/src/gateway/flowOutcomes.ts
@@ -23,6 +23,10 @@
     readonly fetchedTokens: number | undefined;
     /** Share of the target's prefill time that its owner had granted, including this request; undefined without a grant. */
     readonly engineUse: number | undefined;
+    /** The target's last report of its slowdown; undefined if it never reported one. */
+    readonly slowdown: number | undefined;
+    /** Estimated time per unit of work at the target relative to the usual one when it was selected. */
+    readonly speedFactor: number | undefined;
 }
 
 /** Details of a request's processing, as logged when it ends. */
@@ -64,6 +68,8 @@
         newTokens: selection?.newTokens,
         fetchedTokens: selection?.fetch?.tokens,
         engineUse: selection?.grant?.usage,
+        slowdown: selection?.target.speed.slowdown,
+        speedFactor: selection?.speedFactor,
     };
 }
 
--- a/src/gateway/grants/createGrants.ts
+++ b/src/gateway/grants/createGrants.ts
@@ -4,6 +4,7 @@
 import type { PeerView } from "../peers/peerView.js";
 import { GrantClient, type GrantTransport } from "./grantClient.js";
 import { GrantExchange } from "./grantExchange.js";
+import { GrantSpeeds } from "./grantSpeeds.js";
 import { GrantOwner, type GrantOwnerOptions } from "./grantOwner.js";
 
 /** Dependencies of {@link createGrants}. */
@@ -34,5 +35,5 @@
         clock,
         setTimer,
     });
-    return { client, exchange: new GrantExchange(client, owner, transport) };
+    return { client, exchange: new GrantExchange(client, owner, transport, new GrantSpeeds(options)) };
 }
--- a/src/gateway/grants/grantClient.ts
+++ b/src/gateway/grants/grantClient.ts
@@ -3,10 +3,11 @@
 import type { Disposable } from "../../base/lifecycle.js";
 import type { SetTimer } from "../../base/timers.js";
 import type { PromptBounds } from "../../decisions/admission/promptAdmission.js";
+import type { EngineSpeed } from "../../decisions/placement/engineSpeed.js";
 import type { TargetOwners } from "../../decisions/placement/targetOwners.js";
 import type { Target } from "../target.js";
 import type { RequestHead } from "../wire.js";
-import type { GrantMessage, GrantProgress, GrantReply, GrantRequest } from "./grantMessage.js";
+import type { GrantMessage, GrantProgress, GrantReply, GrantReport, GrantRequest } from "./grantMessage.js";
 import type { GrantOwner } from "./grantOwner.js";
 
 /** A prompt for which a grant is requested, and the limits that apply to it. */
@@ -62,6 +63,7 @@
     readonly ownerId: string;
     readonly targetHash: number;
     readonly timer: Disposable;
+    readonly speed: EngineSpeed;
     readonly handleOutcome: (outcome: GrantOutcome) => void;
 }
 
@@ -70,11 +72,17 @@
  * milliseconds; the rest allows for a pause of the owner's event loop, and is a small part of usual latency objectives.
  */
 const replyTimeoutMs = 40;
+/** Time between two reports with a slowdown to an owner that has not shown that it decodes them. */
+const probePeriodMs = 1_000;
 
 /** Requests grants from the owners of engines. */
 export class GrantClient implements Disposable {
     private readonly pending = new Map<number, PendingDemand>();
     private lastGrantId = 0;
+    /** Owners whose last reply had a speed factor, and which so decode a slowdown in reports. */
+    private readonly decodingOwners = new Set<string>();
+    /** When other owners were last sent a report with a slowdown. */
+    private readonly probedAtMs = new Map<string, number>();
 
     public constructor(private readonly options: GrantClientOptions) {}
 
@@ -82,9 +90,10 @@
     public submit(demand: GrantDemand, handleOutcome: (outcome: GrantOutcome) => void): void {
         const { ownId, owners, localOwner, transport, clock, setTimer } = this.options;
         const request = this.createRequest(demand, false);
+        const { speed } = demand.target;
         const ownerId = owners.find(request.targetHash, clock.nowMs());
         if (ownerId === ownId) {
-            handleOutcome(this.createOutcome(localOwner.check(ownId, request), request, ownId));
+            handleOutcome(this.createOutcome(localOwner.check(ownId, request), { ...request, speed }, ownId));
         } else if (ownerId === undefined || !transport.send(ownerId, request)) {
             handleOutcome({ kind: "unanswered" });
         } else {
@@ -93,6 +102,7 @@
                 ownerId,
                 targetHash: request.targetHash,
                 timer,
+                speed,
                 handleOutcome,
             });
         }
@@ -111,7 +121,7 @@
         } else if (ownerId === undefined || !transport.send(ownerId, request)) {
             return undefined;
         }
-        return this.createGrant(request, ownerId, 0);
+        return this.createGrant({ ...request, speed: demand.target.speed }, ownerId, 0);
     }
 
     /** Applies a reply. Only the first reply of the router that the request was sent to has an effect on the request. */
@@ -122,6 +132,11 @@
             return;
         }
         this.pending.delete(reply.grantId);
+        if (reply.speedFactor === undefined) {
+            this.decodingOwners.delete(senderId);
+        } else {
+            this.decodingOwners.add(senderId);
+        }
         pending.timer.dispose();
         pending.handleOutcome(this.createOutcome(reply, pending, senderId));
     }
@@ -142,7 +157,7 @@
         this.pending.delete(grantId);
         owners.recordTimeout(pending.ownerId, clock.nowMs());
         // A slow owner may still grant the request, which would take capacity from other requests until the grant expires.
-        this.createGrant({ grantId, targetHash: pending.targetHash }, pending.ownerId, 0).report("not-run");
+        this.createGrant({ ...pending, grantId }, pending.ownerId, 0).report("not-run");
         pending.handleOutcome({ kind: "unanswered" });
     }
 
@@ -171,7 +186,11 @@
         };
     }
 
-    private createOutcome(reply: GrantReply, request: Pick<GrantRequest, "targetHash">, ownerId: string): GrantOutcome {
+    private createOutcome(
+        reply: GrantReply,
+        request: Pick<PendingDemand, "targetHash" | "speed">,
+        ownerId: string,
+    ): GrantOutcome {
         if (!reply.isTargetKnown) {
             return { kind: "unanswered" };
         }
@@ -185,11 +204,11 @@
     }
 
     private createGrant(
-        { grantId, targetHash }: Pick<GrantRequest, "grantId" | "targetHash">,
+        { grantId, targetHash, speed }: Pick<GrantRequest, "grantId" | "targetHash"> & Pick<PendingDemand, "speed">,
         ownerId: string,
         usage: number,
     ): Grant {
-        const { ownId, incarnation, localOwner, transport } = this.options;
+        const { ownId, incarnation, localOwner } = this.options;
         return {
             usage,
             report: progress => {
@@ -197,9 +216,30 @@
                 if (ownerId === ownId) {
                     localOwner.applyReport(ownId, report);
                 } else {
-                    transport.send(ownerId, report);
+                    this.sendReport(ownerId, report, speed);
                 }
             },
         };
     }
+
+    /**
+     * Sends a report with the engine's slowdown if the owner decodes it. A router of an earlier version drops such a report, and would count
+     * the request as running until it expires; an owner that has not shown its version is sent the report without the slowdown, and once in
+     * a while a second time with it.
+     */
+    private sendReport(ownerId: string, report: GrantReport, speed: EngineSpeed): void {
+        const { transport, clock } = this.options;
+        const nowMs = clock.nowMs();
+        const slowdown = report.progress === "not-run" ? undefined : speed.findRecentSlowdown(nowMs);
+        if (slowdown !== undefined && this.decodingOwners.has(ownerId)) {
+            transport.send(ownerId, { ...report, slowdown });
+            return;
+        }
+        transport.send(ownerId, report);
+        const probedAtMs = this.probedAtMs.get(ownerId) ?? Number.NEGATIVE_INFINITY;
+        if (slowdown !== undefined && report.progress === "started" && nowMs - probedAtMs >= probePeriodMs) {
+            this.probedAtMs.set(ownerId, nowMs);
+            transport.send(ownerId, { ...report, slowdown });
+        }
+    }
 }
--- a/src/gateway/grants/grantExchange.ts
+++ b/src/gateway/grants/grantExchange.ts
@@ -1,6 +1,7 @@
 import type { GrantClient, GrantTransport } from "./grantClient.js";
 import type { GrantMessage } from "./grantMessage.js";
 import type { GrantOwner } from "./grantOwner.js";
+import type { GrantSpeeds } from "./grantSpeeds.js";
 
 /** Dispatches messages about grants: replies to the client, requests and reports to the owner. */
 export class GrantExchange {
@@ -8,6 +9,7 @@
         private readonly client: GrantClient,
         private readonly owner: GrantOwner,
         private readonly transport: GrantTransport,
+        private readonly speeds: GrantSpeeds,
     ) {}
 
     /** `senderId`: id of a known router. */
@@ -16,10 +18,11 @@
             this.client.applyReply(senderId, message);
         } else if (message.kind === "report") {
             this.owner.applyReport(senderId, message);
+            this.speeds.applyReport(senderId, message);
         } else {
             const reply = this.owner.check(senderId, message);
             if (!message.isUnconditional) {
-                this.transport.send(senderId, reply);
+                this.transport.send(senderId, this.speeds.completeReply(senderId, message, reply));
             }
         }
     }
--- a/src/gateway/grants/grantMessage.ts
+++ b/src/gateway/grants/grantMessage.ts
@@ -1,6 +1,7 @@
 import { Decoder, Encoder } from "@msgpack/msgpack";
 import { err, ok, type Result } from "neverthrow";
 import { LynxarchError } from "../../base/errors.js";
+import { slowdownBounds } from "../../decisions/placement/engineSpeed.js";
 import { isCount, isNonEmptyString } from "../wireValues.js";
 import type { PromptPart } from "../wire.js";
 
@@ -60,6 +61,8 @@
     readonly maxUsage: number;
     /** Time until a similar request could be granted; milliseconds. */
     readonly retryAfterMs: number;
+    /** Time per prompt token at the engine relative to the service's model; undefined if the owner does not estimate it. */
+    readonly speedFactor?: number;
 }
 
 /** Progress of a granted request. */
@@ -72,16 +75,23 @@
     readonly incarnation: number;
     readonly targetHash: number;
     readonly progress: GrantProgress;
+    /** The engine's last report of how long its work takes, relative to the usual time; undefined if unknown. */
+    readonly slowdown?: number;
 }
 
 /** Any message about grants between routers. */
 export type GrantMessage = GrantRequest | GrantReply | GrantReport;
 
-/** Each code identifies the format version and the kind of message. Other versions use other codes, and their messages are dropped. */
-const codes = { request: 17, reply: 18, report: 19 } as const;
+/**
+ * Each code identifies the format version and the kind of message. Other versions use other codes, and their messages are dropped.
+ * Reports with a slowdown and replies with a speed factor are one element longer than those without.
+ */
+const codes = { request: 17, reply: 18, report: 19, reportWithSlowdown: 20, replyWithSpeed: 21 } as const;
 const progressCodes: readonly GrantProgress[] = ["started", "ended", "not-run"];
 /** Maximum number of shared parts in a message. Prompts have only a few; more would only make the message large. */
 const maxParts = 32;
+/** Slowdowns and speed factors are sent in whole percent. */
+const percentScale = 100;
 /** Fractions are sent as whole thousandths. */
 const usageScale = 1_000;
 
@@ -96,7 +106,7 @@
 
 /** Whether a datagram holds a message about a grant. Checks only its first two bytes: an array whose first entry is one of the codes. */
 export function isGrantDatagram(data: Uint8Array): boolean {
-    return data.length > 1 && (data[0] & 0xf0) === 0x90 && data[1] >= codes.request && data[1] <= codes.report;
+    return data.length > 1 && (data[0] & 0xf0) === 0x90 && data[1] >= codes.request && data[1] <= codes.replyWithSpeed;
 }
 
 /** Encodes a message in MessagePack (https://msgpack.org). */
@@ -139,7 +149,7 @@
             ];
         case "reply":
             return [
-                codes.reply,
+                message.speedFactor === undefined ? codes.reply : codes.replyWithSpeed,
                 message.grantId,
                 message.isTargetKnown,
                 message.granted,
@@ -148,14 +158,16 @@
                 Math.round(message.usage * usageScale),
                 Math.round(message.maxUsage * usageScale),
                 Math.ceil(message.retryAfterMs),
+                ...encodePercent(message.speedFactor),
             ];
         case "report":
             return [
-                codes.report,
+                message.slowdown === undefined ? codes.report : codes.reportWithSlowdown,
                 message.grantId,
                 message.incarnation,
                 message.targetHash,
                 progressCodes.indexOf(message.progress),
+                ...encodePercent(message.slowdown),
             ];
     }
 }
@@ -168,6 +180,16 @@
             return wire.length === replyLength ? decodeReply(wire) : undefined;
         case codes.report:
             return wire.length === reportLength ? decodeReport(wire) : undefined;
+        case codes.reportWithSlowdown: {
+            const slowdown = wire.length === reportLength + 1 ? decodePercent(wire[reportLength]) : undefined;
+            const report = slowdown === undefined ? undefined : decodeReport(wire);
+            return report === undefined || slowdown === undefined ? undefined : { ...report, slowdown };
+        }
+        case codes.replyWithSpeed: {
+            const speedFactor = wire.length === replyLength + 1 ? decodePercent(wire[replyLength]) : undefined;
+            const reply = speedFactor === undefined ? undefined : decodeReply(wire);
+            return reply === undefined || speedFactor === undefined ? undefined : { ...reply, speedFactor };
+        }
         default:
             return undefined;
     }
@@ -247,6 +269,16 @@
     return progress === undefined ? undefined : { kind: "report", grantId, incarnation, targetHash, progress };
 }
 
+function encodePercent(ratio: number | undefined): readonly number[] {
+    return ratio === undefined ? [] : [Math.round(ratio * percentScale)];
+}
+
+/** Decodes a ratio in whole percent. Returns undefined for anything else, and for an absurd ratio. */
+function decodePercent(value: unknown): number | undefined {
+    const ratio = isCount(value) ? value / percentScale : 0;
+    return ratio >= slowdownBounds.min && ratio <= slowdownBounds.max ? ratio : undefined;
+}
+
 /** Decodes a flat list of id and token count pairs. Returns undefined for anything else. */
 function decodeParts(value: unknown): readonly PromptPart[] | undefined {
     if (!Array.isArray(value) || value.length > maxParts * 2 || value.length % 2 !== 0) {
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -50,6 +50,7 @@
             return createLeavingReply(request);
         }
         const nowMs = this.options.clock.nowMs();
+        target.updateSpeed(nowMs);
         const rate = this.createRate(target);
         const newTokens = countNewTokens(target, request);
         const prefill = {
@@ -99,10 +100,11 @@
         return engine;
     }
 
-    private createRate({ entry }: Target): EngineRate {
+    /** The engine's own rate: that of the service's model, divided by the factor of the engine. */
+    private createRate({ entry, speedFactor }: Target): EngineRate {
         const { firstTokenModels, prefillShares } = this.options;
         return {
-            tokensPerMs: firstTokenModels.getOrCreate(entry.service).prefillTokensPerMs,
+            tokensPerMs: firstTokenModels.getOrCreate(entry.service).prefillTokensPerMs / speedFactor,
             slots: entry.slots,
             readingShare: prefillShares.getOrCreate(entry.service).current,
         };
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -237,12 +237,14 @@
     private applyReply(selection: Selection, { newTokens, queuedTokens }: GrantReply): Selection {
         const model = this.options.context.firstTokenModels.getOrCreate(selection.service.name);
         const fetchMs = selection.fetch?.ms ?? 0;
+        const { speedFactor } = selection.target;
         return {
             ...selection,
             newTokens,
             tokensAhead: queuedTokens + newTokens,
-            expectedMs: fetchMs + model.estimateMs(queuedTokens + newTokens),
-            unloadedMs: fetchMs + model.estimateMs(newTokens),
+            expectedMs: fetchMs + model.estimateMs(queuedTokens + newTokens, speedFactor),
+            unloadedMs: fetchMs + model.estimateMs(newTokens, speedFactor),
+            speedFactor,
         };
     }
 
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -90,6 +90,8 @@
         newTokens: end.newTokens,
         fetchedTokens: end.fetchedTokens,
         engineUse: toRatio(end.engineUse),
+        slowdown: toRatio(end.slowdown),
+        speedFactor: toRatio(end.speedFactor),
         recordRemovedForMs: toRounded(end.recordRemovedForMs),
         readingShare: toRatio(end.readingShare),
         objectiveMs: end.objectiveMs,
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -5,6 +5,7 @@
 import type { TargetAvailability } from "../decisions/health/targetAvailability.js";
 import type { AvailabilityRegistry, TargetIncarnation } from "../decisions/health/availabilityRegistry.js";
 import { ColdLimiter } from "../decisions/limits/coldLimit.js";
+import type { EngineSpeed, ServiceSpeeds } from "../decisions/placement/engineSpeed.js";
 import { CachedParts } from "../decisions/placement/cachedParts.js";
 import type { PromptCandidate } from "../decisions/placement/promptPlacement.js";
 import type { ServiceConfiguration } from "./configuration.js";
@@ -66,8 +67,11 @@
     public removal: RecordRemoval | undefined;
     /** Monotonic time at which this router first read the record of the current incarnation; milliseconds. */
     public incarnationSeenAtMs = Number.NEGATIVE_INFINITY;
+    /** Estimated time per prompt token relative to the service's model, as of the last {@link updateSpeed}. */
+    public speedFactor = 1;
     private currentEntry: TargetEntry;
     private currentAvailability: TargetAvailability;
+    private currentSpeed: EngineSpeed;
 
     public constructor(
         entry: TargetEntry,
@@ -75,8 +79,10 @@
         random: Random,
         limits: ConnectionLimits,
         private readonly availabilities: AvailabilityRegistry,
+        private readonly speeds: ServiceSpeeds,
     ) {
         this.currentEntry = entry;
+        this.currentSpeed = speeds.createEngine();
         this.idHash = hashFast(entry.id);
         this.currentAvailability = availabilities.find(this.incarnation);
         this.connections = new TargetConnections(entry.address, limits);
@@ -93,12 +99,19 @@
         return this.currentAvailability;
     }
 
+    /** Estimated speed of the current incarnation. */
+    public get speed(): EngineSpeed {
+        return this.currentSpeed;
+    }
+
     /** Applies a newer record of the same target, which may have restarted. */
     public applyEntry(entry: TargetEntry): void {
         const hasRestarted = entry.startedAtMs !== this.currentEntry.startedAtMs;
         this.currentEntry = entry;
         if (hasRestarted) {
             this.currentAvailability = this.availabilities.find(this.incarnation);
+            this.speeds.removeEngine(this.currentSpeed);
+            this.currentSpeed = this.speeds.createEngine();
         }
     }
 
@@ -124,12 +137,18 @@
         return Math.max(this.ownWaitingTokens + this.peerLoad.waitingTokens, this.ownerReportedTokens);
     }
 
+    /** Updates {@link speedFactor} to the current time. */
+    public updateSpeed(nowMs: number): void {
+        this.speedFactor = this.speed.estimate(nowMs).factor;
+    }
+
     /**
-     * Projects the owner's report to the current time: tokens queued then have been prefilled at the given speed since. While the owner
-     * denies such requests, the time until the target has capacity counts as a queue.
+     * Projects the owner's report to the current time: tokens queued then have been prefilled since, at the service's speed divided by
+     * {@link speedFactor}. While the owner denies such requests, the time until the target has capacity counts as a queue.
      */
-    public updateWaitingTokens(tokensPerMs: number, maxUsage: number, nowMs: number): void {
+    public updateWaitingTokens(serviceTokensPerMs: number, maxUsage: number, nowMs: number): void {
         const { ownerReport } = this;
+        const tokensPerMs = serviceTokensPerMs / this.speedFactor;
         const remainingTokens =
             ownerReport === undefined ? 0 : ownerReport.queuedTokens - (nowMs - ownerReport.atMs) * tokensPerMs;
         this.ownerReportedTokens = Math.max(
@@ -145,6 +164,10 @@
     public applyGrantReply(reply: GrantReply, nowMs: number): void {
         const { maxUsage } = reply;
         const granted = reply.granted ? reply.newTokens : 0;
+        if (reply.speedFactor !== undefined) {
+            this.speed.observeOwner(reply.speedFactor, nowMs);
+            this.updateSpeed(nowMs);
+        }
         this.ownerReport = { queuedTokens: reply.queuedTokens + granted, atMs: nowMs };
         const replacesDenial = maxUsage >= (this.denial?.maxUsage ?? 0) || nowMs >= (this.denial?.untilMs ?? 0);
         if (!reply.granted && replacesDenial) {
@@ -216,6 +239,7 @@
     }
 
     public dispose(): void {
+        this.speeds.removeEngine(this.currentSpeed);
         this.connections.dispose();
     }
 }
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -6,9 +6,11 @@
 import type { Random } from "../base/random.js";
 import { AvailabilityRegistry } from "../decisions/health/availabilityRegistry.js";
 import type { RecordExpiryPolicy } from "../decisions/health/recordExpiryPolicy.js";
+import { ServiceSpeeds } from "../decisions/placement/engineSpeed.js";
 import type { LeavingSource, TargetAvailability } from "../decisions/health/targetAvailability.js";
 import type { GatewayConfiguration, ServiceConfiguration } from "./configuration.js";
 import type { FleetChange, TargetEntry } from "./fleetSource.js";
+import { LazyMap } from "./lazyMap.js";
 import type { LeavingTarget } from "./peers/peerMessage.js";
 import { RecordRemovalTracker } from "./recordRemovalTracker.js";
 import { TargetVersions } from "./streams/targetVersions.js";
@@ -23,7 +25,7 @@
 /** A signal that a target sent in a response, for the metrics. */
 export interface ReceivedSignal {
     readonly service: string;
-    readonly kind: "leaving" | "pause" | "unreadable-pause";
+    readonly kind: "leaving" | "pause" | "unreadable-pause" | "load-ignored";
 }
 
 /** Options of a {@link TargetDirectory}. */
@@ -44,6 +46,7 @@
     private readonly dataCentresOut = new Set<string>();
     private readonly availabilities = new AvailabilityRegistry();
     private readonly signalEmitter = new Emitter<ReceivedSignal>();
+    private readonly speeds = new LazyMap(() => new ServiceSpeeds());
     private services: ReadonlyMap<string, ServiceConfiguration> = new Map();
     /** Versions of each service's targets, and those of targets that are gone. */
     public readonly versions: TargetVersions;
@@ -158,9 +161,11 @@
         }
     }
 
-    /** Records the signals of an incarnation of a target, sent with any response, on whether it accepts requests. */
-    public observeSignals(target: Target, availability: TargetAvailability, { isLeaving, pause }: TargetSignals): void {
+    /** Records the signals of an incarnation of a target, sent with any response: whether it accepts requests, and its load. */
+    public observeSignals(target: Target, availability: TargetAvailability, signals: TargetSignals): void {
+        const { isLeaving, pause } = signals;
         const { service } = target.entry;
+        this.observeLoad(target, availability, signals);
         if (isLeaving) {
             this.recordLeaving(availability, target.id, "answer");
             this.signalEmitter.fire({ service, kind: "leaving" });
@@ -173,6 +178,11 @@
         }
     }
 
+    /** Whether an engine of the service has reported how long work takes, so that each engine's speed is estimated. */
+    public hasSpeedReports(service: string): boolean {
+        return this.speeds.getOrCreate(service).hasReports;
+    }
+
     /** Removes a target whose address now belongs to another target, whatever the state of its entry. */
     public removeReassigned(target: Target): void {
         this.options.logger.write("info", "target removed: its address belongs to another target", {
@@ -192,6 +202,20 @@
         this.byService.clear();
     }
 
+    private observeLoad(
+        target: Target,
+        availability: TargetAvailability,
+        { load, hasInvalidLoad }: TargetSignals,
+    ): void {
+        const { service } = target.entry;
+        const isOfEarlierStart = availability !== target.availability;
+        if (load?.slowdown !== undefined && !isOfEarlierStart) {
+            target.speed.observeReport(load.slowdown, this.options.clock.nowMs());
+        } else if (hasInvalidLoad === true || load?.slowdown !== undefined) {
+            this.signalEmitter.fire({ service, kind: "load-ignored" });
+        }
+    }
+
     private recordLeaving(availability: TargetAvailability, target: string | undefined, source: LeavingSource): void {
         const atMs = this.options.clock.nowMs();
         if (availability.recordLeaving({ source, atMs })) {
@@ -289,6 +313,7 @@
             random,
             connectionLimits,
             this.availabilities,
+            this.speeds.getOrCreate(entry.service),
         );
         target.incarnationSeenAtMs = this.options.clock.nowMs();
         this.setCold(target, entry.coldLeftMs);
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -27,6 +27,8 @@
     readonly expectedMs: number;
     /** Expected time at a target without other load; milliseconds. */
     readonly unloadedMs: number;
+    /** Estimated time per unit of work at the target relative to the usual one; 1 while no target of the service reports its own. */
+    readonly speedFactor: number;
     /** Grant of the target's owner; undefined for plain services and if the owner did not reply. */
     readonly grant: Grant | undefined;
 }
@@ -156,7 +158,10 @@
         const shared = head.promptParts.slice(0, -1);
         const preferred = findPreferredTarget(candidates, shared[shared.length - 1]?.id);
         const compared = pickCandidates(candidates, preferred, shared, this.context.random);
-        compared.forEach(target => target.updateWaitingTokens(model.tokensPerMs, maxUsage, nowMs));
+        compared.forEach(target => {
+            target.updateSpeed(nowMs);
+            target.updateWaitingTokens(model.tokensPerMs, maxUsage, nowMs);
+        });
         const idle = compared.reduce((count, target) => count + (target.waitingTokens === 0 ? 1 : 0), 0);
         this.context.idleShares.getOrCreate(service.name).observe(idle, compared.length, nowMs);
         const placement = choosePromptPlacement(compared, request, this.listSources(service), preferred);
@@ -164,14 +169,16 @@
             return undefined;
         }
         const fetchMs = placement.fetch?.ms ?? 0;
+        const { speedFactor } = placement.candidate;
         return {
             target: placement.candidate,
             service,
             fetch: placement.fetch,
             newTokens: placement.newTokens,
             tokensAhead: placement.tokensAhead,
-            expectedMs: fetchMs + model.estimateMs(placement.tokensAhead),
-            unloadedMs: fetchMs + model.estimateMs(placement.newTokens),
+            expectedMs: fetchMs + model.estimateMs(placement.tokensAhead, speedFactor),
+            unloadedMs: fetchMs + model.estimateMs(placement.newTokens, speedFactor),
+            speedFactor,
             grant: undefined,
         };
     }
@@ -186,7 +193,8 @@
     }
 
     private selectPlain(service: ServiceConfiguration, candidates: readonly Target[]): Selection | undefined {
-        const { random, settings } = this.context;
+        const { random, settings, clock } = this.context;
+        const nowMs = clock.nowMs();
         const views = candidates.map(target => ({
             target,
             agentId: target.id,
@@ -195,7 +203,7 @@
             window: target.slots * plainRequestsPerSlot,
             load: target.running,
             ownWaiting: 0,
-            serviceTimeMs: target.serviceTimeMs,
+            serviceTimeMs: target.serviceTimeMs * target.speed.estimate(nowMs).reportRatio,
             hasCachedPrefix: false,
         }));
         const request = { affinityHash: undefined, promptTokens: 0, dataCentre: settings.dataCentre };
@@ -213,6 +221,7 @@
             tokensAhead: 0,
             expectedMs,
             unloadedMs: 0,
+            speedFactor: chosen.target.speed.estimate(nowMs).reportRatio,
             grant: undefined,
         };
     }
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -1,3 +1,4 @@
+import { computeUsualMs, type EngineSpeed, type SpeedEstimate } from "../decisions/placement/engineSpeed.js";
 import type { AttemptOutcome, StopReason, NotExecutedReason } from "./attempt.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { RoutedRequest } from "./routedRequest.js";
@@ -32,6 +33,9 @@
     private readonly sendId: string;
     private readonly figures: RoutedRequest["figures"];
     private readonly route: string;
+    /** Of the incarnation that the request is sent to. */
+    private readonly speed: EngineSpeed;
+    private readonly speedEstimate: SpeedEstimate;
 
     /** Use {@link openTargetSend}, which checks whether the request may be sent. */
     public constructor({ context, selection, routed, sendId, outputTokens }: TargetSendOptions) {
@@ -42,6 +46,8 @@
         this.route = routed.route.name;
         const { target, newTokens } = selection;
         this.startedAtMs = context.clock.nowMs();
+        this.speed = target.speed;
+        this.speedEstimate = this.speed.estimate(this.startedAtMs);
         target.ownRunning += 1;
         target.ownWaitingTokens += newTokens;
         target.cold.recordSend(this.startedAtMs);
@@ -66,10 +72,12 @@
         grant?.report("started");
         target.circuit.observeFirstOutput();
         if (tokensAhead > 0) {
-            const tookMs = this.context.clock.nowMs() - this.startedAtMs - (fetch?.ms ?? 0);
-            this.context.firstTokenModels
-                .getOrCreate(service.name)
-                .observe(tokensAhead, newTokens, Math.max(0, tookMs));
+            const nowMs = this.context.clock.nowMs();
+            const tookMs = Math.max(0, nowMs - this.startedAtMs - (fetch?.ms ?? 0));
+            const model = this.context.firstTokenModels.getOrCreate(service.name);
+            const sample = { tookMs, fixedMs: model.fixedMs, prefillMs: tokensAhead / model.tokensPerMs };
+            this.speed.observeFirstOutput(sample, this.speedEstimate, nowMs);
+            model.observe(tokensAhead, newTokens, computeUsualMs(sample, this.speedEstimate));
         }
     }
 
@@ -112,7 +120,10 @@
         const { target, tokensAhead } = this.selection;
         target.circuit.observeSuccess();
         if (tokensAhead === 0) {
-            target.observeServiceTime(this.context.clock.nowMs() - this.startedAtMs);
+            const nowMs = this.context.clock.nowMs();
+            const tookMs = nowMs - this.startedAtMs;
+            this.speed.observeServiceTime(tookMs, target.serviceTimeMs, this.speedEstimate);
+            target.observeServiceTime(tookMs / this.speedEstimate.reportRatio);
         }
     }
 
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -35,12 +35,25 @@
     readonly fetchFrom: string | undefined;
 }
 
-/** Signals in a target's response about whether it accepts further requests. */
+/** A target's report of its own load. */
+export interface EngineLoad {
+    readonly running: number;
+    readonly waiting: number;
+    readonly slots: number;
+    /** Time that work takes at this moment relative to the usual time; undefined if the report has none, or a malformed or absurd one. */
+    readonly slowdown?: number;
+}
+
+/** Signals in a target's response about whether it accepts further requests, and its report of its load. */
 export interface TargetSignals {
     /** The target is leaving. */
     readonly isLeaving: boolean;
     /** How long this router must send no further requests to the target. */
     readonly pause: RetryAfter;
+    /** Undefined if the response has no report, or a malformed one. */
+    readonly load?: EngineLoad;
+    /** Set if the response has a report that is malformed as a whole, or whose slowdown is malformed or out of bounds. */
+    readonly hasInvalidLoad?: boolean;
 }
 
 /** The decoded headers of a target's response. */
--- a/test/decisions/placement/promptPlacement.test.ts
+++ b/test/decisions/placement/promptPlacement.test.ts
@@ -19,6 +19,7 @@
         idHash: hashFast(id),
         dataCentre: "a",
         waitingTokens: 0,
+        speedFactor: 1,
         running: 0,
         slots: 64,
         parts,
