--- a/src/decisions/placement/candidateSample.ts
+++ b/src/decisions/placement/candidateSample.ts
@@ -5,12 +5,20 @@
  * engines, all routers would choose the engine that was reported idle. The best of a few random engines is nearly as good a choice and
  * distributes the prompts (power of two choices; Mitzenmacher, 2001, and with old information, 2000). Engines that have cached the
  * prompt's first shared part are always compared, and so is the preferred target of the shared part, where it is prefilled first.
+ *
+ * Engines of known different speeds are drawn in proportion to their speeds: drawn evenly, a third of the samples of six engines of which
+ * two are fast would have slow ones only, and the slow ones would get more prompts than they can prefill while the fast ones are idle.
  */
 import type { Random } from "../../base/random.js";
 import type { PlacedPart, PromptCandidate } from "./promptPlacement.js";
 
 /** Number of engines drawn at random, with replacement. */
 const drawnEngines = 3;
+/**
+ * The same among engines of different speeds. With three of six engines a sample had no fast one in a seventh of the cases even if drawn by
+ * speed, and no engine outside a slowdown in more.
+ */
+const drawnUnevenEngines = 4;
 
 /** Selects the engines to compare. `preferred`: the preferred target of the prompt's shared part while no engine has cached it. */
 export function pickCandidates<T extends PromptCandidate>(
@@ -24,8 +32,24 @@
     if (preferred !== undefined) {
         picked.add(preferred);
     }
-    for (let drawn = 0; drawn < Math.min(drawnEngines, candidates.length); drawn++) {
-        picked.add(candidates[Math.floor(random.next() * candidates.length)]);
+    const isUneven = candidates.some(candidate => candidate.speedFactor !== 1);
+    const draw = isUneven ? createWeightedDraw(candidates, random) : createDraw(candidates, random);
+    const count = Math.min(isUneven ? drawnUnevenEngines : drawnEngines, candidates.length);
+    for (let drawn = 0; drawn < count; drawn++) {
+        picked.add(draw());
     }
     return [...picked];
 }
+
+function createDraw<T>(candidates: readonly T[], random: Random): () => T {
+    return () => candidates[Math.floor(random.next() * candidates.length)];
+}
+
+/** Draws engines in proportion to their speeds. */
+function createWeightedDraw<T extends PromptCandidate>(candidates: readonly T[], random: Random): () => T {
+    const totalSpeed = candidates.reduce((sum, candidate) => sum + 1 / candidate.speedFactor, 0);
+    return () => {
+        let point = random.next() * totalSpeed;
+        return candidates.find(candidate => (point -= 1 / candidate.speedFactor) < 0) ?? candidates[0];
+    };
+}
--- a/src/decisions/placement/engineSpeed.ts
+++ b/src/decisions/placement/engineSpeed.ts
@@ -12,9 +12,8 @@
  *
  * Bounds: engines of one service are of similar kinds, so that an observed factor beyond a ratio of four is an error of measurement.
  */
+import { slowdownBounds } from "../../base/slowdown.js";
 
-/** Bounds of a reported slowdown, and of the whole factor; a figure beyond them is absurd. */
-export const slowdownBounds = { min: 0.1, max: 20 } as const;
 /** Bounds of the long-term factor. */
 const observedBounds = { min: 0.25, max: 4 } as const;
 /** Bounds of a single observation, which may be wrong by the queue that was assumed. */
@@ -35,6 +34,8 @@
 const errorDecay = 0.99;
 /** Squared reported change that counts as predicted rightly in addition to those observed: two observations during a slowdown of 2.5. */
 const priorReportSquare = 1.7;
+/** Weight of the owner's first factor in the mean of its factors; milliseconds. */
+const firstOwnerMs = 200;
 /** Weight of the owner's factors beside this router's own observations, as a number of observations. */
 const ownerObservations = 4;
 
@@ -106,11 +107,13 @@
 export class EngineSpeed {
     private observations = 0;
     private log = 0;
-    private report: LoggedFactor | undefined;
+    private report: (LoggedFactor & { readonly slowdown: number }) | undefined;
     private reportMeanSum = 0;
     private reportMeanWeight = usualReportMs;
     private ownerFactor: LoggedFactor | undefined;
     private ownerMean = 0;
+    /** Time that {@link ownerMean} covers; milliseconds. */
+    private ownerMs = firstOwnerMs;
     private observedAtMs = Number.NEGATIVE_INFINITY;
     private errorWithReport = 0;
     private errorWithoutReport = 0;
@@ -135,7 +138,7 @@
 
     /** The last reported slowdown; undefined without a report. */
     public get slowdown(): number | undefined {
-        return this.report === undefined ? undefined : Math.exp(this.report.log);
+        return this.report?.slowdown;
     }
 
     /** The last reported slowdown while it still says something of the present: it is younger than its half-life. */
@@ -145,21 +148,22 @@
 
     /** Records the engine's report of how long work takes at this moment; 1 is usual. */
     public observeReport(slowdown: number, nowMs: number): void {
-        const log = Math.log(clamp(slowdown, slowdownBounds));
+        const bounded = toBounded(slowdown, slowdownBounds);
+        const log = Math.log(bounded);
         const gapMs = this.report === undefined ? 0 : Math.min(maxReportGapMs, nowMs - this.report.atMs);
         const decay = Math.exp(-gapMs / reportMeanMs);
         this.reportMeanSum = this.reportMeanSum * decay + log * reportMeanMs * (1 - decay);
         this.reportMeanWeight = this.reportMeanWeight * decay + reportMeanMs * (1 - decay);
-        this.report = { log, atMs: nowMs };
+        this.report = { slowdown: bounded, log, atMs: nowMs };
         this.service.recordReport();
     }
 
     /** Records the factor that the engine's owner replied with. */
     public observeOwner(factor: number, nowMs: number): void {
-        const log = Math.log(clamp(factor, slowdownBounds));
+        const log = Math.log(toBounded(factor, slowdownBounds));
         const gapMs = this.ownerFactor === undefined ? 0 : Math.min(maxReportGapMs, nowMs - this.ownerFactor.atMs);
-        const isFirst = this.ownerFactor === undefined;
-        this.ownerMean += (log - this.ownerMean) * (isFirst ? 1 : 1 - Math.exp(-gapMs / maxReportGapMs));
+        this.ownerMs = Math.min(reportMeanMs, this.ownerMs + gapMs);
+        this.ownerMean += this.ownerFactor === undefined ? log : (log - this.ownerMean) * (gapMs / this.ownerMs);
         this.ownerFactor = { log, atMs: nowMs };
         this.service.recordReport();
     }
@@ -170,7 +174,7 @@
             return;
         }
         const ratio = (sample.tookMs - sample.fixedMs) / sample.prefillMs;
-        const observed = Math.log(clamp(ratio, observationBounds));
+        const observed = Math.log(toBounded(ratio, observationBounds));
         // A short prompt's time consists mostly of the fixed part and shows little of the engine's speed.
         const weight = sample.prefillMs / (sample.prefillMs + sample.fixedMs);
         this.observeErrors(observed - this.longTermLog, estimate.reportShift, weight);
@@ -188,7 +192,7 @@
     /** Records the duration of a plain request; `usualMs`: its usual duration at this target. */
     public observeServiceTime(tookMs: number, usualMs: number, estimate: SpeedEstimate): void {
         if (this.service.hasReports && usualMs > 0) {
-            this.observeErrors(Math.log(clamp(tookMs / usualMs, observationBounds)), estimate.reportShift, 1);
+            this.observeErrors(Math.log(toBounded(tookMs / usualMs, observationBounds)), estimate.reportShift, 1);
         }
     }
 
@@ -206,8 +210,8 @@
                 ? longTermLog + (ownerFactor.log - longTermLog) * computeDecay(nowMs - ownerFactor.atMs)
                 : longTermLog + reportLog;
         return {
-            factor: clamp(Math.exp(log), slowdownBounds),
-            reportRatio: clamp(Math.exp(reportLog), slowdownBounds),
+            factor: toBounded(Math.exp(log), slowdownBounds),
+            reportRatio: toBounded(Math.exp(reportLog), slowdownBounds),
             reportShift,
         };
     }
@@ -231,7 +235,7 @@
         const ownWeight = Math.min(this.observations, 1 / settledObservationWeight);
         const ownerWeight = this.ownerFactor === undefined ? 0 : ownerObservations;
         const log = (own * ownWeight + this.ownerMean * ownerWeight) / Math.max(1, ownWeight + ownerWeight);
-        return Math.log(clamp(Math.exp(log), observedBounds));
+        return Math.log(toBounded(Math.exp(log), observedBounds));
     }
 
     private computeShift(nowMs: number): number {
@@ -240,7 +244,7 @@
             report === undefined
                 ? 0
                 : (report.log - this.reportMeanSum / this.reportMeanWeight) * computeDecay(nowMs - report.atMs);
-        return Math.log(clamp(Math.exp(shift), slowdownBounds));
+        return Math.log(toBounded(Math.exp(shift), slowdownBounds));
     }
 
     private observeErrors(change: number, reportShift: number, weight: number): void {
@@ -261,6 +265,6 @@
     return 2 ** (-Math.max(0, ageMs) / reportHalfLifeMs);
 }
 
-function clamp(value: number, { min, max }: { readonly min: number; readonly max: number }): number {
+function toBounded(value: number, { min, max }: { readonly min: number; readonly max: number }): number {
     return Math.min(max, Math.max(min, value));
 }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -6,12 +6,21 @@
 import type { EndedRequest } from "./gatewayService.js";
 import type { StoreReadCount } from "./fleetSource.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
-import type { ReceivedSignal } from "./targetDirectory.js";
+import type { ReceivedSignal } from "./targetSignalRecorder.js";
 
 const msPerSecond = 1_000;
 /** Cover usual latency objectives of a fraction of a second, and usual timeouts at the upper end; seconds. */
 const secondsBuckets = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8];
 
+/** Speed of one target of a service whose targets report it. */
+export interface TargetSpeed {
+    readonly service: string;
+    readonly target: string;
+    /** The last report; undefined if this router has received none. */
+    readonly slowdown: number | undefined;
+    readonly speedFactor: number;
+}
+
 /** Current values for the gauges, collected whenever the metrics page is rendered. */
 export interface GatewayStatistics {
     readonly openRequests: number;
@@ -29,6 +38,8 @@
     readonly heldParts: number;
     /** Number of targets by service and state. */
     readonly targets: readonly { readonly service: string; readonly state: string; readonly count: number }[];
+    /** Targets that report how long their work takes, or whose owner replied with their speed. */
+    readonly targetSpeeds: readonly TargetSpeed[];
     readonly rollouts: readonly RolloutView[];
     readonly sharedConnections: SharedConnectionCounts;
     readonly load: { readonly shedShare: number; readonly loop: LoopSample };
@@ -37,7 +48,7 @@
 
 /**
  * Metrics in the Prometheus text format. Labels have few values, such as services and outcomes: labels with request ids or routes
- * would grow without bound, and accounts beyond a limit are counted together. Counters come first, so that collectors that truncate
+ * would grow without bound, and accounts beyond a limit are counted together. Targets have labels only where they report their speed. Counters come first, so that collectors that truncate
  * long pages keep them.
  */
 export class GatewayMetrics {
@@ -62,7 +73,7 @@
     });
     private readonly signals = new Counter({
         name: "lynxarch_target_signals_total",
-        help: "Answers in which targets said that they are leaving or want no requests for a time, by service and signal.",
+        help: "Answers in which targets said that they are leaving or want no requests for a time, or whose load report was ignored.",
         labelNames: ["service", "signal"],
         registers: [this.registry],
     });
@@ -214,6 +225,32 @@
                 }
             },
         });
+        new Gauge({
+            name: "lynxarch_target_slowdown",
+            help: "Last report of how long a target's work takes relative to its usual time, by service and target.",
+            labelNames: ["service", "target"],
+            registers,
+            collect(): void {
+                this.reset();
+                for (const { service, target, slowdown } of getStatistics().targetSpeeds) {
+                    if (slowdown !== undefined) {
+                        this.set({ service, target }, slowdown);
+                    }
+                }
+            },
+        });
+        new Gauge({
+            name: "lynxarch_target_speed_factor",
+            help: "Estimated time per unit of work at a target relative to that of its service, by service and target.",
+            labelNames: ["service", "target"],
+            registers,
+            collect(): void {
+                this.reset();
+                for (const { service, target, speedFactor } of getStatistics().targetSpeeds) {
+                    this.set({ service, target }, speedFactor);
+                }
+            },
+        });
         new RolloutMetrics(this.registry, () => this.getStatistics().rollouts);
     }
 
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -2,7 +2,7 @@
 import type { AccountSnapshot } from "./accountMetrics.js";
 import type { ConnectionSharing } from "./connectionSharing.js";
 import { computeShareUsage } from "./computeShareUsage.js";
-import type { GatewayStatistics } from "./gatewayMetrics.js";
+import type { GatewayStatistics, TargetSpeed } from "./gatewayMetrics.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { FleetSource } from "./fleetSource.js";
 import type { GatewayService } from "./gatewayService.js";
@@ -63,6 +63,7 @@
         heldRequests: context.quarantine.listHeld().length,
         heldParts: context.quarantine.parts.listHeld().length,
         targets: [...counts.values()],
+        targetSpeeds: listSpeeds(context),
         rollouts: rollouts.listAll(),
         sharedConnections: shared,
         load: { shedShare, loop },
@@ -70,6 +71,20 @@
     };
 }
 
+/** Speeds of the targets of services whose targets report them. */
+function listSpeeds({ directory, clock }: GatewayContext): readonly TargetSpeed[] {
+    const nowMs = clock.nowMs();
+    return directory
+        .listAll()
+        .filter(({ entry }) => directory.hasSpeedReports(entry.service))
+        .map(({ id, entry, speed }) => ({
+            service: entry.service,
+            target: id,
+            slowdown: speed.slowdown,
+            speedFactor: speed.estimate(nowMs).factor,
+        }));
+}
+
 /** Counts of each account's requests on this router, and the account's usage of its share. */
 export function listAccounts(context: GatewayContext, statistics: AccountStatistics): readonly AccountSnapshot[] {
     return statistics.listAll().map(([account, counts]) => ({
@@ -124,6 +139,8 @@
             ownRunning: target.ownRunning,
             running: target.running,
             waitingTokens: target.waitingTokens,
+            slowdown: target.speed.slowdown,
+            speedFactor: target.speed.estimate(nowMs).factor,
         })),
     };
 }
--- a/src/gateway/grants/grantExchange.ts
+++ b/src/gateway/grants/grantExchange.ts
@@ -22,7 +22,7 @@
         } else {
             const reply = this.owner.check(senderId, message);
             if (!message.isUnconditional) {
-                this.transport.send(senderId, this.speeds.completeReply(senderId, message, reply));
+                this.transport.send(senderId, this.speeds.addSpeed(senderId, message, reply));
             }
         }
     }
--- a/src/gateway/grants/grantMessage.ts
+++ b/src/gateway/grants/grantMessage.ts
@@ -1,7 +1,7 @@
 import { Decoder, Encoder } from "@msgpack/msgpack";
 import { err, ok, type Result } from "neverthrow";
 import { LynxarchError } from "../../base/errors.js";
-import { slowdownBounds } from "../../decisions/placement/engineSpeed.js";
+import { isSlowdown } from "../../base/slowdown.js";
 import { isCount, isNonEmptyString } from "../wireValues.js";
 import type { PromptPart } from "../wire.js";
 
@@ -180,16 +180,10 @@
             return wire.length === replyLength ? decodeReply(wire) : undefined;
         case codes.report:
             return wire.length === reportLength ? decodeReport(wire) : undefined;
-        case codes.reportWithSlowdown: {
-            const slowdown = wire.length === reportLength + 1 ? decodePercent(wire[reportLength]) : undefined;
-            const report = slowdown === undefined ? undefined : decodeReport(wire);
-            return report === undefined || slowdown === undefined ? undefined : { ...report, slowdown };
-        }
-        case codes.replyWithSpeed: {
-            const speedFactor = wire.length === replyLength + 1 ? decodePercent(wire[replyLength]) : undefined;
-            const reply = speedFactor === undefined ? undefined : decodeReply(wire);
-            return reply === undefined || speedFactor === undefined ? undefined : { ...reply, speedFactor };
-        }
+        case codes.reportWithSlowdown:
+            return decodeReportWithSlowdown(wire);
+        case codes.replyWithSpeed:
+            return decodeReplyWithSpeed(wire);
         default:
             return undefined;
     }
@@ -269,6 +263,18 @@
     return progress === undefined ? undefined : { kind: "report", grantId, incarnation, targetHash, progress };
 }
 
+function decodeReplyWithSpeed(wire: readonly unknown[]): GrantReply | undefined {
+    const speedFactor = wire.length === replyLength + 1 ? decodePercent(wire[replyLength]) : undefined;
+    const reply = speedFactor === undefined ? undefined : decodeReply(wire);
+    return reply === undefined ? undefined : { ...reply, speedFactor };
+}
+
+function decodeReportWithSlowdown(wire: readonly unknown[]): GrantReport | undefined {
+    const slowdown = wire.length === reportLength + 1 ? decodePercent(wire[reportLength]) : undefined;
+    const report = slowdown === undefined ? undefined : decodeReport(wire);
+    return report === undefined ? undefined : { ...report, slowdown };
+}
+
 function encodePercent(ratio: number | undefined): readonly number[] {
     return ratio === undefined ? [] : [Math.round(ratio * percentScale)];
 }
@@ -276,7 +282,7 @@
 /** Decodes a ratio in whole percent. Returns undefined for anything else, and for an absurd ratio. */
 function decodePercent(value: unknown): number | undefined {
     const ratio = isCount(value) ? value / percentScale : 0;
-    return ratio >= slowdownBounds.min && ratio <= slowdownBounds.max ? ratio : undefined;
+    return isSlowdown(ratio) ? ratio : undefined;
 }
 
 /** Decodes a flat list of id and token count pairs. Returns undefined for anything else. */
--- a/src/gateway/grants/grantSpeeds.ts
+++ b/src/gateway/grants/grantSpeeds.ts
@@ -39,7 +39,7 @@
     public constructor(private readonly options: GrantSpeedsOptions) {}
 
     /** Records the decision on a request, and adds the engine's speed to the reply if the sender decodes it. */
-    public completeReply(senderId: string, request: GrantRequest, reply: GrantReply): GrantReply {
+    public addSpeed(senderId: string, request: GrantRequest, reply: GrantReply): GrantReply {
         const { directory, clock } = this.options;
         const target = directory.findByHash(request.targetHash);
         if (target === undefined) {
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../base/clock.js";
-import { Emitter } from "../base/event.js";
+import type { Event } from "../base/event.js";
 import { hashFast } from "../base/hash.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
@@ -7,7 +7,7 @@
 import { AvailabilityRegistry } from "../decisions/health/availabilityRegistry.js";
 import type { RecordExpiryPolicy } from "../decisions/health/recordExpiryPolicy.js";
 import { ServiceSpeeds } from "../decisions/placement/engineSpeed.js";
-import type { LeavingSource, TargetAvailability } from "../decisions/health/targetAvailability.js";
+import type { TargetAvailability } from "../decisions/health/targetAvailability.js";
 import type { GatewayConfiguration, ServiceConfiguration } from "./configuration.js";
 import type { FleetChange, TargetEntry } from "./fleetSource.js";
 import { LazyMap } from "./lazyMap.js";
@@ -16,18 +16,9 @@
 import { TargetVersions } from "./streams/targetVersions.js";
 import { Target } from "./target.js";
 import type { ConnectionLimits } from "./targetConnection.js";
+import { TargetSignalRecorder, type ReceivedSignal } from "./targetSignalRecorder.js";
 import type { ResponseHead, TargetSignals } from "./wire.js";
 
-/** Maximum random extension of a requested pause, as a fraction of it. */
-const pauseSpread = 0.1;
-const maxPauseSpreadMs = 250;
-
-/** A signal that a target sent in a response, for the metrics. */
-export interface ReceivedSignal {
-    readonly service: string;
-    readonly kind: "leaving" | "pause" | "unreadable-pause" | "load-ignored";
-}
-
 /** Options of a {@link TargetDirectory}. */
 export interface TargetDirectoryOptions {
     readonly clock: Clock;
@@ -45,19 +36,23 @@
     private readonly recordRemovals: RecordRemovalTracker;
     private readonly dataCentresOut = new Set<string>();
     private readonly availabilities = new AvailabilityRegistry();
-    private readonly signalEmitter = new Emitter<ReceivedSignal>();
+    private readonly signals: TargetSignalRecorder;
     private readonly speeds = new LazyMap(() => new ServiceSpeeds());
     private services: ReadonlyMap<string, ServiceConfiguration> = new Map();
     /** Versions of each service's targets, and those of targets that are gone. */
     public readonly versions: TargetVersions;
 
-    public readonly onDidReceiveSignal = this.signalEmitter.onDidFire;
-
     public constructor(private readonly options: TargetDirectoryOptions) {
+        this.signals = new TargetSignalRecorder(options);
         this.versions = new TargetVersions(options.clock);
         this.recordRemovals = new RecordRemovalTracker(options, id => this.remove(id));
     }
 
+    /** Fires for each signal in a response of a target. */
+    public get onDidReceiveSignal(): Event<ReceivedSignal> {
+        return this.signals.onDidReceiveSignal;
+    }
+
     /** Applies the services of a new configuration. */
     public applyConfiguration(configuration: GatewayConfiguration): void {
         this.services = new Map(configuration.services.map(service => [service.name, service]));
@@ -142,7 +137,7 @@
     public applyLeaving(leaving: readonly LeavingTarget[]): void {
         for (const { targetHash, startedAtMs } of leaving) {
             const availability = this.availabilities.find({ idHash: targetHash, startedAtMs });
-            this.recordLeaving(availability, this.byHash.get(targetHash)?.id, "peer");
+            this.signals.recordLeaving(availability, this.byHash.get(targetHash)?.id, "peer");
         }
     }
 
@@ -163,19 +158,7 @@
 
     /** Records the signals of an incarnation of a target, sent with any response: whether it accepts requests, and its load. */
     public observeSignals(target: Target, availability: TargetAvailability, signals: TargetSignals): void {
-        const { isLeaving, pause } = signals;
-        const { service } = target.entry;
-        this.observeLoad(target, availability, signals);
-        if (isLeaving) {
-            this.recordLeaving(availability, target.id, "answer");
-            this.signalEmitter.fire({ service, kind: "leaving" });
-        }
-        if (pause.kind === "wait") {
-            this.recordPause(availability, target.id, pause.ms);
-            this.signalEmitter.fire({ service, kind: "pause" });
-        } else if (pause.kind === "unreadable") {
-            this.signalEmitter.fire({ service, kind: "unreadable-pause" });
-        }
+        this.signals.observe(target, availability, signals);
     }
 
     /** Whether an engine of the service has reported how long work takes, so that each engine's speed is estimated. */
@@ -192,7 +175,7 @@
     }
 
     public dispose(): void {
-        this.signalEmitter.dispose();
+        this.signals.dispose();
         this.versions.dispose();
         this.recordRemovals.dispose();
         for (const target of this.targets.values()) {
@@ -202,38 +185,6 @@
         this.byService.clear();
     }
 
-    private observeLoad(
-        target: Target,
-        availability: TargetAvailability,
-        { load, hasInvalidLoad }: TargetSignals,
-    ): void {
-        const { service } = target.entry;
-        const isOfEarlierStart = availability !== target.availability;
-        if (load?.slowdown !== undefined && !isOfEarlierStart) {
-            target.speed.observeReport(load.slowdown, this.options.clock.nowMs());
-        } else if (hasInvalidLoad === true || load?.slowdown !== undefined) {
-            this.signalEmitter.fire({ service, kind: "load-ignored" });
-        }
-    }
-
-    private recordLeaving(availability: TargetAvailability, target: string | undefined, source: LeavingSource): void {
-        const atMs = this.options.clock.nowMs();
-        if (availability.recordLeaving({ source, atMs })) {
-            this.options.logger.write("info", "target is leaving", { target, source });
-        }
-    }
-
-    private recordPause(availability: TargetAvailability, target: string, askedMs: number): void {
-        const { clock, random, logger } = this.options;
-        const nowMs = clock.nowMs();
-        const isNew = !availability.isClosed(nowMs);
-        // Routers that received the pause at the same time must not all resume at the same time.
-        const spreadMs = Math.min(askedMs * pauseSpread, maxPauseSpreadMs) * random.next();
-        if (availability.pause.record(askedMs + spreadMs, nowMs) && isNew) {
-            logger.write("info", "target requested a pause", { target, askedMs });
-        }
-    }
-
     private isReady(target: Target, nowMs: number): boolean {
         const { availability, dataCentre } = target;
         return availability.canAccept(nowMs) && !isRemoved(target, nowMs) && !this.dataCentresOut.has(dataCentre);
@@ -282,7 +233,7 @@
 
     private observeRecord(target: Target): void {
         if (target.entry.state === "draining") {
-            this.recordLeaving(target.availability, target.id, "record");
+            this.signals.recordLeaving(target.availability, target.id, "record");
         }
     }
 
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -157,9 +157,9 @@
         const nowMs = this.context.clock.nowMs();
         const shared = head.promptParts.slice(0, -1);
         const preferred = findPreferredTarget(candidates, shared[shared.length - 1]?.id);
+        candidates.forEach(target => target.updateSpeed(nowMs));
         const compared = pickCandidates(candidates, preferred, shared, this.context.random);
         compared.forEach(target => {
-            target.updateSpeed(nowMs);
             target.updateWaitingTokens(model.tokensPerMs, maxUsage, nowMs);
         });
         const idle = compared.reduce((count, target) => count + (target.waitingTokens === 0 ? 1 : 0), 0);
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -86,6 +86,8 @@
     /** `Retry-After` of refusals; undefined: none. */
     public retryAfter: string | undefined;
     public refusesLists = false;
+    /** What its answers say of its load: running, waiting and slots, and a fourth figure on some services; undefined: nothing. */
+    public load: string | undefined;
     /** How often it was asked what it keeps. */
     public listCalls = 0;
 
@@ -133,6 +135,9 @@
         if (this.isLeaving) {
             response.setHeader("Server-Leaving", "1");
         }
+        if (this.load !== undefined) {
+            response.setHeader("X-Lynxarch-Engine-Load", this.load);
+        }
         this.listCalls += request.url === "/api/kv-list" ? 1 : 0;
         if (request.url === "/api/kv-list" && this.refusesLists) {
             response.writeHead(503, this.retryAfter === undefined ? {} : { "Retry-After": this.retryAfter }).end();
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -18,6 +18,10 @@
         heldRequests: 0,
         heldParts: 0,
         targets: [],
+        targetSpeeds: [
+            { service: "engines", target: "engine-1", slowdown: 2.5, speedFactor: 1.7 },
+            { service: "engines", target: "engine-2", slowdown: undefined, speedFactor: 0.7 },
+        ],
         load: { shedShare: 0.1, loop: { delayMs: 30, utilization: 0.9 } },
         listAccounts: () =>
             statistics.listAll().map(([account, counts]) => ({
@@ -152,3 +156,16 @@
         `);
     });
 });
+
+describe("speeds of targets", () => {
+    // A target that does not report its slowdown must not appear with a wrong one.
+    it("are listed by target, the slowdown only where it was reported", async () => {
+        expect(await listLines(new AccountStatistics(), "lynxarch_target_s")).toMatchInlineSnapshot(`
+          [
+            "lynxarch_target_slowdown{service="engines",target="engine-1"} 2.5",
+            "lynxarch_target_speed_factor{service="engines",target="engine-1"} 1.7",
+            "lynxarch_target_speed_factor{service="engines",target="engine-2"} 0.7",
+          ]
+        `);
+    });
+});
--- a/test/gateway/grants/grantClient.test.ts
+++ b/test/gateway/grants/grantClient.test.ts
@@ -129,4 +129,40 @@
         client.applyReply(ownerId, { ...reply, kind: "reply", grantId: 1, isTargetKnown: false, granted: false });
         expect(outcomes.map(outcome => outcome.kind)).toEqual(["unanswered"]);
     });
+
+    // An owner of the previous version drops longer reports, and would count the request as running until it expires.
+    it("reports the slowdown to an owner only once it has shown that it decodes it, but for one copy a second", () => {
+        const { client, demand, sent, outcomes } = createFixture();
+        demand.target.speed.observeReport(2.5, 0);
+        const listReports = (grantId: number, speedFactor?: number): unknown[] => {
+            sent.length = 0;
+            client.submit(demand, outcome => outcomes.push(outcome));
+            client.applyReply(ownerId, { ...reply, kind: "reply", grantId, ...(speedFactor && { speedFactor }) });
+            const outcome = outcomes[outcomes.length - 1];
+            if (outcome.kind === "granted") {
+                outcome.grant.report("started");
+                outcome.grant.report("ended");
+            }
+            return sent.flatMap(message => (message.kind === "report" ? [[message.progress, message.slowdown]] : []));
+        };
+        expect([listReports(1), listReports(2), listReports(3, 1.2), listReports(4)]).toEqual([
+            [
+                ["started", undefined],
+                ["started", 2.5],
+                ["ended", undefined],
+            ],
+            [
+                ["started", undefined],
+                ["ended", undefined],
+            ],
+            [
+                ["started", 2.5],
+                ["ended", 2.5],
+            ],
+            [
+                ["started", undefined],
+                ["ended", undefined],
+            ],
+        ]);
+    });
 });
--- a/test/gateway/grants/grantMessage.property.test.ts
+++ b/test/gateway/grants/grantMessage.property.test.ts
@@ -12,6 +12,25 @@
 const count = fc.nat();
 const hash = fc.integer({ min: 0, max: 0xffffffff });
 const part = fc.record({ id: fc.string({ minLength: 1, maxLength: 16 }), tokens: count });
+const percent = fc.integer({ min: 10, max: 2_000 }).map(value => value / 100);
+const reply = {
+    kind: fc.constant("reply" as const),
+    grantId: count,
+    isTargetKnown: fc.boolean(),
+    granted: fc.boolean(),
+    newTokens: count,
+    queuedTokens: count,
+    usage: fc.nat({ max: 5_000 }).map(value => value / 1_000),
+    maxUsage: fc.nat({ max: 2_000 }).map(value => value / 1_000),
+    retryAfterMs: count,
+};
+const report = {
+    kind: fc.constant("report" as const),
+    grantId: count,
+    incarnation: count,
+    targetHash: hash,
+    progress: fc.constantFrom("started" as const, "ended" as const, "not-run" as const),
+};
 const message: fc.Arbitrary<GrantMessage> = fc.oneof(
     fc.record({
         kind: fc.constant("request" as const),
@@ -29,24 +48,10 @@
         windowMs: fc.integer({ min: 1, max: 2_000 }),
         isUnconditional: fc.boolean(),
     }),
-    fc.record({
-        kind: fc.constant("reply" as const),
-        grantId: count,
-        isTargetKnown: fc.boolean(),
-        granted: fc.boolean(),
-        newTokens: count,
-        queuedTokens: count,
-        usage: fc.nat({ max: 5_000 }).map(value => value / 1_000),
-        maxUsage: fc.nat({ max: 2_000 }).map(value => value / 1_000),
-        retryAfterMs: count,
-    }),
-    fc.record({
-        kind: fc.constant("report" as const),
-        grantId: count,
-        incarnation: count,
-        targetHash: hash,
-        progress: fc.constantFrom("started" as const, "ended" as const, "not-run" as const),
-    }),
+    fc.record(reply),
+    fc.record({ ...reply, speedFactor: percent }),
+    fc.record(report),
+    fc.record({ ...report, slowdown: percent }),
 );
 const runs = { seed: 5, numRuns: 300 };
 
@@ -140,4 +145,35 @@
             runs,
         );
     });
+
+    // Routers of the previous version drop the longer forms; without a slowdown or speed the former ones must be sent.
+    it("have the former layout without a slowdown or speed factor", () => {
+        fc.assert(
+            fc.property(message, sent => {
+                const wire = decode(encodeGrantMessage(sent)) as unknown[];
+                const isLonger = "speedFactor" in sent || "slowdown" in sent;
+                const former = { request: [17, 14], reply: [18, 9], report: [19, 5] }[sent.kind];
+                const longer = { request: [], reply: [21, 10], report: [20, 6] }[sent.kind];
+                expect([wire[0], wire.length]).toEqual(isLonger ? longer : former);
+            }),
+            runs,
+        );
+    });
+
+    // An absurd speed would make an engine receive all prompts, or none.
+    it("with a slowdown or speed factor out of bounds are an error", () => {
+        const absurd = fc.oneof(fc.nat({ max: 9 }), fc.integer({ min: 2_001 }), fc.double(), fc.string());
+        fc.assert(
+            fc.property(
+                fc.oneof(fc.record({ ...reply, speedFactor: percent }), fc.record({ ...report, slowdown: percent })),
+                absurd,
+                (sent, value) => {
+                    fc.pre(!Number.isInteger(value) || (value as number) < 10 || (value as number) > 2_000);
+                    const wire = decode(encodeGrantMessage(sent)) as unknown[];
+                    expect(decodeGrantMessage(encode([...wire.slice(0, -1), value])).isErr()).toBe(true);
+                },
+            ),
+            runs,
+        );
+    });
 });
