--- /dev/null
+++ b/src/gateway/callers/callerMetrics.ts
@@ -0,0 +1,52 @@
+import { Gauge, type Registry } from "prom-client";
+import type { UnsentStatistics } from "../unsentBytes.js";
+import type { EarlyRefusalCounts } from "./earlyRefusal.js";
+
+/** Values of the metrics on callers' connections and responses. */
+export interface CallerStatistics {
+    readonly refusedEarly: EarlyRefusalCounts;
+    readonly unsent: UnsentStatistics;
+}
+
+/** Adds the metrics on refused requests and slow readers to the registry. */
+export function addCallerMetrics(registry: Registry, getStatistics: () => CallerStatistics): void {
+    const registers = [registry];
+    new Gauge({
+        name: "lynxarch_early_refusals",
+        help: "Requests refused by their heads alone since the start: returned for a retry at another router, or shed.",
+        labelNames: ["outcome"],
+        registers,
+        collect(): void {
+            const { returned, shed } = getStatistics().refusedEarly;
+            this.set({ outcome: "returned" }, returned);
+            this.set({ outcome: "shed" }, shed);
+        },
+    });
+    new Gauge({
+        name: "lynxarch_unsent_bytes",
+        help: "Bytes held for callers and targets that read slowly.",
+        registers,
+        collect(): void {
+            this.set(getStatistics().unsent.bytes);
+        },
+    });
+    new Gauge({
+        name: "lynxarch_unsent_bytes_peak",
+        help: "Largest number of such bytes since the start.",
+        registers,
+        collect(): void {
+            this.set(getStatistics().unsent.peakBytes);
+        },
+    });
+    new Gauge({
+        name: "lynxarch_slow_streams_ended",
+        help: "Streams ended since the start because their readers were too slow, by the bound that was exceeded.",
+        labelNames: ["bound"],
+        registers,
+        collect(): void {
+            for (const [bound, count] of Object.entries(getStatistics().unsent.ended)) {
+                this.set({ bound }, count);
+            }
+        },
+    });
+}
--- a/src/gateway/grants/createGrants.ts
+++ b/src/gateway/grants/createGrants.ts
@@ -7,6 +7,7 @@
 import { GrantClient, type GrantTransport } from "./grantClient.js";
 import { GrantExchange } from "./grantExchange.js";
 import { GrantOwner, type GrantOwnerOptions, type GrantSettings } from "./grantOwner.js";
+import { GrantSpeeds } from "./grantSpeeds.js";
 
 /** Dependencies of {@link createGrants}. */
 export interface GrantsOptions extends GrantOwnerOptions {
@@ -42,5 +43,5 @@
         clock,
         setTimer,
     });
-    return { client, owner, exchange: new GrantExchange(client, owner, transport) };
+    return { client, owner, exchange: new GrantExchange(client, owner, transport, new GrantSpeeds(options)) };
 }
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -73,6 +73,7 @@
             return createLeavingReply(request);
         }
         const nowMs = this.options.clock.nowMs();
+        target.updateSpeed(nowMs);
         const rate = this.createRate(target);
         const newTokens = countNewTokens(target, request);
         const engine = this.findEngine(request.targetHash);
@@ -163,10 +164,11 @@
         return engine;
     }
 
-    private createRate({ entry }: Target): EngineRate {
+    /** The engine's own rate: that of the service's model, divided by the factor of the engine. */
+    private createRate({ entry, speedFactor }: Target): EngineRate {
         const { firstTokenModels, prefillShares } = this.options;
         return {
-            tokensPerMs: firstTokenModels.getOrCreate(entry.service).prefillTokensPerMs,
+            tokensPerMs: firstTokenModels.getOrCreate(entry.service).prefillTokensPerMs / speedFactor,
             slots: entry.slots,
             readingShare: prefillShares.getOrCreate(entry.service).current,
         };
