Close the longest idle connections of callers while places are short

Cause: a refused caller retries on a new connection and leaves the old one idle for the whole idle time-out.

--- a/src/decisions/admission/acceptQueue.ts
+++ b/src/decisions/admission/acceptQueue.ts
@@ -14,14 +14,7 @@
 /** Lower bound of the queue length: callers connect in bursts even when the router is not overloaded. */
 const minBacklog = 24;
 
-/** Lower bound where requests may be refused by their heads, which takes about half of the time to read them. */
-const minBacklogWithEarlyRefusal = 64;
-
-/**
- * Maximum number of connections waiting to be accepted; the kernel refuses further ones. `processorShare`: fraction of a core;
- * `refusesEarly`: whether a router short of processor time refuses requests by their heads.
- */
-export function computeAcceptBacklog(processorShare: number, refusesEarly = false): number {
-    const min = refusesEarly ? minBacklogWithEarlyRefusal : minBacklog;
-    return Math.max(min, Math.round((maxQueueReadMs / requestReadMs) * processorShare));
+/** Maximum number of connections waiting to be accepted; the kernel refuses further ones. `processorShare`: fraction of a core. */
+export function computeAcceptBacklog(processorShare: number): number {
+    return Math.max(minBacklog, Math.round((maxQueueReadMs / requestReadMs) * processorShare));
 }
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -3,6 +3,7 @@
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import { computeAcceptBacklog } from "../decisions/admission/acceptQueue.js";
+import { IdleConnections } from "./callers/idleConnections.js";
 import type { CallerLimits } from "./configuration.js";
 import type { GatewaySettings } from "./settings.js";
 import type { ConnectionSharing } from "./connectionSharing.js";
@@ -33,15 +34,17 @@
     private closesWithResponses = false;
     private connectionCount = 0;
     private readonly closingThreshold: number;
+    private readonly idle: IdleConnections;
 
     /** `sharing`: may hand a new connection over to another router; undefined if all connections are served here. */
     public constructor(
         private readonly service: GatewayService,
         private readonly logger: Logger,
         private readonly shouldLeaveBalancer: () => boolean,
-        private readonly settings: Pick<GatewaySettings, "limits" | "returnsRequests">,
+        private readonly settings: Pick<GatewaySettings, "limits" | "closesIdleConnections">,
         private readonly sharing?: Pick<ConnectionSharing, "offer" | "findSender">,
     ) {
+        this.idle = new IdleConnections(service.clock);
         const { maxDescriptors } = settings.limits;
         this.server = createServer({
             maxHeaderSize: maxHeaderBytes,
@@ -56,6 +59,7 @@
         this.server.on("connection", (socket: Socket) => {
             if (this.sharing?.offer(socket) !== true) {
                 this.countConnection(socket);
+                this.closeIdle();
                 handleHttpConnection.call(this.server, socket);
             }
         });
@@ -66,8 +70,7 @@
 
     public listen(host: string, port: number): Promise<void> {
         return new Promise((resolve, reject) => {
-            const { limits, returnsRequests } = this.settings;
-            const backlog = computeAcceptBacklog(limits.processorShare, returnsRequests);
+            const backlog = computeAcceptBacklog(this.settings.limits.processorShare);
             this.server.once("error", reject);
             this.server.listen({ host, port, backlog }, () => resolve());
         });
@@ -78,6 +81,11 @@
         this.server.emit("connection", socket);
     }
 
+    /** Number of idle connections closed since the start to make room for others. */
+    public get closedIdleConnections(): number {
+        return this.idle.closed;
+    }
+
     /** The port that the server listens on; for tests that let the system choose it. */
     public get port(): number {
         const address = this.server.address();
@@ -107,11 +115,26 @@
     private countConnection(socket: Socket): void {
         this.connectionCount += 1;
         socket.once("close", () => {
+            this.idle.remove(socket);
             this.connectionCount -= 1;
         });
     }
 
+    /** Makes room for further connections while most of the places are taken. */
+    private closeIdle(): void {
+        if (this.settings.closesIdleConnections && this.connectionCount > this.closingThreshold) {
+            this.idle.closeOldest(this.connectionCount - this.closingThreshold);
+        }
+    }
+
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+        const { socket } = request;
+        this.idle.remove(socket);
+        response.once("finish", () => {
+            if (response.shouldKeepAlive && !socket.destroyed) {
+                this.idle.add(socket);
+            }
+        });
         // A persistent connection binds its caller to this router; when it is closed, the caller reconnects, to another router.
         const handedOverBy = this.sharing?.findSender(request.socket);
         if (
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../base/clock.js";
 import type { Disposable } from "../base/lifecycle.js";
 import { Emitter } from "../base/event.js";
 import { computeChargedTokens } from "./accountCharge.js";
@@ -89,6 +90,10 @@
         return this.earlyRefusal.refused;
     }
 
+    public get clock(): Clock {
+        return this.context.clock;
+    }
+
     /** Refuses new requests from now on. */
     public refuseNewRequests(): void {
         this.refusesNewRequests = true;
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -7,7 +7,6 @@
     isBeyondDeadline,
     type PromptBounds,
 } from "../decisions/admission/promptAdmission.js";
-import { computeShareReturnMs } from "../decisions/admission/shareReturn.js";
 import { minSentUsage } from "../decisions/admission/spareAllowance.js";
 import { zeroUsage, type ShareUsage } from "../decisions/shares/accountShares.js";
 import { computeShareUsage } from "./computeShareUsage.js";
@@ -58,9 +57,6 @@
  * for its account's share, which was charged when it began.
  */
 const continuedObjectiveFactor = 2;
-/** Utilization of this router from which callers of accounts beyond their share return later. */
-const crowdedUtilization = 0.6;
-const msPerSecond = 1_000;
 /** Maximum number of owners asked for one request: after three denials a further one is unlikely to be worth its cost. */
 const maxGrantRequests = 3;
 
@@ -273,16 +269,7 @@
 
     private createDenial(reason: PromptBounds["reason"], capacityWaitMs: number): AdmissionOutcome {
         const retryAfterMs = computePromptRetryAfterMs(reason, this.objectiveMs, capacityWaitMs);
-        return this.createRefusal(reason, Math.max(retryAfterMs, this.computeShareReturnMs(reason)));
-    }
-
-    /** Time until the account has room within its share again, if returning callers would keep this router short of processor time. */
-    private computeShareReturnMs(reason: PromptBounds["reason"]): number {
-        const { settings, load, random } = this.options.context;
-        const isCrowded = settings.returnsRequests && load.loop.recentUtilization >= crowdedUtilization;
-        return isCrowded && reason === "over-share"
-            ? computeShareReturnMs(this.shareUse.share, settings.shareWindowSeconds * msPerSecond, random)
-            : 0;
+        return this.createRefusal(reason, retryAfterMs);
     }
 
     private createSelected(selection: Selection): AdmissionOutcome {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -75,6 +75,8 @@
      * its data centre have spare processor time. Has no effect where the routers of a data centre have about the same processor share.
      */
     returnsRequests: z.boolean().default(false),
+    /** Whether callers' connections that have been idle longest are closed while most of the places for connections are taken. */
+    closesIdleConnections: z.boolean().default(false),
     /**
      * Whether requests of accounts beyond their share may use engines' capacity that would otherwise be idle. Off by default: routers of
      * earlier builds drop the grant requests that are then sent, so that it must be set only once all routers run this build.
