Fill spare capacity also where engines report their speed, with a setting of its own

Cause: a deployment whose engines report their speed names no term that asks for the allowance. Change: fillsReportedCapacity, only at services with such reports.

--- a/src/gateway/grants/createGrants.ts
+++ b/src/gateway/grants/createGrants.ts
@@ -6,7 +6,8 @@
 import type { PeerView } from "../peers/peerView.js";
 import { GrantClient, type GrantTransport } from "./grantClient.js";
 import { GrantExchange } from "./grantExchange.js";
-import { GrantOwner, type GrantOwnerOptions, type GrantSettings } from "./grantOwner.js";
+import { GrantOwner, type GrantOwnerOptions } from "./grantOwner.js";
+import type { GrantSettings } from "./spareCapacity.js";
 import { GrantSpeeds } from "./grantSpeeds.js";
 
 /** Dependencies of {@link createGrants}. */
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -7,7 +7,7 @@
 import type { FirstTokenModel } from "../../decisions/placement/firstTokenModel.js";
 import { countMissingTokens } from "../../decisions/placement/promptPlacement.js";
 import { EngineShares } from "../../decisions/shares/engineShares.js";
-import type { GatewaySettings } from "../settings.js";
+import { isSpareCapacityFilled, type GrantSettings } from "./spareCapacity.js";
 import type { LazyMap } from "../lazyMap.js";
 import type { Target } from "../target.js";
 import type { TargetDirectory } from "../targetDirectory.js";
@@ -24,9 +24,6 @@
     readonly settings?: GrantSettings;
 }
 
-/** Settings that change which requests are granted. All are off when left out. */
-export type GrantSettings = Partial<Pick<GatewaySettings, "fillsSpareCapacity">>;
-
 /** Maximum number of engines with state in memory; several times what one router of a large fleet owns. */
 const maxEngines = 4_096;
 /** Retry delay of a denial for a leaving target; covers several message rounds between routers. Milliseconds. */
@@ -80,15 +77,16 @@
         const { budget, shares, allowance } = engine;
         engine.windowMs = request.windowMs;
         engine.requestedAtMs = nowMs;
-        const maxUsage = this.computeMaxUsage(request, nowMs);
-        if (this.fillsSpareCapacity) {
+        const isFilled = this.isFilled(target);
+        const maxUsage = this.computeMaxUsage(request, isFilled, nowMs);
+        if (isFilled) {
             allowance.update(budget.computeLimitUsage(rate, request.windowMs, nowMs), request.windowMs, nowMs);
         }
         const prefill = {
             id: formatGrantKey(senderId, request),
             tokens: newTokens,
             maxQueuedTokens: request.maxWaitMs * rate.tokensPerMs,
-            maxUsage: this.fillsSpareCapacity ? addAllowance(maxUsage, allowance.current) : maxUsage,
+            maxUsage: isFilled ? addAllowance(maxUsage, allowance.current) : maxUsage,
             windowMs: request.windowMs,
         };
         shares.recordRequested(request.accountHash, request.chargedTokens, nowMs);
@@ -102,7 +100,7 @@
         }
         const { granted, queuedTokens, usage } = decision;
         const retryAfterMs =
-            this.fillsSpareCapacity && !request.isUnconditional
+            isFilled && !request.isUnconditional
                 ? applyDenial(allowance, decision, maxUsage, nowMs)
                 : decision.retryAfterMs;
         const reply = { granted, newTokens, queuedTokens, usage, maxUsage, retryAfterMs };
@@ -127,8 +125,9 @@
             : { engines, allowance: allowance / engines, limitUsage: limitUsage / engines };
     }
 
-    private get fillsSpareCapacity(): boolean {
-        return this.options.settings?.fillsSpareCapacity === true;
+    private isFilled(target: Target): boolean {
+        const { settings = {}, directory } = this.options;
+        return isSpareCapacityFilled(settings, directory, target.entry.service);
     }
 
     /** Applies a progress report. `senderId`: id of the router that holds the grant. */
@@ -143,9 +142,13 @@
     }
 
     /** Fraction of the limit that the request may use: that in the request, or less if the engine has already served its account much. */
-    private computeMaxUsage({ targetHash, accountHash, chargedTokens, maxUsage }: GrantRequest, nowMs: number): number {
+    private computeMaxUsage(
+        { targetHash, accountHash, chargedTokens, maxUsage }: GrantRequest,
+        isFilled: boolean,
+        nowMs: number,
+    ): number {
         const surplus = this.findEngine(targetHash).shares.computeSurplus(accountHash, chargedTokens, nowMs);
-        const engineUsage = computeMaxEngineUsage(surplus, this.fillsSpareCapacity ? minSentUsage : undefined);
+        const engineUsage = computeMaxEngineUsage(surplus, isFilled ? minSentUsage : undefined);
         return Math.min(maxUsage, engineUsage);
     }
 
--- a/src/gateway/learnedState.ts
+++ b/src/gateway/learnedState.ts
@@ -4,7 +4,7 @@
 import { OutputLength } from "../decisions/shares/outputLength.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { createPrefillShares } from "./grants/createGrants.js";
-import type { GrantSettings } from "./grants/grantOwner.js";
+import type { GrantSettings } from "./grants/spareCapacity.js";
 import { LazyMap } from "./lazyMap.js";
 
 /** Estimates that a router learns from responses and replies; all start empty with the process. */
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -13,6 +13,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
 import type { GrantDemand } from "./grants/grantClient.js";
 import type { GrantReply } from "./grants/grantMessage.js";
+import { isSpareCapacityFilled } from "./grants/spareCapacity.js";
 import type { RouterResponseReason } from "./routerResponse.js";
 import type { RoutedRequest } from "./routedRequest.js";
 import type { Selection, TargetFilter, TargetSelector } from "./targetSelector.js";
@@ -85,6 +86,8 @@
     /** Maximum share of an engine's limit that the asked owners allow the request to use; it depends on the account. */
     private maxUsage = Number.POSITIVE_INFINITY;
     private shareUse = zeroUsage;
+    /** First service of the request. */
+    private service: string | undefined;
     private decidedBy: DecisionSource = "none";
 
     public constructor(private readonly options: RequestAdmissionOptions) {}
@@ -97,6 +100,7 @@
 
     /** Calls `handleOutcome` exactly once, either synchronously or after the owners' replies. */
     public check(services: readonly string[], handleOutcome: (outcome: AdmissionOutcome) => void): void {
+        this.service = services[0];
         this.shareUse = this.computeUsage();
         const selection = this.select(services, computeMaxUsage(this.shareUse, this.minUsage));
         if (selection === undefined) {
@@ -134,7 +138,7 @@
             handleOutcome(this.createDenial(bounds.reason, deniedMs));
             return;
         }
-        if (context.settings.fillsSpareCapacity && this.isBeyondDeadline(selection)) {
+        if (this.isFilled && this.isBeyondDeadline(selection)) {
             this.recordDecision(this.grantRequests > 0 ? "owner" : "beliefs");
             const retryAfterMs = computeSpreadRetryMs(this.objectiveMs, context.random.next());
             handleOutcome(this.createRefusal("late", retryAfterMs));
@@ -222,7 +226,12 @@
 
     /** Lower bound of the fraction of an engine's limit; undefined where owners add no allowance. */
     private get minUsage(): number | undefined {
-        return this.options.context.settings.fillsSpareCapacity ? minSentUsage : undefined;
+        return this.isFilled ? minSentUsage : undefined;
+    }
+
+    private get isFilled(): boolean {
+        const { settings, directory } = this.options.context;
+        return isSpareCapacityFilled(settings, directory, this.service);
     }
 
     private computeBounds({ unloadedMs }: Selection): PromptBounds {
--- a/test/gateway/admissionFixture.ts
+++ b/test/gateway/admissionFixture.ts
@@ -4,7 +4,7 @@
 import { RequestStatistics } from "../../src/gateway/accountStatistics.js";
 import type { RouteConfiguration } from "../../src/gateway/configuration.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
-import type { GrantSettings } from "../../src/gateway/grants/grantOwner.js";
+import type { GrantSettings } from "../../src/gateway/grants/spareCapacity.js";
 import { RequestIdentity } from "../../src/gateway/quarantine/requestIdentity.js";
 import type { RequestAdmissionOptions } from "../../src/gateway/requestAdmission.js";
 import { TargetSelector } from "../../src/gateway/targetSelector.js";
