End the allowance when a request below the fair level is denied

Cause: with the allowance, engines are filled to 0.85 of their limit.

Change: the own tokens of a request below the level need not fit, and its denial ends the allowance at that engine for half a second.

--- a/src/decisions/admission/engineBudget.ts
+++ b/src/decisions/admission/engineBudget.ts
@@ -21,6 +21,8 @@
     readonly maxQueuedTokens: number;
     /** Maximum fraction of the engine's limit that may be in use including this request; above 1 if it may exceed the limit. */
     readonly maxUsage: number;
+    /** Whether only the tokens granted before must fit into the limit, and not the request's own as well. */
+    readonly ignoresOwnTokens?: boolean;
     /** Window of the limit: the longest pause that the engine's streams tolerate; milliseconds. */
     readonly windowMs: number;
 }
@@ -185,8 +187,8 @@
 }
 
 /** Tokens of the request that must fit into the limit. */
-function countOwnTokens({ tokens, maxUsage }: PrefillRequest): number {
-    return maxUsage > 1 ? 0 : tokens * ownTokensWeight;
+function countOwnTokens({ tokens, maxUsage, ignoresOwnTokens = false }: PrefillRequest): number {
+    return maxUsage > 1 || ignoresOwnTokens ? 0 : tokens * ownTokensWeight;
 }
 
 /** Tokens of a grant that the engine has not prefilled yet. */
--- a/src/decisions/admission/promptAdmission.ts
+++ b/src/decisions/admission/promptAdmission.ts
@@ -147,6 +147,11 @@
     return maxUsage > maxOverShareUsage;
 }
 
+/** Whether a fraction of an engine's limit, without an allowance, is that of a request below the fair level of the surplus. */
+export function isBelowLevelUsage(maxUsage: number): boolean {
+    return maxUsage >= maxOverShareUsage;
+}
+
 /** Adds the allowance of an engine to the fraction of its limit that a request may use, for requests beyond their account's share. */
 export function addAllowance(maxUsage: number, allowance: number): number {
     return isWithinShareUsage(maxUsage)
--- a/src/decisions/admission/spareAllowance.ts
+++ b/src/decisions/admission/spareAllowance.ts
@@ -9,7 +9,8 @@
  * larger fraction and are admitted first, so that accounts are levelled by what the engine can prefill.
  *
  * Integral control of the granted fraction of the limit. An account within its share is never denied for the sake of the others: its
- * denial halves the allowance.
+ * denial halves the allowance. That of an account below the fair level ends it for a time: at an engine that is filled to the target, the
+ * accounts with the most requests would otherwise get what is left, and long prompts would never fit.
  */
 
 /** Granted fraction of the limit up to which the allowance rises; above it, it falls. */
@@ -34,15 +35,24 @@
 const releaseMs = 2_000;
 /** Factor at the denial of a request within its account's share. */
 const withinShareDenialFactor = 0.5;
+/**
+ * Time after the denial of a request below the fair level in which there is no allowance; milliseconds. Each engine denies such an account only
+ * a few times a second, and in between the accounts above the level would fill it again.
+ */
+const belowLevelHoldMs = 500;
 
-/** A denial that changes the allowance: of a request beyond its share because of its fraction, or of one within its share. */
-export type SpareDenial = "over-share" | "within-share";
+/**
+ * A denial that changes the allowance: of a request of an account within its share, or beyond it and below the fair level, or of one above the
+ * level because of its fraction.
+ */
+export type SpareDenial = "over-share" | "below-level" | "within-share";
 
 /** Computes the allowance of one engine. */
 export class SpareAllowance {
     private allowance = 0;
     private updatedAtMs: number | undefined;
     private overShareDeniedAtMs = Number.NEGATIVE_INFINITY;
+    private heldUntilMs = Number.NEGATIVE_INFINITY;
 
     /** Addition to the fraction of the limit, 0 to 3. */
     public get current(): number {
@@ -53,6 +63,9 @@
     public update(usage: number, windowMs: number, nowMs: number): void {
         const elapsedMs = Math.max(0, nowMs - (this.updatedAtMs ?? nowMs));
         this.updatedAtMs = nowMs;
+        if (nowMs < this.heldUntilMs) {
+            return;
+        }
         if (nowMs - this.overShareDeniedAtMs > windowMs && usage <= targetUsage) {
             this.add((-elapsedMs * maxAllowance) / releaseMs);
         } else {
@@ -63,10 +76,16 @@
 
     /** Records a denial, after {@link update}. */
     public recordDenial(denial: SpareDenial, nowMs: number): void {
-        if (denial === "over-share") {
-            this.overShareDeniedAtMs = nowMs;
-        } else {
-            this.allowance *= withinShareDenialFactor;
+        switch (denial) {
+            case "over-share":
+                this.overShareDeniedAtMs = nowMs;
+                break;
+            case "below-level":
+                this.allowance = 0;
+                this.heldUntilMs = nowMs + belowLevelHoldMs;
+                break;
+            case "within-share":
+                this.allowance *= withinShareDenialFactor;
         }
     }
 
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -1,7 +1,12 @@
 import { LRUCache } from "lru-cache";
 import type { Clock } from "../../base/clock.js";
 import { EngineBudget, type EngineRate, type PrefillDecision } from "../../decisions/admission/engineBudget.js";
-import { addAllowance, computeMaxEngineUsage, isWithinShareUsage } from "../../decisions/admission/promptAdmission.js";
+import {
+    addAllowance,
+    isBelowLevelUsage,
+    computeMaxEngineUsage,
+    isWithinShareUsage,
+} from "../../decisions/admission/promptAdmission.js";
 import { minSentUsage, SpareAllowance } from "../../decisions/admission/spareAllowance.js";
 import type { PrefillShare } from "../../decisions/admission/prefillShare.js";
 import type { FirstTokenModel } from "../../decisions/placement/firstTokenModel.js";
@@ -87,6 +92,7 @@
             tokens: newTokens,
             maxQueuedTokens: request.maxWaitMs * rate.tokensPerMs,
             maxUsage: isFilled ? addAllowance(maxUsage, allowance.current) : maxUsage,
+            ignoresOwnTokens: isFilled && isBelowLevelUsage(maxUsage),
             windowMs: request.windowMs,
         };
         shares.recordRequested(request.accountHash, request.chargedTokens, nowMs);
@@ -194,6 +200,10 @@
     if (missingUsage === 0) {
         return retryAfterMs;
     }
+    if (isBelowLevelUsage(maxUsage)) {
+        allowance.recordDenial("below-level", nowMs);
+        return retryAfterMs;
+    }
     allowance.recordDenial("over-share", nowMs);
     const riseMs = Math.max(minDenialMs, allowance.estimateRiseMs(missingUsage, limitUsage));
     return Math.min(retryAfterMs, riseMs);
--- a/test/decisions/admission/spareAllowance.test.ts
+++ b/test/decisions/admission/spareAllowance.test.ts
@@ -6,14 +6,14 @@
     computeMaxEngineUsage,
     computeMaxUsage,
 } from "../../../src/decisions/admission/promptAdmission.js";
-import { minSentUsage, SpareAllowance } from "../../../src/decisions/admission/spareAllowance.js";
+import { minSentUsage, SpareAllowance, type SpareDenial } from "../../../src/decisions/admission/spareAllowance.js";
 
 const windowMs = 400;
 const stepMs = 20;
 
 interface Step {
     readonly usage: number;
-    readonly denial: "over-share" | "within-share" | undefined;
+    readonly denial: SpareDenial | undefined;
 }
 
 /** Plays one decision each 20 ms; returns the allowance after each. */
@@ -61,6 +61,15 @@
         expect(allowance.current).toBe(before / 2);
     });
 
+    // An engine that is filled to the target denies long prompts, of whichever account; those of accounts above the level then got the rest.
+    it("ends for half a second when a request below the fair level is denied", () => {
+        const allowance = new SpareAllowance();
+        runSteps(allowance, createSteps(pressed, 1_100));
+        allowance.recordDenial("below-level", 1_100);
+        expect(runSteps(allowance, createSteps(pressed, 460), 1_120).every(value => value === 0)).toBe(true);
+        expect(runSteps(allowance, createSteps(pressed, 100), 1_600).at(-1)).toBeGreaterThan(0);
+    });
+
     // The next overload would otherwise begin with the allowance of the last one, and not be levelled.
     it("is zero two seconds after the last denial", () => {
         const allowance = new SpareAllowance();
@@ -92,7 +101,7 @@
     it("stays within its bounds, and a denial within a share never raises it", () => {
         const step = fc.record({
             usage: fc.double({ min: 0, max: 4, noNaN: true }),
-            denial: fc.constantFrom("over-share" as const, "within-share" as const, undefined),
+            denial: fc.constantFrom("over-share" as const, "below-level" as const, "within-share" as const, undefined),
             gapMs: fc.integer({ min: -5, max: 3_000 }),
         });
         fc.assert(
@@ -106,7 +115,10 @@
                     if (denial !== undefined) {
                         allowance.recordDenial(denial, nowMs);
                     }
-                    expect(allowance.current).toBeLessThanOrEqual(denial === "within-share" ? before / 2 : before);
+                    const factors = { "over-share": 1, "within-share": 0.5, "below-level": 0 } as const;
+                    expect(allowance.current).toBeLessThanOrEqual(
+                        denial === undefined ? before : before * factors[denial],
+                    );
                     expect(allowance.current).toBeGreaterThanOrEqual(0);
                     expect(before).toBeLessThanOrEqual(3);
                 }
