Spread queries for unnamed streams over the routers

All of them went to the four routers that the constant key selects. Any router can tell which versions it has seen, so that the ranking now changes with each query; the key in the message stays "unnamed".

--- a/src/gateway/streams/streamVersions.ts
+++ b/src/gateway/streams/streamVersions.ts
@@ -125,7 +125,9 @@
             return toOrigin(known);
         }
         await this.waitForHistory();
-        const routers = selectRecordHolders(key, this.listOthers(), askedRouters);
+        // Any routers can tell which versions they have seen; asking others each time spreads the queries.
+        const rankingKey = requestId === undefined ? `${key} ${this.lastQueryId}` : key;
+        const routers = selectRecordHolders(rankingKey, this.listOthers(), askedRouters);
         if (this.pending.size >= maxPendingQueries) {
             return { kind: "unknown", mayBeKnown: true };
         }
