Explain a placement: lynxarch explain-placement

Cause: operators could see where a request went only after it was sent, and not why other targets were passed over.

Change: a router answers at its control address where a request of a route, account and prompt would be placed now: candidates with their cost by term, why other targets are excluded, share and surplus, bounds, the owner and the decision. For this the prompt's cost became a sum of named terms (computePromptCosts), TargetDirectory and TargetSelector name the reason that excludes a target, Target computes its queue without storing it, and GrantClient names an engine's owner. TargetSelector takes the part of the context that it needs, so that the explanation uses one without the router's random generator.

--- a/src/cli/commandList.ts
+++ b/src/cli/commandList.ts
@@ -9,6 +9,7 @@
 import { documentRestore } from "./commands/documentRestore.js";
 import { documentShow } from "./commands/documentShow.js";
 import { explain } from "./commands/explain.js";
+import { explainPlacement } from "./commands/explainPlacement.js";
 import { heldList, heldRelease, heldReleasePart } from "./commands/held.js";
 import { keyIssue } from "./commands/keyIssue.js";
 import { rollouts } from "./commands/rollouts.js";
@@ -38,6 +39,7 @@
     heldRelease,
     heldReleasePart,
     rollouts,
+    explainPlacement,
     accountCreate,
     keyIssue,
 ];
--- a/src/decisions/health/targetAvailability.ts
+++ b/src/decisions/health/targetAvailability.ts
@@ -48,6 +48,14 @@
 
     /** Whether a request may be sent to the target now. */
     public canAccept(nowMs: number): boolean {
-        return this.evidence === undefined && this.pause.canStart(nowMs);
+        return this.findRefusalReason(nowMs) === undefined;
+    }
+
+    /** Why no request may be sent to the target now; undefined if one may. */
+    public findRefusalReason(nowMs: number): "leaving" | "pausing" | undefined {
+        if (this.evidence !== undefined) {
+            return "leaving";
+        }
+        return this.pause.canStart(nowMs) ? undefined : "pausing";
     }
 }
--- a/src/decisions/placement/placement.ts
+++ b/src/decisions/placement/placement.ts
@@ -107,7 +107,7 @@
 }
 
 /** Candidates with capacity, or, if all are full, those with the fewest waiting requests of the account. */
-function listEligible<T extends PlacementCandidate>(candidates: readonly T[]): readonly T[] {
+export function listEligible<T extends PlacementCandidate>(candidates: readonly T[]): readonly T[] {
     const available = candidates.filter(candidate => candidate.load < candidate.window);
     if (available.length > 0) {
         return available;
@@ -117,13 +117,22 @@
 }
 
 function computeBaseScore(candidate: PlacementCandidate, dataCentre: string): number {
+    const { wait, batch, distance } = computePlacementTerms(candidate, dataCentre);
+    return wait + batch + distance;
+}
+
+/** Terms of a candidate's score without affinity; milliseconds. */
+export function computePlacementTerms(
+    candidate: PlacementCandidate,
+    dataCentre: string,
+): Readonly<Record<"wait" | "batch" | "distance", number>> {
     const serviceTimeMs = candidate.serviceTimeMs || defaultServiceTimeMs;
     const utilization = Math.min(1, candidate.load / Math.max(1, candidate.window));
-    return (
-        estimateWaitMs(candidate) +
-        batchSlowdown * utilization * serviceTimeMs +
-        (candidate.dataCentre === dataCentre ? 0 : distanceMs)
-    );
+    return {
+        wait: estimateWaitMs(candidate),
+        batch: batchSlowdown * utilization * serviceTimeMs,
+        distance: candidate.dataCentre === dataCentre ? 0 : distanceMs,
+    };
 }
 
 function listRendezvous<T extends PlacementCandidate>(
--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -58,6 +58,34 @@
     readonly ms: number;
 }
 
+/** Terms of a candidate's cost. */
+export type PromptCostTerm =
+    /** Prefill of the tokens queued before the request. */
+    | "queue"
+    /** Prefill of the request's tokens that the engine has not cached. */
+    | "prefill"
+    /** Additional weight of shared tokens that are prefilled at one more engine. */
+    | "repeatedPrefill"
+    /** Weight of copied tokens. */
+    | "copiedTokens"
+    /** Duration of the copy. */
+    | "copy"
+    /** Slowdown by running requests. */
+    | "batch"
+    /** Wait for a slot in a full batch. */
+    | "fullBatch"
+    /** Distance to another data centre. */
+    | "distance";
+
+/** The cost of sending a request to a candidate. */
+export interface PromptCost<T> {
+    readonly placement: PromptPlacement<T>;
+    /** Milliseconds. */
+    readonly terms: Readonly<Record<PromptCostTerm, number>>;
+    /** Sum of the terms. */
+    readonly costMs: number;
+}
+
 /** The engine selected for a request, and the tokens to prefill there. */
 export interface PromptPlacement<T> {
     readonly candidate: T;
@@ -98,39 +126,47 @@
     sources: readonly T[] = candidates,
     preferred: T | undefined = findPreferredTarget(candidates, request.parts[request.parts.length - 2]?.id),
 ): PromptPlacement<T> | undefined {
+    let best: PromptCost<T> | undefined;
+    for (const cost of computePromptCosts(candidates, request, sources, preferred)) {
+        if (cost.costMs < (best?.costMs ?? Number.POSITIVE_INFINITY)) {
+            best = cost;
+        }
+    }
+    return best?.placement;
+}
+
+/** The cost of each candidate, in the order of the candidates; the parameters are those of {@link choosePromptPlacement}. */
+export function computePromptCosts<T extends PromptCandidate>(
+    candidates: readonly T[],
+    request: PromptRequest,
+    sources: readonly T[],
+    preferred: T | undefined,
+): readonly PromptCost<T>[] {
+    const { tokensPerMs, dataCentre, transfer } = request;
     const shared = request.parts.slice(0, -1);
     const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
     const ownTokens = Math.max(0, request.promptTokens - sharedTokens);
-    const source = request.transfer === undefined ? undefined : findSource(sources, shared);
-    let best: PromptPlacement<T> | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const candidate of candidates) {
+    const source = transfer === undefined ? undefined : findSource(sources, shared);
+    return candidates.map(candidate => {
         const cachedTokens = sharedTokens - countMissingTokens(candidate, shared);
-        const fetch = createFetch(source, cachedTokens, request.transfer);
+        const fetch = createFetch(source, cachedTokens, transfer);
         const missingTokens = sharedTokens - cachedTokens - (fetch?.tokens ?? 0);
         const newTokens = ownTokens + missingTokens;
-        const repeatedPrefillCost =
-            missingTokens * (repeatedPrefillFactor - 1) * (candidate === preferred ? 1 - preferredTargetDiscount : 1);
-        const costMs =
-            (newTokens + repeatedPrefillCost + (fetch?.tokens ?? 0) * copyFactor) / request.tokensPerMs +
-            (fetch?.ms ?? 0) +
-            computeLoadMs(candidate, request);
-        if (costMs < bestCost) {
-            bestCost = costMs;
-            best = { candidate, fetch, newTokens, tokensAhead: candidate.waitingTokens + newTokens };
-        }
-    }
-    return best;
-}
-
-/** Cost of the candidate's load and distance, independent of the parts that it has cached; milliseconds. */
-function computeLoadMs(candidate: PromptCandidate, { tokensPerMs, dataCentre }: PromptRequest): number {
-    return (
-        candidate.waitingTokens / tokensPerMs +
-        candidate.running * batchMs +
-        (candidate.running >= candidate.slots ? fullBatchMs : 0) +
-        (candidate.dataCentre === dataCentre ? 0 : distanceMs)
-    );
+        const repeatedPrefillFraction = candidate === preferred ? 1 - preferredTargetDiscount : 1;
+        const terms = {
+            queue: candidate.waitingTokens / tokensPerMs,
+            prefill: newTokens / tokensPerMs,
+            repeatedPrefill: (missingTokens * (repeatedPrefillFactor - 1) * repeatedPrefillFraction) / tokensPerMs,
+            copiedTokens: ((fetch?.tokens ?? 0) * copyFactor) / tokensPerMs,
+            copy: fetch?.ms ?? 0,
+            batch: candidate.running * batchMs,
+            fullBatch: candidate.running >= candidate.slots ? fullBatchMs : 0,
+            distance: candidate.dataCentre === dataCentre ? 0 : distanceMs,
+        };
+        const costMs = Object.values(terms).reduce((sum, ms) => sum + ms, 0);
+        const placement = { candidate, fetch, newTokens, tokensAhead: candidate.waitingTokens + newTokens };
+        return { placement, terms, costMs };
+    });
 }
 
 interface Source<T> {
--- a/src/gateway/accountCharge.ts
+++ b/src/gateway/accountCharge.ts
@@ -1,5 +1,7 @@
 import type { GatewayContext } from "./gatewayContext.js";
+import type { RouteConfiguration } from "./configuration.js";
 import type { RoutedRequest } from "./routedRequest.js";
+import type { RequestHead } from "./wire.js";
 
 /** Weight of an output token in an account's share: generating one costs about as much as prefilling this many prompt tokens. */
 const outputTokenWeight = 2;
@@ -7,7 +9,13 @@
 /** Tokens charged to an account's share for a request: prompt tokens plus weighted expected output tokens; 0 without a prompt. */
 export function computeChargedTokens(
     { outputLengths }: Pick<GatewayContext, "outputLengths">,
-    { head, route }: Pick<RoutedRequest, "head" | "route">,
+    {
+        head,
+        route,
+    }: {
+        readonly head: Pick<RequestHead, "promptTokens" | "maxOutputTokens">;
+        readonly route: Pick<RouteConfiguration, "name">;
+    },
 ): number {
     const outputTokens = outputLengths.getOrCreate(route.name).estimate(head.maxOutputTokens);
     return head.promptTokens > 0 ? head.promptTokens + outputTokenWeight * outputTokens : 0;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -270,7 +270,7 @@
             settings.readiness,
         );
         if (settings.control !== undefined) {
-            await this.listenAt(createControlApp(source, this.quarantine, this.rollouts), settings.control);
+            await this.listenAt(createControlApp(source, this.rollouts, this.context), settings.control);
         }
         if (settings.metricsPort !== undefined) {
             const app = createMetricsApp(this.metrics, () => describeState(this.context, source));
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -55,8 +55,7 @@
         openRequests,
         configurationVersion: context.configuration.current?.version ?? 0,
         isPlatformConnected: health.isConnected,
-        targetsViewAgeMs:
-            health.targets.coveredUntilMs === undefined ? undefined : nowMs - health.targets.coveredUntilMs,
+        targetsViewAgeMs: computeTargetsViewAgeMs(context, source),
         storeReads: health.reads,
         peers: context.peers.routers.routerIds.length - 1,
         peerRound: context.peers.round,
@@ -71,6 +70,15 @@
     };
 }
 
+/** Age of the last read that covers all targets' records; undefined before the first read. Milliseconds. */
+export function computeTargetsViewAgeMs(
+    { clock }: Pick<GatewayContext, "clock">,
+    { health }: Pick<FleetSource, "health">,
+): number | undefined {
+    const { coveredUntilMs } = health.targets;
+    return coveredUntilMs === undefined ? undefined : clock.nowMs() - coveredUntilMs;
+}
+
 /** Counts of each account's requests on this router, and the account's usage of its share. */
 export function listAccounts(context: GatewayContext, statistics: AccountStatistics): readonly AccountSnapshot[] {
     return statistics.listAll().map(([account, counts]) => ({
--- a/src/gateway/grants/grantClient.ts
+++ b/src/gateway/grants/grantClient.ts
@@ -78,6 +78,11 @@
 
     public constructor(private readonly options: GrantClientOptions) {}
 
+    /** Id of the router that would be asked for a grant now; undefined if none can be. */
+    public findOwner({ idHash }: Pick<Target, "idHash">): string | undefined {
+        return this.options.owners.find(idHash, this.options.clock.nowMs());
+    }
+
     /** Requests a grant from the engine's owner. Calls `handleOutcome` exactly once unless the client is disposed first. */
     public submit(demand: GrantDemand, handleOutcome: (outcome: GrantOutcome) => void): void {
         const { ownId, owners, localOwner, transport, clock, setTimer } = this.options;
--- a/src/gateway/managementApps.ts
+++ b/src/gateway/managementApps.ts
@@ -1,8 +1,12 @@
 import { Hono } from "hono";
+import { createExplainPlacementApp } from "./explanations/explainPlacementApi.js";
+import { PlacementExplainer } from "./explanations/placementExplainer.js";
 import type { FleetSource } from "./fleetSource.js";
+import type { GatewayContext } from "./gatewayContext.js";
+import { computeTargetsViewAgeMs } from "./gatewayState.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { createSnapshotApp } from "./peers/snapshotApi.js";
-import { createHeldRequestsApp, type HeldRequests } from "./quarantine/heldRequestsApi.js";
+import { createHeldRequestsApp } from "./quarantine/heldRequestsApi.js";
 import type { Rollouts } from "./rollouts/rollouts.js";
 import { createRolloutsApp } from "./rollouts/rolloutsApi.js";
 
@@ -29,19 +33,21 @@
 
 /** Serves operators, and other routers that start while the platform's store is unavailable. */
 export function createControlApp(
-    source: Pick<FleetSource, "createSnapshot">,
-    heldRequests: HeldRequests,
+    source: Pick<FleetSource, "createSnapshot" | "health">,
     rollouts: Pick<Rollouts, "listAll">,
+    context: GatewayContext,
 ): Hono {
     const app = new Hono();
     app.route(
         "/",
         createSnapshotApp(() => source.createSnapshot()),
     );
-    app.route("/", createHeldRequestsApp(heldRequests));
+    app.route("/", createHeldRequestsApp(context.quarantine));
     app.route(
         "/",
         createRolloutsApp(() => rollouts.listAll()),
     );
+    const explainer = new PlacementExplainer(context, () => computeTargetsViewAgeMs(context, source));
+    app.route("/", createExplainPlacementApp(explainer));
     return app;
 }
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -48,7 +48,7 @@
 );
 
 /** Share of the objective that a plain request may spend waiting at its target. */
-const maxPlainWaitShare = 0.6;
+export const maxPlainWaitShare = 0.6;
 /**
  * The work that a begun stream has received is lost if the stream is refused, so that it may wait longer than a new one and is not refused
  * for its account's share, which was charged when it began.
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -129,10 +129,20 @@
      * denies such requests, the time until the target has capacity counts as a queue.
      */
     public updateWaitingTokens(tokensPerMs: number, maxUsage: number, nowMs: number): void {
+        this.ownerReportedTokens = this.computeOwnerReportedTokens(tokensPerMs, maxUsage, nowMs);
+    }
+
+    /** The value of {@link waitingTokens} after {@link updateWaitingTokens}, without an update. */
+    public computeWaitingTokens(tokensPerMs: number, maxUsage: number, nowMs: number): number {
+        const reportedTokens = this.computeOwnerReportedTokens(tokensPerMs, maxUsage, nowMs);
+        return Math.max(this.ownWaitingTokens + this.peerLoad.waitingTokens, reportedTokens);
+    }
+
+    private computeOwnerReportedTokens(tokensPerMs: number, maxUsage: number, nowMs: number): number {
         const { ownerReport } = this;
         const remainingTokens =
             ownerReport === undefined ? 0 : ownerReport.queuedTokens - (nowMs - ownerReport.atMs) * tokensPerMs;
-        this.ownerReportedTokens = Math.max(
+        return Math.max(
             0,
             remainingTokens,
             this.computeDeniedMs(maxUsage, nowMs) *
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -20,6 +20,9 @@
 const pauseSpread = 0.1;
 const maxPauseSpreadMs = 250;
 
+/** Why a target may not receive new requests. */
+export type ClosedReason = "leaving" | "pausing" | "removed" | "data-centre-out";
+
 /** A signal that a target sent in a response, for the metrics. */
 export interface ReceivedSignal {
     readonly service: string;
@@ -96,12 +99,20 @@
     /** Targets of a service that may receive new requests: not leaving, pausing or removed, and in a data centre that is in service. */
     public listOpen(service: string): readonly Target[] {
         const nowMs = this.options.clock.nowMs();
-        return (this.byService.get(service) ?? []).filter(target => this.isReady(target, nowMs));
+        return (this.byService.get(service) ?? []).filter(target => this.findClosedReason(target, nowMs) === undefined);
     }
 
     /** Whether the target is registered and may receive new requests. */
     public isOpen(target: Target): boolean {
-        return this.targets.get(target.id) === target && this.isReady(target, this.options.clock.nowMs());
+        const nowMs = this.options.clock.nowMs();
+        return this.targets.get(target.id) === target && this.findClosedReason(target, nowMs) === undefined;
+    }
+
+    /** Why a registered target may not receive new requests; undefined if it may. */
+    public findClosedReason(target: Target, nowMs: number): ClosedReason | undefined {
+        const isOut = this.dataCentresOut.has(target.dataCentre);
+        const reason = isRemoved(target, nowMs) ? "removed" : isOut ? "data-centre-out" : undefined;
+        return target.availability.findRefusalReason(nowMs) ?? reason;
     }
 
     /** Whether the target must not receive even an already assigned request: it is leaving, removed, pausing or out of service. */
@@ -210,11 +221,6 @@
         }
     }
 
-    private isReady(target: Target, nowMs: number): boolean {
-        const { availability, dataCentre } = target;
-        return availability.canAccept(nowMs) && !isRemoved(target, nowMs) && !this.dataCentresOut.has(dataCentre);
-    }
-
     private applyEntry(id: string, entry: TargetEntry | undefined): void {
         // An outdated record would revert a restarted target to its earlier incarnation and discard its current state.
         if (
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -1,4 +1,4 @@
-import { choosePlacement } from "../decisions/placement/placement.js";
+import { choosePlacement, type PlacementCandidate } from "../decisions/placement/placement.js";
 import { computeColdShare } from "../decisions/limits/coldLimit.js";
 import { pickCandidates } from "../decisions/placement/candidateSample.js";
 import {
@@ -6,6 +6,7 @@
     findPreferredTarget,
     type CacheTransfer,
     type PromptFetch,
+    type PromptRequest,
 } from "../decisions/placement/promptPlacement.js";
 import type { EngineCapacity, RouteConfiguration, ServiceConfiguration } from "./configuration.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -51,9 +52,15 @@
 /** Time to set up a copy between engines: one network round trip and the processing at both ends; milliseconds. */
 const transferSetupMs = 3;
 
+/** What a selection depends on. */
+export type SelectorContext = Pick<
+    GatewayContext,
+    "settings" | "clock" | "random" | "directory" | "peers" | "rollouts" | "firstTokenModels" | "idleShares"
+>;
+
 /** Chooses the target of a request. */
 export class TargetSelector {
-    public constructor(private readonly context: GatewayContext) {}
+    public constructor(private readonly context: SelectorContext) {}
 
     /** Draws the service of the first attempt by weight; the other open services of the route follow as alternatives. */
     public orderServices(route: RouteConfiguration): readonly string[] {
@@ -125,9 +132,19 @@
     }
 
     private canStart(target: Target, service: ServiceConfiguration, nowMs: number): boolean {
-        return (
-            target.circuit.canStart(nowMs) && (target.coldUntilMs <= nowMs || this.canSendCold(target, service, nowMs))
-        );
+        return this.findStartObstacle(target, service, nowMs) === undefined;
+    }
+
+    /** Why no request may be sent to an open target now; undefined if it may. */
+    public findStartObstacle(
+        target: Target,
+        service: ServiceConfiguration,
+        nowMs: number,
+    ): "circuit-open" | "cold" | undefined {
+        if (!target.circuit.canStart(nowMs)) {
+            return "circuit-open";
+        }
+        return target.coldUntilMs <= nowMs || this.canSendCold(target, service, nowMs) ? undefined : "cold";
     }
 
     private canSendCold(target: Target, service: ServiceConfiguration, nowMs: number): boolean {
@@ -138,6 +155,17 @@
         return target.cold.hasCapacity(nowMs, computeColdShare(target.id, rate, this.context.peers.routers));
     }
 
+    /** The request as placement sees it. */
+    public createPromptRequest(
+        { name, engine }: ServiceConfiguration,
+        { promptParts, promptTokens }: Pick<RequestHead, "promptParts" | "promptTokens">,
+    ): PromptRequest {
+        const { firstTokenModels, settings } = this.context;
+        const { tokensPerMs } = firstTokenModels.getOrCreate(name);
+        const { dataCentre } = settings;
+        return { parts: promptParts, promptTokens, dataCentre, tokensPerMs, transfer: createTransfer(engine) };
+    }
+
     private selectForPrompt(
         service: ServiceConfiguration,
         candidates: readonly Target[],
@@ -145,13 +173,7 @@
         maxUsage: number,
     ): Selection | undefined {
         const model = this.context.firstTokenModels.getOrCreate(service.name);
-        const request = {
-            parts: head.promptParts,
-            promptTokens: head.promptTokens,
-            dataCentre: this.context.settings.dataCentre,
-            tokensPerMs: model.tokensPerMs,
-            transfer: createTransfer(service.engine),
-        };
+        const request = this.createPromptRequest(service, head);
         const nowMs = this.context.clock.nowMs();
         const shared = head.promptParts.slice(0, -1);
         const preferred = findPreferredTarget(candidates, shared[shared.length - 1]?.id);
@@ -177,7 +199,7 @@
     }
 
     /** Engines from which others may copy cached tokens; one that fails or is about to stop would only delay the request. */
-    private listSources(service: ServiceConfiguration): readonly Target[] {
+    public listSources(service: ServiceConfiguration): readonly Target[] {
         const nowMs = this.context.clock.nowMs();
         const { directory, rollouts } = this.context;
         return directory
@@ -187,37 +209,46 @@
 
     private selectPlain(service: ServiceConfiguration, candidates: readonly Target[]): Selection | undefined {
         const { random, settings } = this.context;
-        const views = candidates.map(target => ({
-            target,
-            agentId: target.id,
-            nameHash: target.idHash,
-            dataCentre: target.dataCentre,
-            window: target.slots * plainRequestsPerSlot,
-            load: target.running,
-            ownWaiting: 0,
-            serviceTimeMs: target.serviceTimeMs,
-            hasCachedPrefix: false,
-        }));
+        const views = candidates.map(describePlainTarget);
         const request = { affinityHash: undefined, promptTokens: 0, dataCentre: settings.dataCentre };
         const chosen = choosePlacement(views, request, random);
         if (chosen === undefined) {
             return undefined;
         }
-        const queuedBefore = Math.max(0, chosen.load - chosen.window + 1);
-        const expectedMs = (queuedBefore * chosen.serviceTimeMs) / Math.max(1, chosen.window);
         return {
             target: chosen.target,
             service,
             fetch: undefined,
             newTokens: 0,
             tokensAhead: 0,
-            expectedMs,
+            expectedMs: estimatePlainWaitMs(chosen),
             unloadedMs: 0,
             grant: undefined,
         };
     }
 }
 
+/** A target of a plain service as placement sees it. */
+export function describePlainTarget(target: Target): PlacementCandidate & { readonly target: Target } {
+    return {
+        target,
+        agentId: target.id,
+        nameHash: target.idHash,
+        dataCentre: target.dataCentre,
+        window: target.slots * plainRequestsPerSlot,
+        load: target.running,
+        ownWaiting: 0,
+        serviceTimeMs: target.serviceTimeMs,
+        hasCachedPrefix: false,
+    };
+}
+
+/** Expected time before one more request starts at a target of a plain service; milliseconds. */
+export function estimatePlainWaitMs({ load, window, serviceTimeMs }: PlacementCandidate): number {
+    const queuedBefore = Math.max(0, load - window + 1);
+    return (queuedBefore * serviceTimeMs) / Math.max(1, window);
+}
+
 function createTransfer(engine: EngineCapacity | undefined): CacheTransfer | undefined {
     return engine?.transferBytesPerMs === undefined || engine.bytesPerToken === undefined
         ? undefined
