Reset the connection of an HTTP/1.0 caller whose response is ended in the middle

Cause: a response to an HTTP/1.0 caller without a length ends with its connection. Ending it in the middle closed the connection regularly, so that the caller took the part for the whole response.

Change: such a connection is reset.

--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -173,7 +173,7 @@
     public cancel(): void {
         if (!this.ended) {
             this.ended = true;
-            this.response.destroy();
+            this.closeConnection();
             this.cancellation.cancel();
         }
     }
@@ -181,12 +181,21 @@
     /** Closes the connection of a response that is not read, also if its end has been written but not been sent. */
     private endSlowReader(): void {
         if (this.ended) {
-            this.response.destroy();
+            this.closeConnection();
         } else {
             this.cancel();
         }
     }
 
+    /** A response to an HTTP/1.0 caller may end with its connection, so that only a reset shows that it is incomplete. */
+    private closeConnection(): void {
+        if (this.request.httpVersion === "1.0") {
+            this.request.socket.resetAndDestroy();
+        } else {
+            this.response.destroy();
+        }
+    }
+
     public dispose(): void {
         this.request.socket.off("end", this.handleDisconnect);
         this.cancellation.dispose();
--- a/test/gateway/slowReaders.test.ts
+++ b/test/gateway/slowReaders.test.ts
@@ -197,6 +197,35 @@
     });
 });
 
+describe("a response that is ended in the middle", () => {
+    // A response to an HTTP/1.0 caller without a length ends with the connection: a caller would take the part for the whole.
+    it.each(["1.0", "1.1"])("is visibly incomplete to an HTTP/%s caller", async version => {
+        const exchanges: CallerExchange[] = [];
+        const server = createServer((request, response) => exchanges.push(new CallerExchange(request, response)));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+        const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+        let received = "";
+        let error: string | undefined;
+        socket.on("data", (chunk: Buffer) => {
+            received += chunk.toString("latin1");
+        });
+        socket.on("error", (failure: NodeJS.ErrnoException) => {
+            error = failure.code;
+        });
+        const closed = new Promise(resolve => socket.once("close", resolve));
+        socket.write(`GET / HTTP/${version}\r\nHost: h\r\n\r\n`);
+        await waitUntil(() => exchanges.length === 1);
+        exchanges[0].writeHead(200, {});
+        exchanges[0].write(Buffer.from("part"));
+        await waitUntil(() => received.includes("part"));
+        exchanges[0].cancel();
+        await closed;
+        server.close();
+        const isChunked = received.includes("Transfer-Encoding: chunked");
+        expect(error === "ECONNRESET" || (isChunked && !received.endsWith("0\r\n\r\n"))).toBe(true);
+    });
+});
+
 /** Fetches a router's metrics of unsent bytes. */
 async function fetchUnsent(ip: string, port: number): Promise<Record<string, number>> {
     const page = await (await fetch(`http://${ip}:${port}/metrics`)).text();
