--- a/src/decisions/admission/engineBudget.ts
+++ b/src/decisions/admission/engineBudget.ts
@@ -21,8 +21,8 @@
     readonly maxQueuedTokens: number;
     /** Maximum fraction of the engine's limit that may be in use including this request; above 1 if it may exceed the limit. */
     readonly maxUsage: number;
-    /** Whether only the tokens granted before must fit into the limit, and not the request's own as well. */
-    readonly ignoresOwnTokens?: boolean;
+    /** Whether less of the request's own tokens has to fit into the limit, as its account has been served less than others. */
+    readonly isPreferred?: boolean;
     /** Window of the limit: the longest pause that the engine's streams tolerate; milliseconds. */
     readonly windowMs: number;
 }
@@ -70,6 +70,8 @@
  * short prompts take first. Requests that may exceed the limit need no capacity for their own tokens.
  */
 const ownTokensWeight = 0.5;
+/** The same for preferred requests: without any, long prompts would exceed the limit and delay requests of accounts within their share. */
+const preferredOwnTokensWeight = 0.2;
 /** Retry delay for an engine without a free slot; about the time in which one of its streams ends. */
 const noSlotRetryMs = 100;
 
@@ -187,8 +189,9 @@
 }
 
 /** Tokens of the request that must fit into the limit. */
-function countOwnTokens({ tokens, maxUsage, ignoresOwnTokens = false }: PrefillRequest): number {
-    return maxUsage > 1 || ignoresOwnTokens ? 0 : tokens * ownTokensWeight;
+function countOwnTokens({ tokens, maxUsage, isPreferred = false }: PrefillRequest): number {
+    const weight = isPreferred ? preferredOwnTokensWeight : ownTokensWeight;
+    return maxUsage > 1 ? 0 : tokens * weight;
 }
 
 /** Tokens of a grant that the engine has not prefilled yet. */
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -92,7 +92,7 @@
             tokens: newTokens,
             maxQueuedTokens: request.maxWaitMs * rate.tokensPerMs,
             maxUsage: isFilled ? addAllowance(maxUsage, allowance.current) : maxUsage,
-            ignoresOwnTokens: isFilled && isBelowLevelUsage(maxUsage),
+            isPreferred: isFilled && isBelowLevelUsage(maxUsage),
             windowMs: request.windowMs,
         };
         shares.recordRequested(request.accountHash, request.chargedTokens, nowMs);
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -147,11 +147,22 @@
      * {@link speedFactor}. While the owner denies such requests, the time until the target has capacity counts as a queue.
      */
     public updateWaitingTokens(serviceTokensPerMs: number, maxUsage: number, nowMs: number): void {
-        const { ownerReport } = this;
         const tokensPerMs = serviceTokensPerMs / this.speedFactor;
+        this.ownerReportedTokens = this.computeOwnerReportedTokens(tokensPerMs, maxUsage, nowMs);
+    }
+
+    /** The value of {@link waitingTokens} after {@link updateWaitingTokens}, without an update. */
+    public computeWaitingTokens(serviceTokensPerMs: number, maxUsage: number, nowMs: number): number {
+        const tokensPerMs = serviceTokensPerMs / this.speed.estimate(nowMs).factor;
+        const reportedTokens = this.computeOwnerReportedTokens(tokensPerMs, maxUsage, nowMs);
+        return Math.max(this.ownWaitingTokens + this.peerLoad.waitingTokens, reportedTokens);
+    }
+
+    private computeOwnerReportedTokens(tokensPerMs: number, maxUsage: number, nowMs: number): number {
+        const { ownerReport } = this;
         const remainingTokens =
             ownerReport === undefined ? 0 : ownerReport.queuedTokens - (nowMs - ownerReport.atMs) * tokensPerMs;
-        this.ownerReportedTokens = Math.max(
+        return Math.max(
             0,
             remainingTokens,
             this.computeDeniedMs(maxUsage, nowMs) *
