Grant only what fits into an engine's memory

Cause: running requests and cached parts share an engine's memory. Long prompts fill it before slots or prefill time run out, and the engine preempts or refuses requests, or crashes.

Change: with limitsEngineMemory, the owner counts the tokens that granted requests hold (EngineMemory) and denies what does not fit into 0.9 of the service's cacheTokens, for the time until the oldest request is expected to end. Ends that are not reported expire after 20 s, like slots. At the owner, parts count as cached for the capacity less the held tokens, and parts of running requests always do. The engine model counts what requests hold.

--- a/bench/gateway/chunkedEngine.ts
+++ b/bench/gateway/chunkedEngine.ts
@@ -65,6 +65,10 @@
     /** Of these, tokens of shared parts that it had read before. */
     public rereadTokens = 0;
     private readonly known = new Set<string>();
+    /** Tokens that requests under way hold: prompts, with each shared part once, and whole outputs. */
+    private heldTokens = 0;
+    private peakHeldTokens = 0;
+    private readonly heldParts = new Map<string, number>();
 
     public constructor(private readonly options: ChunkedEngineOptions) {
         const { cacheTokens } = options;
@@ -101,6 +105,15 @@
             longestPauseMs: 0,
         };
         this.reading.push({ request, stream });
+        this.addHeld(request, 1);
+        this.peakHeldTokens = Math.max(this.peakHeldTokens, this.heldTokens);
+    }
+
+    /** Most tokens that requests under way held at a time since the last call. */
+    public takePeakHeldTokens(): number {
+        const peak = this.peakHeldTokens;
+        this.peakHeldTokens = this.heldTokens;
+        return peak;
     }
 
     /** Drops a request that has no output yet; false: it has output, or is not here. */
@@ -113,6 +126,9 @@
         }
         const wasHere = readingIndex >= 0 || kept.length < this.running.length;
         this.running = kept;
+        if (wasHere) {
+            this.addHeld(request, -1);
+        }
         return wasHere;
     }
 
@@ -140,6 +156,22 @@
         return missing;
     }
 
+    /** Counts a request that comes (1) or goes (-1). */
+    private addHeld({ parts, events }: EngineRequest, change: 1 | -1): void {
+        this.heldTokens += change * events * this.options.tokensPerEvent;
+        for (const { id, tokens } of parts) {
+            const before = this.heldParts.get(id) ?? 0;
+            const after = before + change;
+            this.heldParts.set(id, after);
+            if (before === 0 || after === 0) {
+                this.heldTokens += change * tokens;
+            }
+            if (after === 0) {
+                this.heldParts.delete(id);
+            }
+        }
+    }
+
     private runStep(): void {
         let chunk = this.options.chunkTokens;
         const begun: Run[] = [];
@@ -156,7 +188,10 @@
         const { tokensPerMs, chunkTokens, stepMs } = this.options;
         this.stepEndsAtMs += stepMs + (chunkTokens - chunk) / tokensPerMs;
         this.running.forEach(run => this.addToken(run));
-        this.running.filter(({ stream }) => stream.tokensLeft <= 0).forEach(run => run.request.handleEnd(run.stream));
+        for (const { request, stream } of this.running.filter(run => run.stream.tokensLeft <= 0)) {
+            this.addHeld(request, -1);
+            request.handleEnd(stream);
+        }
         this.running = [...this.running.filter(({ stream }) => stream.tokensLeft > 0), ...begun];
     }
 
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -159,6 +159,8 @@
     readonly peerPeriodMs: number;
     /** Of engines that leave or pause. */
     readonly signals: SignalFigures | undefined;
+    /** By second, most tokens that any engine held at a time. */
+    readonly peakHeldTokens: readonly number[];
     /** By second, means over the engines. */
     readonly spareCapacity: readonly SpareCapacity[];
 }
@@ -215,6 +217,7 @@
     private readonly routersById: ReadonlyMap<string, ModelRouter>;
     private readonly seconds: ReadonlyMap<string, AccountSecond[]>;
     private readonly ended: EngineStream[] = [];
+    private readonly peakHeldTokens: number[] = [];
     private readonly spareSamples: readonly SpareCapacity[][];
     private readonly route: RouteConfiguration;
     private readonly signals: EngineSignals | undefined;
@@ -282,6 +285,10 @@
             }
             this.loads.forEach(load => this.addArrivals(load, nowMs));
             this.clock.advance(1);
+            if ((nowMs + 1) % msPerSecond === 0) {
+                const peaks = [...this.engines.values()].map(engine => engine.takePeakHeldTokens());
+                this.peakHeldTokens.push(Math.max(...peaks));
+            }
         }
         const engines = [...this.engines.values()];
         return {
@@ -291,6 +298,7 @@
             rereadTokens: computeSum(engines.map(engine => engine.rereadTokens)),
             peerPeriodMs: computeSum(this.routers.map(router => router.peers.round.periodMs)) / this.routers.length,
             signals: this.signals?.figures,
+            peakHeldTokens: this.peakHeldTokens,
             spareCapacity: this.spareSamples.map(samples => ({
                 engines: Math.max(...samples.map(sample => sample.engines)),
                 allowance: computeMean(samples.map(sample => sample.allowance)),
--- a/src/decisions/admission/engineBudget.ts
+++ b/src/decisions/admission/engineBudget.ts
@@ -21,6 +21,8 @@
     readonly maxQueuedTokens: number;
     /** Maximum fraction of the engine's limit that may be in use including this request; above 1 if it may exceed the limit. */
     readonly maxUsage: number;
+    /** Time until the engine's memory has room for the request; milliseconds, 0 if it has or when left out. */
+    readonly memoryWaitMs?: number;
     /** Window of the limit: the longest pause that the engine's streams tolerate; milliseconds. */
     readonly windowMs: number;
 }
@@ -60,7 +62,7 @@
 /** Maximum window of any request; older grants are removed. */
 const maxWindowMs = 2_000;
 /** A request whose end has not been reported within this time is assumed to have ended or to be lost. */
-const runTtlMs = 20_000;
+export const runTtlMs = 20_000;
 /** A prompt that has no output this long after its expected prefill is delayed by a stalled engine and counts as queued again. */
 const stallTimeoutMs = 1_000;
 /**
@@ -69,7 +71,7 @@
  */
 const ownTokensWeight = 0.5;
 /** Retry delay for an engine without a free slot; about the time in which one of its streams ends. */
-const noSlotRetryMs = 100;
+export const noSlotRetryMs = 100;
 
 /** Accounting of the grants of one engine. */
 export class EngineBudget {
@@ -108,6 +110,7 @@
         }
         const engineMs = Math.max(
             this.running.size >= rate.slots ? noSlotRetryMs : 0,
+            request.memoryWaitMs ?? 0,
             Math.max(0, queuedTokens - request.maxQueuedTokens) / rate.tokensPerMs,
         );
         const capacityMs = this.computeCapacityMs(request, limit * request.maxUsage, nowMs);
--- a/src/decisions/placement/cachedParts.ts
+++ b/src/decisions/placement/cachedParts.ts
@@ -24,17 +24,31 @@
 /** Minimum cache size: targets of services without prompts cache no parts, but the LRU cache requires a positive size. */
 const minCacheTokens = 1;
 
+/** Memory of the engine that running requests hold; known at the engine's owner only. */
+export interface HeldMemory {
+    /** Tokens of running requests that are not in shared parts. */
+    readonly ownTokens: number;
+    /** Whether a running request holds the shared part. */
+    hasPart(partId: string): boolean;
+}
+
 /** Estimated cache content of one engine. */
 export class CachedParts {
     private readonly parts: LRUCache<string, CachedPart>;
-    private readonly lifetimeTokens: number;
+    private readonly usableTokens: number;
     private written = 0;
 
-    /** `cacheTokens`: capacity of the engine's cache. */
-    public constructor(cacheTokens: number) {
-        this.lifetimeTokens = Math.max(minCacheTokens, Math.floor(cacheTokens * usableCacheFraction));
+    /**
+     * `cacheTokens`: capacity of the engine's cache; `findHeldMemory`: what running requests hold of it, undefined where that is
+     * not known.
+     */
+    public constructor(
+        cacheTokens: number,
+        private readonly findHeldMemory: () => HeldMemory | undefined = () => undefined,
+    ) {
+        this.usableTokens = Math.max(minCacheTokens, Math.floor(cacheTokens * usableCacheFraction));
         this.parts = new LRUCache({
-            maxSize: this.lifetimeTokens,
+            maxSize: this.usableTokens,
             sizeCalculation: part => Math.max(1, part.tokens),
         });
     }
@@ -42,14 +56,18 @@
     /** Whether the part is assumed to be cached. */
     public has(partId: string): boolean {
         const part = this.parts.peek(partId);
-        return part !== undefined && this.written - part.usedAtTokens <= this.lifetimeTokens;
+        const held = this.findHeldMemory();
+        return (
+            part !== undefined &&
+            (held?.hasPart(partId) === true || this.written - part.usedAtTokens <= this.computeLifetimeTokens(held))
+        );
     }
 
     /** Records that a request uses the part, which the engine then has cached. True if the use should be reported to peers. */
     public recordUse(partId: string, tokens: number): boolean {
         const previous = this.parts.peek(partId);
         const isFresh =
-            previous !== undefined && this.written - previous.usedAtTokens <= this.lifetimeTokens * refreshFraction;
+            previous !== undefined && this.written - previous.usedAtTokens <= this.usableTokens * refreshFraction;
         this.parts.set(partId, { tokens, usedAtTokens: isFresh ? previous.usedAtTokens : this.written });
         return !isFresh;
     }
@@ -66,4 +84,12 @@
     public clear(): void {
         this.parts.clear();
     }
+
+    /**
+     * Tokens that may be written after a part's last reported use before it is overwritten; running requests are never overwritten. At least
+     * the tokens after which a use is reported again, as a part that was just used would otherwise count as overwritten.
+     */
+    private computeLifetimeTokens(held: HeldMemory | undefined): number {
+        return Math.max(this.usableTokens * refreshFraction, this.usableTokens - (held?.ownTokens ?? 0));
+    }
 }
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -1,9 +1,11 @@
 import { LRUCache } from "lru-cache";
 import type { Clock } from "../../base/clock.js";
 import { EngineBudget, type EngineRate, type PrefillDecision } from "../../decisions/admission/engineBudget.js";
+import { EngineMemory, type MemoryDemand } from "../../decisions/admission/engineMemory.js";
 import { addAllowance, computeMaxEngineUsage, isWithinShareUsage } from "../../decisions/admission/promptAdmission.js";
 import { minSentUsage, SpareAllowance } from "../../decisions/admission/spareAllowance.js";
 import type { PrefillShare } from "../../decisions/admission/prefillShare.js";
+import type { HeldMemory } from "../../decisions/placement/cachedParts.js";
 import type { FirstTokenModel } from "../../decisions/placement/firstTokenModel.js";
 import { countMissingTokens } from "../../decisions/placement/promptPlacement.js";
 import { EngineShares } from "../../decisions/shares/engineShares.js";
@@ -25,7 +27,7 @@
 }
 
 /** Settings that change which requests are granted. All are off when left out. */
-export type GrantSettings = Partial<Pick<GatewaySettings, "fillsSpareCapacity">>;
+export type GrantSettings = Partial<Pick<GatewaySettings, "fillsSpareCapacity" | "limitsEngineMemory">>;
 
 /** Maximum number of engines with state in memory; several times what one router of a large fleet owns. */
 const maxEngines = 4_096;
@@ -50,6 +52,7 @@
     readonly budget: EngineBudget;
     readonly shares: EngineShares;
     readonly allowance: SpareAllowance;
+    readonly memory: EngineMemory;
     /** Window of the newest request; milliseconds. */
     windowMs: number;
     requestedAtMs: number;
@@ -74,9 +77,12 @@
         }
         const nowMs = this.options.clock.nowMs();
         const rate = this.createRate(target);
-        const newTokens = countNewTokens(target, request);
         const engine = this.findEngine(request.targetHash);
-        const { budget, shares, allowance } = engine;
+        const { budget, shares, allowance, memory } = engine;
+        const memoryTokens = this.findMemoryTokens(target);
+        target.heldMemory = memoryTokens === undefined ? undefined : this.createHeldMemory(memory);
+        const newTokens = countNewTokens(target, request);
+        const demand = createMemoryDemand(senderId, request);
         engine.windowMs = request.windowMs;
         engine.requestedAtMs = nowMs;
         const maxUsage = this.computeMaxUsage(request, nowMs);
@@ -88,6 +94,7 @@
             tokens: newTokens,
             maxQueuedTokens: request.maxWaitMs * rate.tokensPerMs,
             maxUsage: this.fillsSpareCapacity ? addAllowance(maxUsage, allowance.current) : maxUsage,
+            memoryWaitMs: memoryTokens === undefined ? 0 : memory.computeWaitMs(demand, memoryTokens, nowMs),
             windowMs: request.windowMs,
         };
         shares.recordRequested(request.accountHash, request.chargedTokens, nowMs);
@@ -98,6 +105,9 @@
         if (decision.granted || request.isUnconditional) {
             shares.recordGranted(request.accountHash, request.chargedTokens, nowMs);
             recordParts(target, request, newTokens);
+            if (memoryTokens !== undefined) {
+                memory.record(demand, nowMs);
+            }
         }
         const { granted, queuedTokens, usage } = decision;
         const retryAfterMs =
@@ -132,12 +142,14 @@
 
     /** Applies a progress report. `senderId`: id of the router that holds the grant. */
     public applyReport(senderId: string, report: GrantReport): void {
-        const { budget } = this.findEngine(report.targetHash);
+        const { budget, memory } = this.findEngine(report.targetHash);
         const key = formatGrantKey(senderId, report);
         if (report.progress === "started") {
             budget.recordStart(key);
         } else {
-            budget.recordEnd(key, report.progress === "ended");
+            const hasRun = report.progress === "ended";
+            budget.recordEnd(key, hasRun);
+            memory.recordEnd(key, hasRun, this.options.clock.nowMs());
         }
     }
 
@@ -148,6 +160,24 @@
         return Math.min(maxUsage, engineUsage);
     }
 
+    /** Size of the engine's memory; undefined if it is not stated, or not limited. */
+    private findMemoryTokens({ entry }: Target): number | undefined {
+        const { settings, directory } = this.options;
+        const cacheTokens = directory.findService(entry.service)?.engine?.cacheTokens ?? 0;
+        return settings?.limitsEngineMemory === true && cacheTokens > 0 ? cacheTokens : undefined;
+    }
+
+    /** Requests expire also after another router has become the owner and no report arrives any more. */
+    private createHeldMemory(memory: EngineMemory): HeldMemory {
+        const { clock } = this.options;
+        return {
+            get ownTokens() {
+                return memory.countOwn(clock.nowMs());
+            },
+            hasPart: partId => memory.hasPart(partId, clock.nowMs()),
+        };
+    }
+
     private findEngine(targetHash: number): EngineState {
         let engine = this.engines.get(targetHash);
         if (engine === undefined) {
@@ -155,6 +185,7 @@
                 budget: new EngineBudget(),
                 shares: new EngineShares(),
                 allowance: new SpareAllowance(),
+                memory: new EngineMemory(),
                 windowMs: 1,
                 requestedAtMs: Number.NEGATIVE_INFINITY,
             };
@@ -205,6 +236,11 @@
     return { kind: "reply", grantId, isTargetKnown: false, granted: false, ...zeros };
 }
 
+function createMemoryDemand(senderId: string, request: GrantRequest): MemoryDemand {
+    const { sharedParts, ownTokens, outputTokens } = request;
+    return { id: formatGrantKey(senderId, request), sharedParts, ownTokens: ownTokens + outputTokens };
+}
+
 /** Prompt tokens that the engine has to prefill: those not cached there by earlier requests and not copied from another engine. */
 function countNewTokens(target: Target, { sharedParts, ownTokens, copiedTokens }: GrantRequest): number {
     return ownTokens + Math.max(0, countMissingTokens(target, sharedParts) - copiedTokens);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -75,6 +75,8 @@
      * earlier builds drop the grant requests that are then sent, so that it must be set only once all routers run this build.
      */
     fillsSpareCapacity: z.boolean().default(false),
+    /** Whether an engine is sent only as many requests as fit into the memory that its service's configuration states. */
+    limitsEngineMemory: z.boolean().default(false),
     /** Window over which an account's fair share is computed; seconds. */
     shareWindowSeconds: z.number().positive().default(4),
     logLevel: z.enum(logLevels).default("info"),
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -5,7 +5,7 @@
 import type { TargetAvailability } from "../decisions/health/targetAvailability.js";
 import type { AvailabilityRegistry, TargetIncarnation } from "../decisions/health/availabilityRegistry.js";
 import { ColdLimiter } from "../decisions/limits/coldLimit.js";
-import { CachedParts } from "../decisions/placement/cachedParts.js";
+import { CachedParts, type HeldMemory } from "../decisions/placement/cachedParts.js";
 import type { PromptCandidate } from "../decisions/placement/promptPlacement.js";
 import type { ServiceConfiguration } from "./configuration.js";
 import type { TargetEntry } from "./fleetSource.js";
@@ -50,6 +50,8 @@
     public readonly cold = new ColdLimiter();
     private cacheTokens = 0;
     private cachedParts = new CachedParts(0);
+    /** Memory that running requests hold; undefined where this router is not the target's owner, or does not account for it. */
+    public heldMemory: HeldMemory | undefined;
     private unreportedTokens = 0;
     /** Prompt tokens of this router's requests that wait for their first event. */
     public ownWaitingTokens = 0;
@@ -167,7 +169,7 @@
         const cacheTokens = service?.engine?.cacheTokens ?? 0;
         if (cacheTokens !== this.cacheTokens) {
             this.cacheTokens = cacheTokens;
-            this.cachedParts = new CachedParts(cacheTokens);
+            this.cachedParts = new CachedParts(cacheTokens, () => this.heldMemory);
         }
     }
 
--- a/test/decisions/placement/promptPlacement.test.ts
+++ b/test/decisions/placement/promptPlacement.test.ts
@@ -105,6 +105,23 @@
         expect(isCached).toEqual([true, true, true, true, false]);
     });
 
+    // Running requests and cached parts share the memory: parts would count as cached that running requests have overwritten.
+    it("drops a part the earlier the more running requests hold, unless one of them holds the part", () => {
+        const countKept = (ownTokens: number, heldPart?: string): number => {
+            const estimate = new CachedParts(cacheTokens, () => ({ ownTokens, hasPart: id => id === heldPart }));
+            estimate.recordUse("calendar", sharedTokens);
+            let written = 0;
+            while (estimate.has("calendar") && written < 2 * cacheTokens) {
+                estimate.recordWritten(1_000);
+                written += 1_000;
+            }
+            return written;
+        };
+        expect([countKept(0), countKept(50_000), countKept(90_000), countKept(90_000, "calendar")]).toEqual([
+            91_000, 41_000, 23_000, 200_000,
+        ]);
+    });
+
     it("requests a report to peers for a part that is new or was not reported for long, and not for each use", () => {
         const estimate = new CachedParts(cacheTokens);
         const shouldReport = [];
--- a/test/gateway/grants/grantOwner.test.ts
+++ b/test/gateway/grants/grantOwner.test.ts
@@ -5,6 +5,7 @@
 import { SeededRandom } from "../../../src/base/random.js";
 import { PrefillShare } from "../../../src/decisions/admission/prefillShare.js";
 import { FirstTokenModel } from "../../../src/decisions/placement/firstTokenModel.js";
+import type { GatewayConfiguration } from "../../../src/gateway/configuration.js";
 import type { GrantReply, GrantRequest } from "../../../src/gateway/grants/grantMessage.js";
 import { GrantOwner, type GrantSettings } from "../../../src/gateway/grants/grantOwner.js";
 import { LazyMap } from "../../../src/gateway/lazyMap.js";
@@ -30,6 +31,27 @@
     isUnconditional: false,
 };
 
+const engine = {
+    slots: 8,
+    cacheTokens: 10_000,
+    tokensPerEvent: 1,
+    bytesPerToken: undefined,
+    transferBytesPerMs: undefined,
+};
+const configuration: GatewayConfiguration = {
+    version: 1,
+    routes: [],
+    services: [{ name: "engines", maxConnections: 100, coldStartMs: 0, coldRequestsPerSecond: 0, engine }],
+    accounts: [],
+    limits: {
+        maxHeaderBytes: 1_000,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: 1_000,
+        idleTimeoutMs: 1_000,
+        tokensPerSecond: undefined,
+    },
+};
+
 interface Setup {
     readonly owner: GrantOwner;
     readonly directory: TargetDirectory;
@@ -54,6 +76,7 @@
         coldLeftMs: 0,
         version: "v1",
     };
+    directory.applyConfiguration(configuration);
     directory.applyChange({ kind: "target", id, entry: { ...entry, state: "ready", startedAtMs } });
     const firstTokenModels = new LazyMap(() => new FirstTokenModel());
     const prefillShares = new LazyMap(() => new PrefillShare());
@@ -149,3 +172,33 @@
         ]);
     });
 });
+
+describe("an owner that limits the engine's memory", () => {
+    const half = { ...request, ownTokens: 4_000, outputTokens: 500, maxUsage: 1.5, maxWaitMs: 10_000, windowMs: 2_000 };
+
+    /** Grants of three requests that take half of the memory each, and of a fourth one after the given time. */
+    function checkFour(afterMs: number, reports: readonly number[], settings: GrantSettings): readonly boolean[] {
+        const { owner, clock } = createOwner(settings);
+        const granted = [1, 2, 3].map(grantId => owner.check("router-2", { ...half, grantId }).granted);
+        clock.advance(afterMs);
+        for (const grantId of reports) {
+            const { incarnation, targetHash } = request;
+            owner.applyReport("router-2", { kind: "report", grantId, incarnation, targetHash, progress: "ended" });
+        }
+        return [...granted, owner.check("router-2", { ...half, grantId: 4 }).granted];
+    }
+
+    it("grants what fits, and more after an end", () => {
+        const limits = { limitsEngineMemory: true };
+        expect([checkFour(2_000, [], limits), checkFour(2_000, [1], limits), checkFour(2_000, [], {})]).toEqual([
+            [true, true, false, false],
+            [true, true, false, true],
+            [true, true, true, true],
+        ]);
+    });
+
+    // The router that holds the grants was killed. The engine would never be used again.
+    it("grants again after 20 s if ends are never reported", () => {
+        expect(checkFour(20_000, [], { limitsEngineMemory: true })).toEqual([true, true, false, true]);
+    });
+});
