--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -16,7 +16,7 @@
 import { createGrants, createPrefillShares } from "../../src/gateway/grants/createGrants.js";
 import type { GrantTransport } from "../../src/gateway/grants/grantClient.js";
 import type { GrantExchange } from "../../src/gateway/grants/grantExchange.js";
-import { GrantOwner } from "../../src/gateway/grants/grantOwner.js";
+import type { GrantOwner } from "../../src/gateway/grants/grantOwner.js";
 import type { GrantSettings } from "../../src/gateway/grants/spareCapacity.js";
 import { PeerState } from "../../src/gateway/peers/peerState.js";
 import type { PeerView } from "../../src/gateway/peers/peerView.js";
--- a/src/decisions/admission/engineBudget.ts
+++ b/src/decisions/admission/engineBudget.ts
@@ -23,6 +23,8 @@
     readonly maxUsage: number;
     /** Whether less of the request's own tokens has to fit into the limit, as its account has been served less than others. */
     readonly isPreferred?: boolean;
+    /** Time until the engine's memory has room for the request; milliseconds, 0 if it has or when left out. */
+    readonly memoryWaitMs?: number;
     /** Window of the limit: the longest pause that the engine's streams tolerate; milliseconds. */
     readonly windowMs: number;
 }
@@ -62,7 +64,7 @@
 /** Maximum window of any request; older grants are removed. */
 const maxWindowMs = 2_000;
 /** A request whose end has not been reported within this time is assumed to have ended or to be lost. */
-const runTtlMs = 20_000;
+export const runTtlMs = 20_000;
 /** A prompt that has no output this long after its expected prefill is delayed by a stalled engine and counts as queued again. */
 const stallTimeoutMs = 1_000;
 /**
@@ -73,7 +75,7 @@
 /** The same for preferred requests: without any, long prompts would exceed the limit and delay requests of accounts within their share. */
 const preferredOwnTokensWeight = 0.2;
 /** Retry delay for an engine without a free slot; about the time in which one of its streams ends. */
-const noSlotRetryMs = 100;
+export const noSlotRetryMs = 100;
 
 /** Accounting of the grants of one engine. */
 export class EngineBudget {
@@ -112,6 +114,7 @@
         }
         const engineMs = Math.max(
             this.running.size >= rate.slots ? noSlotRetryMs : 0,
+            request.memoryWaitMs ?? 0,
             Math.max(0, queuedTokens - request.maxQueuedTokens) / rate.tokensPerMs,
         );
         const capacityMs = this.computeCapacityMs(request, limit * request.maxUsage, nowMs);
--- a/src/gateway/grants/spareCapacity.ts
+++ b/src/gateway/grants/spareCapacity.ts
@@ -2,7 +2,9 @@
 import type { TargetDirectory } from "../targetDirectory.js";
 
 /** Settings that change which requests are granted. All are off when left out. */
-export type GrantSettings = Partial<Pick<GatewaySettings, "fillsSpareCapacity" | "fillsReportedCapacity">>;
+export type GrantSettings = Partial<
+    Pick<GatewaySettings, "fillsSpareCapacity" | "fillsReportedCapacity" | "limitsEngineMemory">
+>;
 
 /** Whether accounts beyond their share may use idle engines of the service. */
 export function isSpareCapacityFilled(
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -84,6 +84,8 @@
     fillsSpareCapacity: z.boolean().default(false),
     /** The same, only at services whose engines report how long their work takes at the moment. */
     fillsReportedCapacity: z.boolean().default(false),
+    /** Whether an engine is sent only as many requests as fit into the memory that its service's configuration states. */
+    limitsEngineMemory: z.boolean().default(false),
     /** Window over which an account's fair share is computed; seconds. */
     shareWindowSeconds: z.number().positive().default(4),
     logLevel: z.enum(logLevels).default("info"),
