Engine speeds: ask a second owner where a granted engine turns out slow; bounds as tested

Cause: routers know queues by rounds of 100 ms, so that the owner's reply often shows a longer queue than the choice assumed.

Change: where engines report, a granted request asks one more owner if another engine is expected to respond in less than 0.7 of the time, and goes to the faster of the two.

--- a/bench/gateway/unevenFleet.ts
+++ b/bench/gateway/unevenFleet.ts
@@ -25,7 +25,6 @@
 const timeLeftMs = 20_000;
 const engineSlots = 64;
 const outputTokens = 64;
-const peerPeriodMs = 100;
 const msPerSecond = 1_000;
 const usualPercent = 100;
 
@@ -43,6 +42,8 @@
 export interface UnevenFleetOptions {
     readonly engines: readonly UnevenEngine[];
     readonly routerCount: number;
+    /** Time between two messages of a router about its own load. */
+    readonly peerPeriodMs: number;
     /** Requested prompt tokens as a fraction of what the engines can prefill. */
     readonly loadFraction: number;
     /** Prefill speed of an engine of speed 1. */
@@ -240,7 +241,7 @@
     }
 
     public run(): UnevenFleetOutcome {
-        const { runMs, routerCount } = this.options;
+        const { runMs, routerCount, peerPeriodMs } = this.options;
         this.routers.forEach((router, index) =>
             this.events.add(Math.floor((index * peerPeriodMs) / routerCount), () => this.sendRound(router)),
         );
@@ -395,7 +396,7 @@
                 this.events.add(nowMs + 1, () => peer.peers.applyMessage(message));
             }
         }
-        this.events.add(nowMs + peerPeriodMs, () => this.sendRound(router));
+        this.events.add(nowMs + this.options.peerPeriodMs, () => this.sendRound(router));
     }
 
     /** Grants are encoded and decoded, so that their format is part of the test. */
--- a/src/gateway/requestAdmission.ts
+++ b/src/gateway/requestAdmission.ts
@@ -8,10 +8,11 @@
 import { zeroUsage, type ShareUsage } from "../decisions/shares/accountShares.js";
 import { computeShareUsage } from "./computeShareUsage.js";
 import type { GatewayContext } from "./gatewayContext.js";
-import type { GrantDemand } from "./grants/grantClient.js";
+import type { Grant, GrantDemand } from "./grants/grantClient.js";
 import type { GrantReply } from "./grants/grantMessage.js";
 import type { RouterResponseReason } from "./routerResponse.js";
 import type { RoutedRequest } from "./routedRequest.js";
+import type { Target } from "./target.js";
 import type { Selection, TargetFilter, TargetSelector } from "./targetSelector.js";
 
 /**
@@ -56,6 +57,15 @@
 const continuedObjectiveFactor = 2;
 /** Maximum number of owners asked for one request: after three denials a further one is unlikely to be worth its cost. */
 const maxGrantRequests = 3;
+/**
+ * A granted request is sent to another target if its expected time is below this fraction of that at the granted one. Estimates differ from
+ * the times by about a third, so that a smaller difference isn't worth a further message.
+ */
+const fasterTargetFraction = 0.7;
+
+interface GrantedSelection extends Selection {
+    readonly grant: Grant;
+}
 
 /** Options of a {@link RequestAdmission}. */
 export interface RequestAdmissionOptions {
@@ -133,6 +143,8 @@
         }
         this.grantRequests += 1;
         routed.figures.record("asked-owner");
+        // The owner counts the parts of a granted prompt as cached, which would be wrong of parts that are then sent to another target.
+        const hadParts = routed.head.promptParts.slice(0, -1).every(part => target.hasPart(part.id));
         grants.submit(this.createDemand(selection, bounds), outcome => {
             if (outcome.kind === "unanswered") {
                 this.unresponsiveOwners += 1;
@@ -147,8 +159,13 @@
             if (outcome.kind === "granted") {
                 routed.figures.record("granted");
                 this.recordDecision("owner");
-                const granted = this.applyReply(selection, outcome.reply);
-                handleOutcome(this.createSelected({ ...granted, grant: outcome.grant }));
+                const granted = { ...this.applyReply(selection, outcome.reply), grant: outcome.grant };
+                const faster = hadParts ? this.selectFaster(services, granted) : undefined;
+                if (faster === undefined) {
+                    handleOutcome(this.createSelected(granted));
+                } else {
+                    this.checkFaster(granted, faster, handleOutcome);
+                }
             } else {
                 this.checkPrompt(services, this.select(services, this.maxUsage) ?? selection, handleOutcome);
             }
@@ -185,6 +202,47 @@
         this.options.routed.figures.record(`decided-by-${source}`);
     }
 
+    /**
+     * Selects a target that is expected to respond much sooner than the granted one, whose owner has replied with a longer queue or a slower
+     * speed than this router assumed. Only for services whose engines report their speeds.
+     */
+    private selectFaster(services: readonly string[], granted: Selection): Selection | undefined {
+        const { context, routed, selector, isExcluded } = this.options;
+        if (!context.directory.hasSpeedReports(granted.service.name) || this.grantRequests >= maxGrantRequests) {
+            return undefined;
+        }
+        const isExcludedOrGranted = (target: Target): boolean => target === granted.target || isExcluded(target);
+        const { head, route } = routed;
+        const other = selector.select(services, head, route.hasPrompts, isExcludedOrGranted, this.maxUsage);
+        return other !== undefined && other.expectedMs < granted.expectedMs * fasterTargetFraction ? other : undefined;
+    }
+
+    /** Asks the owner of a target that may be faster than the granted one, and uses the one that is expected to respond sooner. */
+    private checkFaster(
+        granted: GrantedSelection,
+        faster: Selection,
+        handleOutcome: (outcome: AdmissionOutcome) => void,
+    ): void {
+        const { context, routed } = this.options;
+        this.grantRequests += 1;
+        routed.figures.record("asked-owner");
+        context.grants.submit(this.createDemand(faster, this.computeBounds(faster)), outcome => {
+            if (outcome.kind === "unanswered") {
+                this.unresponsiveOwners += 1;
+            } else {
+                faster.target.applyGrantReply(outcome.reply, context.clock.nowMs());
+            }
+            if (outcome.kind !== "granted") {
+                handleOutcome(this.createSelected(granted));
+                return;
+            }
+            const other = { ...this.applyReply(faster, outcome.reply), grant: outcome.grant };
+            const [used, unused] = other.expectedMs < granted.expectedMs ? [other, granted] : [granted, other];
+            unused.grant.report("not-run");
+            handleOutcome(this.createSelected(used));
+        });
+    }
+
     private select(services: readonly string[], maxUsage: number): Selection | undefined {
         const { routed, selector, isExcluded } = this.options;
         return selector.select(services, routed.head, routed.route.hasPrompts, isExcluded, maxUsage);
--- a/test/decisions/placement/unevenEngines.test.ts
+++ b/test/decisions/placement/unevenEngines.test.ts
@@ -9,10 +9,12 @@
 const speeds = [0.7, 0.7, 1.7, 0.7, 0.7, 1.7];
 const exact: ReportScript = { ageMs: 0 };
 const slowPhases = { factor: 2.5, ms: 600, fraction: 1 / 7 };
-const seeds = [1, 2];
+/** Others than those by which the estimate was developed (1 to 4). */
+const seeds = [11, 12, 13];
 const maxRatio = 1.5;
 const fleet: Omit<UnevenFleetOptions, "engines" | "seed" | "choice"> = {
     routerCount: 12,
+    peerPeriodMs: 100,
     loadFraction: 0.75,
     tokensPerMs: 30,
     fixedMs: 10,
@@ -78,4 +80,20 @@
     it("are, while a seventh of them is slow and reports are a second old", () => {
         checkBound({ slowPhases, engines: createEngines(...speeds.map(() => ({ ageMs: 1_000 }))) });
     });
+
+    // Nine requests of one seed are refused as late: an owner that has seen few of the responses underestimates the service's prefill speed.
+    it.fails("are, while a seventh of them is slow, by 34 routers, each of which sees few of the responses", () => {
+        checkBound({ slowPhases, routerCount: 34 });
+    });
+
+    // 1.53 at one seed: queues change within 35 ms, and routers exchange them every 100 ms.
+    it.fails("are, while a seventh of them is slow and prompts are short", () => {
+        checkBound({ slowPhases, promptTokens: 900, fixedMs: 5 });
+    });
+
+    // As above, and slowdowns are seen by first outputs alone.
+    it.fails("are, while a seventh of them is slow, prompts are short and reports are a second old", () => {
+        const engines = createEngines(...speeds.map(() => ({ ageMs: 1_000 })));
+        checkBound({ slowPhases, promptTokens: 900, fixedMs: 5, engines });
+    });
 });
