Leave callers to larger routers of the data centre before a small one saturates

Change, with yieldsToLargerRouters: a router leaves the balancer as soon as an even part of its data centre's work would take 0.7 of its processor share, and returns below 0.45, while a larger router has spare processor time; at most half of a data centre's routers leave.

--- a/src/gateway/callers/neighbourLoads.ts
+++ b/src/gateway/callers/neighbourLoads.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../../base/clock.js";
-import { isWithdrawalAllowed } from "../../decisions/admission/balancerWithdrawal.js";
+import { isWithdrawalAllowed, YieldToLarger } from "../../decisions/admission/balancerWithdrawal.js";
 import type { RouterLoad } from "../../decisions/admission/requestReturn.js";
 import type { LoadSource } from "../loadMonitor.js";
 import type { RouterCondition } from "../peers/peerMessage.js";
@@ -8,14 +8,19 @@
 
 /** Dependencies of {@link NeighbourLoads}. */
 export interface NeighbourLoadsOptions {
-    readonly getSettings: () => Pick<GatewaySettings, "daemonId" | "dataCentre" | "limits" | "returnsRequests">;
-    readonly load: Pick<LoadSource, "shouldLeaveBalancer">;
+    readonly getSettings: () => Pick<
+        GatewaySettings,
+        "daemonId" | "dataCentre" | "limits" | "returnsRequests" | "yieldsToLargerRouters"
+    >;
+    readonly load: Pick<LoadSource, "shouldLeaveBalancer" | "loop">;
     readonly peers: Pick<PeerView, "conditions">;
     readonly clock: Clock;
 }
 
 /** Time for which derived values are reused: peers report every 100 ms at most; milliseconds. */
 const cacheMs = 50;
+/** Interval between decisions on leaving callers to larger routers; about that of the neighbours' reports. Milliseconds. */
+const yieldCheckMs = 200;
 /** Utilization from which a neighbour counts as overloaded. */
 const overloadedUtilization = 0.9;
 
@@ -23,6 +28,9 @@
 export class NeighbourLoads {
     private cached: readonly RouterLoad[] = [];
     private cachedAtMs = Number.NEGATIVE_INFINITY;
+    private readonly yielding = new YieldToLarger();
+    private isYielding = false;
+    private yieldCheckedAtMs = Number.NEGATIVE_INFINITY;
 
     public constructor(private readonly options: NeighbourLoadsOptions) {}
 
@@ -41,7 +49,23 @@
     /** Whether the balancer should send no new connections because this router is overloaded. */
     public get shouldLeaveBalancer(): boolean {
         const { load, getSettings } = this.options;
-        return load.shouldLeaveBalancer && (!getSettings().returnsRequests || this.isWithdrawalAllowed());
+        const { returnsRequests, yieldsToLargerRouters } = getSettings();
+        const wantsToLeave = load.shouldLeaveBalancer || (yieldsToLargerRouters && this.shouldYield());
+        const isCoordinated = returnsRequests || yieldsToLargerRouters;
+        return wantsToLeave && (!isCoordinated || this.isWithdrawalAllowed());
+    }
+
+    private shouldYield(): boolean {
+        const { load, clock, getSettings } = this.options;
+        const nowMs = clock.nowMs();
+        if (nowMs - this.yieldCheckedAtMs >= yieldCheckMs) {
+            this.yieldCheckedAtMs = nowMs;
+            this.isYielding = this.yielding.update(
+                { processorShare: getSettings().limits.processorShare, utilization: load.loop.utilization },
+                this.listReady(),
+            );
+        }
+        return this.isYielding;
     }
 
     private isWithdrawalAllowed(): boolean {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -75,6 +75,8 @@
      * its data centre have spare processor time. Has no effect where the routers of a data centre have about the same processor share.
      */
     returnsRequests: z.boolean().default(false),
+    /** Whether a router leaves the balancer while larger routers of its data centre have spare processor time for an even part of the work. */
+    yieldsToLargerRouters: z.boolean().default(false),
     /** Whether callers' connections that have been idle longest are closed while most of the places for connections are taken. */
     closesIdleConnections: z.boolean().default(false),
     /**
