--- a/src/gateway/flowOutcomes.ts
+++ b/src/gateway/flowOutcomes.ts
@@ -1,6 +1,6 @@
 import type { CallerExchange } from "./callerExchange.js";
 import { createRouterResponse, type RouterResponseReason } from "./routerResponse.js";
-import type { AdmissionDetails } from "./requestAdmission.js";
+import type { AdmissionDetails } from "./admissionOutcome.js";
 import type { TimingDetails } from "./responseTiming.js";
 import type { ResponseRelay, StoredResponse } from "./responseRelay.js";
 import type { BindingDetails } from "./streams/streamBinding.js";
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -1,6 +1,7 @@
 import { DisposableStore } from "../base/lifecycle.js";
 import { AccountCharge } from "./accountCharge.js";
-import { emptyAdmission, RequestAdmission, type AdmissionOutcome } from "./requestAdmission.js";
+import { emptyAdmission, type AdmissionOutcome } from "./admissionOutcome.js";
+import { RequestAdmission } from "./requestAdmission.js";
 import { findPrefillShare, observeCompleteResponse } from "./completeResponse.js";
 import { ResponseTiming } from "./responseTiming.js";
 import { Attempt, type AttemptOutcome, type StopReason, type NotExecutedReason } from "./attempt.js";
--- a/test/gateway/requestDeadline.test.ts
+++ b/test/gateway/requestDeadline.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
-import { RequestAdmission, type AdmissionOutcome } from "../../src/gateway/requestAdmission.js";
+import type { AdmissionOutcome } from "../../src/gateway/admissionOutcome.js";
+import { RequestAdmission } from "../../src/gateway/requestAdmission.js";
 import { createAdmissionOptions, createRouter, service } from "./admissionFixture.js";
 
 /** Checks ten requests for an engine with a queue; returns their outcomes, which are missing where an owner was asked. */
