Engine speeds: six draws by speed, and the owner's rate is at least the mean speed

The owner's prefill speed, a quantile of its own responses, was 6 to 9 tokens a millisecond for 30, as each of its few responses had waited in a queue.

Change: for services with reports the owner uses the mean speed where the quantile is below it, and six engines are drawn by speed instead of four.

--- a/src/decisions/placement/candidateSample.ts
+++ b/src/decisions/placement/candidateSample.ts
@@ -15,10 +15,10 @@
 /** Number of engines drawn at random, with replacement. */
 const drawnEngines = 3;
 /**
- * The same among engines of different speeds. With three of six engines a sample had no fast one in a seventh of the cases even if drawn by
- * speed, and no engine outside a slowdown in more.
+ * The same among engines of different speeds: engines that are slow at the moment are in the sample as well. With four draws among six engines,
+ * of which a seventh was slow, the 95th percentile of whole responses was up to 0.08 of the one with exact knowledge higher.
  */
-const drawnUnevenEngines = 4;
+const drawnUnevenEngines = 6;
 
 /** Selects the engines to compare. `preferred`: the preferred target of the prompt's shared part while no engine has cached it. */
 export function pickCandidates<T extends PromptCandidate>(
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -100,11 +100,16 @@
         return engine;
     }
 
-    /** The engine's own rate: that of the service's model, divided by the factor of the engine. */
+    /**
+     * The engine's own rate: that of the service's model, divided by the factor of the engine. An owner that has seen few responses may have
+     * a prefill speed that is far too low, as all of these were delayed by a queue; it is then the mean speed, which accounts for queues.
+     */
     private createRate({ entry, speedFactor }: Target): EngineRate {
-        const { firstTokenModels, prefillShares } = this.options;
+        const { directory, firstTokenModels, prefillShares } = this.options;
+        const { prefillTokensPerMs, tokensPerMs } = firstTokenModels.getOrCreate(entry.service);
+        const isMeanUsed = directory.hasSpeedReports(entry.service) && tokensPerMs > prefillTokensPerMs;
         return {
-            tokensPerMs: firstTokenModels.getOrCreate(entry.service).prefillTokensPerMs / speedFactor,
+            tokensPerMs: (isMeanUsed ? tokensPerMs : prefillTokensPerMs) / speedFactor,
             slots: entry.slots,
             readingShare: prefillShares.getOrCreate(entry.service).current,
         };
--- a/test/decisions/placement/unevenEngines.test.ts
+++ b/test/decisions/placement/unevenEngines.test.ts
@@ -81,17 +81,16 @@
         checkBound({ slowPhases, engines: createEngines(...speeds.map(() => ({ ageMs: 1_000 }))) });
     });
 
-    // Nine requests of one seed are refused as late: an owner that has seen few of the responses underestimates the service's prefill speed.
-    it.fails("are, while a seventh of them is slow, by 34 routers, each of which sees few of the responses", () => {
+    // An owner that has seen few responses must not underestimate the prefill speed, and refuse requests for that.
+    it("are, while a seventh of them is slow, by 34 routers, each of which sees few of the responses", () => {
         checkBound({ slowPhases, routerCount: 34 });
     });
 
-    // 1.53 at one seed: queues change within 35 ms, and routers exchange them every 100 ms.
-    it.fails("are, while a seventh of them is slow and prompts are short", () => {
+    it("are, while a seventh of them is slow and prompts are short", () => {
         checkBound({ slowPhases, promptTokens: 900, fixedMs: 5 });
     });
 
-    // As above, and slowdowns are seen by first outputs alone.
+    // Queues change within 35 ms and routers exchange them every 100 ms; slowdowns are seen by first outputs alone.
     it.fails("are, while a seventh of them is slow, prompts are short and reports are a second old", () => {
         const engines = createEngines(...speeds.map(() => ({ ageMs: 1_000 })));
         checkBound({ slowPhases, promptTokens: 900, fixedMs: 5, engines });
