--- a/src/decisions/admission/spareAllowance.ts
+++ b/src/decisions/admission/spareAllowance.ts
@@ -40,7 +40,7 @@
  * Time after the denial of a request below the fair level in which there is no allowance; milliseconds. Each engine denies such an account only
  * a few times a second, and in between the accounts above the level would fill it again.
  */
-const belowLevelHoldMs = 500;
+const belowLevelHoldMs = 300;
 
 /**
  * A denial that changes the allowance: of a request of an account within its share, or beyond it and below the fair level, or of one above the
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -285,9 +285,14 @@
     }
 
     private observeResponse(): void {
-        const { selection, charge, timing, relay } = this;
-        const { route } = this.routed;
-        observeCompleteResponse(this.context, { selection, route, charge, timing, relayedEvents: relay.relayedEvents });
+        const { selection, charge, timing, relay, routed } = this;
+        observeCompleteResponse(this.context, {
+            selection,
+            route: routed.route,
+            charge,
+            timing,
+            relayedEvents: relay.relayedEvents,
+        });
     }
 
     private handleStopped(reason: StopReason): FlowOutcome | undefined {
