--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -19,16 +19,11 @@
 import type { RoutedRequest } from "./routedRequest.js";
 import { computeInactivityLimit, InactivityTimer } from "./inactivityTimer.js";
 import type { Target } from "./target.js";
+import { computeMaxIdleMs } from "./targetConnections.js";
 import { openTargetSend, type TargetSend } from "./targetSend.js";
 import { TargetSelector, type Selection } from "./targetSelector.js";
 import { BufferedResponseRelay } from "./bufferedResponseRelay.js";
 
-/**
- * Maximum idle time of a connection for a request that must not be executed twice. The target may have closed a connection that was
- * idle for longer; the request would fail and could not be sent again.
- */
-const maxIdleIfNotRepeatableMs = 250;
-const maxIdleIfRepeatableMs = 60_000;
 /** Maximum number of attempts that ended without execution. */
 const maxNotExecutedAttempts = 4;
 
@@ -189,7 +184,7 @@
         const { context, routed } = this;
         const { target, service } = selection;
         const { availability, entry } = target;
-        const maxIdleMs = this.isRepeatable ? maxIdleIfRepeatableMs : maxIdleIfNotRepeatableMs;
+        const maxIdleMs = computeMaxIdleMs(this.isRepeatable);
         const nowMs = context.clock.nowMs();
         const connection = target.connections.open(this.selector.computeConnectionLimit(service), maxIdleMs, nowMs);
         this.tried.add(target);
@@ -286,13 +281,8 @@
 
     private observeResponse(): void {
         const { selection, charge, timing, relay, routed } = this;
-        observeCompleteResponse(this.context, {
-            selection,
-            route: routed.route,
-            charge,
-            timing,
-            relayedEvents: relay.relayedEvents,
-        });
+        const { route } = routed;
+        observeCompleteResponse(this.context, { selection, route, charge, timing, relayedEvents: relay.relayedEvents });
     }
 
     private handleStopped(reason: StopReason): FlowOutcome | undefined {
--- a/src/gateway/targetConnections.ts
+++ b/src/gateway/targetConnections.ts
@@ -1,6 +1,18 @@
 import type { Disposable } from "../base/lifecycle.js";
 import { TargetConnection, type ConnectionLimits } from "./targetConnection.js";
 
+/**
+ * Maximum idle time of a connection for a request that must not be executed twice. The target may have closed a connection that was
+ * idle for longer; the request would fail and could not be sent again.
+ */
+const maxIdleIfNotRepeatableMs = 250;
+const maxIdleIfRepeatableMs = 60_000;
+
+/** Maximum time for which a connection may have been idle to carry a request; milliseconds. */
+export function computeMaxIdleMs(isRepeatable: boolean): number {
+    return isRepeatable ? maxIdleIfRepeatableMs : maxIdleIfNotRepeatableMs;
+}
+
 /** The connections to one target. */
 export class TargetConnections implements Disposable {
     private readonly connections = new Set<TargetConnection>();
