Placement cost of prompts as a sum of named terms; savedMs and waitMs in the log

Cause: what a cached prompt beginning saves and what is paid for it were parts of one expression, and a request's log line showed neither.

Change: computePlacementCost gives the terms (savedMs, queueMs, prefillMs, copyMs, batchMs, distanceMs), computeTotalCost their sum; the line has savedMs and waitMs.

Room in the engine's memory isn't a term yet.

--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -60,6 +60,22 @@
     readonly ms: number;
 }
 
+/** What speaks for and against a candidate; milliseconds. All terms are at the candidate's own speed. */
+export interface PlacementCost {
+    /** Prefill of the prompt's shared parts that the engine has cached and that so is saved; not part of the sum. */
+    readonly savedMs: number;
+    /** Prefill of the prompts queued before the request. */
+    readonly queueMs: number;
+    /** Prefill of the request's uncached tokens; those of shared parts count several times. */
+    readonly prefillMs: number;
+    /** Time of a copy, and what the copied tokens evict. */
+    readonly copyMs: number;
+    /** Slowdown by the running requests, and the wait for a slot. */
+    readonly batchMs: number;
+    /** Cost of sending the request to another data centre. */
+    readonly distanceMs: number;
+}
+
 /** The engine selected for a request, and the tokens to prefill there. */
 export interface PromptPlacement<T> {
     readonly candidate: T;
@@ -69,6 +85,7 @@
     readonly newTokens: number;
     /** Tokens to prefill until the request's prompt is complete: those queued before and {@link newTokens}. */
     readonly tokensAhead: number;
+    readonly cost: PlacementCost;
 }
 
 /**
@@ -79,9 +96,9 @@
 /** Fraction by which the additional weight of a missing shared part is reduced at its preferred target. */
 const preferredTargetDiscount = 0.5;
 /** Cost of sending a request to another data centre; milliseconds. A body is some 20 KB, at a distance of about a millisecond. */
-const distanceMs = 4;
+const otherDataCentreMs = 4;
 /** Slowdown of the engine's steps by each running request, about 5 % of a step's usual time in current engines; milliseconds. */
-const batchMs = 1.5;
+const runningRequestMs = 1.5;
 /** Expected wait for a slot at an engine whose batch is full; milliseconds. */
 const fullBatchMs = 1_000;
 
@@ -111,29 +128,50 @@
         const fetch = createFetch(source, cachedTokens, request.transfer);
         const missingTokens = sharedTokens - cachedTokens - (fetch?.tokens ?? 0);
         const newTokens = ownTokens + missingTokens;
-        const repeatedPrefillCost =
-            missingTokens * (repeatedPrefillFactor - 1) * (candidate === preferred ? 1 - preferredTargetDiscount : 1);
-        const costMs =
-            ((newTokens + repeatedPrefillCost + (fetch?.tokens ?? 0) * copyFactor) * candidate.speedFactor) /
-                request.tokensPerMs +
-            (fetch?.ms ?? 0) +
-            computeLoadMs(candidate, request);
+        const weighedTokens = ownTokens + missingTokens * computeMissingWeight(candidate === preferred);
+        const cost = computePlacementCost(candidate, request, { cachedTokens, weighedTokens, fetch });
+        const costMs = computeTotalCost(cost);
         if (costMs < bestCost) {
             bestCost = costMs;
-            best = { candidate, fetch, newTokens, tokensAhead: candidate.waitingTokens + newTokens };
+            best = { candidate, fetch, newTokens, tokensAhead: candidate.waitingTokens + newTokens, cost };
         }
     }
     return best;
 }
 
-/** Cost of the candidate's load and distance, independent of the parts that it has cached; milliseconds. */
-function computeLoadMs(candidate: PromptCandidate, { tokensPerMs, dataCentre }: PromptRequest): number {
-    return (
-        (candidate.waitingTokens * candidate.speedFactor) / tokensPerMs +
-        candidate.running * batchMs * candidate.speedFactor +
-        (candidate.running >= candidate.slots ? fullBatchMs : 0) +
-        (candidate.dataCentre === dataCentre ? 0 : distanceMs)
-    );
+/** Weight of a shared token that the engine has to prefill. */
+function computeMissingWeight(isPreferred: boolean): number {
+    return 1 + (repeatedPrefillFactor - 1) * (isPreferred ? 1 - preferredTargetDiscount : 1);
+}
+
+/** What a request has to have done at a candidate. */
+interface CandidateWork {
+    readonly cachedTokens: number;
+    /** Tokens to prefill, weighted. */
+    readonly weighedTokens: number;
+    readonly fetch: { readonly tokens: number; readonly ms: number } | undefined;
+}
+
+function computePlacementCost(
+    candidate: PromptCandidate,
+    { tokensPerMs, dataCentre }: PromptRequest,
+    { cachedTokens, weighedTokens, fetch }: CandidateWork,
+): PlacementCost {
+    const msPerToken = candidate.speedFactor / tokensPerMs;
+    const isFull = candidate.running >= candidate.slots;
+    return {
+        savedMs: cachedTokens * msPerToken,
+        queueMs: candidate.waitingTokens * msPerToken,
+        prefillMs: weighedTokens * msPerToken,
+        copyMs: fetch === undefined ? 0 : fetch.tokens * copyFactor * msPerToken + fetch.ms,
+        batchMs: candidate.running * runningRequestMs * candidate.speedFactor + (isFull ? fullBatchMs : 0),
+        distanceMs: candidate.dataCentre === dataCentre ? 0 : otherDataCentreMs,
+    };
+}
+
+/** The cost by which candidates are compared; milliseconds. */
+export function computeTotalCost({ queueMs, prefillMs, copyMs, batchMs, distanceMs }: PlacementCost): number {
+    return queueMs + prefillMs + copyMs + batchMs + distanceMs;
 }
 
 interface Source<T> {
--- a/src/gateway/flowOutcomes.ts
+++ b/src/gateway/flowOutcomes.ts
@@ -27,6 +27,9 @@
     readonly slowdown: number | undefined;
     /** Estimated time per unit of work at the target relative to the usual one when it was selected. */
     readonly speedFactor: number | undefined;
+    /** Prefill of cached tokens that was saved at the target, and the wait in its queue that was paid for it; milliseconds. */
+    readonly savedMs: number | undefined;
+    readonly waitMs: number | undefined;
 }
 
 /** Details of a request's processing, as logged when it ends. */
@@ -70,6 +73,8 @@
         engineUse: selection?.grant?.usage,
         slowdown: selection?.target.speed.slowdown,
         speedFactor: selection?.speedFactor,
+        savedMs: selection?.savedMs,
+        waitMs: selection === undefined ? undefined : selection.expectedMs - selection.unloadedMs,
     };
 }
 
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -92,6 +92,8 @@
         engineUse: toRatio(end.engineUse),
         slowdown: toRatio(end.slowdown),
         speedFactor: toRatio(end.speedFactor),
+        savedMs: toRounded(end.savedMs),
+        waitMs: toRounded(end.waitMs),
         recordRemovedForMs: toRounded(end.recordRemovedForMs),
         readingShare: toRatio(end.readingShare),
         objectiveMs: end.objectiveMs,
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -29,6 +29,8 @@
     readonly unloadedMs: number;
     /** Estimated time per unit of work at the target relative to the usual one; 1 while no target of the service reports its own. */
     readonly speedFactor: number;
+    /** Prefill of cached tokens that the target saves, at its own speed; milliseconds. */
+    readonly savedMs: number;
     /** Grant of the target's owner; undefined for plain services and if the owner did not reply. */
     readonly grant: Grant | undefined;
 }
@@ -179,6 +181,7 @@
             expectedMs: fetchMs + model.estimateMs(placement.tokensAhead, speedFactor),
             unloadedMs: fetchMs + model.estimateMs(placement.newTokens, speedFactor),
             speedFactor,
+            savedMs: placement.cost.savedMs,
             grant: undefined,
         };
     }
@@ -222,6 +225,7 @@
             expectedMs,
             unloadedMs: 0,
             speedFactor: chosen.target.speed.estimate(nowMs).reportRatio,
+            savedMs: 0,
             grant: undefined,
         };
     }
--- a/test/decisions/placement/promptPlacement.test.ts
+++ b/test/decisions/placement/promptPlacement.test.ts
@@ -41,6 +41,39 @@
 };
 
 describe("choosePromptPlacement", () => {
+    it("weighs what is saved against what is paid, at the engine's own speed", () => {
+        const engines = [
+            createEngine("holder", {
+                parts: ["calendar"],
+                waitingTokens: 600,
+                running: 2,
+                speedFactor: 2,
+                dataCentre: "b",
+            }),
+        ];
+        const cost = choosePromptPlacement(engines, request)?.cost;
+        const rounded = Object.entries(cost ?? {}).map(([term, ms]) => [term, Math.round(ms)]);
+        expect(Object.fromEntries(rounded)).toMatchInlineSnapshot(`
+          {
+            "batchMs": 6,
+            "copyMs": 0,
+            "distanceMs": 4,
+            "prefillMs": 33,
+            "queueMs": 20,
+            "savedMs": 167,
+          }
+        `);
+    });
+
+    // A slow engine must not get as many prompts as a fast one.
+    it("prefers a fast engine with a longer queue to a slow one", () => {
+        const engines = [
+            createEngine("slow", { parts: ["calendar"], waitingTokens: 6_000, speedFactor: 1.5 }),
+            createEngine("fast", { parts: ["calendar"], waitingTokens: 9_000, speedFactor: 0.6 }),
+        ];
+        expect(choosePromptPlacement(engines, request)?.candidate.id).toBe("fast");
+    });
+
     // The engine that has cached the shared part has a second of prefill queued. Other engines would have to prefill the part again, in
     // 83 ms that delay all streams there; a copy takes 43 ms of the request's own time.
     it("selects an idle engine that copies the shared part, if the engine that has cached it has a queue", () => {
