Setting interDataCentreMsPerKb: cost of a request's bytes between data centres

Cause: three quarters of requests cross data centres, each for a fixed cost of 4 ms whatever its size, and parts that no engine has are placed anywhere.

Change: with the setting the cost is by KiB of the body, and the preferred target of a part that no engine has is one of the request's data centre.

No ablation was run: what it changes for callers is not known.

--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -48,6 +48,8 @@
     readonly promptTokens: number;
     readonly dataCentre: string;
     readonly tokensPerMs: number;
+    /** Cost of sending the request to another data centre; milliseconds. A default for all requests when left out. */
+    readonly interDataCentreMs?: number;
     /** Undefined if engines can't copy from one another. */
     readonly transfer: CacheTransfer | undefined;
 }
@@ -96,7 +98,7 @@
 /** Fraction by which the additional weight of a missing shared part is reduced at its preferred target. */
 const preferredTargetDiscount = 0.5;
 /** Cost of sending a request to another data centre; milliseconds. A body is some 20 KB, at a distance of about a millisecond. */
-const otherDataCentreMs = 4;
+const defaultInterDataCentreMs = 4;
 /** Slowdown of the engine's steps by each running request, about 5 % of a step's usual time in current engines; milliseconds. */
 const runningRequestMs = 1.5;
 /** Expected wait for a slot at an engine whose batch is full; milliseconds. */
@@ -154,7 +156,7 @@
 
 function computePlacementCost(
     candidate: PromptCandidate,
-    { tokensPerMs, dataCentre }: PromptRequest,
+    { tokensPerMs, dataCentre, interDataCentreMs = defaultInterDataCentreMs }: PromptRequest,
     { cachedTokens, weighedTokens, fetch }: CandidateWork,
 ): PlacementCost {
     const msPerToken = candidate.speedFactor / tokensPerMs;
@@ -165,7 +167,7 @@
         prefillMs: weighedTokens * msPerToken,
         copyMs: fetch === undefined ? 0 : fetch.tokens * copyFactor * msPerToken + fetch.ms,
         batchMs: candidate.running * runningRequestMs * candidate.speedFactor + (isFull ? fullBatchMs : 0),
-        distanceMs: candidate.dataCentre === dataCentre ? 0 : otherDataCentreMs,
+        distanceMs: candidate.dataCentre === dataCentre ? 0 : interDataCentreMs,
     };
 }
 
@@ -237,3 +239,17 @@
     }
     return preferred;
 }
+
+/**
+ * The same within a data centre, for a part that none of the engines has cached: it is then shared by the requests of that data centre
+ * without being sent to others. Any engine where the data centre has none.
+ */
+export function findLocalPreferredTarget<T extends PromptCandidate>(
+    candidates: readonly T[],
+    partId: string | undefined,
+    dataCentre: string,
+): T | undefined {
+    const isCached = partId !== undefined && candidates.some(candidate => candidate.hasPart(partId));
+    const local = isCached ? [] : candidates.filter(candidate => candidate.dataCentre === dataCentre);
+    return findPreferredTarget(local.length > 0 ? local : candidates, partId);
+}
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -67,7 +67,7 @@
         private readonly watch: RequestGuard,
     ) {
         const { route, head, arrivedAtMs } = routed;
-        this.selector = new TargetSelector(context);
+        this.selector = new TargetSelector(context, routed.body?.length);
         this.timing = new ResponseTiming(route, arrivedAtMs);
         this.charge = new AccountCharge(context, routed);
         this.retries = new RequestRetries(context, routed.account);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -70,6 +70,11 @@
      * lost if either of them fails.
      */
     handsOverConnections: z.boolean().default(false),
+    /**
+     * Cost of sending a KiB of a request's body to another data centre, for the selection of engines; milliseconds. Absent: a fixed cost for
+     * each request.
+     */
+    interDataCentreMsPerKb: z.number().min(0).optional(),
     /** Window over which an account's fair share is computed; seconds. */
     shareWindowSeconds: z.number().positive().default(4),
     logLevel: z.enum(logLevels).default("info"),
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -3,6 +3,7 @@
 import { pickCandidates } from "../decisions/placement/candidateSample.js";
 import {
     choosePromptPlacement,
+    findLocalPreferredTarget,
     findPreferredTarget,
     type CacheTransfer,
     type PromptFetch,
@@ -52,12 +53,17 @@
 const plainRequestsPerSlot = 1;
 /** Share of a target's connections that routers use; the remainder covers closes in progress and uneven load of routers. */
 const maxConnectionShare = 0.8;
+const bytesPerKb = 1_024;
 /** Time to set up a copy between engines: one network round trip and the processing at both ends; milliseconds. */
 const transferSetupMs = 3;
 
 /** Chooses the target of a request. */
 export class TargetSelector {
-    public constructor(private readonly context: GatewayContext) {}
+    /** `bodyBytes`: size of the request's body. */
+    public constructor(
+        private readonly context: GatewayContext,
+        private readonly bodyBytes = 0,
+    ) {}
 
     /** Draws the service of the first attempt by weight; the other open services of the route follow as alternatives. */
     public orderServices(route: RouteConfiguration): readonly string[] {
@@ -149,16 +155,22 @@
         maxUsage: number,
     ): Selection | undefined {
         const model = this.context.firstTokenModels.getOrCreate(service.name);
+        const { dataCentre, interDataCentreMsPerKb } = this.context.settings;
+        const isDistanceSet = interDataCentreMsPerKb !== undefined;
         const request = {
             parts: head.promptParts,
             promptTokens: head.promptTokens,
-            dataCentre: this.context.settings.dataCentre,
+            dataCentre,
+            ...(isDistanceSet && { interDataCentreMs: (interDataCentreMsPerKb * this.bodyBytes) / bytesPerKb }),
             tokensPerMs: model.tokensPerMs,
             transfer: createTransfer(service.engine),
         };
         const nowMs = this.context.clock.nowMs();
         const shared = head.promptParts.slice(0, -1);
-        const preferred = findPreferredTarget(candidates, shared[shared.length - 1]?.id);
+        const partId = shared[shared.length - 1]?.id;
+        const preferred = isDistanceSet
+            ? findLocalPreferredTarget(candidates, partId, dataCentre)
+            : findPreferredTarget(candidates, partId);
         candidates.forEach(target => target.updateSpeed(nowMs));
         const compared = pickCandidates(candidates, preferred, shared, this.context.random);
         compared.forEach(target => {
--- a/test/decisions/placement/promptPlacement.test.ts
+++ b/test/decisions/placement/promptPlacement.test.ts
@@ -4,6 +4,7 @@
 import { CachedParts } from "../../../src/decisions/placement/cachedParts.js";
 import {
     choosePromptPlacement,
+    findLocalPreferredTarget,
     type PromptCandidate,
     type PromptRequest,
 } from "../../../src/decisions/placement/promptPlacement.js";
@@ -65,6 +66,32 @@
         `);
     });
 
+    // Three quarters of requests crossed data centres, each with its body.
+    it("pays for the request's bytes where their cost is set", () => {
+        const engines = [createEngine("far", { dataCentre: "b" }), createEngine("near", { waitingTokens: 900 })];
+        const choose = (interDataCentreMs?: number): string | undefined =>
+            choosePromptPlacement(engines, {
+                ...request,
+                parts: [{ id: "own", tokens: 1_000 }],
+                promptTokens: 1_000,
+                ...(interDataCentreMs !== undefined && { interDataCentreMs }),
+            })?.candidate.id;
+        expect([choose(), choose(1), choose(20)]).toEqual(["far", "far", "near"]);
+    });
+
+    it("first places a part that no engine has in the request's data centre", () => {
+        const partIds = Array.from({ length: 20 }, (...[, index]) => `part-${index}`);
+        const engines = ["a", "b", "b", "b"].map((dataCentre, index) => createEngine(`e${index}`, { dataCentre }));
+        const cached = [...engines, createEngine("holder", { dataCentre: "b", parts: partIds })];
+        const choose = (candidates: readonly Engine[], dataCentre: string): ReadonlySet<string | undefined> =>
+            new Set(partIds.map(id => findLocalPreferredTarget(candidates, id, dataCentre)?.dataCentre));
+        expect([choose(engines, "a"), choose(engines, "c"), choose(cached, "a")]).toEqual([
+            new Set(["a"]),
+            new Set(["a", "b"]),
+            new Set(["a", "b"]),
+        ]);
+    });
+
     // A slow engine must not get as many prompts as a fast one.
     it("prefers a fast engine with a longer queue to a slow one", () => {
         const engines = [
