--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -48,6 +48,8 @@
     readonly promptTokens: number;
     readonly dataCentre: string;
     readonly tokensPerMs: number;
+    /** Cost of sending the request to another data centre; milliseconds. A default for all requests when left out. */
+    readonly interDataCentreMs?: number;
     /** Undefined if engines can't copy from one another. */
     readonly transfer: CacheTransfer | undefined;
 }
@@ -60,32 +62,20 @@
     readonly ms: number;
 }
 
-/** Terms of a candidate's cost. */
-export type PromptCostTerm =
-    /** Prefill of the tokens queued before the request. */
-    | "queue"
-    /** Prefill of the request's tokens that the engine has not cached. */
-    | "prefill"
-    /** Additional weight of shared tokens that are prefilled at one more engine. */
-    | "repeatedPrefill"
-    /** Weight of copied tokens. */
-    | "copiedTokens"
-    /** Duration of the copy. */
-    | "copy"
-    /** Slowdown by running requests. */
-    | "batch"
-    /** Wait for a slot in a full batch. */
-    | "fullBatch"
-    /** Distance to another data centre. */
-    | "distance";
-
-/** The cost of sending a request to a candidate. */
-export interface PromptCost<T> {
-    readonly placement: PromptPlacement<T>;
-    /** Milliseconds. */
-    readonly terms: Readonly<Record<PromptCostTerm, number>>;
-    /** Sum of the terms. */
-    readonly costMs: number;
+/** What speaks for and against a candidate; milliseconds. All terms are at the candidate's own speed. */
+export interface PlacementCost {
+    /** Prefill of the prompt's shared parts that the engine has cached and that so is saved; not part of the sum. */
+    readonly savedMs: number;
+    /** Prefill of the prompts queued before the request. */
+    readonly queueMs: number;
+    /** Prefill of the request's uncached tokens; those of shared parts count several times. */
+    readonly prefillMs: number;
+    /** Time of a copy, and what the copied tokens evict. */
+    readonly copyMs: number;
+    /** Slowdown by the running requests, and the wait for a slot. */
+    readonly batchMs: number;
+    /** Cost of sending the request to another data centre. */
+    readonly distanceMs: number;
 }
 
 /** The engine selected for a request, and the tokens to prefill there. */
@@ -97,6 +87,7 @@
     readonly newTokens: number;
     /** Tokens to prefill until the request's prompt is complete: those queued before and {@link newTokens}. */
     readonly tokensAhead: number;
+    readonly cost: PlacementCost;
 }
 
 /**
@@ -107,9 +98,9 @@
 /** Fraction by which the additional weight of a missing shared part is reduced at its preferred target. */
 const preferredTargetDiscount = 0.5;
 /** Cost of sending a request to another data centre; milliseconds. A body is some 20 KB, at a distance of about a millisecond. */
-const distanceMs = 4;
+const defaultInterDataCentreMs = 4;
 /** Slowdown of the engine's steps by each running request, about 5 % of a step's usual time in current engines; milliseconds. */
-const batchMs = 1.5;
+const runningRequestMs = 1.5;
 /** Expected wait for a slot at an engine whose batch is full; milliseconds. */
 const fullBatchMs = 1_000;
 
@@ -128,23 +119,26 @@
     sources: readonly T[] = candidates,
     preferred: T | undefined = findPreferredTarget(candidates, request.parts[request.parts.length - 2]?.id),
 ): PromptPlacement<T> | undefined {
-    let best: PromptCost<T> | undefined;
-    for (const cost of computePromptCosts(candidates, request, sources, preferred)) {
-        if (cost.costMs < (best?.costMs ?? Number.POSITIVE_INFINITY)) {
-            best = cost;
+    let best: PromptPlacement<T> | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const placement of comparePlacements(candidates, request, sources, preferred)) {
+        const costMs = computeTotalCost(placement.cost);
+        if (costMs < bestCost) {
+            bestCost = costMs;
+            best = placement;
         }
     }
-    return best?.placement;
+    return best;
 }
 
-/** The cost of each candidate, in the order of the candidates; the parameters are those of {@link choosePromptPlacement}. */
-export function computePromptCosts<T extends PromptCandidate>(
+/** The placement at each candidate, in the order of the candidates; the parameters are those of {@link choosePromptPlacement}. */
+export function comparePlacements<T extends PromptCandidate>(
     candidates: readonly T[],
     request: PromptRequest,
     sources: readonly T[],
     preferred: T | undefined,
-): readonly PromptCost<T>[] {
-    const { tokensPerMs, dataCentre, transfer } = request;
+): readonly PromptPlacement<T>[] {
+    const { transfer } = request;
     const shared = request.parts.slice(0, -1);
     const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
     const ownTokens = Math.max(0, request.promptTokens - sharedTokens);
@@ -154,24 +148,47 @@
         const fetch = createFetch(source, cachedTokens, transfer);
         const missingTokens = sharedTokens - cachedTokens - (fetch?.tokens ?? 0);
         const newTokens = ownTokens + missingTokens;
-        const rate = tokensPerMs / candidate.speedFactor;
-        const repeatedPrefillFraction = candidate === preferred ? 1 - preferredTargetDiscount : 1;
-        const terms = {
-            queue: candidate.waitingTokens / rate,
-            prefill: newTokens / rate,
-            repeatedPrefill: (missingTokens * (repeatedPrefillFactor - 1) * repeatedPrefillFraction) / rate,
-            copiedTokens: ((fetch?.tokens ?? 0) * copyFactor) / rate,
-            copy: fetch?.ms ?? 0,
-            batch: candidate.running * batchMs * candidate.speedFactor,
-            fullBatch: candidate.running >= candidate.slots ? fullBatchMs : 0,
-            distance: candidate.dataCentre === dataCentre ? 0 : distanceMs,
-        };
-        const costMs = Object.values(terms).reduce((sum, ms) => sum + ms, 0);
-        const placement = { candidate, fetch, newTokens, tokensAhead: candidate.waitingTokens + newTokens };
-        return { placement, terms, costMs };
+        const weighedTokens = ownTokens + missingTokens * computeMissingWeight(candidate === preferred);
+        const cost = computePlacementCost(candidate, request, { cachedTokens, weighedTokens, fetch });
+        return { candidate, fetch, newTokens, tokensAhead: candidate.waitingTokens + newTokens, cost };
     });
 }
 
+/** Weight of a shared token that the engine has to prefill. */
+function computeMissingWeight(isPreferred: boolean): number {
+    return 1 + (repeatedPrefillFactor - 1) * (isPreferred ? 1 - preferredTargetDiscount : 1);
+}
+
+/** What a request has to have done at a candidate. */
+interface CandidateWork {
+    readonly cachedTokens: number;
+    /** Tokens to prefill, weighted. */
+    readonly weighedTokens: number;
+    readonly fetch: { readonly tokens: number; readonly ms: number } | undefined;
+}
+
+function computePlacementCost(
+    candidate: PromptCandidate,
+    { tokensPerMs, dataCentre, interDataCentreMs = defaultInterDataCentreMs }: PromptRequest,
+    { cachedTokens, weighedTokens, fetch }: CandidateWork,
+): PlacementCost {
+    const msPerToken = candidate.speedFactor / tokensPerMs;
+    const isFull = candidate.running >= candidate.slots;
+    return {
+        savedMs: cachedTokens * msPerToken,
+        queueMs: candidate.waitingTokens * msPerToken,
+        prefillMs: weighedTokens * msPerToken,
+        copyMs: fetch === undefined ? 0 : fetch.tokens * copyFactor * msPerToken + fetch.ms,
+        batchMs: candidate.running * runningRequestMs * candidate.speedFactor + (isFull ? fullBatchMs : 0),
+        distanceMs: candidate.dataCentre === dataCentre ? 0 : interDataCentreMs,
+    };
+}
+
+/** The cost by which candidates are compared; milliseconds. */
+export function computeTotalCost({ queueMs, prefillMs, copyMs, batchMs, distanceMs }: PlacementCost): number {
+    return queueMs + prefillMs + copyMs + batchMs + distanceMs;
+}
+
 interface Source<T> {
     readonly engine: T;
     readonly tokens: number;
@@ -235,3 +252,17 @@
     }
     return preferred;
 }
+
+/**
+ * The same within a data centre, for a part that none of the engines has cached: it is then shared by the requests of that data centre
+ * without being sent to others. Any engine where the data centre has none.
+ */
+export function findLocalPreferredTarget<T extends PromptCandidate>(
+    candidates: readonly T[],
+    partId: string | undefined,
+    dataCentre: string,
+): T | undefined {
+    const isCached = partId !== undefined && candidates.some(candidate => candidate.hasPart(partId));
+    const local = isCached ? [] : candidates.filter(candidate => candidate.dataCentre === dataCentre);
+    return findPreferredTarget(local.length > 0 ? local : candidates, partId);
+}
--- a/src/gateway/explanations/placementExplainer.ts
+++ b/src/gateway/explanations/placementExplainer.ts
@@ -7,8 +7,8 @@
 } from "../../decisions/admission/promptAdmission.js";
 import { computePlacementTerms, listEligible } from "../../decisions/placement/placement.js";
 import {
-    computePromptCosts,
-    findPreferredTarget,
+    comparePlacements,
+    computeTotalCost,
     type PromptCandidate,
 } from "../../decisions/placement/promptPlacement.js";
 import { zeroUsage, type ShareUsage } from "../../decisions/shares/accountShares.js";
@@ -197,17 +197,16 @@
             hasPart: id => target.hasPart(id),
         });
         const views = available.map(createView);
-        const preferred = findPreferredTarget(views, shared.at(-1)?.id);
+        const preferred = selector.findPreferred(views, shared.at(-1)?.id);
         const sources = selector.listSources(service).map(createView);
-        const costs = computePromptCosts(views, request, sources, preferred);
-        return costs.map(({ placement, terms, costMs }) => {
-            const { candidate, fetch, newTokens } = placement;
+        const placements = comparePlacements(views, request, sources, preferred);
+        return placements.map(({ candidate, fetch, newTokens, cost }) => {
             const { target, waitingTokens, running, slots } = candidate;
             const hasFirstPart = shared.length > 0 && target.hasPart(shared[0].id);
             return {
                 ...describeTarget(target),
-                costMs,
-                terms,
+                costMs: computeTotalCost(cost),
+                terms: { ...cost },
                 newTokens,
                 queuedTokens: waitingTokens,
                 running,
--- a/src/gateway/explanations/placementExplanation.ts
+++ b/src/gateway/explanations/placementExplanation.ts
@@ -19,7 +19,7 @@
     target: z.string(),
     version: z.string().optional(),
     dataCentre: z.string(),
-    /** Milliseconds; the sum of the terms. */
+    /** Milliseconds; the sum of the terms except `savedMs`. */
     costMs: z.number(),
     terms: z.record(z.string(), z.number()),
     /** Prompt tokens of the request that the target has to prefill. */
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -35,6 +35,8 @@
 const maxEngines = 4_096;
 /** Retry delay of a denial for a leaving target; covers several message rounds between routers. Milliseconds. */
 const leavingDenialMs = 4_000;
+/** Fraction of a prompt's shared tokens that an engine may have to prefill for a request that uses the allowance. */
+const maxMissingFraction = 0.25;
 /** Minimum retry delay where the allowance rises; about two message rounds between routers. Milliseconds. */
 const minDenialMs = 20;
 /** Engines without a request for this long are left out of the metrics; another router may own them by now. Milliseconds. */
@@ -88,16 +90,13 @@
         const demand = createMemoryDemand(senderId, request);
         engine.windowMs = request.windowMs;
         engine.requestedAtMs = nowMs;
-        const isFilled = this.isFilled(target);
-        const maxUsage = this.computeMaxUsage(request, isFilled, nowMs);
-        if (isFilled) {
-            allowance.update(budget.computeLimitUsage(rate, request.windowMs, nowMs), request.windowMs, nowMs);
-        }
+        const fraction = this.computeFraction(target, request, rate, nowMs);
+        const { maxUsage, isFilled } = fraction;
         const prefill = {
             id: formatGrantKey(senderId, request),
             tokens: newTokens,
             maxQueuedTokens: request.maxWaitMs * rate.tokensPerMs,
-            maxUsage: isFilled ? addAllowance(maxUsage, allowance.current) : maxUsage,
+            maxUsage: fraction.usesAllowance ? addAllowance(maxUsage, allowance.current) : maxUsage,
             isPreferred: isFilled && isBelowLevelUsage(maxUsage),
             memoryWaitMs: memoryTokens === undefined ? 0 : memory.computeWaitMs(demand, memoryTokens, nowMs),
             windowMs: request.windowMs,
@@ -117,7 +116,7 @@
         const { granted, queuedTokens, usage } = decision;
         const retryAfterMs =
             isFilled && !request.isUnconditional
-                ? applyDenial(allowance, decision, maxUsage, nowMs)
+                ? applyDenial(allowance, decision, fraction, nowMs)
                 : decision.retryAfterMs;
         const reply = { granted, newTokens, queuedTokens, usage, maxUsage, retryAfterMs };
         return { kind: "reply", grantId: request.grantId, isTargetKnown: true, ...reply };
@@ -160,14 +159,20 @@
     }
 
     /** Fraction of the limit that the request may use: that in the request, or less if the engine has already served its account much. */
-    private computeMaxUsage(
-        { targetHash, accountHash, chargedTokens, maxUsage }: GrantRequest,
-        isFilled: boolean,
-        nowMs: number,
-    ): number {
-        const surplus = this.findEngine(targetHash).shares.computeSurplus(accountHash, chargedTokens, nowMs);
+    private computeFraction(target: Target, request: GrantRequest, rate: EngineRate, nowMs: number): UsableFraction {
+        const { targetHash, accountHash, chargedTokens, windowMs } = request;
+        const { shares, budget, allowance } = this.findEngine(targetHash);
+        const isFilled = this.isFilled(target);
+        if (isFilled) {
+            allowance.update(budget.computeLimitUsage(rate, windowMs, nowMs), windowMs, nowMs);
+        }
+        const surplus = shares.computeSurplus(accountHash, chargedTokens, nowMs);
         const engineUsage = computeMaxEngineUsage(surplus, isFilled ? minSentUsage : undefined);
-        return Math.min(maxUsage, engineUsage);
+        return {
+            maxUsage: Math.min(request.maxUsage, engineUsage),
+            isFilled,
+            usesAllowance: isFilled && isMostlyCached(target, request),
+        };
     }
 
     /** Size of the engine's memory; undefined if it is not stated, or not limited. */
@@ -220,11 +225,26 @@
     }
 }
 
+/** How much of an engine's limit a request may use. */
+interface UsableFraction {
+    /** Fraction of the limit without the engine's allowance. */
+    readonly maxUsage: number;
+    /** Whether accounts beyond their share may use idle engines of the service. */
+    readonly isFilled: boolean;
+    /** Whether the allowance is added for this request. */
+    readonly usesAllowance: boolean;
+}
+
 /**
  * Records a denial in the engine's allowance. Returns the time after which an equal request could be granted: the allowance may rise before
  * grants leave the window, and a router that kept the denial for longer would not ask for what is free. Milliseconds.
  */
-function applyDenial(allowance: SpareAllowance, decision: PrefillDecision, maxUsage: number, nowMs: number): number {
+function applyDenial(
+    allowance: SpareAllowance,
+    decision: PrefillDecision,
+    { maxUsage, usesAllowance }: UsableFraction,
+    nowMs: number,
+): number {
     const { granted, retryAfterMs, limitUsage, missingUsage } = decision;
     if (granted) {
         return 0;
@@ -240,6 +260,9 @@
         allowance.recordDenial("below-level", nowMs);
         return retryAfterMs;
     }
+    if (!usesAllowance) {
+        return retryAfterMs;
+    }
     allowance.recordDenial("over-share", nowMs);
     const riseMs = Math.max(minDenialMs, allowance.estimateRiseMs(missingUsage, limitUsage));
     return Math.min(retryAfterMs, riseMs);
@@ -266,6 +289,15 @@
     return ownTokens + Math.max(0, countMissingTokens(target, sharedParts) - copiedTokens);
 }
 
+/**
+ * Whether the engine has cached most of the prompt's shared parts. Spare capacity is for such requests only: prompts of accounts beyond their
+ * share would otherwise evict parts that others use, and shared parts would be prefilled several times.
+ */
+function isMostlyCached(target: Target, { sharedParts }: GrantRequest): boolean {
+    const sharedTokens = sharedParts.reduce((sum, part) => sum + part.tokens, 0);
+    return countMissingTokens(target, sharedParts) <= sharedTokens * maxMissingFraction;
+}
+
 /** Records as cached what the engine is about to prefill. Peers' messages report it only a round later. */
 function recordParts(target: Target, { sharedParts, outputTokens }: GrantRequest, newTokens: number): void {
     sharedParts.forEach(part => target.recordPart(part.id, part.tokens));
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -88,6 +88,11 @@
     fillsReportedCapacity: z.boolean().default(false),
     /** Whether an engine is sent only as many requests as fit into the memory that its service's configuration states. */
     limitsEngineMemory: z.boolean().default(false),
+    /**
+     * Cost of sending a KiB of a request's body to another data centre, for the selection of engines; milliseconds. Absent: a fixed cost for
+     * each request.
+     */
+    interDataCentreMsPerKb: z.number().min(0).optional(),
     /** Window over which an account's fair share is computed; seconds. */
     shareWindowSeconds: z.number().positive().default(4),
     logLevel: z.enum(logLevels).default("info"),
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -3,10 +3,12 @@
 import { pickCandidates } from "../decisions/placement/candidateSample.js";
 import {
     choosePromptPlacement,
+    findLocalPreferredTarget,
     findPreferredTarget,
     type CacheTransfer,
     type PromptFetch,
     type PromptRequest,
+    type PromptCandidate,
 } from "../decisions/placement/promptPlacement.js";
 import type { EngineCapacity, RouteConfiguration, ServiceConfiguration } from "./configuration.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -30,6 +32,8 @@
     readonly unloadedMs: number;
     /** Estimated time per unit of work at the target relative to the usual one; 1 while no target of the service reports its own. */
     readonly speedFactor: number;
+    /** Prefill of cached tokens that the target saves, at its own speed; milliseconds. */
+    readonly savedMs: number;
     /** Grant of the target's owner; undefined for plain services and if the owner did not reply. */
     readonly grant: Grant | undefined;
 }
@@ -51,6 +55,7 @@
 const plainRequestsPerSlot = 1;
 /** Share of a target's connections that routers use; the remainder covers closes in progress and uneven load of routers. */
 const maxConnectionShare = 0.8;
+const bytesPerKb = 1_024;
 /** Time to set up a copy between engines: one network round trip and the processing at both ends; milliseconds. */
 const transferSetupMs = 3;
 
@@ -62,7 +67,11 @@
 
 /** Chooses the target of a request. */
 export class TargetSelector {
-    public constructor(private readonly context: SelectorContext) {}
+    /** `bodyBytes`: size of the request's body. */
+    public constructor(
+        private readonly context: SelectorContext,
+        private readonly bodyBytes = 0,
+    ) {}
 
     /** Draws the service of the first attempt by weight; the other open services of the route follow as alternatives. */
     public orderServices(route: RouteConfiguration): readonly string[] {
@@ -163,9 +172,28 @@
         { promptParts, promptTokens }: Pick<RequestHead, "promptParts" | "promptTokens">,
     ): PromptRequest {
         const { firstTokenModels, settings } = this.context;
-        const { tokensPerMs } = firstTokenModels.getOrCreate(name);
-        const { dataCentre } = settings;
-        return { parts: promptParts, promptTokens, dataCentre, tokensPerMs, transfer: createTransfer(engine) };
+        const { dataCentre, interDataCentreMsPerKb } = settings;
+        return {
+            parts: promptParts,
+            promptTokens,
+            dataCentre,
+            tokensPerMs: firstTokenModels.getOrCreate(name).tokensPerMs,
+            transfer: createTransfer(engine),
+            ...(interDataCentreMsPerKb !== undefined && {
+                interDataCentreMs: (interDataCentreMsPerKb * this.bodyBytes) / bytesPerKb,
+            }),
+        };
+    }
+
+    /** The target that first prefills a part that no engine has cached. */
+    public findPreferred<T extends PromptCandidate>(
+        candidates: readonly T[],
+        partId: string | undefined,
+    ): T | undefined {
+        const { dataCentre, interDataCentreMsPerKb } = this.context.settings;
+        return interDataCentreMsPerKb === undefined
+            ? findPreferredTarget(candidates, partId)
+            : findLocalPreferredTarget(candidates, partId, dataCentre);
     }
 
     private selectForPrompt(
@@ -178,7 +206,7 @@
         const request = this.createPromptRequest(service, head);
         const nowMs = this.context.clock.nowMs();
         const shared = head.promptParts.slice(0, -1);
-        const preferred = findPreferredTarget(candidates, shared[shared.length - 1]?.id);
+        const preferred = this.findPreferred(candidates, shared[shared.length - 1]?.id);
         candidates.forEach(target => target.updateSpeed(nowMs));
         const compared = pickCandidates(candidates, preferred, shared, this.context.random);
         compared.forEach(target => {
@@ -201,6 +229,7 @@
             expectedMs: fetchMs + model.estimateMs(placement.tokensAhead, speedFactor),
             unloadedMs: fetchMs + model.estimateMs(placement.newTokens, speedFactor),
             speedFactor,
+            savedMs: placement.cost.savedMs,
             grant: undefined,
         };
     }
@@ -232,6 +261,7 @@
             expectedMs: estimatePlainWaitMs(chosen),
             unloadedMs: 0,
             speedFactor: chosen.target.speed.estimate(nowMs).reportRatio,
+            savedMs: 0,
             grant: undefined,
         };
     }
--- a/test/decisions/placement/promptPlacement.test.ts
+++ b/test/decisions/placement/promptPlacement.test.ts
@@ -4,6 +4,7 @@
 import { CachedParts } from "../../../src/decisions/placement/cachedParts.js";
 import {
     choosePromptPlacement,
+    findLocalPreferredTarget,
     type PromptCandidate,
     type PromptRequest,
 } from "../../../src/decisions/placement/promptPlacement.js";
@@ -41,6 +42,65 @@
 };
 
 describe("choosePromptPlacement", () => {
+    it("weighs what is saved against what is paid, at the engine's own speed", () => {
+        const engines = [
+            createEngine("holder", {
+                parts: ["calendar"],
+                waitingTokens: 600,
+                running: 2,
+                speedFactor: 2,
+                dataCentre: "b",
+            }),
+        ];
+        const cost = choosePromptPlacement(engines, request)?.cost;
+        const rounded = Object.entries(cost ?? {}).map(([term, ms]) => [term, Math.round(ms)]);
+        expect(Object.fromEntries(rounded)).toMatchInlineSnapshot(`
+          {
+            "batchMs": 6,
+            "copyMs": 0,
+            "distanceMs": 4,
+            "prefillMs": 33,
+            "queueMs": 20,
+            "savedMs": 167,
+          }
+        `);
+    });
+
+    // Three quarters of requests crossed data centres, each with its body.
+    it("pays for the request's bytes where their cost is set", () => {
+        const engines = [createEngine("far", { dataCentre: "b" }), createEngine("near", { waitingTokens: 900 })];
+        const choose = (interDataCentreMs?: number): string | undefined =>
+            choosePromptPlacement(engines, {
+                ...request,
+                parts: [{ id: "own", tokens: 1_000 }],
+                promptTokens: 1_000,
+                ...(interDataCentreMs !== undefined && { interDataCentreMs }),
+            })?.candidate.id;
+        expect([choose(), choose(1), choose(20)]).toEqual(["far", "far", "near"]);
+    });
+
+    it("first places a part that no engine has in the request's data centre", () => {
+        const partIds = Array.from({ length: 20 }, (...[, index]) => `part-${index}`);
+        const engines = ["a", "b", "b", "b"].map((dataCentre, index) => createEngine(`e${index}`, { dataCentre }));
+        const cached = [...engines, createEngine("holder", { dataCentre: "b", parts: partIds })];
+        const choose = (candidates: readonly Engine[], dataCentre: string): ReadonlySet<string | undefined> =>
+            new Set(partIds.map(id => findLocalPreferredTarget(candidates, id, dataCentre)?.dataCentre));
+        expect([choose(engines, "a"), choose(engines, "c"), choose(cached, "a")]).toEqual([
+            new Set(["a"]),
+            new Set(["a", "b"]),
+            new Set(["a", "b"]),
+        ]);
+    });
+
+    // A slow engine must not get as many prompts as a fast one.
+    it("prefers a fast engine with a longer queue to a slow one", () => {
+        const engines = [
+            createEngine("slow", { parts: ["calendar"], waitingTokens: 6_000, speedFactor: 1.5 }),
+            createEngine("fast", { parts: ["calendar"], waitingTokens: 9_000, speedFactor: 0.6 }),
+        ];
+        expect(choosePromptPlacement(engines, request)?.candidate.id).toBe("fast");
+    });
+
     // The engine that has cached the shared part has a second of prefill queued. Other engines would have to prefill the part again, in
     // 83 ms that delay all streams there; a copy takes 43 ms of the request's own time.
     it("selects an idle engine that copies the shared part, if the engine that has cached it has a queue", () => {
