Don't switch the allowance on for deployments that compete for capacity

The setting stays, off, until an account below the level is served first at all engines. The translation of a deployment's terms goes with it, as it set nothing else.

--- a/deploy/router.ts
+++ b/deploy/router.ts
@@ -9,7 +9,6 @@
 import { LoadMonitor } from "../src/gateway/loadMonitor.js";
 import { SettingsWatcher } from "../src/gateway/settingsWatcher.js";
 import { parseGatewaySettings, type GatewaySettings } from "../src/gateway/settings.js";
-import { applyDeploymentTerms } from "../platform/deploymentTerms.js";
 import { HttpEngineInspector } from "../platform/httpEngineInspector.js";
 import { PlatformHeaders } from "../platform/headers.js";
 import { readinessPath, settingsPathVariable } from "../platform/settingsFile.js";
@@ -54,7 +53,7 @@
 }
 
 function readSettings(file: string): ReturnType<typeof parseGatewaySettings> {
-    return parseGatewaySettings(() => applyDeploymentTerms(readFileSync(file, "utf8")), file);
+    return parseGatewaySettings(() => readFileSync(file, "utf8"), file);
 }
 
 async function start(settings: GatewaySettings, file: string): Promise<void> {
@@ -89,7 +88,7 @@
             process.exit(0);
         });
     });
-    const watcher = new SettingsWatcher(file, logger, applyDeploymentTerms, changed => daemon.applySettings(changed));
+    const watcher = new SettingsWatcher(file, logger, changed => daemon.applySettings(changed));
     process.on("SIGHUP", () => {
         logger.write("info", "received SIGHUP; reading the settings again");
         watcher.read();
--- a/src/gateway/settingsWatcher.ts
+++ b/src/gateway/settingsWatcher.ts
@@ -12,11 +12,10 @@
     private digest: string | undefined;
     private timer: NodeJS.Timeout | undefined;
 
-    /** `translate`: converts the file's text to that of settings. `onDidRead`: called with the new settings after a change, if they are valid. */
+    /** `onDidRead`: called with the new settings after a change, if they are valid. */
     public constructor(
         private readonly file: string,
         private readonly logger: Logger,
-        private readonly translate: (text: string) => string,
         private readonly onDidRead: (settings: GatewaySettings) => void,
     ) {}
 
@@ -33,7 +32,7 @@
             return;
         }
         this.digest = digest;
-        parseGatewaySettings(() => this.translate(readFileSync(this.file, "utf8")), this.file).match(
+        parseGatewaySettings(() => readFileSync(this.file, "utf8"), this.file).match(
             settings => this.onDidRead(settings),
             error =>
                 this.logger.write("error", "changed settings ignored: they are invalid", { detail: error.message }),
