--- a/test/soak/soakRouters.ts
+++ b/test/soak/soakRouters.ts
@@ -151,7 +151,12 @@
             peerPorts: [peerPort, peerPort],
             seeds: ips.slice(0, 3).map(seed => `${seed}:${controlPort}`),
             store: { address: `127.0.0.1:${await storeLink.listen(0)}` },
-            limits: { memoryMb: 350, maxDescriptors: 1_000 },
+            // Routers of one data centre have unequal processor shares, so that small ones leave callers to larger ones.
+            limits: { memoryMb: 350, maxDescriptors: 1_000, processorShare: this.routers.length < 3 ? 0.3 : 1 },
+            returnsRequests: true,
+            yieldsToLargerRouters: true,
+            closesIdleConnections: true,
+            limitsEngineMemory: true,
             retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 54 },
             exposure: { share: 0.1, slack: 50 },
             mostAnswerBytes: 1_000_000,
