--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -148,37 +148,40 @@
         const fetch = createFetch(source, cachedTokens, transfer);
         const missingTokens = sharedTokens - cachedTokens - (fetch?.tokens ?? 0);
         const newTokens = ownTokens + missingTokens;
-        const weighedTokens = ownTokens + missingTokens * computeMissingWeight(candidate === preferred);
-        const cost = computePlacementCost(candidate, request, { cachedTokens, weighedTokens, fetch });
+        const evictingTokens = missingTokens * computeEvictionWeight(candidate === preferred);
+        const cost = computePlacementCost(candidate, request, { cachedTokens, newTokens, evictingTokens, fetch });
         return { candidate, fetch, newTokens, tokensAhead: candidate.waitingTokens + newTokens, cost };
     });
 }
 
-/** Weight of a shared token that the engine has to prefill. */
-function computeMissingWeight(isPreferred: boolean): number {
-    return 1 + (repeatedPrefillFactor - 1) * (isPreferred ? 1 - preferredTargetDiscount : 1);
+/** Weight of a shared token that the engine has to prefill, in addition to its prefill: it evicts other parts. */
+function computeEvictionWeight(isPreferred: boolean): number {
+    return (repeatedPrefillFactor - 1) * (isPreferred ? 1 - preferredTargetDiscount : 1);
 }
 
 /** What a request has to have done at a candidate. */
 interface CandidateWork {
     readonly cachedTokens: number;
-    /** Tokens to prefill, weighted. */
-    readonly weighedTokens: number;
+    readonly newTokens: number;
+    /** Tokens of shared parts to prefill, weighted by what they evict. */
+    readonly evictingTokens: number;
     readonly fetch: { readonly tokens: number; readonly ms: number } | undefined;
 }
 
 function computePlacementCost(
     candidate: PromptCandidate,
     { tokensPerMs, dataCentre, interDataCentreMs = defaultInterDataCentreMs }: PromptRequest,
-    { cachedTokens, weighedTokens, fetch }: CandidateWork,
+    { cachedTokens, newTokens, evictingTokens, fetch }: CandidateWork,
 ): PlacementCost {
     const msPerToken = candidate.speedFactor / tokensPerMs;
+    // What is evicted has to be prefilled again at any engine, so that a fast one is no better for it.
+    const evictedMsPerToken = 1 / tokensPerMs;
     const isFull = candidate.running >= candidate.slots;
     return {
         savedMs: cachedTokens * msPerToken,
         queueMs: candidate.waitingTokens * msPerToken,
-        prefillMs: weighedTokens * msPerToken,
-        copyMs: fetch === undefined ? 0 : fetch.tokens * copyFactor * msPerToken + fetch.ms,
+        prefillMs: newTokens * msPerToken + evictingTokens * evictedMsPerToken,
+        copyMs: fetch === undefined ? 0 : fetch.tokens * copyFactor * evictedMsPerToken + fetch.ms,
         batchMs: candidate.running * runningRequestMs * candidate.speedFactor + (isFull ? fullBatchMs : 0),
         distanceMs: candidate.dataCentre === dataCentre ? 0 : interDataCentreMs,
     };
