Count closed idle connections; track them only where the setting is on

Cause: an operator could not see the setting work, and connections were tracked with it off. Change: lynxarch_closed_idle_connections; no tracking without the setting.

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -131,7 +131,7 @@
         const { socket } = request;
         this.idle.remove(socket);
         response.once("finish", () => {
-            if (response.shouldKeepAlive && !socket.destroyed) {
+            if (this.settings.closesIdleConnections && response.shouldKeepAlive && !socket.destroyed) {
                 this.idle.add(socket);
             }
         });
--- a/src/gateway/callers/callerMetrics.ts
+++ b/src/gateway/callers/callerMetrics.ts
@@ -6,6 +6,8 @@
 export interface CallerStatistics {
     readonly refusedEarly: EarlyRefusalCounts;
     readonly unsent: UnsentStatistics;
+    /** Idle connections closed since the start to make room for others. */
+    readonly closedIdleConnections: number;
 }
 
 /** Adds the metrics on refused requests and slow readers to the registry. */
@@ -22,6 +24,14 @@
             this.set({ outcome: "shed" }, shed);
         },
     });
+    new Gauge({
+        name: "lynxarch_closed_idle_connections",
+        help: "Callers' idle connections closed since the start to make room for others.",
+        registers,
+        collect(): void {
+            this.set(getStatistics().closedIdleConnections);
+        },
+    });
     new Gauge({
         name: "lynxarch_unsent_bytes",
         help: "Bytes held for callers and targets that read slowly.",
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -211,7 +211,7 @@
             new CallerServer(this.service, logger, () => this.neighbours.shouldLeaveBalancer, settings, this.sharing),
         );
         this.metrics = new GatewayMetrics(() =>
-            buildStatistics(this.context, source, this.service, this.rollouts, this.sharing),
+            buildStatistics(this.context, source, this.service, this.rollouts, this.sharing, this.callers),
         );
         this.snapshotTransfer = this.store.add(
             new SnapshotTransfer({ source, logger, sleep: sleepOnTimer, listAddresses: () => this.listControlPeers() }),
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -1,5 +1,6 @@
 import { otherAccountsLabel, type AccountStatistics } from "./accountStatistics.js";
 import type { AccountSnapshot } from "./accountMetrics.js";
+import type { CallerServer } from "./callerServer.js";
 import type { ConnectionSharing } from "./connectionSharing.js";
 import { computeShareUsage } from "./computeShareUsage.js";
 import type { GatewayStatistics, TargetSpeed } from "./gatewayMetrics.js";
@@ -44,6 +45,7 @@
     }: Pick<GatewayService, "openRequests" | "accounts" | "refusedEarly" | "unsent">,
     rollouts: Pick<Rollouts, "listAll">,
     { shared }: Pick<ConnectionSharing, "shared">,
+    { closedIdleConnections }: Pick<CallerServer, "closedIdleConnections">,
 ): GatewayStatistics {
     const { shedShare, loop } = context.load;
     const nowMs = context.clock.nowMs();
@@ -59,6 +61,7 @@
     return {
         openRequests,
         refusedEarly,
+        closedIdleConnections,
         configurationVersion: context.configuration.current?.version ?? 0,
         isPlatformConnected: health.isConnected,
         targetsViewAgeMs: computeTargetsViewAgeMs(context, source),
