--- a/src/decisions/admission/spareAllowance.ts
+++ b/src/decisions/admission/spareAllowance.ts
@@ -2,7 +2,7 @@
  * Allowance for requests beyond their account's share: an addition to the fraction of one engine's limit that they may use, kept by
  * the engine's owner.
  *
- * Load pattern: all accounts that press are far above the fair level, for example because they press in turns of some seconds. The
+ * Load pattern: all overloading accounts are far above the fair level, for example because their bursts of some seconds alternate. The
  * fraction that such an account may use falls with its surplus and reaches zero at a third above the level, however little of the
  * engine's limit is granted, so that requests are refused while engines are idle. The allowance rises until the requests that are
  * denied by their fraction fill the engine. It is the same for all accounts at the engine: accounts with a smaller surplus keep the
@@ -22,9 +22,9 @@
 /** Time in which the allowance rises from zero to its maximum at an idle engine; milliseconds. */
 const riseMs = 1_000;
 /**
- * Free fraction of the limit from which the allowance rises at the maximum rate. In proportion to all that is free, accounts that press in
- * turns were granted 0.84 of the limit at slow engines, here 0.87. From 0.3 on, what remains of the allowance when an account begins to
- * press lets it take so much that the others fall below half of it (0.486 over six seconds; 0.516 here).
+ * Free fraction of the limit from which the allowance rises at the maximum rate. In proportion to all that is free, it would rise too slowly near
+ * the target. At the maximum rate up to the target, it would still be high when the burst of another account begins, which could then take
+ * more than twice what others get.
  */
 const fullRateFree = 0.5;
 /** The allowance falls faster than it rises: queues that it caused delay requests of accounts within their share. */
