Tests: reserve the ports of a test run; wait until a placement's queue is drained

The owner's reply to the request sent before reports a queue that outlasts the response, as it is drained at the engine's speed (102 tokens were left). And two vitest runs at a time chose ports by their process ids modulo 5, so that they could choose the same block.

Change: the test asks until the queue is drained, then compares the same figures as before.

--- a/test/cli/explainPlacement.test.ts
+++ b/test/cli/explainPlacement.test.ts
@@ -1,4 +1,4 @@
-import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { afterAll, beforeAll, describe, expect, it, vi } from "vitest";
 import type { PlacementExplanation } from "../../src/gateway/explanations/placementExplanation.js";
 import { createPromptHeaders, GatewayFixture } from "../gateway/gatewayFixture.js";
 import { CliFixture } from "./cliFixtures.js";
@@ -21,16 +21,29 @@
     return new CliFixture().run(`explain-placement --router ${control} ${args}`.trim());
 }
 
+/** The queue that the owner reported with its grant outlasts the response: it is drained at the engine's speed. */
+function explainUnqueued(args: string): Promise<PlacementExplanation> {
+    return vi.waitFor(
+        async () => {
+            const { exitCode, output } = await run(args);
+            expect(exitCode).toBe(0);
+            const explanation = JSON.parse(output) as PlacementExplanation;
+            expect(explanation.services[0].candidates[0].queuedTokens).toBe(0);
+            return explanation;
+        },
+        { timeout: 30_000, interval: 50 },
+    );
+}
+
 describe("explain-placement", () => {
     it("asks a router, which sends nothing to its targets and counts no request", async () => {
         const { status } = await fixture.send({ path: "/plan/x", headers: createPromptHeaders("a1") });
         const sentBefore = fixture.targets.flatMap(({ received }) => received).length;
-        const { exitCode, output } = await run(
+        const explanation = await explainUnqueued(
             "--route r-plan --account north --parts aa:800,bb:200 --max-output 50 --json",
         );
-        const explanation = JSON.parse(output) as PlacementExplanation;
         const [{ service, candidates, excluded }] = explanation.services;
-        expect([status, exitCode]).toEqual([200, 0]);
+        expect(status).toBe(200);
         expect(fixture.targets.flatMap(({ received }) => received).length).toBe(sentBefore);
         expect({ service, excluded, decision: explanation.decision }).toMatchInlineSnapshot(`
           {
--- a/test/fakes/portBlock.ts
+++ b/test/fakes/portBlock.ts
@@ -1,9 +1,12 @@
 /** Number of port blocks for the workers of one test run, and of concurrent test runs with separate blocks. */
 const blocksPerRun = 20;
-const maxConcurrentRuns = 5;
+export const maxConcurrentRuns = 5;
 const blockCount = blocksPerRun * maxConcurrentRuns;
 
-/** Ports of one process; no worker of the same test run has any of them. */
+/** Environment variable that holds the index of this test run among the concurrent ones; see `reserveTestRun.ts`. */
+export const testRunVariable = "LYNXARCH_TEST_RUN";
+
+/** Ports of one process; no worker of the same test run, or of a concurrent one, has any of them. */
 export interface PortBlock {
     readonly firstPort: number;
     readonly count: number;
@@ -15,7 +18,7 @@
  */
 export function selectPortBlock(firstPort: number, portCount: number): PortBlock {
     const worker = Number(process.env.VITEST_POOL_ID ?? process.pid) % blocksPerRun;
-    const block = (process.ppid % maxConcurrentRuns) * blocksPerRun + worker;
+    const run = Number(process.env[testRunVariable] ?? process.ppid % maxConcurrentRuns);
     const count = Math.floor(portCount / blockCount);
-    return { firstPort: firstPort + block * count, count };
+    return { firstPort: firstPort + (run * blocksPerRun + worker) * count, count };
 }
