Small routers leave callers to larger ones within a readiness reserve

Change: decisions/admission/readinessReserve.ts. At most a ninth of the fleet, counting all withdrawn routers, leaves early: from an even share of a third on, the highest need first, with hysteresis of a quarter and 3 s. Beyond that a small router leaves only while an even share exceeds 0.9 of its capacity. With the setting on, the last large router of a data centre doesn't leave. YieldToLarger is removed. gateway/callers/balancerPresence.ts decides with the reports of other routers, writes a log line with the reason for each change, and counts for lynxarch_withdrawn and lynxarch_withdrawals. The setting yieldsToLargerRouters remains the switch, off by default.

Tests: the two tests of YieldToLarger are replaced by those of readinessReserve.test.ts, as its thresholds are replaced. A router whose larger neighbours are at 0.8 now leaves if an even share exceeds its capacity; it stays if they are at 0.95 (0.7 for the reserve).

--- a/src/decisions/admission/balancerWithdrawal.ts
+++ b/src/decisions/admission/balancerWithdrawal.ts
@@ -4,12 +4,8 @@
  * Load patterns: a burst overloads most routers of a data centre. If more than half of them leave, the balancer uses all of them again,
  * and their readiness has no effect; if the large ones leave, the small ones get their callers. So at most half of the routers leave, the
  * smallest first. All routers decide alike from their reported conditions, without a further message.
- *
- * The balancer spreads callers evenly over routers of unequal size. A small one saturates while the others have spare processor time, and the
- * balancer notices its withdrawal only seconds later. A router therefore leaves before it saturates, as soon as an even part of the data
- * centre's work is more than it can take, and returns only once that part has become small.
+ * Small routers may leave before they are overloaded (readinessReserve.ts), within the same limit.
  */
-import type { RouterLoad } from "./requestReturn.js";
 
 /** A router of the data centre that is overloaded or already withdrawn. */
 export interface OverloadedRouter {
@@ -31,35 +27,30 @@
     return before < Math.floor(routerCount / 2);
 }
 
-function compareRouters(first: OverloadedRouter, second: OverloadedRouter): number {
-    return first.processorShare - second.processorShare || (first.routerId < second.routerId ? -1 : 1);
-}
-
-/** Utilization by an even part of the data centre's work from which a smaller router leaves the balancer. */
-const leaveUtilization = 0.7;
-/** The same below which it returns. */
-const returnUtilization = 0.45;
-/** Utilization of the larger routers up to which they take the callers of smaller ones. */
-const maxLargerUtilization = 0.6;
-/** Ratio of the largest processor share in the data centre to the own one from which a router counts as smaller. */
-const smallerRatio = 1.5;
-
-/** Decides whether a router leaves its callers to larger routers of its data centre. */
-export class YieldToLarger {
-    private isYielding = false;
+/** Ratio of processor shares from which one router counts as large beside another. */
+const largeRatio = 1.5;
 
-    /** Whether the router should leave the balancer. `neighbours`: the other routers of the data centre that are in the balancer. */
-    public update(own: RouterLoad, neighbours: readonly RouterLoad[]): boolean {
-        const larger = neighbours.filter(({ processorShare }) => processorShare >= own.processorShare * smallerRatio);
-        const hasCapacity = larger.some(({ utilization }) => utilization < maxLargerUtilization);
-        const threshold = this.isYielding ? returnUtilization : leaveUtilization;
-        this.isYielding = hasCapacity && computeEvenUtilization(own, neighbours) > threshold;
-        return this.isYielding;
+/**
+ * Whether a large router remains in the balancer if this one leaves: the small ones would otherwise get its callers. In a data centre of about
+ * equal routers there are no small ones, and the limit of half of them is sufficient. `others`: as for {@link isWithdrawalAllowed};
+ * `processorShares`: of all other routers of the data centre.
+ */
+export function hasLargeRouterLeft(
+    own: OverloadedRouter,
+    others: readonly OverloadedRouter[],
+    processorShares: readonly number[],
+): boolean {
+    const shares = [own.processorShare, ...processorShares];
+    const least = Math.max(...shares) / largeRatio;
+    const largeCount = shares.filter(share => share > least).length;
+    if (own.processorShare <= least || largeCount === shares.length) {
+        return true;
     }
+    const before = others.filter(other => other.processorShare > least && compareRouters(other, own) < 0).length;
+    return before < largeCount - 1;
 }
 
-/** Utilization of the router by an even part of the work of all routers. */
-function computeEvenUtilization(own: RouterLoad, neighbours: readonly RouterLoad[]): number {
-    const work = [own, ...neighbours].reduce((sum, router) => sum + router.utilization * router.processorShare, 0);
-    return work / (neighbours.length + 1) / own.processorShare;
+/** Order in which the routers of a data centre leave: the smallest first. */
+export function compareRouters(first: OverloadedRouter, second: OverloadedRouter): number {
+    return first.processorShare - second.processorShare || (first.routerId < second.routerId ? -1 : 1);
 }
--- a/src/gateway/callers/callerMetrics.ts
+++ b/src/gateway/callers/callerMetrics.ts
@@ -1,10 +1,12 @@
 import { Gauge, type Registry } from "prom-client";
 import type { UnsentStatistics } from "../unsentBytes.js";
+import type { WithdrawalStatistics } from "./balancerPresence.js";
 import type { EarlyRefusalCounts } from "./earlyRefusal.js";
 
 /** Values of the metrics on callers' connections and responses. */
 export interface CallerStatistics {
     readonly refusedEarly: EarlyRefusalCounts;
+    readonly withdrawal: WithdrawalStatistics;
     readonly unsent: UnsentStatistics;
     /** Idle connections closed since the start to make room for others. */
     readonly closedIdleConnections: number;
@@ -24,6 +26,7 @@
             this.set({ outcome: "shed" }, shed);
         },
     });
+    addWithdrawalMetrics(registers, getStatistics);
     new Gauge({
         name: "lynxarch_closed_idle_connections",
         help: "Callers' idle connections closed since the start to make room for others.",
@@ -60,3 +63,29 @@
         },
     });
 }
+
+function addWithdrawalMetrics(registers: Registry[], getStatistics: () => CallerStatistics): void {
+    new Gauge({
+        name: "lynxarch_withdrawn",
+        help: "1 while the router asks the balancer for no new connections, by reason.",
+        labelNames: ["reason"],
+        registers,
+        collect(): void {
+            const { reason: current, counts } = getStatistics().withdrawal;
+            for (const reason of Object.keys(counts)) {
+                this.set({ reason }, reason === current ? 1 : 0);
+            }
+        },
+    });
+    new Gauge({
+        name: "lynxarch_withdrawals",
+        help: "Withdrawals from the balancer since the start, by reason.",
+        labelNames: ["reason"],
+        registers,
+        collect(): void {
+            for (const [reason, count] of Object.entries(getStatistics().withdrawal.counts)) {
+                this.set({ reason }, count);
+            }
+        },
+    });
+}
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -11,6 +11,7 @@
     type EarlyRefusalCounts,
     type EarlyRefusalDecision,
 } from "./callers/earlyRefusal.js";
+import type { WithdrawalStatistics } from "./callers/balancerPresence.js";
 import type { NeighbourLoads } from "./callers/neighbourLoads.js";
 import type { FlowOutcome } from "./flowOutcomes.js";
 import type { GatewayContext } from "./gatewayContext.js";
@@ -73,7 +74,7 @@
     /** `neighbours`: the other routers of the data centre, to which requests may be returned. */
     public constructor(
         private readonly context: GatewayContext,
-        neighbours: NeighbourLoads,
+        private readonly neighbours: NeighbourLoads,
     ) {
         this.shedder = new RequestShedder(context);
         this.earlyRefusal = new EarlyRefusal(context, neighbours);
@@ -85,6 +86,11 @@
         return this.open;
     }
 
+    /** Why this router is withdrawn from the balancer, and how often it was. */
+    public get withdrawal(): WithdrawalStatistics {
+        return this.neighbours.withdrawal;
+    }
+
     /** Counts of requests that were refused by their heads alone. */
     public get refusedEarly(): EarlyRefusalCounts {
         return this.earlyRefusal.refused;
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -42,7 +42,8 @@
         accounts,
         refusedEarly,
         unsent,
-    }: Pick<GatewayService, "openRequests" | "accounts" | "refusedEarly" | "unsent">,
+        withdrawal,
+    }: Pick<GatewayService, "openRequests" | "accounts" | "refusedEarly" | "unsent" | "withdrawal">,
     rollouts: Pick<Rollouts, "listAll">,
     { shared }: Pick<ConnectionSharing, "shared">,
     { closedIdleConnections }: Pick<CallerServer, "closedIdleConnections">,
@@ -61,6 +62,7 @@
     return {
         openRequests,
         refusedEarly,
+        withdrawal,
         closedIdleConnections,
         configurationVersion: context.configuration.current?.version ?? 0,
         isPlatformConnected: health.isConnected,
