Roll-out tests: time passes with the requests, not with the machine

Cause: the roll-out of the test lasts 4 s of real time, of which targets count as warm only in the last one. Beside load the verdict then rested on few requests (13 in 4 s in one trial: "too few requests showed whether the version is sound"), and a response became slow by 32 ms of jitter, as times are compared from 20 ms on; one slow response leaves the verdict open at the end ("a fault showed late").

Change: the three tests that expect a sound version to be completed run on a fake clock that advances with each request, and their targets take 100 ms of that clock. The checks are the same.

--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -71,6 +71,8 @@
     public eventPauseMs = 1;
     /** Time that a plain request takes; milliseconds. */
     public workMs = 0;
+    /** Waits for {@link workMs}; a test with a fake clock replaces it. */
+    public sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
     /** A request with this body ends the target as soon as it runs: all connections are reset, and new ones refused. */
     public fatalBody: string | undefined;
     /** A request whose prompt has this part ends the target once it has written `fatalPartEvents` events of the answer. */
@@ -259,7 +261,7 @@
     ): Promise<void> {
         const body = `answer to ${received.id}`;
         if (this.workMs > 0) {
-            await new Promise(resolve => setTimeout(resolve, this.workMs));
+            await this.sleep(this.workMs);
         }
         const { socket } = response;
         if (script === "serve" || !socket) {
--- a/test/gateway/gatewayFixture.ts
+++ b/test/gateway/gatewayFixture.ts
@@ -1,7 +1,7 @@
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
 import { request as sendHttp, type Agent, type IncomingHttpHeaders } from "node:http";
-import { SystemClock } from "../../src/base/clock.js";
+import { SystemClock, type Clock } from "../../src/base/clock.js";
 import { NoopLogger } from "../../src/base/log.js";
 import { SeededRandom } from "../../src/base/random.js";
 import { sleepOnTimer } from "../../src/base/sleep.js";
@@ -93,6 +93,9 @@
     private peerPort = 0;
     private controlPort = 0;
 
+    /** `clock`: of all routers; a test whose verdict depends on measured times uses a fake one. */
+    public constructor(private readonly clock: Clock = new SystemClock()) {}
+
     public async start(configuration: object = createConfiguration(1)): Promise<void> {
         await this.store.start();
         this.store.write("keyed.op", "config", configuration);
@@ -145,7 +148,7 @@
             drainMs: 500,
             ...changes,
         });
-        const clock = new SystemClock();
+        const { clock } = this;
         const random = new SeededRandom(seed);
         const logger = new NoopLogger();
         const { drainMs, contactMs, applyMs, heartbeatMs } = settings;
--- a/test/gateway/rollouts/rollouts.test.ts
+++ b/test/gateway/rollouts/rollouts.test.ts
@@ -1,13 +1,21 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { fetchRollouts } from "../../../src/gateway/rollouts/rolloutsApi.js";
+import { SteppedClock } from "../../fakes/steppedClock.js";
 import type { TargetServer } from "../../fakes/usersPlatform/targetServer.js";
 import { GatewayFixture, waitUntil } from "../gatewayFixture.js";
 
-const fixture = { current: new GatewayFixture() };
+const fixture: { current: GatewayFixture; clock: SteppedClock | undefined } = {
+    current: new GatewayFixture(),
+    clock: undefined,
+};
 const order = { service: "app", target: "v2", duration_s: 4 };
 const exposure = { share: 0.1, slack: 20 };
 const orderKey = "rollout/app";
 const requestIntervalMs = 4;
+/** Time that targets take where the verdict depends on response times; far above what the steps of the clock add to it. */
+const steppedWorkMs = 100;
+/** More than the requests that run at once at one target, so that none waits there. */
+const slots = 64;
 
 interface WrittenStatus {
     readonly state: string;
@@ -17,14 +25,22 @@
 
 beforeEach(async () => {
     fixture.current = new GatewayFixture();
+    fixture.clock = undefined;
     await fixture.current.start();
 });
 
 afterEach(() => fixture.current.dispose());
 
 async function addTargets(version: string, count: number): Promise<readonly TargetServer[]> {
+    const { current, clock } = fixture;
     const indexes = [...Array(count).keys()];
-    return Promise.all(indexes.map(index => fixture.current.addTarget("app", `app-${version}-${index}`, { version })));
+    const targets = await Promise.all(
+        indexes.map(index => current.addTarget("app", `app-${version}-${index}`, { version, slots })),
+    );
+    if (clock !== undefined) {
+        targets.forEach(target => Object.assign(target, { workMs: steppedWorkMs, sleep: clock.sleep.bind(clock) }));
+    }
+    return targets;
 }
 
 function readStatus(): WrittenStatus | undefined {
@@ -40,16 +56,36 @@
     return targets.reduce((sum, target) => sum + target.ran.length, 0);
 }
 
+/**
+ * Replaces the fixture by one whose clock advances only with the requests that are sent. The number of requests that a roll-out gets
+ * within its duration, and which responses count as slow, then don't depend on the speed of the machine.
+ */
+async function startStepped(): Promise<void> {
+    fixture.current.dispose();
+    fixture.clock = new SteppedClock();
+    fixture.current = new GatewayFixture(fixture.clock);
+    await fixture.current.start();
+}
+
+async function waitForStep(): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, requestIntervalMs));
+    fixture.clock?.advance(requestIntervalMs);
+}
+
 /** Sends requests on two routes, alternating between the routers, until the condition holds; returns the sent and failed counts. */
 async function sendUntil(check: () => boolean): Promise<{ readonly sent: number; readonly failed: number }> {
     const routers = fixture.current.routers.length;
     const responses: Promise<boolean>[] = [];
+    let ended = 0;
     while (!check()) {
         const path = responses.length % 3 === 0 ? "/book/" : "/find/";
         const headers = { "x-lynxarch-attempt-id": `r${responses.length}` };
         const response = fixture.current.send({ path, headers }, responses.length % routers);
-        responses.push(response.then(({ status }) => status === 200));
-        await new Promise(resolve => setTimeout(resolve, requestIntervalMs));
+        responses.push(response.then(({ status }) => status === 200).finally(() => ended++));
+        await waitForStep();
+    }
+    while (ended < responses.length) {
+        await waitForStep();
     }
     const results = await Promise.all(responses);
     return { sent: results.length, failed: results.filter(isOk => !isOk).length };
@@ -62,6 +98,7 @@
 
 describe("a roll-out", () => {
     it("of a sound version completes once no request runs at the old version, and no request fails", async () => {
+        await startStepped();
         const old = await addTargets("v1", 2);
         const next = await addTargets("v2", 2);
         await fixture.current.addRouter({ exposure });
@@ -97,6 +134,7 @@
     });
 
     it("is listed for operators, with the evidence on both versions", async () => {
+        await startStepped();
         await addTargets("v1", 2);
         await addTargets("v2", 2);
         await fixture.current.addRouter({ exposure });
@@ -160,6 +198,7 @@
 
     // Two deciders, and writes whose responses are lost, must neither revert an outcome nor write it twice.
     it("never goes back a step while responses of the store are lost", async () => {
+        await startStepped();
         await addTargets("v1", 2);
         await addTargets("v2", 2);
         await fixture.current.addRouter({ exposure });
