Routers' messages are relayed within data centres

Cause: a router sends its state to every other router, so that three quarters of these bytes cross data centres at 27 routers in four.

Change: with relaysPeerMessages (off by default) a router sends its message to one router of each other data centre, in an envelope; that router forwards the message, as it was encoded, to the others of its data centre that have reported that they relay. The capability is a row of the list of prefills that earlier builds accept and ignore. decisions/peers/relayPlan chooses relays by processor share and sends only as many rounds by relays as these can forward within their budget of bytes; others are sent directly. Bytes sent by data centre and relayed messages are metrics.

Changed tests: messages in them state canRelay, statistics state the traffic; no check was changed.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -224,6 +224,7 @@
         get round() {
             return peers.round;
         },
+        traffic: peers.traffic,
         recordPrefill: (targetHash, partId, tokens) => peers.recordPrefill(targetHash, partId, tokens),
     };
 }
--- a/scripts/measurePeers.ts
+++ b/scripts/measurePeers.ts
@@ -118,6 +118,7 @@
                     state,
                     clock,
                     logger: new NoopLogger(),
+                    isRelaying: () => false,
                     onDidReceiveGrantMessage: () => undefined,
                     onDidReceiveCrashMessage: () => undefined,
                     onDidReceivePartMessage: () => undefined,
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -139,6 +139,7 @@
                 state: this.peers,
                 clock,
                 logger,
+                isRelaying: () => this.settings.relaysPeerMessages,
                 onDidReceiveGrantMessage: (senderId, message) => grants.exchange.handleMessage(senderId, message),
                 onDidReceiveCrashMessage: message => this.quarantine.applyMessage(message),
                 onDidReceivePartMessage: message => this.quarantine.parts.applyMessage(message),
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -7,6 +7,7 @@
 import type { EndedRequest } from "./gatewayService.js";
 import type { SpareCapacity } from "./grants/grantOwner.js";
 import type { StoreReadCount } from "./fleetSource.js";
+import { addPeerMetrics, type PeerStatistics } from "./peers/peerMetrics.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
 import type { ReceivedSignal } from "./targetSignalRecorder.js";
 
@@ -24,7 +25,7 @@
 }
 
 /** Current values for the gauges, collected whenever the metrics page is rendered. */
-export interface GatewayStatistics extends CallerStatistics {
+export interface GatewayStatistics extends CallerStatistics, PeerStatistics {
     readonly openRequests: number;
     readonly configurationVersion: number;
     readonly isPlatformConnected: boolean;
@@ -190,6 +191,7 @@
             },
         });
         addCallerMetrics(this.registry, getStatistics);
+        addPeerMetrics(this.registry, getStatistics);
         addGauge("lynxarch_peers", "Other routers with a recent message.", statistics => statistics.peers);
         addGauge("lynxarch_peer_message_bytes", "Size of the newest message to other routers.", statistics => {
             return statistics.peerRound.messageBytes;
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -68,6 +68,7 @@
         storeReads: health.reads,
         peers: context.peers.routers.routerIds.length - 1,
         peerRound: context.peers.round,
+        peerTraffic: context.peers.traffic.counts,
         heldRequests: context.quarantine.listHeld().length,
         heldParts: context.quarantine.parts.listHeld().length,
         targets: [...counts.values()],
--- a/src/gateway/peers/peerDirectory.ts
+++ b/src/gateway/peers/peerDirectory.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../base/clock.js";
 import { hashFast } from "../../base/hash.js";
+import type { RelayCandidate } from "../../decisions/peers/relayPlan.js";
 import type { ReportedRouter } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
@@ -40,6 +41,13 @@
     readonly conditions: ReadonlyMap<string, RouterCondition>;
 }
 
+/** A peer, as far as it matters for relaying messages. */
+export interface RelayPeer extends RelayCandidate {
+    readonly ip: string;
+    /** Whether its last message is recent. */
+    readonly isRecent: boolean;
+}
+
 /** The newest state received from each peer. */
 export class PeerDirectory {
     private readonly peers = new Map<string, Peer>();
@@ -124,6 +132,24 @@
         return [...this.peers.values()].map(({ message }) => ({ routerId: message.routerId, ip: message.ip }));
     }
 
+    /** Peers from which a message was received, with the properties that relaying depends on. */
+    public listRelayPeers(): readonly RelayPeer[] {
+        const nowMs = this.clock.nowMs();
+        return [...this.peers.values()].map(({ message, receivedAtMs }) => ({
+            routerId: message.routerId,
+            ip: message.ip,
+            ...message.condition,
+            canRelay: message.canRelay,
+            isRecent: nowMs - receivedAtMs <= computeReportTtlMs(message),
+        }));
+    }
+
+    /** Data centre of the router that last sent from this address; undefined if unknown. */
+    public findDataCentre(ip: string): string | undefined {
+        const routerId = this.routerByIp.get(ip);
+        return routerId === undefined ? undefined : this.peers.get(routerId)?.message.condition.dataCentre;
+    }
+
     /** The known routers, and how many seeds have sent no message. */
     public get routers(): RouterView {
         this.removeExpired();
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -15,7 +15,9 @@
 import { decodePartMessage, encodePartMessage, isPartDatagram, type PartMessage } from "../quarantine/partMessage.js";
 import type { PartTransport } from "../quarantine/partQuarantine.js";
 import { aggregationPeriodMs } from "./accountAggregation.js";
-import { decodePeerMessage, encodePeerMessage } from "./peerMessage.js";
+import { MessageRelay } from "./messageRelay.js";
+import { decodePeerMessage } from "./peerMessage.js";
+import { isRelayEnvelope } from "./relayEnvelope.js";
 import { decodeTotalsMessage, encodeTotalsMessage, isTotalsDatagram, type TotalsMessage } from "./totalsMessage.js";
 import {
     decodeRolloutMessage,
@@ -43,6 +45,8 @@
     readonly state: PeerState;
     readonly clock: Clock;
     readonly logger: Logger;
+    /** Whether this router's messages are relayed within other data centres. */
+    readonly isRelaying: () => boolean;
     /** A message about a grant was received from a known router. */
     readonly onDidReceiveGrantMessage: (senderId: string, message: GrantMessage) => void;
     /** A report of crashes was received from a known router. */
@@ -69,7 +73,12 @@
     private socket: Socket | undefined;
     private lastDropLogAtMs = Number.NEGATIVE_INFINITY;
 
-    public constructor(private readonly options: PeerExchangeOptions) {}
+    private readonly relay: MessageRelay;
+
+    public constructor(private readonly options: PeerExchangeOptions) {
+        const { state, isRelaying } = options;
+        this.relay = new MessageRelay({ state, isRelaying, send: (ip, data) => this.sendData(ip, data) });
+    }
 
     /** Starts to listen and to send. Rejects if the port can't be bound. */
     public start(): Promise<void> {
@@ -99,12 +108,11 @@
     }
 
     public send(routerId: string, message: GrantMessage): boolean {
-        const { state, port } = this.options;
-        const ip = state.findAddress(routerId);
+        const ip = this.options.state.findAddress(routerId);
         if (ip === undefined || this.socket === undefined) {
             return false;
         }
-        this.socket.send(encodeGrantMessage(message), port, ip, () => undefined);
+        this.sendData(ip, encodeGrantMessage(message));
         return true;
     }
 
@@ -117,28 +125,31 @@
     }
 
     public sendRollout(routerId: string, message: RolloutMessage): void {
-        const { state, port } = this.options;
-        const ip = state.findAddress(routerId);
+        const ip = this.options.state.findAddress(routerId);
         if (ip !== undefined) {
-            this.socket?.send(encodeRolloutMessage(message), port, ip, () => undefined);
+            this.sendData(ip, encodeRolloutMessage(message));
         }
     }
 
     public sendStreamVersions(routerId: string, message: StreamVersionMessage): void {
-        const { state, port } = this.options;
-        const ip = state.findAddress(routerId);
+        const ip = this.options.state.findAddress(routerId);
         if (ip !== undefined) {
-            this.socket?.send(encodeStreamVersionMessage(message), port, ip, () => undefined);
+            this.sendData(ip, encodeStreamVersionMessage(message));
         }
     }
 
     private sendDataToAll(data: Uint8Array): void {
-        const { state, port } = this.options;
-        for (const ip of state.listAddresses()) {
-            this.socket?.send(data, port, ip, () => undefined);
+        for (const ip of this.options.state.listAddresses()) {
+            this.sendData(ip, data);
         }
     }
 
+    /** Errors are ignored: the directory removes a stopped peer by the age of its last message. */
+    private sendData(ip: string, data: Uint8Array): void {
+        this.options.state.traffic.recordSent(ip, data.length);
+        this.socket?.send(data, this.options.port, ip, () => undefined);
+    }
+
     private handleDatagram(data: Buffer, senderIp: string): void {
         if (isGrantDatagram(data)) {
             this.handleGrantDatagram(data, senderIp);
@@ -166,8 +177,12 @@
             this.handleKnown(senderIp, decodeStreamVersionMessage(data), onDidReceiveStreamVersionMessage);
             return;
         }
+        if (isRelayEnvelope(data)) {
+            this.relay.handleEnvelope(data, senderIp).orTee(error => this.reportDropped(error.message));
+            return;
+        }
         decodePeerMessage(data).match(
-            message => this.options.state.applyMessage(message),
+            message => void this.options.state.applyMessage(message),
             error => this.reportDropped(error.message),
         );
     }
@@ -220,27 +235,20 @@
     }
 
     private sendTotals(): void {
-        const { state, port } = this.options;
+        const { state } = this.options;
         const encoded = new Map<TotalsMessage["totals"], Uint8Array>();
         for (const { routerId, message } of state.createTotalsMessages()) {
             const ip = state.findAddress(routerId);
             const data = encoded.get(message.totals) ?? encodeTotalsMessage(message);
             encoded.set(message.totals, data);
             if (ip !== undefined) {
-                this.socket?.send(data, port, ip, () => undefined);
+                this.sendData(ip, data);
             }
         }
     }
 
     private sendRound(): void {
-        const { state, port } = this.options;
-        const data = encodePeerMessage(state.createMessage());
-        const addresses = state.listAddresses();
-        for (const ip of addresses) {
-            // Send errors are ignored: the directory removes a stopped peer by the age of its last message.
-            this.socket?.send(data, port, ip, () => undefined);
-        }
-        state.recordRound(data.length, addresses.length);
-        this.timer = setTimeout(() => this.sendRound(), state.round.periodMs);
+        this.relay.sendRound();
+        this.timer = setTimeout(() => this.sendRound(), this.options.state.round.periodMs);
     }
 }
--- a/src/gateway/peers/peerMessage.ts
+++ b/src/gateway/peers/peerMessage.ts
@@ -77,6 +77,8 @@
     /** Targets that are leaving. */
     readonly leaving: readonly LeavingTarget[];
     readonly condition: RouterCondition;
+    /** Whether the sender forwards messages of routers in other data centres (see relayEnvelope.ts). */
+    readonly canRelay: boolean;
 }
 
 const loadColumns = 4;
@@ -90,6 +92,12 @@
 const conditionLength = 5;
 /** A configuration version is encoded as the version plus one; 0 stands for none. */
 const noVersion = 0;
+/**
+ * Target hash of the row of `reads` that states the sender's capabilities as bits in place of the tokens. It exceeds 32 bits, so that
+ * it is no target's hash: earlier builds accept the row and find no target, whereas they drop messages with further entries.
+ */
+const capabilityHash = 2 ** 32;
+const relayCapability = 1;
 const decoder = new Decoder();
 
 /** Entries of the encoded message. Rows are concatenated, as a nested array for each row would only add bytes. */
@@ -137,7 +145,11 @@
             Math.round(usage.served),
             Math.round(usage.recentlyServed),
         ]),
-        message.reads.flatMap(prefill => [prefill.targetHash, prefill.partId, prefill.tokens]),
+        [...listCapabilities(message), ...message.reads].flatMap(prefill => [
+            prefill.targetHash,
+            prefill.partId,
+            prefill.tokens,
+        ]),
         message.peers.flatMap(peer => [peer.routerId, peer.ip]),
         message.leaving.flatMap(({ targetHash, startedAtMs }) => [targetHash, startedAtMs]),
         encodeCondition(message.condition),
@@ -193,13 +205,20 @@
         targets,
         coveredMs,
         accounts: new Map(accounts),
-        reads,
+        reads: reads.filter(({ targetHash }) => targetHash !== capabilityHash),
         peers,
         leaving,
         condition,
+        canRelay: reads.some(
+            ({ targetHash, tokens }) => targetHash === capabilityHash && (tokens & relayCapability) !== 0,
+        ),
     };
 }
 
+function listCapabilities({ canRelay }: PeerMessage): readonly PartPrefill[] {
+    return canRelay ? [{ targetHash: capabilityHash, partId: "", tokens: relayCapability }] : [];
+}
+
 /** Decodes concatenated rows. Returns undefined if a row is incomplete or can't be decoded. */
 function decodeRows<T>(
     value: unknown,
--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -3,7 +3,7 @@
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { PeerLoad } from "../target.js";
 import { AccountAggregation, aggregationPeriodMs, type OutgoingTotalsMessage } from "./accountAggregation.js";
-import { PeerDirectory } from "./peerDirectory.js";
+import { PeerDirectory, type RelayPeer } from "./peerDirectory.js";
 import type {
     LeavingTarget,
     PartPrefill,
@@ -13,6 +13,7 @@
     TargetLoad,
 } from "./peerMessage.js";
 import type { AccountSource, PeerRound, PeerView } from "./peerView.js";
+import { PeerTraffic, type TrafficScope } from "./peerTraffic.js";
 import type { TotalsMessage } from "./totalsMessage.js";
 
 /** Minimum interval between message rounds; milliseconds. It is about the time that an engine takes to prefill one prompt. */
@@ -33,6 +34,14 @@
 /** Minimum interval between updates of the peers' summed loads; milliseconds. Each update iterates over all peers. */
 const minLoadUpdatePeriodMs = 25;
 
+/** Weight of the last round in the mean number of bytes sent in a round: about four rounds count. */
+const sentBytesWeight = 0.25;
+/**
+ * By what factor a relay's own rounds become less frequent at most. Routers choose relays so that these stay within their budget; longer
+ * periods than this would make the relay's own loads expire at the receivers.
+ */
+const maxRelayDelay = 1.25;
+
 /** Dependencies of a {@link PeerState}. */
 export interface PeerStateOptions {
     readonly own: PeerAddress;
@@ -60,12 +69,17 @@
  * without it, they stay correct but are more conservative.
  */
 export class PeerState implements PeerView {
+    /** Counts what this router sends; recorded by the caller. */
+    public readonly traffic = new PeerTraffic(ip => this.getScope(ip));
     private readonly directory: PeerDirectory;
     private readonly aggregation: AccountAggregation;
     private readonly incarnation: number;
     private readonly recentPrefills: { readonly read: PartPrefill; rounds: number }[] = [];
     private sequence = 0;
     private currentRound: PeerRound = { messageBytes: 0, periodMs: minPeriodMs };
+    private meanSentBytes = 0;
+    /** Cached since it is read for each datagram, and the other values of the condition take longer to compute. */
+    private ownDataCentre: string | undefined;
     private lastLoadUpdateAtMs = Number.NEGATIVE_INFINITY;
 
     public constructor(private readonly options: PeerStateOptions) {
@@ -126,6 +140,17 @@
         return this.directory.findRouter(ip);
     }
 
+    /** This router's data centre. */
+    public get dataCentre(): string {
+        this.ownDataCentre ??= this.options.getCondition().dataCentre;
+        return this.ownDataCentre;
+    }
+
+    /** Peers from which a message was received, with the properties that relaying depends on. */
+    public listRelayPeers(): readonly RelayPeer[] {
+        return this.directory.listRelayPeers();
+    }
+
     public setSeeds(seedIps: readonly string[]): void {
         this.directory.setSeeds(seedIps);
     }
@@ -149,12 +174,23 @@
             peers: this.takePeers(),
             leaving: this.takeLeaving(),
             condition: this.options.getCondition(),
+            canRelay: true,
         };
     }
 
-    /** Records the message size and the number of recipients of the last round, and sets the interval to the next one accordingly. */
-    public recordRound(messageBytes: number, addressCount: number): void {
-        const periodMs = Math.max(minPeriodMs, (addressCount * messageBytes * msPerSecond) / maxControlBytesPerSecond);
+    /**
+     * Records the message size and the number of recipients of the last round, and sets the interval to the next one accordingly.
+     * Recipients count whether they are sent to directly or by a relay, as relaying only moves the bytes to another router.
+     *
+     * `sentBytes`: what this router sent since the round before, with the messages that it forwarded.
+     */
+    public recordRound(messageBytes: number, addressCount: number, sentBytes = 0): void {
+        const usualMs = Math.max(minPeriodMs, computeMsWithinBudget(addressCount * messageBytes));
+        this.meanSentBytes += (sentBytes - this.meanSentBytes) * sentBytesWeight;
+        const periodMs = Math.max(
+            usualMs,
+            Math.min(usualMs * maxRelayDelay, computeMsWithinBudget(this.meanSentBytes)),
+        );
         this.currentRound = { messageBytes, periodMs };
         // Without this, loads that have expired since the last message would be counted forever if no peer sends again.
         this.updateLoads();
@@ -169,11 +205,22 @@
         this.aggregation.applyMessage(senderId, message);
     }
 
-    public applyMessage(message: PeerMessage): void {
-        if (this.directory.apply(message)) {
-            this.options.onDidReceiveMessage(message);
-            this.updateLoads();
+    /** Applies a message. Returns false, without effect, if it is not newer than the last one of its sender. */
+    public applyMessage(message: PeerMessage): boolean {
+        if (!this.directory.apply(message)) {
+            return false;
         }
+        this.options.onDidReceiveMessage(message);
+        this.updateLoads();
+        return true;
+    }
+
+    private getScope(ip: string): TrafficScope {
+        const dataCentre = this.directory.findDataCentre(ip);
+        if (dataCentre === undefined) {
+            return "unknown";
+        }
+        return dataCentre === this.dataCentre ? "own" : "other";
     }
 
     private updateLoads(): void {
@@ -208,3 +255,7 @@
         return reported.map(entry => entry.read);
     }
 }
+
+function computeMsWithinBudget(bytes: number): number {
+    return (bytes * msPerSecond) / maxControlBytesPerSecond;
+}
--- a/src/gateway/peers/peerView.ts
+++ b/src/gateway/peers/peerView.ts
@@ -1,6 +1,7 @@
 import type { ReportedRouter } from "../../decisions/shares/accountShares.js";
 import type { RouterView } from "../../decisions/limits/coldLimit.js";
 import type { RouterCondition } from "./peerMessage.js";
+import type { PeerTraffic } from "./peerTraffic.js";
 
 /** Size of a peer message and the interval between message rounds. */
 export interface PeerRound {
@@ -28,6 +29,8 @@
     readonly conditions: ReadonlyMap<string, RouterCondition>;
     /** Size of the newest message, and the interval from it to the next one. */
     readonly round: PeerRound;
+    /** Counts what this router sends to the others. */
+    readonly traffic: Pick<PeerTraffic, "counts">;
     /** Reports to the peers that a target has begun to prefill a prompt part. */
     recordPrefill(targetHash: number, partId: string, tokens: number): void;
 }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -88,6 +88,8 @@
     fillsReportedCapacity: z.boolean().default(false),
     /** Whether an engine is sent only as many requests as fit into the memory that its service's configuration states. */
     limitsEngineMemory: z.boolean().default(false),
+    /** Whether this router's state is sent to one router of each other data centre, which forwards it to the others there. */
+    relaysPeerMessages: z.boolean().default(false),
     /**
      * Cost of sending a KiB of a request's body to another data centre, for the selection of engines; milliseconds. Absent: a fixed cost for
      * each request.
--- a/test/gateway/admissionFixture.ts
+++ b/test/gateway/admissionFixture.ts
@@ -103,6 +103,7 @@
         peers: [],
         leaving: [],
         condition: { dataCentre: "dc-a", processorShare: 1, utilization: 0, isWithdrawn: false },
+        canRelay: true,
     });
     clock.advance(5_000);
     return router;
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -13,6 +13,7 @@
         storeReads: [{ records: "targets", outcome: "history-dropped", count: 2 }],
         peers: 0,
         peerRound: { messageBytes: 0, periodMs: 100 },
+        peerTraffic: { bytes: { own: 10, other: 20, unknown: 5 }, sentToRelays: 2, forwarded: 3 },
         rollouts: [],
         refusedEarly: { returned: 0, shed: 0 },
         closedIdleConnections: 0,
--- a/test/gateway/grants/grantMessage.property.test.ts
+++ b/test/gateway/grants/grantMessage.property.test.ts
@@ -83,6 +83,7 @@
             peers: [],
             leaving: [],
             condition: { dataCentre: "dc-a", processorShare: 1, utilization: 0, isWithdrawn: false },
+            canRelay: true,
         });
         expect(isGrantDatagram(peerMessage)).toBe(false);
     });
--- a/test/gateway/peers/peerDirectory.test.ts
+++ b/test/gateway/peers/peerDirectory.test.ts
@@ -19,6 +19,7 @@
         peers: [],
         leaving: [],
         condition: { dataCentre: "dc-a", processorShare: 0.243, utilization: 0.5, isWithdrawn: true },
+        canRelay: true,
         ...changes,
     };
 }
--- a/test/gateway/peers/peerMessage.property.test.ts
+++ b/test/gateway/peers/peerMessage.property.test.ts
@@ -32,6 +32,7 @@
         utilization: fraction,
         isWithdrawn: fc.boolean(),
     }),
+    canRelay: fc.boolean(),
 });
 const runs = { seed: 5, numRuns: 300 };
 
