Prompt parts: placed in the request's data centre only while its engines have capacity, and a local engine in each sample

Cause: with interDataCentreMsPerKb, a part that no engine has cached was placed in the request's data centre however long the queues there were. Three random engines of 36 in four data centres include none of the router's own for about half of the requests, so that a request without a cached part crossed data centres although engines near it were idle.

Change: the preferred target is one of the request's data centre while the mean queue of its engines is no longer than a request within its account's share may wait for the route's objective; any engine otherwise. Where no compared engine is one of the request's data centre with free capacity (a slot, and a queue within the same limit), one such engine is drawn and compared as well. Without the setting nothing is drawn in addition.

Result: unit tests.

--- a/src/decisions/placement/candidateSample.ts
+++ b/src/decisions/placement/candidateSample.ts
@@ -10,6 +10,7 @@
  * two are fast would have slow ones only, and the slow ones would get more prompts than they can prefill while the fast ones are idle.
  */
 import type { Random } from "../../base/random.js";
+import { isOpenLocalEngine, type LocalRequest } from "./localEngines.js";
 import type { PlacedPart, PromptCandidate } from "./promptPlacement.js";
 
 /** Number of engines drawn at random, with replacement. */
@@ -20,12 +21,16 @@
  */
 const drawnUnevenEngines = 6;
 
-/** Selects the engines to compare. `preferred`: the preferred target of the prompt's shared part while no engine has cached it. */
+/**
+ * Selects the engines to compare. `preferred`: the preferred target of the prompt's shared part while no engine has cached it; `local`: an
+ * engine of the request's data centre is always compared where one has free capacity.
+ */
 export function pickCandidates<T extends PromptCandidate>(
     candidates: readonly T[],
     preferred: T | undefined,
     shared: readonly PlacedPart[],
     random: Random,
+    local?: LocalRequest,
 ): readonly T[] {
     const first = shared[0]?.id;
     const picked = new Set(first === undefined ? [] : candidates.filter(candidate => candidate.hasPart(first)));
@@ -33,15 +38,22 @@
         picked.add(preferred);
     }
     const isUneven = candidates.some(candidate => candidate.speedFactor !== 1);
-    const draw = isUneven ? createWeightedDraw(candidates, random) : createDraw(candidates, random);
+    const createDrawOf = isUneven ? createWeightedDraw : createDraw;
+    const draw = createDrawOf(candidates, random);
     const count = Math.min(isUneven ? drawnUnevenEngines : drawnEngines, candidates.length);
     for (let drawn = 0; drawn < count; drawn++) {
         picked.add(draw());
     }
+    if (local !== undefined && ![...picked].some(candidate => isOpenLocalEngine(candidate, local))) {
+        const open = candidates.filter(candidate => isOpenLocalEngine(candidate, local));
+        if (open.length > 0) {
+            picked.add(createDrawOf(open, random)());
+        }
+    }
     return [...picked];
 }
 
-function createDraw<T>(candidates: readonly T[], random: Random): () => T {
+function createDraw<T extends PromptCandidate>(candidates: readonly T[], random: Random): () => T {
     return () => candidates[Math.floor(random.next() * candidates.length)];
 }
 
--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -50,6 +50,11 @@
     readonly tokensPerMs: number;
     /** Cost of sending the request to another data centre; milliseconds. A default for all requests when left out. */
     readonly interDataCentreMs?: number;
+    /**
+     * Longest queue of an engine of the request's data centre that is compared, and preferred for new parts, because of its location;
+     * milliseconds. No engine is when left out.
+     */
+    readonly maxLocalQueueMs?: number;
     /** Undefined if engines can't copy from one another. */
     readonly transfer: CacheTransfer | undefined;
 }
@@ -255,17 +260,3 @@
     }
     return preferred;
 }
-
-/**
- * The same within a data centre, for a part that none of the engines has cached: it is then shared by the requests of that data centre
- * without being sent to others. Any engine where the data centre has none.
- */
-export function findLocalPreferredTarget<T extends PromptCandidate>(
-    candidates: readonly T[],
-    partId: string | undefined,
-    dataCentre: string,
-): T | undefined {
-    const isCached = partId !== undefined && candidates.some(candidate => candidate.hasPart(partId));
-    const local = isCached ? [] : candidates.filter(candidate => candidate.dataCentre === dataCentre);
-    return findPreferredTarget(local.length > 0 ? local : candidates, partId);
-}
--- a/src/gateway/explanations/placementExplainer.ts
+++ b/src/gateway/explanations/placementExplainer.ts
@@ -176,13 +176,16 @@
     }
 
     private explainPrompt(
-        { head, maxUsage }: Subject,
+        { head, maxUsage, route }: Subject,
         service: ServiceConfiguration,
         available: readonly Target[],
     ): ExplainedCandidate[] {
         const { selector } = this;
         const nowMs = this.context.clock.nowMs();
-        const request = selector.createPromptRequest(service, head);
+        const request = selector.createPromptRequest(service, head, {
+            bodyBytes: 0,
+            objectiveMs: route.objectiveMs,
+        });
         const shared = head.promptParts.slice(0, -1);
         const createView = (target: Target): PromptView => ({
             target,
@@ -197,7 +200,7 @@
             hasPart: id => target.hasPart(id),
         });
         const views = available.map(createView);
-        const preferred = selector.findPreferred(views, shared.at(-1)?.id);
+        const preferred = selector.findPreferred(views, shared.at(-1)?.id, request);
         const sources = selector.listSources(service).map(createView);
         const placements = comparePlacements(views, request, sources, preferred);
         return placements.map(({ candidate, fetch, newTokens, cost }) => {
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -63,7 +63,10 @@
         private readonly watch: RequestGuard,
     ) {
         const { route, head, arrivedAtMs } = routed;
-        this.selector = new TargetSelector(context, routed.body?.length);
+        this.selector = new TargetSelector(context, {
+            bodyBytes: routed.body?.length ?? 0,
+            objectiveMs: routed.route.objectiveMs,
+        });
         this.timing = new ResponseTiming(route, arrivedAtMs);
         this.charge = new AccountCharge(context, routed);
         this.retries = new RequestRetries(context, routed.account);
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -1,15 +1,17 @@
 import { choosePlacement, type PlacementCandidate } from "../decisions/placement/placement.js";
 import { computeColdShare } from "../decisions/limits/coldLimit.js";
+import { computePromptBounds } from "../decisions/admission/promptAdmission.js";
 import { pickCandidates } from "../decisions/placement/candidateSample.js";
+import { findLocalPreferredTarget, type LocalRequest } from "../decisions/placement/localEngines.js";
 import {
     choosePromptPlacement,
-    findLocalPreferredTarget,
     findPreferredTarget,
     type CacheTransfer,
     type PromptFetch,
     type PromptRequest,
     type PromptCandidate,
 } from "../decisions/placement/promptPlacement.js";
+import { zeroUsage } from "../decisions/shares/accountShares.js";
 import type { EngineCapacity, RouteConfiguration, ServiceConfiguration } from "./configuration.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import type { Grant } from "./grants/grantClient.js";
@@ -65,12 +67,19 @@
     "settings" | "clock" | "random" | "directory" | "peers" | "rollouts" | "firstTokenModels" | "idleShares"
 >;
 
+/** What the selection of an engine depends on besides the prompt. */
+export interface SelectedRequest {
+    /** Size of the request's body. */
+    readonly bodyBytes: number;
+    /** Objective for the time to the first event; milliseconds. */
+    readonly objectiveMs: number;
+}
+
 /** Chooses the target of a request. */
 export class TargetSelector {
-    /** `bodyBytes`: size of the request's body. */
     public constructor(
         private readonly context: SelectorContext,
-        private readonly bodyBytes = 0,
+        private readonly request: SelectedRequest = { bodyBytes: 0, objectiveMs: Number.POSITIVE_INFINITY },
     ) {}
 
     /** Draws the service of the first attempt by weight; the other open services of the route follow as alternatives. */
@@ -170,17 +179,20 @@
     public createPromptRequest(
         { name, engine }: ServiceConfiguration,
         { promptParts, promptTokens }: Pick<RequestHead, "promptParts" | "promptTokens">,
+        { bodyBytes, objectiveMs } = this.request,
     ): PromptRequest {
         const { firstTokenModels, settings } = this.context;
         const { dataCentre, interDataCentreMsPerKb } = settings;
+        const model = firstTokenModels.getOrCreate(name);
         return {
             parts: promptParts,
             promptTokens,
             dataCentre,
-            tokensPerMs: firstTokenModels.getOrCreate(name).tokensPerMs,
+            tokensPerMs: model.tokensPerMs,
             transfer: createTransfer(engine),
             ...(interDataCentreMsPerKb !== undefined && {
-                interDataCentreMs: (interDataCentreMsPerKb * this.bodyBytes) / bytesPerKb,
+                interDataCentreMs: (interDataCentreMsPerKb * bodyBytes) / bytesPerKb,
+                maxLocalQueueMs: computeMaxQueueMs(objectiveMs, model.estimateMs(promptTokens)),
             }),
         };
     }
@@ -189,11 +201,12 @@
     public findPreferred<T extends PromptCandidate>(
         candidates: readonly T[],
         partId: string | undefined,
+        request: PromptRequest,
     ): T | undefined {
-        const { dataCentre, interDataCentreMsPerKb } = this.context.settings;
-        return interDataCentreMsPerKb === undefined
+        const local = createLocalRequest(request);
+        return local === undefined
             ? findPreferredTarget(candidates, partId)
-            : findLocalPreferredTarget(candidates, partId, dataCentre);
+            : findLocalPreferredTarget(candidates, partId, local);
     }
 
     private selectForPrompt(
@@ -206,9 +219,15 @@
         const request = this.createPromptRequest(service, head);
         const nowMs = this.context.clock.nowMs();
         const shared = head.promptParts.slice(0, -1);
-        const preferred = this.findPreferred(candidates, shared[shared.length - 1]?.id);
-        candidates.forEach(target => target.updateSpeed(nowMs));
-        const compared = pickCandidates(candidates, preferred, shared, this.context.random);
+        const local = createLocalRequest(request);
+        candidates.forEach(target => {
+            target.updateSpeed(nowMs);
+            if (target.dataCentre === local?.dataCentre) {
+                target.updateWaitingTokens(model.tokensPerMs, maxUsage, nowMs);
+            }
+        });
+        const preferred = this.findPreferred(candidates, shared[shared.length - 1]?.id, request);
+        const compared = pickCandidates(candidates, preferred, shared, this.context.random, local);
         compared.forEach(target => {
             target.updateWaitingTokens(model.tokensPerMs, maxUsage, nowMs);
         });
@@ -288,6 +307,17 @@
     return (queuedBefore * serviceTimeMs) / Math.max(1, window);
 }
 
+/** The request's data centre and the queue of engines with free capacity; undefined where the data centre makes no difference. */
+function createLocalRequest({ dataCentre, tokensPerMs, maxLocalQueueMs }: PromptRequest): LocalRequest | undefined {
+    return maxLocalQueueMs === undefined ? undefined : { dataCentre, tokensPerMs, maxQueueMs: maxLocalQueueMs };
+}
+
+/** The longest wait with which a request within its account's share is admitted; milliseconds. */
+function computeMaxQueueMs(objectiveMs: number, unloadedMs: number): number {
+    const times = { objectiveMs, remainingMs: objectiveMs, pauseObjectiveMs: objectiveMs };
+    return computePromptBounds({ ...times, unloadedMs, shareUse: zeroUsage }).maxWaitMs;
+}
+
 function createTransfer(engine: EngineCapacity | undefined): CacheTransfer | undefined {
     return engine?.transferBytesPerMs === undefined || engine.bytesPerToken === undefined
         ? undefined
--- a/test/decisions/placement/promptPlacement.test.ts
+++ b/test/decisions/placement/promptPlacement.test.ts
@@ -2,9 +2,10 @@
 import { hashFast } from "../../../src/base/hash.js";
 import { SeededRandom } from "../../../src/base/random.js";
 import { CachedParts } from "../../../src/decisions/placement/cachedParts.js";
+import { pickCandidates } from "../../../src/decisions/placement/candidateSample.js";
+import { findLocalPreferredTarget } from "../../../src/decisions/placement/localEngines.js";
 import {
     choosePromptPlacement,
-    findLocalPreferredTarget,
     type PromptCandidate,
     type PromptRequest,
 } from "../../../src/decisions/placement/promptPlacement.js";
@@ -83,15 +84,36 @@
         const partIds = Array.from({ length: 20 }, (...[, index]) => `part-${index}`);
         const engines = ["a", "b", "b", "b"].map((dataCentre, index) => createEngine(`e${index}`, { dataCentre }));
         const cached = [...engines, createEngine("holder", { dataCentre: "b", parts: partIds })];
-        const choose = (candidates: readonly Engine[], dataCentre: string): ReadonlySet<string | undefined> =>
-            new Set(partIds.map(id => findLocalPreferredTarget(candidates, id, dataCentre)?.dataCentre));
-        expect([choose(engines, "a"), choose(engines, "c"), choose(cached, "a")]).toEqual([
+        const busy = engines.map(engine => ({ ...engine, waitingTokens: engine.dataCentre === "a" ? 61_000 : 0 }));
+        const choose = (candidates: readonly Engine[], dataCentre: string): ReadonlySet<string | undefined> => {
+            const local = { dataCentre, tokensPerMs: 60, maxQueueMs: 1_000 };
+            return new Set(partIds.map(id => findLocalPreferredTarget(candidates, id, local)?.dataCentre));
+        };
+        expect([choose(engines, "a"), choose(engines, "c"), choose(cached, "a"), choose(busy, "a")]).toEqual([
             new Set(["a"]),
             new Set(["a", "b"]),
             new Set(["a", "b"]),
+            new Set(["a", "b"]),
         ]);
     });
 
+    // Of 36 engines in four data centres, three random ones are all elsewhere for every other request.
+    it("compares an engine of the request's data centre where one has free capacity", () => {
+        const random = new SeededRandom(3);
+        const createEngines = (waitingTokens: number): readonly Engine[] =>
+            Array.from({ length: 36 }, (...[, index]) => {
+                return createEngine(`e${index}`, { dataCentre: index < 35 ? "b" : "a", waitingTokens });
+            });
+        const local = { dataCentre: "a", tokensPerMs: 60, maxQueueMs: 1_000 };
+        const countLocal = (engines: readonly Engine[], request?: typeof local): number =>
+            Array.from({ length: 20 }, () => pickCandidates(engines, undefined, [], random, request)).filter(picked =>
+                picked.some(({ dataCentre }) => dataCentre === "a"),
+            ).length;
+        expect(countLocal(createEngines(0), local)).toBe(20);
+        expect(countLocal(createEngines(0))).toBeLessThan(10);
+        expect(countLocal(createEngines(61_000), local)).toBeLessThan(10);
+    });
+
     // A slow engine must not get as many prompts as a fast one.
     it("prefers a fast engine with a longer queue to a slow one", () => {
         const engines = [
