Placement: metrics of data centres, and the cost's terms in the request's line

Cause: the line of a request showed the saved prefill and the wait, but not what else its target cost, and nothing counted the requests and bytes that cross data centres.

Change: the line carries each term of the cost that is not zero and the bytes of a body sent to another data centre.

--- a/src/gateway/flowOutcomes.ts
+++ b/src/gateway/flowOutcomes.ts
@@ -1,3 +1,4 @@
+import type { PlacementCost } from "../decisions/placement/promptPlacement.js";
 import type { CallerExchange } from "./callerExchange.js";
 import { createRouterResponse, type RouterResponseReason } from "./routerResponse.js";
 import type { AdmissionDetails } from "./admissionOutcome.js";
@@ -28,8 +29,12 @@
     /** Estimated time per unit of work at the target relative to the usual one when it was selected. */
     readonly speedFactor: number | undefined;
     /** Prefill of cached tokens that was saved at the target, and the wait in its queue that was paid for it; milliseconds. */
-    readonly savedMs: number | undefined;
-    readonly waitMs: number | undefined;
+    readonly savedMs?: number;
+    readonly waitMs?: number;
+    /** Terms of the target's cost; undefined for plain services. */
+    readonly cost?: PlacementCost | undefined;
+    /** Bytes of the body that were sent to another data centre; undefined if the target is in the router's own. */
+    readonly interDataCentreBytes?: number | undefined;
 }
 
 /** Details of a request's processing, as logged when it ends. */
@@ -73,11 +78,14 @@
         engineUse: selection?.grant?.usage,
         slowdown: selection?.target.speed.slowdown,
         speedFactor: selection?.speedFactor,
-        savedMs: selection?.savedMs,
-        waitMs: selection === undefined ? undefined : selection.expectedMs - selection.unloadedMs,
+        ...(selection !== undefined && describeCost(selection)),
     };
 }
 
+function describeCost({ cost, expectedMs, unloadedMs, interDataCentreBytes }: Selection): Partial<SelectionDetails> {
+    return { savedMs: cost?.savedMs ?? 0, waitMs: expectedMs - unloadedMs, cost, interDataCentreBytes };
+}
+
 /** Creates the outcome of a request, and sends the final response if no target has completed one. */
 export class FlowOutcomes {
     public constructor(
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -8,6 +8,7 @@
 import type { SpareCapacity } from "./grants/grantOwner.js";
 import type { StoreReadCount } from "./fleetSource.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
+import { PlacementMetrics } from "./placementMetrics.js";
 import type { ReceivedSignal } from "./targetSignalRecorder.js";
 
 const msPerSecond = 1_000;
@@ -106,6 +107,7 @@
         registers: [this.registry],
     });
     private readonly accounts = new AccountMetrics(this.registry);
+    private readonly placements = new PlacementMetrics(this.registry);
     private readonly totalsAge = new Histogram({
         name: "lynxarch_account_sums_age_seconds",
         help: "Mean age of the other routers' account sums when a prompt's share was checked.",
@@ -284,6 +286,7 @@
         this.ownerReplies.inc({ outcome: "answered" }, (end.ownersAsked ?? 0) - (end.ownersSilent ?? 0));
         this.ownerReplies.inc({ outcome: "silent" }, end.ownersSilent ?? 0);
         this.recordShare(end);
+        this.placements.recordEnd(end);
         this.recordEventVersions(service, end.eventVersions ?? []);
         if (end.originSource !== undefined) {
             this.resumptions.inc({ origin: end.originSource, outcome: end.outcome });
--- a/src/gateway/requestLog.ts
+++ b/src/gateway/requestLog.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../base/clock.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { LogFields, Logger } from "../base/log.js";
+import type { PlacementCost } from "../decisions/placement/promptPlacement.js";
 import { SlidingCount } from "../decisions/structures/slidingCount.js";
 import type { RouterResponseReason } from "./routerResponse.js";
 import type { EndedRequest } from "./gatewayService.js";
@@ -94,6 +95,8 @@
         speedFactor: toRatio(end.speedFactor),
         savedMs: toRounded(end.savedMs),
         waitMs: toRounded(end.waitMs),
+        ...createCostFields(end.cost),
+        interDataCentreBytes: end.interDataCentreBytes,
         recordRemovedForMs: toRounded(end.recordRemovedForMs),
         readingShare: toRatio(end.readingShare),
         objectiveMs: end.objectiveMs,
@@ -119,6 +122,12 @@
     };
 }
 
+/** The terms that are not zero; `savedMs` is logged for every request with a target. */
+function createCostFields(cost: Partial<PlacementCost> = {}): LogFields {
+    const rounded = Object.entries(cost).map(([name, ms]) => [name, Math.round(ms)] as const);
+    return Object.fromEntries(rounded.filter(([name, ms]) => name !== "savedMs" && ms !== 0));
+}
+
 function toRatio(value: number | undefined): number | undefined {
     return value === undefined ? undefined : Number(value.toFixed(2));
 }
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -7,6 +7,7 @@
     choosePromptPlacement,
     findPreferredTarget,
     type CacheTransfer,
+    type PlacementCost,
     type PromptFetch,
     type PromptRequest,
     type PromptCandidate,
@@ -34,8 +35,10 @@
     readonly unloadedMs: number;
     /** Estimated time per unit of work at the target relative to the usual one; 1 while no target of the service reports its own. */
     readonly speedFactor: number;
-    /** Prefill of cached tokens that the target saves, at its own speed; milliseconds. */
-    readonly savedMs: number;
+    /** What spoke for and against the target; undefined for plain services. */
+    readonly cost: PlacementCost | undefined;
+    /** Bytes of the body that are sent to another data centre; undefined if the target is in the router's own. */
+    readonly interDataCentreBytes: number | undefined;
     /** Grant of the target's owner; undefined for plain services and if the owner did not reply. */
     readonly grant: Grant | undefined;
 }
@@ -248,7 +251,8 @@
             expectedMs: fetchMs + model.estimateMs(placement.tokensAhead, speedFactor),
             unloadedMs: fetchMs + model.estimateMs(placement.newTokens, speedFactor),
             speedFactor,
-            savedMs: placement.cost.savedMs,
+            cost: placement.cost,
+            interDataCentreBytes: this.countInterDataCentreBytes(placement.candidate),
             grant: undefined,
         };
     }
@@ -262,6 +266,10 @@
             .filter(target => target.circuit.canStart(nowMs) && rollouts.isTrusted(target));
     }
 
+    private countInterDataCentreBytes({ dataCentre }: Target): number | undefined {
+        return dataCentre === this.context.settings.dataCentre ? undefined : this.request.bodyBytes;
+    }
+
     private selectPlain(service: ServiceConfiguration, candidates: readonly Target[]): Selection | undefined {
         const { random, settings, clock } = this.context;
         const nowMs = clock.nowMs();
@@ -280,7 +288,8 @@
             expectedMs: estimatePlainWaitMs(chosen),
             unloadedMs: 0,
             speedFactor: chosen.target.speed.estimate(nowMs).reportRatio,
-            savedMs: 0,
+            cost: undefined,
+            interDataCentreBytes: this.countInterDataCentreBytes(chosen.target),
             grant: undefined,
         };
     }
--- a/test/gateway/fleet.test.ts
+++ b/test/gateway/fleet.test.ts
@@ -306,6 +306,7 @@
         const metrics = await (await fetch(`http://127.0.0.1:${metricsPort}/metrics`)).text();
         expect(metrics).toContain('lynxarch_prompt_tokens_total{service="engines",source="copied"} 800');
         expect(metrics).toContain('lynxarch_answers_total{service="engines",timeliness="in-time"} 2');
+        expect(metrics).toContain('lynxarch_placements_total{service="engines",data_centre="own"} 2');
     });
 });
 
