--- a/bench/gateway/chunkedEngine.ts
+++ b/bench/gateway/chunkedEngine.ts
@@ -64,6 +64,8 @@
     public readTokens = 0;
     /** Of these, tokens of shared parts that it had read before. */
     public rereadTokens = 0;
+    /** Tokens of shared parts that it read, without copied ones. */
+    public sharedReadTokens = 0;
     private readonly known = new Set<string>();
     /** Tokens that requests under way hold: prompts, with each shared part once, and whole outputs. */
     private heldTokens = 0;
@@ -90,7 +92,7 @@
 
     public submit(request: EngineRequest, nowMs: number): void {
         this.stepEndsAtMs = this.load === 0 ? nowMs : this.stepEndsAtMs;
-        const promptLeft = Math.max(1, this.takeMissing(request.parts) - request.copiedTokens);
+        const promptLeft = Math.max(1, this.takeMissing(request) - request.copiedTokens);
         this.readTokens += promptLeft;
         const { account, askedAtMs, events } = request;
         const stream = {
@@ -140,12 +142,14 @@
     }
 
     /** Tokens of the prompt that it lacks; it keeps all parts from now on. */
-    private takeMissing(parts: readonly PromptPart[]): number {
+    private takeMissing({ parts, copiedTokens }: EngineRequest): number {
         let missing = 0;
+        let missingShared = 0;
         for (const [index, part] of parts.entries()) {
             const isShared = index < parts.length - 1;
             if (missing > 0 || this.cache?.get(part.id) === undefined) {
                 missing += part.tokens;
+                missingShared += isShared ? part.tokens : 0;
                 this.rereadTokens += isShared && this.known.has(part.id) ? part.tokens : 0;
             }
             this.cache?.set(part.id, part.tokens);
@@ -153,6 +157,7 @@
                 this.known.add(part.id);
             }
         }
+        this.sharedReadTokens += Math.max(0, missingShared - copiedTokens);
         return missing;
     }
 
--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -24,7 +24,7 @@
 import { Quarantine } from "../../src/gateway/quarantine/quarantine.js";
 import { Rollouts } from "../../src/gateway/rollouts/rollouts.js";
 import { LazyMap } from "../../src/gateway/lazyMap.js";
-import { gatewaySettingsSchema } from "../../src/gateway/settings.js";
+import { gatewaySettingsSchema, type GatewaySettings } from "../../src/gateway/settings.js";
 import { NoExpiryGrace } from "../../src/decisions/health/recordExpiryPolicy.js";
 import { StreamVersions } from "../../src/gateway/streams/streamVersions.js";
 import { TargetDirectory } from "../../src/gateway/targetDirectory.js";
@@ -52,9 +52,12 @@
     /** Part of a core that it may use; 1 when left out. */
     readonly processorShare?: number;
     /** Settings that differ from their defaults. */
-    readonly settings?: GrantSettings;
+    readonly settings?: ModelSettings;
 }
 
+/** Settings of a model router. */
+export type ModelSettings = GrantSettings & Partial<Pick<GatewaySettings, "dataCentre" | "interDataCentreMsPerKb">>;
+
 const seedRouters = 3;
 const callersPort = 8_783;
 const readinessPort = 8_780;
@@ -228,7 +231,7 @@
     };
 }
 
-function createSettings(index: number, settings: GrantSettings = {}): GatewayContext["settings"] {
+function createSettings(index: number, settings: ModelSettings = {}): GatewayContext["settings"] {
     const ip = formatRouterIp(index);
     return gatewaySettingsSchema.parse({
         daemonId: formatRouterId(index),
--- a/bench/gateway/promptFleet.ts
+++ b/bench/gateway/promptFleet.ts
@@ -16,7 +16,6 @@
 import { aggregationPeriodMs } from "../../src/gateway/peers/accountAggregation.js";
 import type { GrantMessage } from "../../src/gateway/grants/grantMessage.js";
 import type { SpareCapacity } from "../../src/gateway/grants/grantOwner.js";
-import type { GrantSettings } from "../../src/gateway/grants/spareCapacity.js";
 import type { TargetEntry } from "../../src/gateway/fleetSource.js";
 import { encodePeerMessage } from "../../src/gateway/peers/peerMessage.js";
 import { maxControlBytesPerSecond } from "../../src/gateway/peers/peerState.js";
@@ -32,9 +31,11 @@
 import { Balancer } from "./balancer.js";
 import { EventQueue } from "./eventQueue.js";
 import { RouterProcessor, type ProcessorOptions } from "./routerProcessor.js";
-import { formatRouterId, formatRouterIp, ModelRouter } from "./modelRouter.js";
+import { formatRouterId, formatRouterIp, ModelRouter, type ModelSettings } from "./modelRouter.js";
 
 const service = "engines";
+/** Data centre of a fleet that is in one. */
+const oneDataCentre = "a";
 const objectiveMs = 800;
 const windowMs = 4_000;
 const eventCount = 16;
@@ -63,8 +64,7 @@
     readonly rate: number;
     /** Mean of what a prompt holds besides shared parts. */
     readonly promptTokens: number;
-    /** A part in front of the prompt that requests for the same subject share. */
-    readonly shared?: { readonly tokens: number; readonly subjects: number };
+    readonly shared?: SharedPart;
     /** A flood sends `rate` within this time alone; always without it. */
     readonly fromMs?: number;
     readonly toMs?: number;
@@ -72,6 +72,25 @@
     readonly reach?: number;
     /** Its callers have one address, so that a balancer sends them all to the same router; spread when left out. */
     readonly address?: CallerAddress;
+    /** Number of the data centre that most of its callers are in; spread when left out. */
+    readonly home?: number;
+}
+
+/** Data centres that routers and engines are spread over evenly. */
+export interface FleetDataCentres {
+    readonly count: number;
+    /** Part of an account's callers who are in its home; the others are spread over the other data centres. */
+    readonly homeFraction: number;
+    /** Size of a request's body. */
+    readonly bodyBytes: number;
+}
+
+/** A part in front of prompts that requests for the same subject share. */
+export interface SharedPart {
+    readonly tokens: number;
+    readonly subjects: number;
+    /** A new subject replaces the oldest one each time; never when left out. */
+    readonly turnoverMs?: number;
 }
 
 /** Where a balancer finds a caller. */
@@ -111,7 +130,9 @@
     /** Callers leave when they have no output so long after they asked; only those that are unread for a second when left out. */
     readonly patienceMs?: number;
     /** Settings of all routers that differ from their defaults. */
-    readonly settings?: GrantSettings;
+    readonly settings?: ModelSettings;
+    /** Engines are in one data centre, that of all routers, when left out. */
+    readonly dataCentres?: FleetDataCentres;
     /** How often a refused caller returns; never when left out. */
     readonly returns?: number;
     readonly runMs: number;
@@ -146,6 +167,8 @@
     leftUnread: number;
     /** Requests that routers shed. */
     shed: number;
+    /** Admitted requests whose engine is in another data centre than their router. */
+    crossing: number;
 }
 
 /** What callers got. */
@@ -164,6 +187,8 @@
     readonly peakHeldTokens: readonly number[];
     /** By second, means over the engines. */
     readonly spareCapacity: readonly SpareCapacity[];
+    /** Tokens of shared parts that engines read although some engine had read them before. */
+    readonly repeatedTokens: number;
 }
 
 /** A caller's request, with what stays the same when it returns after a refusal. */
@@ -173,6 +198,7 @@
     readonly promptTokens: number;
     readonly reach: number;
     readonly address: CallerAddress | undefined;
+    readonly home: number | undefined;
     readonly askedAtMs: number;
     readonly returnsLeft: number;
 }
@@ -225,6 +251,8 @@
     private readonly engineIndexes: ReadonlyMap<string, number>;
     private readonly balancer: Balancer | undefined;
     private lastRequest = 0;
+    /** Shared parts that engines were sent. */
+    private readonly sharedParts = new Map<string, number>();
 
     public constructor(
         private readonly options: PromptFleetOptions,
@@ -239,7 +267,7 @@
         this.signals = options.signals === undefined ? undefined : new EngineSignals(options.signals);
         this.route = createRoute(pauseObjectiveMs);
         const configuration = this.createConfiguration();
-        const targets = [...this.engines.keys()].map(createTargetEntry);
+        const targets = [...this.engines.keys()].map((id, index) => createTargetEntry(id, this.findDataCentre(index)));
         this.processors = Array.from({ length: routerCount }, (...[, index]) => this.createProcessor(index));
         this.balancer = this.createBalancer();
         this.routers = Array.from(
@@ -254,10 +282,12 @@
                     windowMs,
                     transport: { send: (routerId, message) => this.sendGrantMessage(index, routerId, message) },
                     load: this.processors[index]?.detector,
-                    dataCentre: `dc-${Math.floor(index / (options.balancer?.routersPerDataCentre ?? routersPerDataCentre))}`,
+                    dataCentre:
+                        this.findDataCentre(index) ??
+                        `dc-${Math.floor(index / (options.balancer?.routersPerDataCentre ?? routersPerDataCentre))}`,
                     processorShare: this.processors[index]?.share ?? 1,
                     reportsLeaving: options.signals?.noticed === "answers-and-peers",
-                    settings: options.settings,
+                    settings: { ...options.settings, dataCentre: this.findDataCentre(index) ?? oneDataCentre },
                     setTimer: (ms, action) => this.setTimer(ms, action),
                     getExactUses: options.exactNews?.accounts === true ? () => this.listExactUses(index) : undefined,
                 }),
@@ -298,6 +328,8 @@
             readTokens: computeSum(engines.map(engine => engine.readTokens)),
             rereadTokens: computeSum(engines.map(engine => engine.rereadTokens)),
             peerPeriodMs: computeSum(this.routers.map(router => router.peers.round.periodMs)) / this.routers.length,
+            repeatedTokens:
+                computeSum(engines.map(engine => engine.sharedReadTokens)) - computeSum([...this.sharedParts.values()]),
             signals: this.signals?.figures,
             peakHeldTokens: this.peakHeldTokens,
             spareCapacity: this.spareSamples.map(samples => ({
@@ -453,25 +485,34 @@
         }
     }
 
-    private createCall({ account, promptTokens, shared, reach, address }: AccountLoad, nowMs: number): Call {
+    /** Of the router or engine with this index. */
+    private findDataCentre(index: number): string | undefined {
+        const { dataCentres } = this.options;
+        return dataCentres === undefined ? undefined : `dc-${index % dataCentres.count}`;
+    }
+
+    /** The parts of an account with a home are its own; others share them with accounts whose parts have the same size. */
+    private createSharedPart(
+        account: string,
+        home: number | undefined,
+        { tokens, subjects, turnoverMs = Number.POSITIVE_INFINITY }: SharedPart,
+        nowMs: number,
+    ): PromptPart {
+        const subject = Math.floor(this.random.next() * subjects) + Math.floor(nowMs / turnoverMs);
+        return { id: `${home === undefined ? "" : `${account}-`}${tokens}-${subject}`, tokens };
+    }
+
+    private createCall({ account, promptTokens, shared, reach, address, home }: AccountLoad, nowMs: number): Call {
         const ownTokens = Math.round(promptTokens * (0.2 + 2 * this.random.next() ** 2));
         const own = { id: `own-${++this.lastRequest}`, tokens: ownTokens };
-        const parts =
-            shared === undefined
-                ? [own]
-                : [
-                      {
-                          id: `${shared.tokens}-${Math.floor(this.random.next() * shared.subjects)}`,
-                          tokens: shared.tokens,
-                      },
-                      own,
-                  ];
+        const parts = shared === undefined ? [own] : [this.createSharedPart(account, home, shared, nowMs), own];
         const call = {
             account,
             parts,
             promptTokens: computeSum(parts.map(part => part.tokens)),
             reach: reach ?? this.routers.length,
             address,
+            home,
             askedAtMs: nowMs,
             returnsLeft: this.options.returns ?? 0,
         };
@@ -534,7 +575,10 @@
         const charge = new AccountCharge(router.context, routed);
         charge.recordRequested();
         this.applyExactLoad(router);
-        const selector = new TargetSelector(router.context);
+        const selector = new TargetSelector(router.context, {
+            bodyBytes: this.options.dataCentres?.bodyBytes ?? 0,
+            objectiveMs,
+        });
         const admission = new RequestAdmission({
             context: router.context,
             routed,
@@ -596,6 +640,8 @@
         second.admitted += 1;
         second.served += call.promptTokens;
         charge.recordServed();
+        second.crossing += target.dataCentre === router.context.settings.dataCentre ? 0 : 1;
+        call.parts.slice(0, -1).forEach(({ id, tokens }) => this.sharedParts.set(id, tokens));
         const request: EngineRequest = {
             account: call.account,
             askedAtMs: call.askedAtMs,
@@ -664,7 +710,14 @@
         return this.seconds.get(account)![Math.floor(atMs / msPerSecond)];
     }
 
-    private chooseRouter({ reach, address }: Call): number {
+    private chooseRouter({ reach, address, home }: Call): number {
+        const { dataCentres } = this.options;
+        if (dataCentres !== undefined && home !== undefined) {
+            const { count, homeFraction } = dataCentres;
+            const isAway = this.random.next() >= homeFraction;
+            const dataCentre = isAway ? (home + 1 + Math.floor(this.random.next() * (count - 1))) % count : home;
+            return dataCentre + count * Math.floor((this.random.next() * this.routers.length) / count);
+        }
         if (this.balancer !== undefined) {
             const { routersPerDataCentre } = this.options.balancer!;
             const index = Math.floor(this.random.next() * this.routers.length);
@@ -730,7 +783,17 @@
 }
 
 function createSecond(): AccountSecond {
-    return { asked: 0, served: 0, requests: 0, admitted: 0, begun: 0, leftBeforeOutput: 0, leftUnread: 0, shed: 0 };
+    return {
+        asked: 0,
+        served: 0,
+        requests: 0,
+        admitted: 0,
+        begun: 0,
+        leftBeforeOutput: 0,
+        leftUnread: 0,
+        shed: 0,
+        crossing: 0,
+    };
 }
 
 function createRoute(pauseObjectiveMs: number): RouteConfiguration {
@@ -751,12 +814,12 @@
     };
 }
 
-function createTargetEntry(id: string): TargetEntry {
+function createTargetEntry(id: string, dataCentre = oneDataCentre): TargetEntry {
     return {
         id,
         service,
         address: "10.1.0.1:1",
-        dataCentre: "a",
+        dataCentre,
         slots: engineSlots,
         state: "ready",
         coldLeftMs: 0,
