--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -9,6 +9,7 @@
 import type { StoreReadCount } from "./fleetSource.js";
 import { addPeerMetrics, type PeerStatistics } from "./peers/peerMetrics.js";
 import type { RolloutView } from "./rollouts/rollouts.js";
+import { PlacementMetrics } from "./placementMetrics.js";
 import type { ReceivedSignal } from "./targetSignalRecorder.js";
 
 const msPerSecond = 1_000;
@@ -107,6 +108,7 @@
         registers: [this.registry],
     });
     private readonly accounts = new AccountMetrics(this.registry);
+    private readonly placements = new PlacementMetrics(this.registry);
     private readonly totalsAge = new Histogram({
         name: "lynxarch_account_sums_age_seconds",
         help: "Mean age of the other routers' account sums when a prompt's share was checked.",
@@ -286,6 +288,7 @@
         this.ownerReplies.inc({ outcome: "answered" }, (end.ownersAsked ?? 0) - (end.ownersSilent ?? 0));
         this.ownerReplies.inc({ outcome: "silent" }, end.ownersSilent ?? 0);
         this.recordShare(end);
+        this.placements.recordEnd(end);
         this.recordEventVersions(service, end.eventVersions ?? []);
         if (end.originSource !== undefined) {
             this.resumptions.inc({ origin: end.originSource, outcome: end.outcome });
