Tests of withdrawal: nine real routers over sockets, and the metrics with reasons

Cause: that a router within the readiness reserve closes callers' kept connections was covered by the parts only.

Change: nine routers in one process, a small one with load; it stops being ready and its responses carry Connection: close, those of the others don't.

--- a/test/gateway/callers/balancerPresence.test.ts
+++ b/test/gateway/callers/balancerPresence.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from "../../../src/base/clock.js";
 import type { LogFields } from "../../../src/base/log.js";
 import { BalancerPresence } from "../../../src/gateway/callers/balancerPresence.js";
+import { createPromptHeaders, GatewayFixture, idleLoad, waitUntil } from "../gatewayFixture.js";
 import type { RouterCondition } from "../../../src/gateway/peers/peerMessage.js";
 
 const fleetSize = 9;
@@ -54,3 +55,27 @@
     load.shouldLeaveBalancer = true;
     expect([before, presence.shouldLeaveBalancer, presence.statistics.reason]).toEqual([false, true, "overload"]);
 });
+
+// Callers' kept connections bound them to a router that had left the balancer.
+it("closes connections with their responses once nine real routers know one another", async () => {
+    const fixture = new GatewayFixture();
+    await fixture.start();
+    try {
+        await fixture.addTarget("engines", "engine-1");
+        const loop = { delayMs: 0, utilization: 0.5, recentUtilization: 0.5 };
+        for (let index = 0; index < fleetSize; index += 1) {
+            const limits = { memoryMb: 350, maxDescriptors: 4_000, processorShare: index === 0 ? 0.2 : 1.35 };
+            const load = index === 0 ? { ...idleLoad, loop: { ...loop, utilization: 1 } } : { ...idleLoad, loop };
+            await fixture.addRouter({ limits, yieldsToLargerRouters: true }, true, load);
+        }
+        await waitUntil(() => !fixture.routers[0].daemon.isReady);
+        const call = { path: "/plan/x", headers: createPromptHeaders("a") };
+        const responses = [await fixture.send(call, 0), await fixture.send(call, 1)];
+        expect(responses.map(({ status, headers }) => [status, headers.connection])).toEqual([
+            [200, "close"],
+            [200, "keep-alive"],
+        ]);
+    } finally {
+        await fixture.dispose();
+    }
+});
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -15,7 +15,7 @@
         peerRound: { messageBytes: 0, periodMs: 100 },
         rollouts: [],
         refusedEarly: { returned: 0, shed: 0 },
-        withdrawal: { reason: undefined, evenShare: 0, counts: { reserve: 0, "beyond-reserve": 0, overload: 0 } },
+        withdrawal: { reason: "reserve", evenShare: 0.4, counts: { reserve: 2, "beyond-reserve": 0, overload: 0 } },
         closedIdleConnections: 0,
         sharedConnections: { handedOver: 0, received: 0, unreached: 0 },
         unsent: { bytes: 4_096, peakBytes: 65_536, ended: { stream: 1, account: 2, router: 3 } },
@@ -121,6 +121,23 @@
     expect(lines).toEqual(["lynxarch_engine_granted_fraction 0.7", "lynxarch_engine_allowance 0.4"]);
 });
 
+// Operators have to see whether routers are not ready by decision or because they are overloaded.
+it("shows why the router is withdrawn from the balancer", async () => {
+    const names = ["lynxarch_withdrawn", "lynxarch_withdrawals", "lynxarch_even_share"];
+    const lines = await Promise.all(names.map(name => listLines(new AccountStatistics(), name)));
+    expect(lines.flat()).toMatchInlineSnapshot(`
+      [
+        "lynxarch_withdrawn{reason="reserve"} 1",
+        "lynxarch_withdrawn{reason="beyond-reserve"} 0",
+        "lynxarch_withdrawn{reason="overload"} 0",
+        "lynxarch_withdrawals{reason="reserve"} 2",
+        "lynxarch_withdrawals{reason="beyond-reserve"} 0",
+        "lynxarch_withdrawals{reason="overload"} 0",
+        "lynxarch_even_share 0.4",
+      ]
+    `);
+});
+
 describe("the view of the platform's records", () => {
     // If a target that has left still receives requests, the metrics must show whether its record was read late or was kept.
     it("shows its age and the outcomes of reads", async () => {
