Soak: routers that relay messages, and prompt parts placed within data centres

Cause: the soak's routers had three data centres with one or two routers each, so that no message was relayed.

Change: half of the routers are in the first data centre; both settings are on.

--- a/test/soak/soakRouters.ts
+++ b/test/soak/soakRouters.ts
@@ -10,6 +10,8 @@
 const readyPort = 7_401;
 const controlPort = 7_402;
 const callersPort = 7_403;
+/** Data centres of the routers, in the order of their start; the first has enough of them that messages to it are relayed. */
+const dataCentreOrder = "abcaab";
 const readyPollMs = 300;
 /** Like the platform's balancer: two answers without "ready" take a router out. */
 const missesToLeave = 2;
@@ -144,7 +146,7 @@
         const settings = {
             daemonId: name,
             ip,
-            dataCentre: `dc-${"abc"[this.routers.length % 3]}`,
+            dataCentre: `dc-${dataCentreOrder[this.routers.length % dataCentreOrder.length]}`,
             callers: `${ip}:${callersPort}`,
             readiness: `${ip}:${readyPort}`,
             control: `${ip}:${controlPort}`,
@@ -157,6 +159,8 @@
             yieldsToLargerRouters: true,
             closesIdleConnections: true,
             limitsEngineMemory: true,
+            relaysPeerMessages: true,
+            interDataCentreMsPerKb: 1,
             retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 54 },
             exposure: { share: 0.1, slack: 50 },
             mostAnswerBytes: 1_000_000,
