--- a/src/gateway/peers/peerState.ts
+++ b/src/gateway/peers/peerState.ts
@@ -34,12 +34,11 @@
 /** Minimum interval between updates of the peers' summed loads; milliseconds. Each update iterates over all peers. */
 const minLoadUpdatePeriodMs = 25;
 
-/** Weight of the last round in the mean number of bytes sent in a round: about four rounds count. */
-const sentBytesWeight = 0.25;
-/**
- * By what factor a relay's own rounds become less frequent at most. Routers choose relays so that these stay within their budget; longer
- * periods than this would make the relay's own loads expire at the receivers.
- */
+/** Weight of the last round in the mean number of bytes sent in a round; what is forwarded varies from round to round. */
+const sentBytesWeight = 0.1;
+/** By how much a relay may exceed its budget before its own rounds become less frequent. Origins choose relays so that it is met on average. */
+const relayTolerance = 1.1;
+/** By what factor a relay's own rounds become less frequent at most, as its own loads would be too old at the receivers. */
 const maxRelayDelay = 1.25;
 
 /** Dependencies of a {@link PeerState}. */
@@ -189,7 +188,7 @@
         this.meanSentBytes += (sentBytes - this.meanSentBytes) * sentBytesWeight;
         const periodMs = Math.max(
             usualMs,
-            Math.min(usualMs * maxRelayDelay, computeMsWithinBudget(this.meanSentBytes)),
+            Math.min(usualMs * maxRelayDelay, computeMsWithinBudget(this.meanSentBytes / relayTolerance)),
         );
         this.currentRound = { messageBytes, periodMs };
         // Without this, loads that have expired since the last message would be counted forever if no peer sends again.
--- a/test/gateway/peers/messageRelay.test.ts
+++ b/test/gateway/peers/messageRelay.test.ts
@@ -7,8 +7,9 @@
 import { decodePeerMessage, encodePeerMessage, type PeerMessage } from "../../../src/gateway/peers/peerMessage.js";
 import { PeerState } from "../../../src/gateway/peers/peerState.js";
 import { isRelayEnvelope } from "../../../src/gateway/peers/relayEnvelope.js";
+import { selectPortBlock } from "../../fakes/portBlock.js";
 
-const port = 17_611;
+const { firstPort: port } = selectPortBlock(17_600, 300);
 const timeoutMs = 20_000;
 const formerIp = "127.98.2.9";
 const ips = ["127.98.1.1", "127.98.1.2", "127.98.2.1", "127.98.2.2", "127.98.2.3", "127.98.2.4"];
