Placement: an engine's memory held by running requests as a term of the cost

Cause: with limitsEngineMemory an owner denies what does not fit, but placement did not count it: a request was placed at an engine that had cached its beginning and had no memory for the rest, and asked owner after owner.

Change: new term memoryMs. What is held is known exactly at the engine's owner; other routers estimate it from their own requests there and the number of all running ones. Unknown counts as 0. The term is 0 without limitsEngineMemory, and is printed by explain-placement.

--- a/src/decisions/placement/cachedParts.ts
+++ b/src/decisions/placement/cachedParts.ts
@@ -26,6 +26,8 @@
 
 /** Memory of the engine that running requests hold; known at the engine's owner only. */
 export interface HeldMemory {
+    /** Tokens of running requests, with shared parts. */
+    readonly heldTokens: number;
     /** Tokens of running requests that are not in shared parts. */
     readonly ownTokens: number;
     /** Whether a running request holds the shared part. */
--- a/src/decisions/placement/promptPlacement.ts
+++ b/src/decisions/placement/promptPlacement.ts
@@ -12,6 +12,7 @@
  * is the first by rendezvous hashing, the same at all routers without exchanging messages.
  */
 import { hashFast, mixHashes } from "../../base/hash.js";
+import { computeMemoryWaitMs } from "./memoryCost.js";
 
 /** An engine that can be sent the request. */
 export interface PromptCandidate {
@@ -25,6 +26,8 @@
     readonly slots: number;
     /** Time per prompt token at the engine relative to that of the request's {@link PromptRequest.tokensPerMs}. */
     readonly speedFactor: number;
+    /** Tokens that running requests hold in the engine's memory; undefined if unknown. */
+    readonly heldTokens?: number | undefined;
     /** Whether the engine is assumed to have cached a shared part of a prompt. */
     hasPart(partId: string): boolean;
 }
@@ -55,6 +58,8 @@
      * milliseconds. No engine is when left out.
      */
     readonly maxLocalQueueMs?: number;
+    /** Size of an engine's memory; undefined if it is not limited. */
+    readonly memoryTokens?: number;
     /** Undefined if engines can't copy from one another. */
     readonly transfer: CacheTransfer | undefined;
 }
@@ -81,6 +86,8 @@
     readonly batchMs: number;
     /** Cost of sending the request to another data centre. */
     readonly distanceMs: number;
+    /** Expected wait for memory that running requests hold; 0 while that is unknown. */
+    readonly memoryMs: number;
 }
 
 /** The engine selected for a request, and the tokens to prefill there. */
@@ -175,7 +182,7 @@
 
 function computePlacementCost(
     candidate: PromptCandidate,
-    { tokensPerMs, dataCentre, interDataCentreMs = defaultInterDataCentreMs }: PromptRequest,
+    { tokensPerMs, dataCentre, memoryTokens, interDataCentreMs = defaultInterDataCentreMs }: PromptRequest,
     { cachedTokens, newTokens, evictingTokens, fetch }: CandidateWork,
 ): PlacementCost {
     const msPerToken = candidate.speedFactor / tokensPerMs;
@@ -189,12 +196,14 @@
         copyMs: fetch === undefined ? 0 : fetch.tokens * copyFactor * evictedMsPerToken + fetch.ms,
         batchMs: candidate.running * runningRequestMs * candidate.speedFactor + (isFull ? fullBatchMs : 0),
         distanceMs: candidate.dataCentre === dataCentre ? 0 : interDataCentreMs,
+        memoryMs: computeMemoryWaitMs(candidate.heldTokens, newTokens + (fetch?.tokens ?? 0), memoryTokens),
     };
 }
 
 /** The cost by which candidates are compared; milliseconds. */
-export function computeTotalCost({ queueMs, prefillMs, copyMs, batchMs, distanceMs }: PlacementCost): number {
-    return queueMs + prefillMs + copyMs + batchMs + distanceMs;
+export function computeTotalCost(cost: PlacementCost): number {
+    const { queueMs, prefillMs, copyMs, batchMs, distanceMs, memoryMs } = cost;
+    return queueMs + prefillMs + copyMs + batchMs + distanceMs + memoryMs;
 }
 
 interface Source<T> {
--- a/src/gateway/explanations/placementExplainer.ts
+++ b/src/gateway/explanations/placementExplainer.ts
@@ -196,6 +196,7 @@
             waitingTokens: target.computeWaitingTokens(request.tokensPerMs, maxUsage, nowMs),
             running: target.running,
             slots: target.slots,
+            heldTokens: target.heldTokens,
             speedFactor: target.speed.estimate(nowMs).factor,
             hasPart: id => target.hasPart(id),
         });
--- a/src/gateway/grants/grantOwner.ts
+++ b/src/gateway/grants/grantOwner.ts
@@ -186,6 +186,9 @@
     private createHeldMemory(memory: EngineMemory): HeldMemory {
         const { clock } = this.options;
         return {
+            get heldTokens() {
+                return memory.countHeld(clock.nowMs());
+            },
             get ownTokens() {
                 return memory.countOwn(clock.nowMs());
             },
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -58,6 +58,8 @@
     public ownWaitingTokens = 0;
     /** Number of this router's running requests at the target. */
     public ownRunning = 0;
+    /** Tokens that this router's running requests hold besides shared parts: prompts and expected outputs. */
+    public ownHeldTokens = 0;
     public peerLoad: PeerLoad = emptyPeerLoad;
     private ownerReport: OwnerReport | undefined;
     private ownerReportedTokens = 0;
@@ -198,6 +200,20 @@
         return this.ownRunning + this.peerLoad.running;
     }
 
+    /**
+     * Tokens that running requests hold: as accounted by this router if it is the engine's owner; otherwise estimated from its own requests, as
+     * if those of other routers were of the same size. Undefined if it has none at the engine, while others do.
+     */
+    public get heldTokens(): number | undefined {
+        if (this.heldMemory !== undefined) {
+            return this.heldMemory.heldTokens;
+        }
+        if (this.running === 0) {
+            return 0;
+        }
+        return this.ownRunning === 0 ? undefined : (this.ownHeldTokens / this.ownRunning) * this.running;
+    }
+
     /** Applies the size of the engine's cache; the estimate of cached parts is kept if the size is unchanged. */
     public applyService(service: ServiceConfiguration | undefined): void {
         const cacheTokens = service?.engine?.cacheTokens ?? 0;
--- a/src/gateway/targetSelector.ts
+++ b/src/gateway/targetSelector.ts
@@ -193,6 +193,7 @@
             dataCentre,
             tokensPerMs: model.tokensPerMs,
             transfer: createTransfer(engine),
+            ...(settings.limitsEngineMemory && engine !== undefined && { memoryTokens: engine.cacheTokens }),
             ...(interDataCentreMsPerKb !== undefined && {
                 interDataCentreMs: (interDataCentreMsPerKb * bodyBytes) / bytesPerKb,
                 maxLocalQueueMs: computeMaxQueueMs(objectiveMs, model.estimateMs(promptTokens)),
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -36,6 +36,8 @@
     /** Of the incarnation that the request is sent to. */
     private readonly speed: EngineSpeed;
     private readonly speedEstimate: SpeedEstimate;
+    /** Tokens that the request holds at the target besides shared parts. */
+    private readonly heldTokens: number;
 
     /** Use {@link openTargetSend}, which checks whether the request may be sent. */
     public constructor({ context, selection, routed, sendId, outputTokens }: TargetSendOptions) {
@@ -48,7 +50,9 @@
         this.startedAtMs = context.clock.nowMs();
         this.speed = target.speed;
         this.speedEstimate = this.speed.estimate(this.startedAtMs);
+        this.heldTokens = (routed.head.promptParts.at(-1)?.tokens ?? routed.head.promptTokens) + outputTokens;
         target.ownRunning += 1;
+        target.ownHeldTokens += this.heldTokens;
         target.ownWaitingTokens += newTokens;
         target.cold.recordSend(this.startedAtMs);
         target.availability.pause.recordSend();
@@ -195,5 +199,6 @@
     private end(): void {
         this.endWaiting();
         this.selection.target.ownRunning -= 1;
+        this.selection.target.ownHeldTokens -= this.heldTokens;
     }
 }
--- a/test/decisions/placement/promptPlacement.test.ts
+++ b/test/decisions/placement/promptPlacement.test.ts
@@ -60,6 +60,7 @@
             "batchMs": 6,
             "copyMs": 0,
             "distanceMs": 4,
+            "memoryMs": 0,
             "prefillMs": 33,
             "queueMs": 20,
             "savedMs": 167,
@@ -114,6 +115,24 @@
         expect(countLocal(createEngines(61_000), local)).toBeLessThan(10);
     });
 
+    // An engine that has cached a part, but no memory for the rest, would preempt requests.
+    it("prefers an engine with free memory, and sends nothing where it does not fit unless no engine is known to have room", () => {
+        const choose = (held: number | undefined, ...others: readonly Engine[]): string | undefined =>
+            choosePromptPlacement([createEngine("holder", { parts: ["calendar"], heldTokens: held }), ...others], {
+                ...request,
+                transfer: undefined,
+                memoryTokens: 50_000,
+            })?.candidate.id;
+        const other = createEngine("other", { heldTokens: 1_000 });
+        expect([
+            choose(39_000, other),
+            choose(48_500, other),
+            choose(Number.NaN, other),
+            choose(undefined, other),
+        ]).toEqual(["holder", "other", "holder", "holder"]);
+        expect(choose(50_000)).toBe("holder");
+    });
+
     // A slow engine must not get as many prompts as a fast one.
     it("prefers a fast engine with a longer queue to a slow one", () => {
         const engines = [
@@ -191,7 +210,11 @@
     // Running requests and cached parts share the memory: parts would count as cached that running requests have overwritten.
     it("drops a part the earlier the more running requests hold, unless one of them holds the part", () => {
         const countKept = (ownTokens: number, heldPart?: string): number => {
-            const estimate = new CachedParts(cacheTokens, () => ({ ownTokens, hasPart: id => id === heldPart }));
+            const estimate = new CachedParts(cacheTokens, () => ({
+                ownTokens,
+                heldTokens: ownTokens,
+                hasPart: id => id === heldPart,
+            }));
             estimate.recordUse("calendar", sharedTokens);
             let written = 0;
             while (estimate.has("calendar") && written < 2 * cacheTokens) {
--- a/test/gateway/explanations/placementExplainer.test.ts
+++ b/test/gateway/explanations/placementExplainer.test.ts
@@ -172,9 +172,9 @@
           request on r-plan (objective 800 ms): 4500 prompt tokens, 50 expected output tokens, charged 4600
           account north: share 0, surplus 0, may use 1.5 of an engine's limit; other routers' sums 0 ms old
           service engines, tried first by 75 % of requests
-            TARGET   DATA CENTRE  VERSION  COST MS  savedMs  queueMs  prefillMs  copyMs  batchMs  distanceMs  NEW  QUEUED  RUNNING  COPY
-            e-far*   b            v1       20.7     133.3    0        16.7       0       0        4           500  0       0 of 8   -
-            e-near*  a            v1       475.7    0        0        16.7       459     0        0           500  0       0 of 8   4000 from e-far
+            TARGET   DATA CENTRE  VERSION  COST MS  savedMs  queueMs  prefillMs  copyMs  batchMs  distanceMs  memoryMs  NEW  QUEUED  RUNNING  COPY
+            e-far*   b            v1       20.7     133.3    0        16.7       0       0        4           0         500  0       0 of 8   -
+            e-near*  a            v1       475.7    0        0        16.7       459     0        0           0         500  0       0 of 8   4000 from e-far
             not e-leaving: leaving
             not e-out: data-centre-out
             not e-cold: cold
--- a/test/gateway/requestLog.test.ts
+++ b/test/gateway/requestLog.test.ts
@@ -7,7 +7,15 @@
     it("shows what a placement saved, and each cost of it that is not zero", () => {
         const lines: (LogFields | undefined)[] = [];
         const log = new RequestLog({ write: (...[, , fields]) => lines.push(fields) }, new ManualClock());
-        const cost = { savedMs: 156.5, queueMs: 20.2, prefillMs: 11.7, copyMs: 0, batchMs: 0.2, distanceMs: 7 };
+        const cost = {
+            savedMs: 156.5,
+            queueMs: 20.2,
+            prefillMs: 11.7,
+            copyMs: 0,
+            batchMs: 0.2,
+            distanceMs: 7,
+            memoryMs: 0,
+        };
         log.write({
             requestId: "r1",
             route: "stream",
