Roll-outs: compare slow responses with the baseline of the same time

Cause: the candidate's slow responses were compared with the baseline's rate over the whole roll-out. When routers are busy for a second or two, responses of both versions are measured late alike, but the baseline's rate hardly rises, and a sound version was rolled back as slow.

Change: the evaluator keeps the baseline's rate over the latest reports (half-life 250 ms), of the reporting router and of the fleet. Slow responses are tested against the highest of these rates; where it exceeds the usual one by more than half of what a slow version adds, they are not counted.

--- a/bench/gateway/rolloutReport.ts
+++ b/bench/gateway/rolloutReport.ts
@@ -36,6 +36,7 @@
 export const versionFaults: readonly VersionFault[] = [
     "none",
     "none-crash",
+    "none-busy",
     "fails-30",
     "fails-12",
     "fails-later",
--- a/src/decisions/rollouts/rolloutEvaluator.ts
+++ b/src/decisions/rollouts/rolloutEvaluator.ts
@@ -1,3 +1,4 @@
+import { RecentBaseline } from "./recentBaseline.js";
 import { SequentialTest, type TestPlan } from "./sequentialTest.js";
 import { zeroCounts, type RolloutEvidence, type RouteEvidence, type VersionCounts } from "./versionEvidence.js";
 
@@ -23,6 +24,8 @@
 /** Increase that the test has to detect on a single route, which has fewer requests. */
 const routeIncrease = 0.28;
 const slownessIncrease = 0.3;
+/** Increase of the previous version's rate beyond which its latest responses are no reference: half of that of a slow version. */
+const maxRecentIncrease = slownessIncrease / 2;
 /**
  * Even a sound version fails occasionally, and some of its responses are slow. These minimum rates also apply if its
  * baseline has no such events yet.
@@ -50,6 +53,9 @@
 export class RolloutEvaluator {
     /** The newest report of each router incarnation; the counts in it only increase. */
     private readonly reports = new Map<string, RolloutEvidence>();
+    private readonly recentOfRouters = new Map<string, RecentBaseline>();
+    /** Of all routers: more samples, in which the delay of a single router hardly shows. */
+    private readonly recentOfFleet = new RecentBaseline();
     private readonly disconnectCountedAtMs = new Map<number, number>();
     private readonly pooled = createTests();
     private readonly routes = new Map<string, RouteTests>();
@@ -61,13 +67,22 @@
         const before = this.reports.get(reporter);
         this.reports.set(reporter, evidence);
         let disconnects = this.countNewDisconnects(evidence, before, nowMs);
-        for (const route of evidence.routes) {
-            const previous = before?.routes.find(other => other.route === route.route);
-            const { baseline, candidate: added } = computeIncrease(route, previous);
-            this.baseline.set(route.route, addCounts(this.baseline.get(route.route), baseline));
-            this.candidate.set(route.route, addCounts(this.candidate.get(route.route), added));
+        const increases = evidence.routes.map(route =>
+            computeIncrease(
+                route,
+                before?.routes.find(other => other.route === route.route),
+            ),
+        );
+        const recent = this.recentOfRouters.get(reporter) ?? new RecentBaseline();
+        this.recentOfRouters.set(reporter, recent);
+        recent.observe(increases, nowMs);
+        this.recentOfFleet.observe(increases, nowMs);
+        for (const { route, baseline, candidate: added } of increases) {
+            this.baseline.set(route, addCounts(this.baseline.get(route), baseline));
+            this.candidate.set(route, addCounts(this.candidate.get(route), added));
             if (added.requests > 0 || added.failures > 0) {
-                this.observe(route.route, added, disconnects);
+                this.observeFailures(route, added, disconnects);
+                this.observeSlow(route, added, recent);
                 disconnects = 0;
             }
         }
@@ -120,19 +135,34 @@
         });
     }
 
-    private observe(route: string, { requests, failures, timed, slow }: VersionCounts, disconnects: number): void {
-        const plans = this.createPlans();
-        this.pooled.failures.observe(
-            plans.failures,
-            Math.max(requests, failures + disconnects),
-            failures + disconnects,
-        );
-        this.pooled.slow.observe(plans.slow, timed, slow);
+    private observeFailures(route: string, { requests, failures }: VersionCounts, disconnects: number): void {
+        const all = failures + disconnects;
+        this.pooled.failures.observe(this.createPlans().failures, Math.max(requests, all), all);
+        const { failures: plan } = this.createRoutePlans(route);
+        this.getOrCreateTests(route).failures.observe(plan, Math.max(requests, failures), failures);
+    }
+
+    /** Compares with the previous version's responses at the same router in the same time, unless most of these are slow as well. */
+    private observeSlow(route: string, { timed, slow }: VersionCounts, recent: RecentBaseline): void {
+        const tests = this.getOrCreateTests(route);
+        for (const [test, plan] of [
+            [this.pooled.slow, this.createPlans().slow],
+            [tests.slow, this.createRoutePlans(route).slow],
+        ] as const) {
+            const recentRate = Math.max(
+                recent.computeSlowRate(route, plan.soundRate),
+                this.recentOfFleet.computeSlowRate(route, plan.soundRate),
+            );
+            if (recentRate - plan.soundRate <= maxRecentIncrease) {
+                test.observe(createPlan(Math.max(plan.soundRate, recentRate), slownessIncrease), timed, slow);
+            }
+        }
+    }
+
+    private getOrCreateTests(route: string): RouteTests {
         const tests = this.routes.get(route) ?? createTests();
         this.routes.set(route, tests);
-        const routePlans = this.createRoutePlans(route);
-        tests.failures.observe(routePlans.failures, Math.max(requests, failures), failures);
-        tests.slow.observe(routePlans.slow, timed, slow);
+        return tests;
     }
 
     /**
--- a/test/decisions/rollouts/rolloutEvaluator.test.ts
+++ b/test/decisions/rollouts/rolloutEvaluator.test.ts
@@ -51,6 +51,24 @@
         expect(verdicts.at(-1)).toBe("bad");
     });
 
+    // A busy router measures the responses of both versions too late; its delay was taken for slowness of the sound version.
+    it.each([
+        { name: "of both versions", isBaselineSlow: true, expected: false },
+        { name: "of the version only", isBaselineSlow: false, expected: true },
+    ])("is judged bad for slow responses $name: $expected", ({ isBaselineSlow, expected }) => {
+        const counter = new EvidenceCounter();
+        const evaluator = new RolloutEvaluator();
+        for (let report = 0; report < 60; report++) {
+            const isBusy = report >= 40 && report < 48;
+            for (let index = 0; index < 5; index++) {
+                counter.observe({ ...sample, isCandidate: false, isSlow: isBusy && isBaselineSlow });
+            }
+            counter.observe({ ...sample, isSlow: isBusy });
+            evaluator.apply("router-1", counter.evidence, report * 250);
+        }
+        expect(evaluator.verdict === "bad").toBe(expected);
+    });
+
     // A target that crashes disconnects all its requests at once. If they counted as separate failures, each crash
     // would end a roll-out.
     it("is not judged bad when one of its targets crashes", () => {
