Tests of former versions: outlast streams by a fake clock

Cause: streams had a timeout of 800 ms of real time so that the tests could outlast it, which a busy machine exceeds before all of them have begun.

Change: the timeout is 8 s, and the routers' clock is advanced beyond it. The checks are the same.

--- a/test/gateway/streams/formerVersions.test.ts
+++ b/test/gateway/streams/formerVersions.test.ts
@@ -1,20 +1,24 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "../../../src/base/clock.js";
 import { createShortConfiguration, StreamFixture } from "./streamFixture.js";
 
-const fixture = { current: new StreamFixture() };
+const fixture = { current: new StreamFixture(), clock: new ManualClock() };
 const streamCount = 4;
-/** Short, so that the tests can outlast the time in which a stream can be resumed; milliseconds. */
-const shortTimeoutMs = 800;
+/** Far more than the tests take on a busy machine; they outlast it by the fake clock of the routers; milliseconds. */
+const shortTimeoutMs = 8_000;
 const lifetimeMs = 6 * shortTimeoutMs;
 
 beforeEach(() => {
-    fixture.current = new StreamFixture();
+    fixture.clock = new ManualClock();
+    fixture.current = new StreamFixture(fixture.clock);
 });
 
 afterEach(() => fixture.current.dispose());
 
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
+/** Advances the routers' clock, and waits until they have heard from each other since. */
+async function advanceTime(ms: number): Promise<void> {
+    fixture.clock.advance(ms);
+    await fixture.current.waitForPeers();
 }
 
 function createRefusals(code: string): object {
@@ -31,7 +35,7 @@
     it("is refused without the id of the request that began it", async () => {
         fixture.current.deadlineMs = shortTimeoutMs;
         await fixture.current.startFleet({ v1: 2 }, 2, createShortConfiguration(shortTimeoutMs));
-        await sleep(ms);
+        await advanceTime(ms);
         const streams = await fixture.current.openStreams(streamCount, 0);
         await fixture.current.promoteVersion("v1", "v2");
         const resumed = await Promise.all(
@@ -43,7 +47,7 @@
     it("is refused with it", async () => {
         fixture.current.deadlineMs = lifetimeMs;
         await fixture.current.startFleet({ v1: 2 }, 2, createShortConfiguration(shortTimeoutMs));
-        await sleep(ms);
+        await advanceTime(ms);
         const streams = await fixture.current.openStreams(streamCount, 0);
         await fixture.current.promoteVersion("v1", "v2");
         const resumed = await fixture.current.resumeStreams(streams, 1);
@@ -64,7 +68,7 @@
 
     it.each(uptimes)("goes on at the only version after $name", async ({ ms }) => {
         await fixture.current.startFleet({ v1: 2 }, 2, createShortConfiguration(shortTimeoutMs));
-        await sleep(ms);
+        await advanceTime(ms);
         fixture.current.deadlineMs = lifetimeMs;
         const streams = await fixture.current.openStreams(streamCount, 0);
         const resumed = await Promise.all(streams.map(stream => fixture.current.resumeStream(stream, 1, false)));
@@ -81,7 +85,7 @@
         fixture.current.targets.forEach(target => (target.usual = "break-off"));
         const broken = await fixture.current.resumeStreams(streams, 1);
         await fixture.current.promoteVersion("v1", "v2");
-        await sleep(2 * shortTimeoutMs + 300);
+        await advanceTime(2 * shortTimeoutMs + 300);
         const resumed = await Promise.all(broken.map(stream => fixture.current.resumeStream(stream, 0, isNamed)));
         expect(fixture.current.describeStreams(resumed)).toEqual(createRefusals("stream-version-unknown"));
     });
--- a/test/gateway/streams/streamFixture.ts
+++ b/test/gateway/streams/streamFixture.ts
@@ -54,6 +54,11 @@
         for (let index = 0; index < count; index++) {
             await this.addRouter({ metricsPort: await findFreePort() });
         }
+        await this.waitForPeers();
+    }
+
+    /** Waits until each router knows all others. */
+    public async waitForPeers(): Promise<void> {
         await waitUntil(() => this.routers.every(({ daemon }) => daemon.knownRouterCount === this.routers.length));
     }
 
