--- a/test/gateway/peers/messageRelay.test.ts
+++ b/test/gateway/peers/messageRelay.test.ts
@@ -3,10 +3,11 @@
 import { SystemClock } from "../../../src/base/clock.js";
 import { DisposableStore } from "../../../src/base/lifecycle.js";
 import { NoopLogger } from "../../../src/base/log.js";
+import { MessageRelay } from "../../../src/gateway/peers/messageRelay.js";
 import { PeerExchange } from "../../../src/gateway/peers/peerExchange.js";
 import { decodePeerMessage, encodePeerMessage, type PeerMessage } from "../../../src/gateway/peers/peerMessage.js";
 import { PeerState } from "../../../src/gateway/peers/peerState.js";
-import { isRelayEnvelope } from "../../../src/gateway/peers/relayEnvelope.js";
+import { encodeRelayEnvelope, isRelayEnvelope } from "../../../src/gateway/peers/relayEnvelope.js";
 import { selectPortBlock } from "../../fakes/portBlock.js";
 
 const { firstPort: port } = selectPortBlock(17_600, 300);
@@ -147,3 +148,43 @@
       }
     `);
 });
+
+// A repeated or forged envelope must not be multiplied within a data centre, nor reach another one.
+it("a relay forwards each message once, within its data centre, and only for its origin", () => {
+    const { state } = new Router(ips[2]);
+    [ips[1], ips[3], ips[4]].forEach(ip => state.applyMessage(new Router(ip).state.createMessage()));
+    const origin = new Router(ips[0]).state;
+    const [data, later] = [encodePeerMessage(origin.createMessage()), encodePeerMessage(origin.createMessage())];
+    const sent: string[] = [];
+    const relay = new MessageRelay({
+        state,
+        isRelaying: () => false,
+        send: (ip, forwarded) => sent.push(`${ip} ${Buffer.from(forwarded).equals(data) ? "as encoded" : "changed"}`),
+    });
+    const results = [
+        [encodeRelayEnvelope(data), ips[0]],
+        [encodeRelayEnvelope(data), ips[0]],
+        [encodeRelayEnvelope(later), ips[1]],
+        [encodeRelayEnvelope(later).subarray(0, -1), ips[0]],
+    ] as const;
+    const faults = results.map(([envelope, ip]) =>
+        relay.handleEnvelope(envelope, ip).match(
+            () => "none",
+            error => error.message,
+        ),
+    );
+    expect({ faults, sent }).toMatchInlineSnapshot(`
+      {
+        "faults": [
+          "none",
+          "none",
+          "envelope was not sent by the origin of its message",
+          "envelope is not valid MessagePack",
+        ],
+        "sent": [
+          "127.98.2.2 as encoded",
+          "127.98.2.3 as encoded",
+        ],
+      }
+    `);
+});
