Measurements of a router as a process share its start and its reading

Cause: measureSlowReaders and measureEndless repeated the start of the bundled router, the reading of /proc and the sending of requests.

Change: scripts/routerProcess.ts holds them.

--- a/scripts/measureSlowReaders.ts
+++ b/scripts/measureSlowReaders.ts
@@ -6,30 +6,26 @@
  * A loopback connection's kernel buffers hold some 4 MB, of which the machine has too little for 2,000 callers. Therefore every 20th
  * caller reads nothing of a large response, until the router ends it; the others read a small one slowly, and the kernel holds it.
  */
-import { spawn, type ChildProcess } from "node:child_process";
-import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
-import { createServer, request as sendHttp, type Server, type ServerResponse } from "node:http";
+import type { ChildProcess } from "node:child_process";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import { connect, type AddressInfo, type Socket } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import sade from "sade";
 import { StoreServer } from "../test/fakes/usersPlatform/storeServer.js";
 import { TargetServer } from "../test/fakes/usersPlatform/targetServer.js";
 import { createConfiguration, findFreePort, host } from "../test/gateway/gatewayFixture.js";
+import { readCpuMs, readMemoryMb, sendRequest, sleepFor, startRouter } from "./routerProcess.js";
 
 interface Options {
     readonly callers: string | number;
     readonly seconds: string | number;
 }
 
-const program = "target/router.mjs";
 const ip = "127.0.0.1";
-const memoryMb = 250;
+const limits = { memoryMb: 250, maxDescriptors: 12_000 };
 const startMs = 3_000;
 const warmUpSeconds = 3;
 const otherPauseMs = 10;
 const accountCount = 7;
-const tickMs = 10;
 /** Every 20th caller reads nothing of a large response. */
 const stoppedPeriod = 20;
 const callersPerStep = 10;
@@ -71,8 +67,8 @@
     addEntry(store, "app-1", "app", app.address);
     addEntry(store, "bulk-1", "bulk", `${ip}:${port}`);
     const callers = await findFreePort();
-    const metrics = await findFreePort();
-    const router = await startRouter(store.address, callers, metrics);
+    const metricsPort = await findFreePort();
+    const router = await startRouter({ storeAddress: store.address, callers, limits, metricsPort });
     let hasEnded = false;
     router.once("exit", () => {
         hasEnded = true;
@@ -87,7 +83,7 @@
     await connectAll(callers, callerCount, false);
     await sleepFor(startMs);
     const withSlow = await measurePhase(router, callers, seconds);
-    const page = await (await fetch(`http://${ip}:${metrics}/metrics`)).text();
+    const page = await (await fetch(`http://${ip}:${metricsPort}/metrics`)).text();
     const lines = page.split("\n").filter(line => /^lynxarch_(unsent|slow_streams)/.test(line));
     process.stdout.write(
         [
@@ -112,7 +108,7 @@
     let peakMb = 0;
     while (performance.now() < untilMs) {
         sent += 1;
-        peakMb = Math.max(peakMb, readResidentMb(router));
+        peakMb = Math.max(peakMb, readMemoryMb(router, "VmRSS"));
         const startedAtMs = performance.now();
         const answered = send(port, `f${startedAtMs}-${sent}`).then(isServed => {
             if (isServed) {
@@ -137,7 +133,6 @@
 function buildConfiguration(): object {
     const plain = { host, timeout_ms: 60_000, goal_ms: 30_000, type: "non_idempotent", max_attempts: 1 };
     const accounts = Array.from({ length: accountCount }, (...[, index]) => `slow-${index}`);
-    const { limits } = createConfiguration(1);
     return {
         version: 1,
         routes: [
@@ -148,7 +143,7 @@
             { name: "app", max_conns: 500 },
             { name: "bulk", max_conns: 8_000 },
         ],
-        limits,
+        limits: createConfiguration(1)["limits"],
         tenants: [...accounts, "fast"].map(name => ({ name, api_keys: [`key-of-${name}`] })),
     };
 }
@@ -213,58 +208,6 @@
     store.write("keyed.servers", id, entry);
 }
 
-async function startRouter(storeAddress: string, callers: number, metricsPort: number): Promise<ChildProcess> {
-    const file = join(mkdtempSync(join(tmpdir(), "lynxarch-")), "settings.json");
-    const peers = await findFreePort();
-    writeFileSync(
-        file,
-        JSON.stringify({
-            daemonId: "router-1",
-            ip,
-            dataCentre: "dc-a",
-            callers: `${ip}:${callers}`,
-            readiness: `${ip}:${await findFreePort()}`,
-            peerPorts: [peers, peers],
-            seeds: [],
-            store: { address: storeAddress },
-            limits: { memoryMb, maxDescriptors: 12_000 },
-            retryBudget: { slack: 50 },
-            coldLimit: { slack: 5 },
-            metricsPort,
-        }),
-    );
-    const flags = ["--max-old-space-size=160", "--max-semi-space-size=8"];
-    return spawn(process.execPath, [...flags, program, "--settings", file], { stdio: ["ignore", "ignore", "inherit"] });
-}
-
-/** Whether the request got a whole success. */
 function send(port: number, id: string): Promise<boolean> {
-    return new Promise(resolve => {
-        const headers = { host, authorization: "Bearer key-of-fast", "x-lynxarch-attempt-id": id };
-        const request = sendHttp(
-            { host: ip, port, path: "/book/", method: "POST", headers, agent: false },
-            response => {
-                response.resume();
-                response.on("error", () => undefined);
-                response.on("close", () => resolve(response.complete && response.statusCode === 200));
-            },
-        );
-        request.on("error", () => resolve(false));
-        request.end("b");
-    });
-}
-
-/** User and system time so far; a tick is a hundredth of a second. */
-function readCpuMs({ pid }: ChildProcess): number {
-    const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1].split(" ");
-    return (Number(fields[11]) + Number(fields[12])) * tickMs;
-}
-
-function readResidentMb({ pid }: ChildProcess): number {
-    const kilobytes = /VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1];
-    return Math.round(Number(kilobytes ?? 0) / 1_024);
-}
-
-function sleepFor(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
+    return sendRequest(port, "/book/", { host, authorization: "Bearer key-of-fast", "x-lynxarch-attempt-id": id });
 }
