--- a/test/fakes/portBlock.ts
+++ b/test/fakes/portBlock.ts
@@ -3,7 +3,7 @@
 export const maxConcurrentRuns = 5;
 const blockCount = blocksPerRun * maxConcurrentRuns;
 
-/** Environment variable that holds the index of this test run among the concurrent ones; see `reserveTestRun.ts`. */
+/** Environment variable that holds the index of this test run among the concurrent ones; see `testRunReservation.ts`. */
 export const testRunVariable = "LYNXARCH_TEST_RUN";
 
 /** Ports of one process; no worker of the same test run, or of a concurrent one, has any of them. */
--- a/test/fakes/reserveTestRun.ts
+++ b/test/fakes/testRunReservation.ts
@@ -7,7 +7,7 @@
 const firstReservationPort = 9_900;
 const retryMs = 1_000;
 
-async function tryListen(port: number): Promise<Server | undefined> {
+async function openServer(port: number): Promise<Server | undefined> {
     const server = createServer();
     try {
         server.listen({ port, host: "127.0.0.1", exclusive: true });
@@ -25,10 +25,10 @@
  * Reserves an index among the concurrent test runs of this machine for as long as the run lasts, so that no two of them use the same
  * ports. The reservation is a listening socket: the kernel releases it however the process ends. Waits while all indexes are taken.
  */
-export default async function reserveTestRun(): Promise<() => Promise<void>> {
+export default async function takeTestRun(): Promise<() => Promise<void>> {
     for (;;) {
         for (let run = 0; run < maxConcurrentRuns; run++) {
-            const server = await tryListen(firstReservationPort + run);
+            const server = await openServer(firstReservationPort + run);
             if (server !== undefined) {
                 process.env[testRunVariable] = String(run);
                 return async () => {
