--- a/src/gateway/peers/peerMessage.ts
+++ b/src/gateway/peers/peerMessage.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { LynxarchError } from "../../base/errors.js";
 import type { AccountUsage } from "../../decisions/shares/accountUsage.js";
-import { isNonNegativeNumber, isFiniteNumber, isNonEmptyString } from "../wireValues.js";
+import { isCount, isNonNegativeNumber, isFiniteNumber, isNonEmptyString } from "../wireValues.js";
 
 /** A peer message can't be decoded. */
 export class PeerMessageError extends LynxarchError {
@@ -269,7 +269,7 @@
     const targetHash = cells[from];
     const partId = cells[from + 1];
     const tokens = cells[from + 2];
-    return isNonNegativeNumber(targetHash) && typeof partId === "string" && isNonNegativeNumber(tokens)
+    return isCount(targetHash) && typeof partId === "string" && isCount(tokens)
         ? { targetHash, partId, tokens }
         : undefined;
 }
--- a/test/gateway/peers/peerMessage.property.test.ts
+++ b/test/gateway/peers/peerMessage.property.test.ts
@@ -40,6 +40,8 @@
 const lists = [5, 7, 8, 9, 10, 11];
 /** Entries that may not be negative. */
 const amounts = [4, 5, 6, 7, 8, 11];
+/** Entry whose numbers are whole: the parts that targets read. */
+const partsEntry = 8;
 /** Entries that may not be empty. */
 const names = [0, 3];
 
@@ -54,7 +56,13 @@
     const others = [undefined, [], {}, new Uint8Array(1), Number.NaN, Number.POSITIVE_INFINITY];
     switch (typeof value) {
         case "number":
-            return [...others, "7", true, ...(amounts.includes(entry) ? [-1, -0.5] : [])];
+            return [
+                ...others,
+                "7",
+                true,
+                ...(amounts.includes(entry) ? [-1, -0.5] : []),
+                ...(entry === partsEntry ? [1.5, 1e300] : []),
+            ];
         case "string":
             return [...others, 7, true, ...(names.includes(entry) ? [""] : [])];
         default:
