Keep following records and messages after one that can't be processed

Cause: records, peers' messages and background tasks were processed with nothing around them that catches. A record's exception ended the loop that follows its topic, as an unhandled rejection; a message's one ended the process at the socket. After a restart the same record is read again.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -4,6 +4,7 @@
 import { DisposableStore, type Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import type { Random } from "../base/random.js";
+import { runTaskLogged } from "../base/runLogged.js";
 import { sleepOnTimer } from "../base/sleep.js";
 import { setRuntimeTimer } from "../base/timers.js";
 import { AccountShares } from "../decisions/shares/accountShares.js";
@@ -271,9 +272,9 @@
             const app = createMetricsApp(this.metrics, () => describeState(this.context, source));
             await this.listenAt(app, `${settings.ip}:${settings.metricsPort}`);
         }
-        void this.snapshotTransfer.run();
-        void this.cachedParts.loadWhenUsable(source);
-        void this.quarantine.load();
+        runTaskLogged(logger, "fetching a snapshot failed", () => this.snapshotTransfer.run());
+        runTaskLogged(logger, "loading cached parts failed", () => this.cachedParts.loadWhenUsable(source));
+        runTaskLogged(logger, "loading held requests failed", () => this.quarantine.load());
         logger.write("info", "started", { role: "gateway", dataCentre: settings.dataCentre });
     }
 
--- a/src/gateway/peers/peerExchange.ts
+++ b/src/gateway/peers/peerExchange.ts
@@ -1,6 +1,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { Result } from "neverthrow";
 import type { Clock } from "../../base/clock.js";
+import { describeError } from "../../base/errors.js";
 import { DisposableStore, type Disposable } from "../../base/lifecycle.js";
 import type { Logger } from "../../base/log.js";
 import type { GrantTransport } from "../grants/grantClient.js";
@@ -86,7 +87,14 @@
         const socket = createSocket("udp4");
         this.socket = socket;
         this.store.add({ dispose: () => socket.close() });
-        socket.on("message", (data, sender) => this.handleDatagram(data, sender.address));
+        socket.on("message", (data, sender) => {
+            try {
+                this.handleDatagram(data, sender.address);
+            } catch (error) {
+                // Unhandled, it would end the process, and the next start would receive the same message.
+                this.reportDropped(describeError(error));
+            }
+        });
         return new Promise((resolve, reject) => {
             socket.once("error", reject);
             socket.bind(port, ip, () => {
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -1,6 +1,7 @@
 import { CancellationTokenSource } from "../../base/cancellation.js";
 import { hashFast } from "../../base/hash.js";
 import { DisposableStore, type Disposable } from "../../base/lifecycle.js";
+import { runTaskLogged } from "../../base/runLogged.js";
 import { TargetOwners } from "../../decisions/placement/targetOwners.js";
 import {
     CrashLedger,
@@ -74,8 +75,8 @@
 
     /** Reads the requests that were held before this process started; retries while the store is unavailable. */
     public async load(): Promise<void> {
-        void this.parts.load();
         const { records, clock, sleep, logger } = this.options;
+        runTaskLogged(logger, "loading held parts failed", () => this.parts.load());
         const { token } = this.lifetime;
         while (!token.isCancelled) {
             const found = await records.read(token);
--- a/src/gateway/rollouts/rolloutDecider.ts
+++ b/src/gateway/rollouts/rolloutDecider.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../../base/clock.js";
 import { orderByRendezvous } from "../../base/hash.js";
 import type { Logger } from "../../base/log.js";
+import { runTaskLogged } from "../../base/runLogged.js";
 import { RolloutEvaluator, type RolloutVerdict } from "../../decisions/rollouts/rolloutEvaluator.js";
 import { chooseNextStep, type RolloutDecision } from "../../decisions/rollouts/rolloutPlan.js";
 import type { RouteEvidence, VersionCounts } from "../../decisions/rollouts/versionEvidence.js";
@@ -107,7 +108,7 @@
         const nowMs = options.clock.nowMs();
         this.dueSinceMs ??= nowMs;
         if (!this.isWriting && nowMs - this.dueSinceMs >= this.rank * secondDeciderDelayMs) {
-            void this.write(next);
+            runTaskLogged(options.logger, "writing the roll-out status failed", () => this.write(next));
         }
     }
 
--- a/src/gateway/streams/createStreams.ts
+++ b/src/gateway/streams/createStreams.ts
@@ -1,4 +1,5 @@
 import type { DisposableStore } from "../../base/lifecycle.js";
+import { runTaskLogged } from "../../base/runLogged.js";
 import type { FleetSource } from "../fleetSource.js";
 import { StreamVersions, type StreamVersionsOptions } from "./streamVersions.js";
 import { VersionRecorder, type VersionRecorderOptions } from "./versionRecorder.js";
@@ -17,6 +18,6 @@
         new VersionRecorder({ ...options, records: source.versions, hasTargets: () => source.isUsable }),
     );
     store.add(source.onDidRewind(() => recorder.handleRewind()));
-    void recorder.load();
+    runTaskLogged(options.logger, "loading the history of versions failed", () => recorder.load());
     return store.add(new StreamVersions(options));
 }
--- a/src/gateway/streams/versionRecorder.ts
+++ b/src/gateway/streams/versionRecorder.ts
@@ -1,5 +1,6 @@
 import { CancellationTokenSource } from "../../base/cancellation.js";
 import type { Clock } from "../../base/clock.js";
+import { describeError } from "../../base/errors.js";
 import { orderByRendezvous } from "../../base/hash.js";
 import { DisposableStore, type Disposable } from "../../base/lifecycle.js";
 import type { Logger } from "../../base/log.js";
@@ -190,7 +191,7 @@
             }
             this.pending.delete(service);
             if (currentRank < checkingRouters) {
-                this.queue = this.queue.then(() => this.check(service, check.changedAtMs));
+                this.queue = this.queue.then(() => this.checkLogged(service, check.changedAtMs));
             }
         });
     }
@@ -201,6 +202,18 @@
         return rank < 0 ? 0 : rank;
     }
 
+    /** A failed check must not keep the queue from the checks after it. */
+    private async checkLogged(service: string, changedAtMs: number): Promise<void> {
+        try {
+            await this.check(service, changedAtMs);
+        } catch (error) {
+            this.options.logger.write("error", "recording the history of versions failed", {
+                service,
+                detail: describeError(error),
+            });
+        }
+    }
+
     /** Writes the service's record unless it shows what this router has observed. */
     private async check(service: string, changedAtMs: number): Promise<void> {
         const { records, clock, logger, random } = this.options;
