--- a/src/gateway/rollouts/rolloutMessage.ts
+++ b/src/gateway/rollouts/rolloutMessage.ts
@@ -31,6 +31,8 @@
 /** Maximum rows in one message, so that its datagram is not split into many fragments. */
 const maxRoutes = 60;
 const maxTargets = 60;
+/** No roll-out runs for longer, and dates are computed from ages; one year in milliseconds. */
+const maxAgeMs = 31_536_000_000;
 const steps = ["canary", "watch", "ramp", "switch"] as const satisfies readonly RolloutStep[];
 
 const count = z.number().int().min(0);
@@ -41,7 +43,7 @@
     count,
     name,
     name,
-    count,
+    count.max(maxAgeMs),
     z.enum(steps),
     count,
     z.boolean(),
