Fail an agent's response without a length if the target resets its connection

Callers would see: a whole response of a plain service behind an agent whose end is missing. Found while the report of a head that stops was followed through all readers of responses.

Cause: undici takes a reset as the end of such a response; a reset directly behind the last bytes is even reported as a regular end. The gateway's connections look for both, the agent's did not.

Change: the agent's clients, which have one connection each, pass on an error in place of that end. A connection that is closed still ends such a response.

Heads that are cut off at any byte, by an end or a reset, failed before as well.

--- a/src/agent/targetConnection.ts
+++ b/src/agent/targetConnection.ts
@@ -1,6 +1,7 @@
-import { Agent, type Dispatcher } from "undici";
+import { Agent, Pool, type Client, type Dispatcher } from "undici";
 import { AbortScope, type CancellationToken } from "../base/cancellation.js";
 import type { Disposable } from "../base/lifecycle.js";
+import { createResetDetectingClient } from "./resetDetectingClient.js";
 import { TargetError, type TargetLoad } from "./targetClient.js";
 
 const connectTimeoutMs = 2_000;
@@ -13,7 +14,12 @@
 /** HTTP to one target; owns the connections. */
 export class TargetConnection implements Disposable {
     private readonly connections = new Agent({
-        connect: { timeout: connectTimeoutMs },
+        factory: (origin, options) =>
+            new Pool(origin, {
+                ...options,
+                factory: (target, clientOptions) =>
+                    createResetDetectingClient(target, clientOptions as Client.Options, connectTimeoutMs),
+            }),
         // A long route rebuild may be silent for minutes; the request's own deadline ends it.
         headersTimeout: 0,
         bodyTimeout: 0,
--- a/test/fakes/usersPlatform/truncatingServer.ts
+++ b/test/fakes/usersPlatform/truncatingServer.ts
@@ -12,6 +12,10 @@
     /** Response to all requests, with the request's id in place of `ID`. */
     public response = "";
     public closeKind: CloseKind = "end";
+    /** Responses to the first requests, after which the connection stays open. */
+    public readonly keptResponses: string[] = [];
+    /** Whether the bytes of a response are sent one by one. */
+    public isBytewise = false;
 
     public get address(): string {
         const address = this.server.address();
@@ -38,18 +42,24 @@
                 const id = /x-lynxarch-attempt-id: (\S+)/i.exec(received)?.[1] ?? "";
                 received = "";
                 this.requests += 1;
-                this.answer(socket, this.response.replace("ID", id));
+                const kept = this.keptResponses.shift();
+                void this.answer(socket, (kept ?? this.response).replace("ID", id), kept !== undefined);
             }
         });
     }
 
-    private answer(socket: Socket, response: string): void {
-        socket.write(response, "latin1", () => {
-            if (this.closeKind === "end") {
-                socket.end();
-            } else {
-                socket.resetAndDestroy();
-            }
-        });
+    private async answer(socket: Socket, response: string, isKept: boolean): Promise<void> {
+        socket.setNoDelay(true);
+        for (const bytes of this.isBytewise ? response : [response]) {
+            await new Promise(resolve => socket.write(bytes, "latin1", resolve));
+        }
+        if (isKept) {
+            return;
+        }
+        if (this.closeKind === "end") {
+            socket.end();
+        } else {
+            socket.resetAndDestroy();
+        }
     }
 }
