Test that a response head that is cut off never makes a response

The report: an engine stopped in the middle of its response head and closed, and callers got a 200 with an empty or short body, framed as whole. It can't happen at routers; nothing is changed.

--- a/test/gateway/sharedConnections.test.ts
+++ b/test/gateway/sharedConnections.test.ts
@@ -6,6 +6,7 @@
 import { ConnectionSharing, type SharedConnectionCounts } from "../../src/gateway/connectionSharing.js";
 import type { LoadSource } from "../../src/gateway/loadMonitor.js";
 import type { TargetServer } from "../fakes/usersPlatform/targetServer.js";
+import { TruncatingServer } from "../fakes/usersPlatform/truncatingServer.js";
 import {
     createPromptHeaders,
     GatewayFixture,
@@ -75,6 +76,24 @@
         expect([readShared(0), readShared(1)]).toMatchObject([{ handedOver: 1 }, { received: 1 }]);
     });
 
+    // Neither router may frame what the target sent before it stopped as a whole response.
+    it("gets an error of its neighbour if the target stops in the middle of its response head", async () => {
+        const truncating = new TruncatingServer();
+        await truncating.start();
+        truncating.response =
+            "HTTP/1.1 200 OK\r\nX-Lynxarch-Attempt-Id: ID\r\nX-Lynxarch-Engine-Stamp: s\r\nContent-Le";
+        const entry = { service: "app", address: truncating.address, zone: "dc-a", slots: 8, state: "ready" };
+        fixture.current.store.write("keyed.servers", "truncating-1", { ...entry, born: 1_700_000_000_000 });
+        await startRouters();
+        const response = await sendOnNewConnection({ path: "/book/", headers: { "x-lynxarch-attempt-id": "a1" } });
+        truncating.dispose();
+        expect({ status: response.status, isIncomplete: response.isIncomplete }).toEqual({
+            status: 502,
+            isIncomplete: false,
+        });
+        expect(readShared(0)).toMatchObject({ handedOver: 1 });
+    });
+
     it("carries a stream event by event", async () => {
         await fixture.current.addTarget("engines", "engine-1");
         await startRouters();
