Log how many callers of an account left, silent owners and the age of the sums each second

The record of an account that got under half of its neighbour could not tell three hypotheses apart: a router without processor time (callers leave, requests are shed), owners that are silent, sums that are old. The page of metrics is cut before the age of the sums when there are many accounts, and the lines of single requests are limited.

Change: the line per second on accounts with refused requests has all three. No decision is changed.

--- a/src/gateway/accountSummary.ts
+++ b/src/gateway/accountSummary.ts
@@ -33,9 +33,11 @@
     private write(): void {
         const refused = this.takeRefused().sort((a, b) => b.refused - a.refused);
         if (refused.length > 0) {
+            const sumsAgeMs = refused[0].computeUsage()?.sumsAgeMs;
             this.logger.write("info", "accounts with refused requests", {
                 accounts: refused.slice(0, maxAccounts).map(formatAccount).join("; "),
                 others: Math.max(0, refused.length - maxAccounts),
+                sumsAgeMs: sumsAgeMs === undefined ? undefined : Math.round(sumsAgeMs),
             });
         }
     }
@@ -62,7 +64,9 @@
     const fields = [
         `read=${counts.getRequests("read")}`,
         `shed=${shed}`,
+        `left=${counts.getRequests("left-unread") + counts.getRequests("left-before-output")}`,
         `refused=${refused - shed}`,
+        `silent=${counts.getRequests("owner-silent")}`,
         `granted=${counts.getRequests("granted")}`,
         `begun=${counts.getRequests("begun")}`,
         `askedTokens=${Math.round(counts.getTokens("read"))}`,
--- a/test/gateway/accountSummary.test.ts
+++ b/test/gateway/accountSummary.test.ts
@@ -21,7 +21,7 @@
             statistics.listAll().map(([account, counts]) => ({
                 account,
                 counts,
-                computeUsage: () => ({ share: 0.256, surplus: 1.5, sumsAgeMs: 0 }),
+                computeUsage: () => ({ share: 0.256, surplus: 1.5, sumsAgeMs: 149.6 }),
             })),
         );
         for (let index = 0; index < 7; index++) {
@@ -40,8 +40,9 @@
         expect(lines).toMatchInlineSnapshot(`
           [
             {
-              "accounts": "a6 read=8 shed=1 refused=6 granted=1 begun=1 askedTokens=800 begunTokens=100 share=0.26 surplus=1.50; a5 read=6 shed=1 refused=5 granted=0 begun=0 askedTokens=600 begunTokens=0 share=0.26 surplus=1.50; a4 read=5 shed=1 refused=4 granted=0 begun=0 askedTokens=500 begunTokens=0 share=0.26 surplus=1.50; a3 read=4 shed=1 refused=3 granted=0 begun=0 askedTokens=400 begunTokens=0 share=0.26 surplus=1.50; a2 read=3 shed=1 refused=2 granted=0 begun=0 askedTokens=300 begunTokens=0 share=0.26 surplus=1.50",
+              "accounts": "a6 read=8 shed=1 left=0 refused=6 silent=0 granted=1 begun=1 askedTokens=800 begunTokens=100 share=0.26 surplus=1.50; a5 read=6 shed=1 left=0 refused=5 silent=0 granted=0 begun=0 askedTokens=600 begunTokens=0 share=0.26 surplus=1.50; a4 read=5 shed=1 left=0 refused=4 silent=0 granted=0 begun=0 askedTokens=500 begunTokens=0 share=0.26 surplus=1.50; a3 read=4 shed=1 left=0 refused=3 silent=0 granted=0 begun=0 askedTokens=400 begunTokens=0 share=0.26 surplus=1.50; a2 read=3 shed=1 left=0 refused=2 silent=0 granted=0 begun=0 askedTokens=300 begunTokens=0 share=0.26 surplus=1.50",
               "others": 2,
+              "sumsAgeMs": 150,
             },
           ]
         `);
