Soak: odd entries of another writer among the targets, for the whole run

Each run has entries with a port out of range, with absurd slots and with a deeply nested address for both services.

--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -78,6 +78,7 @@
             await targets.start("engines", dataCentre);
             await targets.start("app", dataCentre);
         }
+        targets.writeOddEntries();
         await routers.start(routerCount);
         await sleepFor(warmUpMs);
         callers.start(callerCount);
--- a/test/soak/soakTargets.ts
+++ b/test/soak/soakTargets.ts
@@ -30,6 +30,7 @@
 const announceMs = 700;
 const pauseShare = 0.5;
 const replaceMs = 500;
+const nestingDepth = 20_000;
 /** A request with this body ends the target that runs it. */
 export const fatalBody = "ends whoever runs it";
 /** A request with this part in its prompt ends the target that answers it. */
@@ -90,6 +91,21 @@
         return target;
     }
 
+    /** Writes entries of another writer, which name no targets; they stay for the whole run. */
+    public writeOddEntries(): void {
+        const nested = `${"[".repeat(nestingDepth)}${"]".repeat(nestingDepth)}`;
+        for (const service of ["engines", "app"]) {
+            const entry = { service, address: "127.0.0.1:70000", zone: "dc-a", slots, state: "ready", born: 1 };
+            this.store.write("keyed.servers", `odd-port-${service}`, entry);
+            this.store.write("keyed.servers", `odd-slots-${service}`, {
+                ...entry,
+                address: "127.0.0.1:9",
+                slots: 1e300,
+            });
+            this.store.write("keyed.servers", `odd-nesting-${service}`, `{"service":"${service}","address":${nested}}`);
+        }
+    }
+
     public writeEntry(target: SoakTarget): void {
         this.store.write("keyed.servers", target.id, {
             service: target.service,
