--- a/test/gateway/streams/versionRecorder.test.ts
+++ b/test/gateway/streams/versionRecorder.test.ts
@@ -1,5 +1,5 @@
 import { okAsync } from "neverthrow";
-import { afterEach, expect, it } from "vitest";
+import { afterEach, beforeEach, expect, it } from "vitest";
 import { SystemClock } from "../../../src/base/clock.js";
 import { DisposableStore } from "../../../src/base/lifecycle.js";
 import { NoopLogger } from "../../../src/base/log.js";
@@ -12,7 +12,7 @@
 import { waitUntil } from "../gatewayFixture.js";
 
 const service = "engines";
-const store = new DisposableStore();
+const disposables = { current: new DisposableStore() };
 const target = {
     id: "i-1",
     service,
@@ -25,7 +25,11 @@
     startedAtMs: 0,
 } as const;
 
-afterEach(() => store.dispose());
+beforeEach(() => {
+    disposables.current = new DisposableStore();
+});
+
+afterEach(() => disposables.current.dispose());
 
 function createRecord(lastSeen: Date | undefined): VersionRecord {
     return { service, observedFrom: new Date(0), isFirst: false, versions: [{ version: "v1", lastSeen }] };
@@ -45,9 +49,9 @@
         },
     };
     const clock = new SystemClock();
-    const versions = store.add(new TargetVersions(clock));
+    const versions = disposables.current.add(new TargetVersions(clock));
     versions.add(target);
-    const recorder = store.add(
+    const recorder = disposables.current.add(
         new VersionRecorder({
             ownId: "a",
             peers: { routers: { ownId: "a", routerIds: ["a"], unheard: 0, isSettled: true } },
@@ -69,3 +73,40 @@
     await waitUntil(() => stored.versions[0].lastSeen === undefined);
     expect(endOffset).toBe(3);
 });
+
+// A fleet that ended before its first records were written would count as one that never ran, and streams of a version that has left
+// would go on at another one.
+it("the first record is written before the router knows its peers, later ones after a start only once it does", async () => {
+    const written: VersionRecord[] = [];
+    const createRecorder = (known: readonly VersionRecord[]): { readonly load: () => Promise<void> } => {
+        const clock = new SystemClock();
+        const versions = disposables.current.add(new TargetVersions(clock));
+        versions.add(target);
+        return disposables.current.add(
+            new VersionRecorder({
+                ownId: "a",
+                peers: { routers: { ownId: "a", routerIds: ["a"], unheard: 0, isSettled: false } },
+                directory: { versions },
+                records: {
+                    read: () => okAsync({ records: known, unreadableServices: [], endOffset: known.length }),
+                    write: record => {
+                        written.push(record);
+                        return okAsync("written");
+                    },
+                },
+                hasTargets: () => true,
+                clock,
+                random: new SeededRandom(1),
+                setTimer: setRuntimeTimer,
+                sleep: sleepOnTimer,
+                logger: new NoopLogger(),
+            }),
+        );
+    };
+    await createRecorder([{ ...createRecord(undefined), service: "other" }]).load();
+    await createRecorder([]).load();
+    await waitUntil(() => written.length > 0);
+    expect(written.map(({ isFirst, versions }) => ({ isFirst, versions }))).toEqual([
+        { isFirst: true, versions: [{ version: "v1", lastSeen: undefined }] },
+    ]);
+});
