Keep that an attempt was written until the next one is opened

Found on reading the change: an exception after an attempt, while its outcome is evaluated, would have been answered with 503, which promises that the request was not executed, although it may have been.

Change: the mark stays until the next attempt is opened, so that such a request is answered with 500. The test fails without it.

--- a/src/gateway/currentAttempt.ts
+++ b/src/gateway/currentAttempt.ts
@@ -6,13 +6,14 @@
     private release: (() => void) | undefined;
     private written = false;
 
-    /** Whether the request has been written to the target, which may execute it. */
+    /** Whether the last attempt has been written to its target, which may have executed it; until the next one is opened. */
     public get isWritten(): boolean {
         return this.written;
     }
 
     /** Begins an attempt, or its next stage. `release` gives back what it holds: its grant, later its counts at the target. */
     public open(release: () => void): void {
+        this.written = false;
         this.release = release;
     }
 
@@ -28,11 +29,10 @@
         this.attempt?.stop(reason);
     }
 
-    /** Ends the attempt, whose outcome has been recorded. */
+    /** Ends the attempt, which holds nothing any more. */
     public close(): void {
         this.attempt = undefined;
         this.release = undefined;
-        this.written = false;
     }
 
     /** Ends an attempt that failed with an exception, and gives back what it holds. */
