Revert "Write the first history of versions before routers know each other"

A service of the route that has never had targets is then unknown to it, and streams without the id of their first request are refused (503 stream-version-unknown) for as long as streams last.

The test of the fault stays as one that is expected to fail, and is listed: what is needed is a record of the fleet's first start that covers all services.

--- a/src/gateway/streams/versionRecorder.ts
+++ b/src/gateway/streams/versionRecorder.ts
@@ -80,8 +80,6 @@
     /** Checks run one after the other, so that one read serves several services. */
     private queue: Promise<void> = Promise.resolve();
     private isLoaded = false;
-    /** Whether no router had recorded anything before this one started. */
-    private isFirstStart = false;
     private hasFailed = false;
 
     public constructor(private readonly options: VersionRecorderOptions) {
@@ -128,7 +126,6 @@
         const { versions } = directory;
         const times = { nowMs: clock.nowMs(), nowDate: clock.nowDate() };
         const isFirst = records.length + unreadableServices.length === 0;
-        this.isFirstStart = isFirst;
         versions.applyHistory(
             records.map(record => ({ service: record.service, coverage: computeVersionCoverage(record, times) })),
             isFirst,
@@ -182,10 +179,8 @@
     /** `rank`: this router's rank when the timer was started. */
     private startTimer(service: string, check: PendingCheck, delayMs: number, rank: number): void {
         check.timer = this.options.setTimer(delayMs, () => {
-            // After a start of the whole fleet, each router would otherwise take itself for the first one. The very first records are not
-            // delayed: without them, a fleet that ends soon after its first start would count as one that never ran.
-            const isAfterStart = check.changedAtMs === Number.NEGATIVE_INFINITY;
-            if (isAfterStart && !this.isFirstStart && !this.options.peers.routers.isSettled) {
+            // After a start of the whole fleet, each router would otherwise take itself for the first one.
+            if (check.changedAtMs === Number.NEGATIVE_INFINITY && !this.options.peers.routers.isSettled) {
                 this.startTimer(service, check, startDelayMs, rank);
                 return;
             }
