Respond to a request that fails before its flow begins

Callers would see a connection closed without a response if an exception came while a request's head is decoded or checked for an early refusal: both lay outside of what catches. Found on reading the change.

Change: the check is inside, and the caller server, as the last to catch, responds with 500 in place of closing the connection; a begun response is still truncated.

The new case of the test (the head can't be decoded) fails before with a closed connection and passes now.

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -8,6 +8,7 @@
 import type { CallerLimits } from "./configuration.js";
 import type { GatewaySettings } from "./settings.js";
 import type { ConnectionSharing } from "./connectionSharing.js";
+import { sendFailure } from "./sendFailure.js";
 import type { GatewayService } from "./gatewayService.js";
 
 /** Maximum header size that Node accepts; the server is created before the limit of the configuration is available. */
@@ -148,7 +149,7 @@
         }
         this.service.handle(request, response, handedOverBy).catch((error: unknown) => {
             this.logger.write("error", "request handler failed", { detail: describeError(error) });
-            response.destroy();
+            sendFailure(response, {});
         });
     }
 }
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -22,6 +22,7 @@
 import { RequestFlow } from "./requestFlow.js";
 import { RequestShedder } from "./requestShedder.js";
 import type { RoutedRequest } from "./routedRequest.js";
+import { sendFailure } from "./sendFailure.js";
 import { UnsentBytes } from "./unsentBytes.js";
 import type { RequestHead } from "./wire.js";
 
@@ -110,9 +111,9 @@
     public async handle(incoming: IncomingMessage, response: ServerResponse, handedOverBy?: string): Promise<void> {
         const arrivedAtMs = this.context.clock.nowMs();
         const head = this.context.codec.decodeRequest(incoming.rawHeaders);
-        const refusal = this.checkEarly(incoming, head, handedOverBy);
         this.open += 1;
         try {
+            const refusal = this.checkEarly(incoming, head, handedOverBy);
             if (refusal === undefined) {
                 const caller = new CallerExchange(incoming, response, handedOverBy, this.unsent);
                 await this.handleAdmitted(caller, head, arrivedAtMs);
@@ -136,18 +137,7 @@
     private handleException(error: unknown, requestId: string | undefined, response: ServerResponse): void {
         const { logger, codec } = this.context;
         logger.write("error", "handling a request failed", { requestId, detail: describeError(error) });
-        if (response.writableEnded) {
-            return;
-        }
-        if (response.headersSent) {
-            response.destroy();
-            return;
-        }
-        const { status, headers, body } = createRouterResponse("router-failed", undefined);
-        const ownHeaders = codec.encodeRouterResponse(requestId);
-        const length = String(Buffer.byteLength(body));
-        response.writeHead(status, { ...headers, ...ownHeaders, "content-length": length, connection: "close" });
-        response.end(body);
+        sendFailure(response, codec.encodeRouterResponse(requestId));
     }
 
     /** A connection that another router handed over is served: that router has decided on it already. */
--- a/test/gateway/failingRequests.test.ts
+++ b/test/gateway/failingRequests.test.ts
@@ -3,7 +3,7 @@
 import type { HeaderCodec } from "../../src/gateway/wire.js";
 import { createPromptHeaders, findFreePort, GatewayFixture, waitUntil } from "./gatewayFixture.js";
 
-type CodecCall = Exclude<keyof HeaderCodec, "decodeRequest" | "encodeRouterResponse">;
+type CodecCall = Exclude<keyof HeaderCodec, "encodeRouterResponse">;
 
 const fixture = { current: new GatewayFixture() };
 /** Fewer than the failures that pause a target. */
@@ -26,6 +26,13 @@
         super();
     }
 
+    public override decodeRequest(
+        ...args: Parameters<HeaderCodec["decodeRequest"]>
+    ): ReturnType<HeaderCodec["decodeRequest"]> {
+        this.fail("decodeRequest");
+        return super.decodeRequest(...args);
+    }
+
     public override encodeForTarget(...args: Parameters<HeaderCodec["encodeForTarget"]>): string[] {
         this.fail("encodeForTarget");
         return super.encodeForTarget(...args);
@@ -70,6 +77,7 @@
     // Without a response the caller of a request that must not be repeated could not retry one that was never sent; a count that is not
     // given back would keep the target's place taken.
     it.each([
+        ["decodeRequest", "/book/x", "app", 500, 0, manyRequests],
         ["encodeForTarget", "/book/x", "app", 503, 0, manyRequests],
         ["encodeForTarget", "/once/x", "engines", 503, 0, manyRequests],
         ["decodeResponse", "/book/x", "app", 502, 3, fewRequests],
