Send responses completely before a planned stop ends

Cause: three places took a response whose end had been written for one that the socket had taken. Node's Server.close destroys connections whose response has been ended; the stop waited for handlers, not for their bytes; the exit closed the rest.

Change: HttpConnections counts a response until its "close" and closes only connections without a request; GracefulStop, split from GatewayDaemon, waits for unsent responses within the grace period. The same for the callers' and work servers of the daemons, control servers, and connections that are being handed over to a neighbour; a second SIGTERM no longer runs the stop twice.

--- a/src/control/server.ts
+++ b/src/control/server.ts
@@ -1,7 +1,10 @@
-import { serve, type ServerType } from "@hono/node-server";
+import { serve } from "@hono/node-server";
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
 import { Hono } from "hono";
 import { ResultAsync } from "neverthrow";
+import type { Server } from "node:http";
+import type { Socket } from "node:net";
+import { HttpConnections } from "../base/httpConnections.js";
 import type { Disposable } from "../base/lifecycle.js";
 import { controlRouter } from "./controlApi.js";
 import { ControlError } from "./errors.js";
@@ -55,8 +58,9 @@
     const listening = new Promise<HttpListener>((resolve, reject) => {
         const serverOptions = { keepAliveTimeout: idleConnectionMs };
         const server = serve({ fetch: app.fetch, hostname: host, port, serverOptions }, () =>
-            resolve(new HttpListener(server)),
-        );
+            resolve(listener),
+        ) as Server;
+        const listener = new HttpListener(server);
         server.once("error", reject);
     });
     return ResultAsync.fromPromise(
@@ -67,17 +71,24 @@
 
 /** A listening HTTP server. */
 export class HttpListener implements Disposable {
-    public constructor(private readonly server: ServerType) {}
+    private readonly connections: HttpConnections;
 
-    /** Takes no new connection; those that serve a request go on. */
+    public constructor(server: Server) {
+        this.connections = new HttpConnections(server);
+        server.on("connection", (socket: Socket) => this.connections.add(socket));
+    }
+
+    /** Number of responses that have not been sent completely. */
+    public get unsentResponses(): number {
+        return this.connections.unsentResponses;
+    }
+
+    /** Accepts no new connections; those with a request stay until its response has been sent. */
     public stopAccepting(): void {
-        this.server.close();
+        this.connections.stopAccepting();
     }
 
     public dispose(): void {
-        this.server.close();
-        if ("closeAllConnections" in this.server) {
-            this.server.closeAllConnections();
-        }
+        this.connections.closeAll();
     }
 }
--- a/src/daemon/agentDaemon.ts
+++ b/src/daemon/agentDaemon.ts
@@ -164,6 +164,10 @@
         return this.service.open;
     }
 
+    protected countUnsent(): number {
+        return this.listener?.unsentResponses ?? 0;
+    }
+
     protected stopListening(): void {
         this.listener?.stopAccepting();
     }
--- a/src/daemon/daemonHost.ts
+++ b/src/daemon/daemonHost.ts
@@ -31,6 +31,8 @@
     protected abstract stopTaking(token: CancellationToken): Promise<void>;
     /** Requests that are not ended yet. */
     protected abstract countOpen(): number;
+    /** Responses that their readers have not taken completely. */
+    protected abstract countUnsent(): number;
     /** All requests are ended and the daemon is out of the roster. */
     protected abstract stopListening(): void;
 
@@ -42,6 +44,9 @@
         }
         await this.membership.removeSelf(token);
         this.stopListening();
+        while (this.countUnsent() > 0 && !token.isCancelled) {
+            await sleepOnTimer(stopPollMs, token);
+        }
         this.parts.events.record({ kind: "daemon-stopped" });
     }
 
--- a/src/daemon/routerDaemon.ts
+++ b/src/daemon/routerDaemon.ts
@@ -175,6 +175,10 @@
         return this.service.openCount;
     }
 
+    protected countUnsent(): number {
+        return this.callers?.unsentResponses ?? 0;
+    }
+
     protected stopListening(): void {
         // The control API answers until the process ends, so that operators see the stop.
     }
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { describeError } from "../base/errors.js";
+import { HttpConnections } from "../base/httpConnections.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import { computeAcceptBacklog } from "../decisions/admission/acceptQueue.js";
@@ -33,6 +34,7 @@
 /** The HTTP server for callers. */
 export class CallerServer implements Disposable {
     private readonly server: Server;
+    private readonly connections: HttpConnections;
     private closesWithResponses = false;
     private connectionCount = 0;
     /** Requests received on each connection. */
@@ -56,6 +58,7 @@
             requestTimeout: requestTimeoutMs,
             noDelay: true,
         });
+        this.connections = new HttpConnections(this.server);
         this.server.maxConnections = Math.floor(maxDescriptors * callerDescriptorShare);
         this.closingThreshold = Math.floor(this.server.maxConnections * closingConnectionShare);
         const [handleHttpConnection] = this.server.listeners("connection");
@@ -107,18 +110,23 @@
         this.closesWithResponses = true;
     }
 
-    /** Accepts no new connections and closes idle ones; connections with an open request stay until its response. */
+    /** Number of responses that callers' sockets have not taken completely. */
+    public get unsentResponses(): number {
+        return this.connections.unsentResponses;
+    }
+
+    /** Accepts no new connections and closes idle ones; connections with an open request stay until its response has been sent. */
     public stopAccepting(): void {
-        this.server.close();
+        this.connections.stopAccepting();
     }
 
     public dispose(): void {
-        this.server.close();
-        this.server.closeAllConnections();
+        this.connections.closeAll();
     }
 
     private countConnection(socket: Socket): void {
         this.connectionCount += 1;
+        this.connections.add(socket);
         socket.once("close", () => {
             this.idle.remove(socket);
             this.connectionCount -= 1;
--- a/src/gateway/connectionRelay.ts
+++ b/src/gateway/connectionRelay.ts
@@ -29,8 +29,7 @@
 
 /** Forwards callers' connections to a neighbour as raw bytes, without parsing them. */
 export class ConnectionRelay implements Disposable {
-    private readonly sockets = new Set<Socket>();
-    private openCount = 0;
+    private readonly connections = new Map<Socket, RelayedConnection>();
 
     /** `ownIp`: source address by which neighbours identify this router. */
     public constructor(
@@ -40,18 +39,17 @@
 
     /** Number of connections that are waiting for a neighbour or being forwarded. */
     public get size(): number {
-        return this.sockets.size;
+        return this.connections.size;
     }
 
-    /** Number of open connections that neighbours have accepted. */
+    /** Number of connections whose caller has sent data; a neighbour has accepted them or is being asked. */
     public get open(): number {
-        return this.openCount;
+        return [...this.connections.values()].filter(({ hasData }) => hasData).length;
     }
 
     /** Offers the connection to the neighbour once the caller has sent data. */
     public add(socket: Socket, neighbourIp: string, observer: RelayObserver): void {
-        this.sockets.add(socket);
-        socket.once("close", () => this.sockets.delete(socket));
+        socket.once("close", () => this.connections.delete(socket));
         const relayed = new RelayedConnection(socket, () => {
             const upstream = connect({
                 host: neighbourIp,
@@ -62,21 +60,29 @@
                 timeout: acceptTimeoutMs,
             });
             relayed.connect(upstream, {
-                handleHandedOver: () => {
-                    this.openCount += 1;
-                    socket.once("close", () => (this.openCount -= 1));
-                    observer.handleHandedOver();
-                },
+                handleHandedOver: () => observer.handleHandedOver(),
                 handleUnreachable: () => {
-                    this.sockets.delete(socket);
+                    this.connections.delete(socket);
                     observer.handleUnreachable(socket);
                 },
             });
         });
+        this.connections.set(socket, relayed);
+    }
+
+    /** Closes the connections whose caller has sent nothing. */
+    public closeIdle(): void {
+        for (const [socket, { hasData }] of this.connections) {
+            if (!hasData) {
+                socket.destroy();
+            }
+        }
     }
 
     public dispose(): void {
-        this.sockets.forEach(socket => socket.destroy());
+        for (const socket of this.connections.keys()) {
+            socket.destroy();
+        }
     }
 }
 
@@ -104,6 +110,10 @@
         socket.once("close", () => (this.isDisconnected = true));
     }
 
+    public get hasData(): boolean {
+        return this.isWaiting;
+    }
+
     /** Waits until the neighbour accepts the connection, then forwards the data in both directions. */
     public connect(upstream: Socket, observer: RelayObserver): void {
         let isDecided = false;
--- a/src/gateway/connectionSharing.ts
+++ b/src/gateway/connectionSharing.ts
@@ -69,6 +69,7 @@
     private readonly declined = new WeakSet<Socket>();
     private readonly counts = { handedOver: 0, received: 0, unreached: 0 };
     private isAccepting = true;
+    private isOffering = true;
 
     /** `serve`: serves a connection as if its caller had connected to this router directly. */
     public constructor(
@@ -84,7 +85,7 @@
         return this.counts;
     }
 
-    /** Number of open connections that neighbours have accepted. */
+    /** Number of forwarded connections whose caller has sent data. */
     public get open(): number {
         return this.relay.open;
     }
@@ -106,6 +107,7 @@
         const { peers, load, clock, random, maxRelayedConnections, isEnabled } = this.options;
         if (
             !isEnabled ||
+            !this.isOffering ||
             this.received.has(socket) ||
             this.declined.has(socket) ||
             this.relay.size >= maxRelayedConnections
@@ -134,10 +136,16 @@
         return this.received.get(socket);
     }
 
-    /** Stops accepting connections from neighbours; connections that are being forwarded continue. */
+    /** Hands no further connections over; a stopping router could not wait for the end of each. */
+    public stopOffering(): void {
+        this.isOffering = false;
+    }
+
+    /** Stops accepting connections from neighbours; connections that are being forwarded continue if their caller has sent data. */
     public stopAccepting(): void {
         this.isAccepting = false;
         this.server.close();
+        this.relay.closeIdle();
     }
 
     public dispose(): void {
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,5 +1,5 @@
 import type { Hono } from "hono";
-import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
+import { CancellationTokenSource } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
 import { DisposableStore, type Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
@@ -23,6 +23,7 @@
 import type { FleetSource } from "./fleetSource.js";
 import type { GatewayContext } from "./gatewayContext.js";
 import { GatewayService } from "./gatewayService.js";
+import { GracefulStop } from "./gracefulStop.js";
 import { createGrants } from "./grants/createGrants.js";
 import { Quarantine } from "./quarantine/quarantine.js";
 import { ConnectProbe } from "./quarantine/targetProbe.js";
@@ -38,7 +39,7 @@
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import { buildStatistics, describeRouter, describeState, listAccounts } from "./gatewayState.js";
 import { SnapshotTransfer } from "./peers/snapshotTransfer.js";
-import { listenOn } from "../control/server.js";
+import { listenOn, type HttpListener } from "../control/server.js";
 import type { GatewaySettings } from "./settings.js";
 import { createStreams } from "./streams/createStreams.js";
 import type { StreamVersions } from "./streams/streamVersions.js";
@@ -58,11 +59,6 @@
     readonly readinessPath: string;
 }
 
-/** The balancer checks readiness once a second and sends no new connections after two failed checks; milliseconds. */
-const balancerWithdrawalMs = 2_500;
-const openPollMs = 50;
-/** Part of the stop grace period reserved for closing sockets and ending the process; milliseconds. */
-const exitMarginMs = 800;
 const msPerSecond = 1_000;
 
 /** A router that sends requests to targets directly: wires up its servers and the platform's changes, and shuts down gracefully. */
@@ -84,7 +80,10 @@
     private readonly rollouts: Rollouts;
     private readonly streams: StreamVersions;
     private settings: GatewaySettings;
+    private readonly listeners: HttpListener[] = [];
     private isStopping = false;
+    private readonly gracefulStop: GracefulStop;
+    private stopped: Promise<void> | undefined;
 
     public constructor(private readonly parts: GatewayDaemonOptions) {
         this.settings = parts.settings;
@@ -212,6 +211,14 @@
         this.callers = this.store.add(
             new CallerServer(this.service, logger, () => this.neighbours.shouldLeaveBalancer, settings, this.sharing),
         );
+        this.gracefulStop = new GracefulStop({
+            logger,
+            service: this.service,
+            callers: this.callers,
+            sharing: this.sharing,
+            streams: this.streams,
+            listeners: this.listeners,
+        });
         this.metrics = new GatewayMetrics(() =>
             buildStatistics(this.context, source, this.service, this.rollouts, this.sharing, this.callers),
         );
@@ -294,24 +301,10 @@
     }
 
     /** Shuts down within the platform's grace period: fails readiness checks, then waits for open requests and connections. */
-    public async stop(): Promise<void> {
-        const { logger } = this.parts;
-        const { settings } = this;
+    public stop(): Promise<void> {
         this.isStopping = true;
-        logger.write("info", "stopping", { openRequests: this.service.openRequests });
-        const cancellation = new CancellationTokenSource();
-        const timer = setTimeout(() => cancellation.cancel(), settings.stopGraceSeconds * msPerSecond - exitMarginMs);
-        this.callers.closeWithResponses();
-        await sleepOnTimer(balancerWithdrawalMs, cancellation.token);
-        this.service.refuseNewRequests();
-        this.callers.stopAccepting();
-        this.sharing.stopAccepting();
-        await this.waitForOpen(cancellation.token);
-        clearTimeout(timer);
-        this.streams.sendAll();
-        // Node hands a datagram over to the system one turn later, and drops those of a socket that has been closed.
-        await new Promise(resolve => setImmediate(resolve));
-        logger.write("info", "stopped", { openRequests: this.service.openRequests });
+        this.stopped ??= this.gracefulStop.run(this.settings.stopGraceSeconds * msPerSecond);
+        return this.stopped;
     }
 
     public dispose(): void {
@@ -319,12 +312,6 @@
         this.store.dispose();
     }
 
-    private async waitForOpen(token: CancellationToken): Promise<void> {
-        while (this.service.openRequests + this.sharing.open > 0 && !token.isCancelled) {
-            await sleepOnTimer(openPollMs, token);
-        }
-    }
-
     private updateRetryFloors(): void {
         const floors = computeRetryFloors(this.settings.retryBudget.slack, this.peers.routers);
         this.context.retryBudgets.visitAll(budget => budget.setFloors(floors));
@@ -336,7 +323,7 @@
         if (listener.isErr()) {
             throw listener.error;
         }
-        this.store.add(listener.value);
+        this.listeners.push(this.store.add(listener.value));
     }
 
     private listControlPeers(): readonly string[] {
