Check only responses that end with their connection for a reset

Cause: libuv reports a reset directly behind the last bytes as a regular end, and the socket's remote address tells the two apart. Node caches the address, and it was read at the end of each response without length and transfer encoding; 204 and 304 have neither and leave their connection open.

Change: isEndedByClose follows RFC 9112, section 6.3, by method, status and headers; the address is read only when the connection has ended. The agents' client had the same fault. A transfer coding other than chunked, which also ends with the connection, was not checked at all.

--- a/src/agent/resetDetectingClient.ts
+++ b/src/agent/resetDetectingClient.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { isEndedByClose } from "../base/responseFraming.js";
 import { buildConnector, Client, DecoratorHandler, type Dispatcher } from "undici";
 
 /** The connection was reset during a response whose end shows only in the end of the connection. */
@@ -25,7 +26,7 @@
 
     /**
      * Whether the connection was reset. A reset directly behind the last bytes is reported as a regular end, but the socket has no remote
-     * address any more then.
+     * address any more then. To be called only when the connection has ended, as Node caches the address.
      */
     public get isReset(): boolean {
         return this.hasError || this.socket?.remotePort === undefined;
@@ -38,10 +39,10 @@
 class ResetDetectingHandler implements Dispatcher.DispatchHandler {
     /** Accepts undici's former handlers too, which its pools pass on. */
     private readonly handler: Handler;
-    /** The response has neither content length nor transfer encoding. */
-    private isUnframed = false;
+    private endsWithConnection = false;
 
     public constructor(
+        private readonly method: string,
         handler: Dispatcher.DispatchHandler,
         private readonly state: ConnectionState,
     ) {
@@ -57,8 +58,8 @@
     }
 
     public onResponseStart(...args: Parameters<Handler["onResponseStart"]>): void {
-        const [, , headers] = args;
-        this.isUnframed = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+        const [, status, headers] = args;
+        this.endsWithConnection = isEndedByClose(this.method, status, headers);
         this.handler.onResponseStart(...args);
     }
 
@@ -67,7 +68,7 @@
     }
 
     public onResponseEnd(...args: Parameters<Handler["onResponseEnd"]>): void {
-        if (this.isUnframed && this.state.isReset) {
+        if (this.endsWithConnection && this.state.isReset) {
             this.handler.onResponseError(args[0], new ConnectionResetError());
         } else {
             this.handler.onResponseEnd(...args);
@@ -104,6 +105,7 @@
         },
     });
     const dispatch = client.dispatch.bind(client);
-    client.dispatch = (request, handler) => dispatch(request, new ResetDetectingHandler(handler, state));
+    client.dispatch = (request, handler) =>
+        dispatch(request, new ResetDetectingHandler(request.method, handler, state));
     return client;
 }
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Disposable } from "../base/lifecycle.js";
+import { isEndedByClose } from "../base/responseFraming.js";
 
 /** Keep-alive time for a target that announces none: such a target may close an idle connection within a second. */
 const defaultKeepAliveMs = 400;
@@ -123,7 +124,7 @@
 
     /** Sends a request; the connection must be usable. */
     public send(request: TargetRequest, listener: ResponseListener): CancelSend {
-        const exchange = new Exchange(listener, {
+        const exchange = new Exchange(request.method, listener, {
             hasSocketError: () => this.hasSocketError,
             hasRemoteAddress: () => this.socket?.remotePort !== undefined,
             countBytesRead: () => this.socket?.bytesRead ?? 0,
@@ -174,7 +175,7 @@
 /** The connection of an {@link Exchange}. */
 interface ExchangeOwner {
     hasSocketError(): boolean;
-    /** Whether the socket still has a remote address; called at most once, as Node caches the result. */
+    /** Whether the socket still has a remote address; to be called only when the connection has ended, as Node caches the address. */
     hasRemoteAddress(): boolean;
     /** Bytes read from the connection so far. */
     countBytesRead(): number;
@@ -186,8 +187,7 @@
 class Exchange implements Dispatcher.DispatchHandler {
     private controller: Dispatcher.DispatchController | undefined;
     private isSent = false;
-    /** The response has neither content length nor transfer encoding: it ends with the connection. */
-    private isUnframed = false;
+    private endsWithConnection = false;
     private hasEnded = false;
     private interimResponses = 0;
     private bytesReadBefore = 0;
@@ -195,6 +195,7 @@
     private chunks = 0;
 
     public constructor(
+        private readonly method: string,
         private readonly listener: ResponseListener,
         private readonly owner: ExchangeOwner,
     ) {}
@@ -226,7 +227,7 @@
                 this.fail("broken", "too many interim responses");
             }
         } else {
-            this.isUnframed = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+            this.endsWithConnection = isEndedByClose(this.method, status, headers);
             this.listener.handleHead(status, headers);
         }
     }
@@ -264,7 +265,7 @@
         }
         // A reset directly after the last bytes is reported as a regular end: libuv reads the bytes, detects the hang-up and does
         // not query the error. A connection that was reset has no remote address any more; one that the peer closed still has it.
-        if (this.owner.hasSocketError() || (this.isUnframed && !this.owner.hasRemoteAddress())) {
+        if (this.owner.hasSocketError() || (this.endsWithConnection && !this.owner.hasRemoteAddress())) {
             this.fail("broken", "connection reset by the target");
             return;
         }
--- a/test/agent/truncatedResponses.test.ts
+++ b/test/agent/truncatedResponses.test.ts
@@ -20,15 +20,20 @@
 
 /** Reads a target's whole response; "failed" if it is an error. */
 async function readResponse(): Promise<string> {
+    const [response] = await readResponses(1);
+    return response;
+}
+
+/** Reads several responses, one after the other. */
+async function readResponses(count: number): Promise<readonly string[]> {
     const connection = new TargetConnection(`http://${server.current.address}`);
-    try {
-        const response = await connection.send("/", { method: "GET" }, token);
-        return await response.body.text();
-    } catch {
-        return "failed";
-    } finally {
-        connection.dispose();
+    const bodies: string[] = [];
+    for (let index = 0; index < count; index++) {
+        const body = connection.send("/", { method: "GET" }, token).then(response => response.body.text());
+        bodies.push(await body.catch(() => "failed"));
     }
+    connection.dispose();
+    return bodies;
 }
 
 describe("a target's response at an agent", () => {
@@ -54,6 +59,21 @@
         expect([...outcomes]).toEqual(["failed"]);
     });
 
+    // A response without content, read as one that ends with its connection, hid the reset of the next response.
+    it.each(["204 No Content", "304 Not Modified"])("is a failure after a reset behind a %s", async kept => {
+        server.current.closeKind = "reset";
+        server.current.response = `${status}Connection: close\r\n\r\nfirst part`;
+        const outcomes = new Set<string>();
+        for (let run = 0; run < 20; run++) {
+            // The pool uses two connections in turn.
+            const response = `HTTP/1.1 ${kept}\r\nKeep-Alive: timeout=5\r\n\r\n`;
+            server.current.keptResponses.push(response, response);
+            const bodies = await readResponses(4);
+            outcomes.add(bodies.join(", "));
+        }
+        expect([...outcomes]).toEqual([", , failed, failed"]);
+    });
+
     it("without a length is whole if its connection is closed", async () => {
         server.current.response = `${status}Connection: close\r\n\r\nwhole`;
         expect(await readResponse()).toBe("whole");
