Forward a neighbour's reset as a reset

A connection that is handed over ends for its caller as it ends at the neighbour. A reset directly behind the neighbour's last bytes is reported as a regular end, so that an HTTP/1.0 caller took a part of a response for the whole.

--- a/src/gateway/connectionRelay.ts
+++ b/src/gateway/connectionRelay.ts
@@ -185,7 +185,9 @@
         const { socket } = this;
         upstream.write(Buffer.concat(this.held.splice(0)));
         socket.pipe(upstream);
-        upstream.pipe(socket);
+        upstream.pipe(socket, { end: false });
+        // A reset directly behind the last bytes is reported as a regular end; a connection that was reset has no remote address any more.
+        upstream.once("end", () => (upstream.remotePort === undefined ? socket.resetAndDestroy() : socket.end()));
         upstream.once("close", hasError => (hasError ? socket.resetAndDestroy() : socket.destroySoon()));
     }
 
