Write what arrives together in one write

Callers of all routes got no answers, and the process ended, while one target sent small events endlessly to requests that name no token count: 40 callers on ended the router (V8's heap limit of 160 MB), with 16 callers 185 of 293 other requests were served at 3.7 s of processor a second and 229 MB.

Cause: each event was a write of its own. Node keeps hundreds of bytes for a write until the socket has taken it, and the bounds of unsent bytes count the data only.

Change: ResponseWriter collects what is written in one turn of the event loop, or while the socket takes nothing; at most one write waits. measure:endless takes the number of targets and callers, and requests without a token count.

--- a/scripts/measureEndless.ts
+++ b/scripts/measureEndless.ts
@@ -1,5 +1,5 @@
 /**
- * Processor time and memory of a router while twenty targets at once answer without end, and what becomes of other callers' requests:
+ * Processor time and memory of a router while targets answer without end, and what becomes of other callers' requests:
  * `npm run measure:endless -- --seconds 10`. A router as a process of its own, targets, store and callers of our own on loopback.
  */
 import sade from "sade";
@@ -11,37 +11,51 @@
 
 interface Options {
     readonly seconds: string | number;
+    readonly targets: string | number;
+    readonly callers: string | number;
+    readonly tokens: string;
+    readonly shapes: string;
+}
+
+/** Targets, callers of each, and the token count that their requests name; "none" for requests without one. */
+interface Load {
+    readonly targetCount: number;
+    readonly callersPerTarget: number;
+    readonly tokens: string;
+    readonly seconds: number;
 }
 
-const targetCount = 20;
 const startMs = 3_000;
 const otherPauseMs = 20;
 /** A caller that is refused comes back after a while; without a pause refusals would be all that is measured. */
 const endlessPauseMs = 500;
 const limits = { memoryMb: 350, maxDescriptors: 4_000 };
-const shapes: readonly EndlessShape[] = [
-    "event",
-    "events",
-    "unframed",
-    "chunk-extension",
-    "interim",
-    "tiny-pieces",
-    "header",
-];
+const defaultShapes = "event,events,chunked-events,unframed,chunk-extension,interim,tiny-pieces,header";
 
 sade("measure-endless", true)
     .option("--seconds", "how long each shape is played", 10)
-    .action((options: Options) => void run(Number(options.seconds)))
+    .option("--targets", "number of endless targets", 20)
+    .option("--callers", "callers of each endless target", 1)
+    .option("--tokens", "tokens of the prompt and of the output that requests name; none: no count", "1000,50")
+    .option("--shapes", "shapes of the responses, separated by commas", defaultShapes)
+    .action((options: Options) => void run(options))
     .parse(process.argv);
 
-async function run(seconds: number): Promise<void> {
-    for (const shape of [undefined, ...shapes]) {
-        await measureShape(shape, seconds);
+async function run({ seconds, targets, callers, tokens, shapes }: Options): Promise<void> {
+    const load = {
+        targetCount: Number(targets),
+        callersPerTarget: Number(callers),
+        tokens,
+        seconds: Number(seconds),
+    };
+    for (const shape of [undefined, ...(shapes.split(",") as EndlessShape[])]) {
+        await measureShape(shape, load);
     }
     process.exit(0);
 }
 
-async function measureShape(shape: EndlessShape | undefined, seconds: number): Promise<void> {
+async function measureShape(shape: EndlessShape | undefined, load: Load): Promise<void> {
+    const { targetCount, callersPerTarget, tokens, seconds } = load;
     const store = new StoreServer();
     await store.start();
     store.write("keyed.op", "config", createConfiguration(1));
@@ -61,17 +75,25 @@
     let served = 0;
     let sent = 0;
     const untilMs = performance.now() + seconds * 1_000;
-    const endless = servers.map(async (...[, index]) => {
-        while (performance.now() < untilMs) {
-            await send(callers, "/once/", `e${index}`);
+    const disposeAll = (): void => {
+        router.kill("SIGKILL");
+        servers.forEach(server => server.dispose());
+        app.dispose();
+        store.dispose();
+    };
+    let hasExited = false;
+    router.once("exit", () => (hasExited = true));
+    const endless = [...Array(servers.length * callersPerTarget).keys()].map(async index => {
+        while (performance.now() < untilMs && !hasExited) {
+            await send(callers, "/once/", `e${index}`, tokens);
             await sleepFor(endlessPauseMs);
         }
     });
     const others: Promise<void>[] = [];
-    while (performance.now() < untilMs) {
+    while (performance.now() < untilMs && !hasExited) {
         sent += 1;
         const startedAtMs = performance.now();
-        const answered = send(callers, "/book/", `b${sent}`).then(isServed => {
+        const answered = send(callers, "/book/", `b${sent}`, tokens).then(isServed => {
             served += isServed ? 1 : 0;
             took.push(performance.now() - startedAtMs);
         });
@@ -79,24 +101,31 @@
         await sleepFor(otherPauseMs);
     }
     await Promise.all([...endless, ...others]);
+    const label = (shape ?? "none").padEnd(16);
+    if (hasExited) {
+        process.stdout.write(`${label} the router has exited; others: ${served} of ${sent} served\n`);
+        disposeAll();
+        return;
+    }
     const cpu = (readCpuMs(router) - cpuBefore) / seconds;
     const requests = servers.reduce((sum, server) => sum + server.requests, 0);
     took.sort((a, b) => a - b);
     const slowest = took[Math.floor(took.length * 0.99)] ?? 0;
     process.stdout.write(
-        `${(shape ?? "none").padEnd(16)} ${cpu.toFixed(0)} ms of processor a second, peak ${readMemoryMb(router, "VmHWM")} MB; ` +
+        `${label} ${cpu.toFixed(0)} ms of processor a second, peak ${readMemoryMb(router, "VmHWM")} MB; ` +
             `${requests} endless answers; others: ${served} of ${sent} served, 99 of 100 within ${slowest.toFixed(0)} ms\n`,
     );
-    router.kill("SIGKILL");
-    servers.forEach(server => server.dispose());
-    app.dispose();
-    store.dispose();
+    disposeAll();
 }
 
 function addEntry(store: StoreServer, id: string, service: string, address: string): void {
     store.write("keyed.servers", id, { service, address, zone: "dc-a", slots: 64, state: "ready", seqno: 1 });
 }
 
-function send(port: number, path: string, id: string): Promise<boolean> {
-    return sendRequest(port, path, { host, authorization: `Bearer ${key}`, ...createPromptHeaders(id) });
+function send(port: number, path: string, id: string, tokens: string): Promise<boolean> {
+    const headers = createPromptHeaders(id, { "x-lynxarch-token-count": tokens });
+    if (tokens === "none") {
+        delete headers["x-lynxarch-token-count"];
+    }
+    return sendRequest(port, path, { host, authorization: `Bearer ${key}`, ...headers });
 }
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
 import type { Disposable } from "../base/lifecycle.js";
+import { ResponseWriter } from "./responseWriter.js";
 import type { UnsentBytes } from "./unsentBytes.js";
 import { UnsentResponse, type UnsentBody } from "./unsentResponse.js";
 
@@ -29,6 +30,7 @@
     private readonly cancellation = new CancellationTokenSource();
     private ended = false;
     private left = false;
+    private readonly writer: ResponseWriter;
     private readonly unsent: UnsentResponse | undefined;
     private readonly handleDisconnect = (): void => {
         if (!this.ended) {
@@ -46,7 +48,8 @@
         /** Bounds the unsent bytes of all responses together. */
         unsentBytes?: UnsentBytes,
     ) {
-        this.unsent = unsentBytes && new UnsentResponse(unsentBytes, response, () => this.endSlowReader());
+        this.writer = new ResponseWriter(response, () => this.unsent?.handleFlush());
+        this.unsent = unsentBytes && new UnsentResponse(unsentBytes, response, this.writer, () => this.endSlowReader());
         response.once("close", this.handleDisconnect);
         // Fires before the response's "close". Node closes the connection in this case anyway.
         request.socket.once("end", this.handleDisconnect);
@@ -138,8 +141,8 @@
         if (this.ended) {
             return;
         }
-        this.response.write(data, this.unsent?.handleFlush);
-        if (this.response.writableLength > maxUnsentBytes) {
+        this.writer.write(data);
+        if (this.writer.unsentBytes > maxUnsentBytes) {
             this.unsent?.recordOverlong();
             this.cancel();
         }
@@ -149,7 +152,7 @@
     public end(): void {
         if (!this.ended) {
             this.ended = true;
-            this.response.end();
+            this.writer.end();
             this.unsent?.handleWrite();
         }
     }
--- a/src/gateway/unsentResponse.ts
+++ b/src/gateway/unsentResponse.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { UnsentBytes, UnsentHolder } from "./unsentBytes.js";
 
-/** A request body that is being written to a target. */
+/** What is being written: a request's body to a target, or a response to its caller. */
 export interface UnsentBody {
     readonly unsentBytes: number;
 }
@@ -15,11 +15,11 @@
     private isClosed = false;
 
     /** To be called when the caller's socket has taken bytes. */
-    public readonly handleFlush = (): void => {
+    public handleFlush(): void {
         if (!this.isClosed) {
             this.unsent.updateAfterProgress(this);
         }
-    };
+    }
 
     private readonly handleTick = (): void => {
         this.isScheduled = false;
@@ -31,7 +31,8 @@
     /** `endSlowReader`: closes the caller's connection, also if the end of the response has been written but not been sent. */
     public constructor(
         private readonly unsent: UnsentBytes,
-        private readonly response: ServerResponse,
+        response: ServerResponse,
+        private readonly responseBody: UnsentBody,
         public readonly endSlowReader: () => void,
     ) {
         // Follows "finish"; a response that was ended holds bytes until then.
@@ -64,6 +65,6 @@
     }
 
     public countUnsentBytes(): number {
-        return this.response.writableLength + (this.body?.unsentBytes ?? 0);
+        return this.responseBody.unsentBytes + (this.body?.unsentBytes ?? 0);
     }
 }
--- a/test/fakes/usersPlatform/endlessServer.ts
+++ b/test/fakes/usersPlatform/endlessServer.ts
@@ -7,6 +7,7 @@
     | "interim"
     | "event"
     | "events"
+    | "chunked-events"
     | "tiny-pieces"
     | "unframed"
     | "failure"
@@ -22,6 +23,10 @@
     interim: ["", Buffer.from("HTTP/1.1 102 Processing\r\n\r\n".repeat(500))],
     event: [`${createHead("Content-Type: text/event-stream")}\r\n\r\nid: 1\ndata: `, filler],
     events: [`${createHead("Content-Type: text/event-stream")}\r\n\r\n`, Buffer.from("data: x\n\n".repeat(2_000))],
+    "chunked-events": [
+        `${createHead("Content-Type: text/event-stream")}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+        Buffer.from("9\r\ndata: x\n\n\r\n".repeat(1_000)),
+    ],
     "tiny-pieces": [
         `${createHead("Content-Type: text/event-stream")}\r\nTransfer-Encoding: chunked\r\n\r\n`,
         createTinyChunks(),
