Bound the time that endless responses take

Cause: a read of 64 KB holds 7,000 such events and is passed on in one go, for all connections in the same turn; and a target stays in use until five responses in a row have failed, as the first event of a probe closes its circuit.

Change: a connection that has passed on 1,024 chunks and events waits, and waiting connections go on one after the other for at most half of the time (ReadTurns). A response beyond the bounds of events, heads, interim responses, chunks or trailers opens the circuit at once; only a complete response closes it then.

--- a/src/decisions/health/circuitBreaker.ts
+++ b/src/decisions/health/circuitBreaker.ts
@@ -20,6 +20,8 @@
     private openUntilMs: number | undefined;
     private pauseMs = initialPauseMs;
     private probeId: string | undefined;
+    /** The target answered endlessly: output alone does not show that it has recovered. */
+    private needsSuccess = false;
 
     public constructor(private readonly random: Random) {}
 
@@ -48,9 +50,12 @@
 
     /**
      * The target produced its first output: work may be sent again, but only a completed request resets the failure
-     * count.
+     * count. After an endless response only a completed request closes the circuit.
      */
     public observeFirstOutput(): void {
+        if (this.needsSuccess) {
+            return;
+        }
         this.openUntilMs = undefined;
         this.probeId = undefined;
     }
@@ -58,6 +63,7 @@
     public observeSuccess(): void {
         this.failures = 0;
         this.pauseMs = initialPauseMs;
+        this.needsSuccess = false;
         this.observeFirstOutput();
     }
 
@@ -68,9 +74,13 @@
         }
     }
 
-    /** Records a request that failed at the target. Returns true if the failure opened the circuit. */
-    public observeFailure(id: string, nowMs: number): boolean {
-        this.failures += 1;
+    /**
+     * Records a request that failed at the target. Returns true if the failure opened the circuit. `isEndless`: the response exceeded all
+     * bounds; it costs far more than a failure, so that the first one opens the circuit.
+     */
+    public observeFailure(id: string, nowMs: number, isEndless = false): boolean {
+        this.failures = isEndless ? Math.max(failuresToOpen, this.failures + 1) : this.failures + 1;
+        this.needsSuccess ||= isEndless;
         const wasOpen = this.openUntilMs !== undefined;
         // Failures of requests that were already running when the circuit opened must not extend the pause.
         if ((wasOpen && this.probeId !== id) || this.failures < failuresToOpen) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -26,7 +26,12 @@
     /** The target executed the request and responded with an error, which has not been relayed to the caller. */
     | { readonly kind: "failed"; readonly answer: StoredResponse }
     /** A partial response, the response to another request, or no response; the request may have been executed. */
-    | { readonly kind: "broken"; readonly detail: string }
+    | {
+          readonly kind: "broken";
+          readonly detail: string;
+          /** The target sent more than any response to the request can hold. */
+          readonly isEndless?: boolean;
+      }
     /** Stopped by this router. */
     | { readonly kind: "stopped"; readonly reason: StopReason };
 
@@ -127,11 +132,18 @@
         }
     }
 
-    private handleData(chunk: Buffer): void {
+    /** Returns the number of events that were relayed. */
+    private handleData(chunk: Buffer): number {
         if (this.hasEnded || this.head === undefined) {
-            return;
+            return 0;
         }
-        if (!isSuccess(this.head.status)) {
+        const { relayedEvents } = this.relay;
+        this.handleBody(this.head.status, chunk);
+        return this.relay.relayedEvents - relayedEvents;
+    }
+
+    private handleBody(status: number, chunk: Buffer): void {
+        if (!isSuccess(status)) {
             this.errorBody.add(chunk);
             if (this.errorBody.length > maxErrorBodyBytes) {
                 this.fail("error response body exceeds its maximum size");
@@ -140,7 +152,7 @@
         }
         const output = this.relay.handleData(chunk);
         if (output === "overlong") {
-            this.fail("an event or the whole stream exceeds its maximum size");
+            this.fail("an event or the whole stream exceeds its maximum size", true);
         } else if (output !== "none") {
             this.observer.handleOutput(output === "first");
         }
@@ -176,14 +188,14 @@
         } else if (failure === "not-sent" || failure === "withheld") {
             this.endAttempt({ kind: "not-run", reason: failure, detail });
         } else {
-            this.endAttempt({ kind: "broken", detail });
+            this.endAttempt({ kind: "broken", detail, isEndless: failure === "endless" });
         }
     }
 
-    private fail(detail: string): void {
+    private fail(detail: string, isEndless = false): void {
         this.cancelSend?.();
         this.clearRelay();
-        this.endAttempt({ kind: "broken", detail });
+        this.endAttempt({ kind: "broken", detail, isEndless });
     }
 
     private clearRelay(): void {
--- a/src/gateway/createDirectory.ts
+++ b/src/gateway/createDirectory.ts
@@ -1,6 +1,7 @@
 import { BoundedExpiryGrace } from "../decisions/health/recordExpiryPolicy.js";
 import { computeRemovalBounds } from "./drainBudget.js";
 import type { FleetSource } from "./fleetSource.js";
+import { ReadTurns } from "./readTurns.js";
 import type { GatewaySettings } from "./settings.js";
 import { TargetDirectory, type TargetDirectoryOptions } from "./targetDirectory.js";
 
@@ -15,7 +16,7 @@
         clock,
         random,
         logger,
-        connectionLimits: { connectTimeoutMs, mostAnswerBytes },
+        connectionLimits: { connectTimeoutMs, mostAnswerBytes, readTurns: new ReadTurns(clock) },
         expiryPolicy: new BoundedExpiryGrace(() => source.health.targets, computeRemovalBounds(settings)),
     });
 }
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -3,6 +3,7 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Disposable } from "../base/lifecycle.js";
 import { isEndedByClose } from "../base/responseFraming.js";
+import type { ReadTurns } from "./readTurns.js";
 
 /** Keep-alive time for a target that announces none: such a target may close an idle connection within a second. */
 const defaultKeepAliveMs = 400;
@@ -21,6 +22,10 @@
 /** Maximum number of chunks of a body, in addition to one for each 32 bytes: each chunk costs far more than its bytes. */
 const maxExtraChunks = 65_536;
 const bodyBytesPerChunk = 32;
+/** Chunks and events that a connection passes on before it waits for its next turn. */
+const itemsPerTurn = 1_024;
+/** Codes of undici's errors for a head of a response that exceeds its maximum size. */
+const headOverflowCodes = new Set(["UND_ERR_HEADERS_OVERFLOW", "HPE_HEADER_OVERFLOW"]);
 /** Maximum number of interim responses (1xx) to one request. */
 const maxInterimResponses = 16;
 /** One shared instance: capturing the stack trace of an error would be the main cost of closing a socket. */
@@ -43,6 +48,8 @@
     | "withheld"
     /** The connection failed after the request was written; it may have reached the target. */
     | "broken"
+    /** The target sent more bytes outside the response body than any response needs; the request may have been executed. */
+    | "endless"
     | "cancelled";
 
 /** Receives a target's response; no further calls after `handleEnd` or `handleFailure`. */
@@ -52,7 +59,8 @@
     /** The request is being written; from now on the target may execute it. */
     handleSent(): void;
     handleHead(status: number, headers: IncomingHttpHeaders): void;
-    handleData(chunk: Buffer): void;
+    /** Returns the number of events that were relayed. */
+    handleData(chunk: Buffer): number;
     /** The connection has taken all bytes of the request. */
     handleDrain(): void;
     handleEnd(): void;
@@ -67,11 +75,14 @@
     readonly connectTimeoutMs: number;
     /** Maximum size of a response body; the connection is closed when a body exceeds it. */
     readonly mostAnswerBytes: number;
+    /** Shares the event loop among connections; undefined: each passes on all that it has received. */
+    readonly readTurns?: ReadTurns;
 }
 
 /** A connection to a target; carries one request at a time. */
 export class TargetConnection implements Disposable {
     private readonly client: Client;
+    private readonly readTurns: ReadTurns | undefined;
     private socket: Socket | undefined;
     private hasSocketError = false;
     private closed = false;
@@ -82,9 +93,10 @@
     /** `onDidClose`: called when the connection can't be used any more. */
     public constructor(
         address: string,
-        { connectTimeoutMs, mostAnswerBytes }: ConnectionLimits,
+        { connectTimeoutMs, mostAnswerBytes, readTurns }: ConnectionLimits,
         private readonly onDidClose: (connection: TargetConnection) => void,
     ) {
+        this.readTurns = readTurns;
         const connect = buildConnector({ timeout: connectTimeoutMs });
         this.client = new Client(`http://${address}`, {
             pipelining: 1,
@@ -124,10 +136,12 @@
 
     /** Sends a request; the connection must be usable. */
     public send(request: TargetRequest, listener: ResponseListener): CancelSend {
+        const { readTurns } = this;
         const exchange = new Exchange(request.method, listener, {
             hasSocketError: () => this.hasSocketError,
             hasRemoteAddress: () => this.socket?.remotePort !== undefined,
             countBytesRead: () => this.socket?.bytesRead ?? 0,
+            waitForTurn: readTurns && (resume => readTurns.add(resume)),
             release: () => {
                 this.exchange = undefined;
             },
@@ -179,6 +193,8 @@
     hasRemoteAddress(): boolean;
     /** Bytes read from the connection so far. */
     countBytesRead(): number;
+    /** Calls `resume` in a later turn of the event loop; undefined if the connection is not to wait. */
+    readonly waitForTurn: ((resume: () => void) => void) | undefined;
     release(): void;
     close(): void;
 }
@@ -193,6 +209,8 @@
     private bytesReadBefore = 0;
     private bodyBytes = 0;
     private chunks = 0;
+    /** Chunks and events since the last turn. */
+    private items = 0;
 
     public constructor(
         private readonly method: string,
@@ -224,7 +242,7 @@
         if (status < minFinalStatus) {
             this.interimResponses += 1;
             if (this.interimResponses > maxInterimResponses) {
-                this.fail("broken", "too many interim responses");
+                this.fail("endless", "too many interim responses");
             }
         } else {
             this.endsWithConnection = isEndedByClose(this.method, status, headers);
@@ -233,15 +251,20 @@
     }
 
     public onResponseData(...data: [Dispatcher.DispatchController, Buffer]): void {
-        const [, chunk] = data;
+        const [controller, chunk] = data;
         if (!this.hasEnded) {
             this.bodyBytes += chunk.length;
             this.chunks += 1;
             if (this.chunks > maxExtraChunks + this.bodyBytes / bodyBytesPerChunk) {
-                this.fail("broken", "response body with too many small chunks");
+                this.fail("endless", "response body with too many small chunks");
                 return;
             }
-            this.listener.handleData(chunk);
+            this.items += 1 + this.listener.handleData(chunk);
+            if (this.items >= itemsPerTurn && !this.hasEnded && this.owner.waitForTurn !== undefined) {
+                this.items = 0;
+                controller.pause();
+                this.owner.waitForTurn(() => controller.resume());
+            }
         }
     }
 
@@ -249,7 +272,7 @@
     public checkOverhead(): void {
         const overheadBytes = this.owner.countBytesRead() - this.bytesReadBefore - this.bodyBytes;
         if (!this.hasEnded && overheadBytes > maxOverheadBytes + this.bodyBytes * maxOverheadPerBodyByte) {
-            this.fail("broken", "too many bytes outside the response body");
+            this.fail("endless", "too many bytes outside the response body");
         }
     }
 
@@ -282,7 +305,9 @@
     public onResponseError(...failure: [Dispatcher.DispatchController, Error]): void {
         const [, error] = failure;
         if (!this.hasEnded) {
-            this.fail(this.isSent ? "broken" : "not-sent", describeError(error));
+            const { code = "" } = error as Error & { readonly code?: string };
+            const failure = headOverflowCodes.has(code) ? "endless" : "broken";
+            this.fail(this.isSent ? failure : "not-sent", describeError(error));
         }
     }
 
--- a/src/gateway/targetSend.ts
+++ b/src/gateway/targetSend.ts
@@ -124,7 +124,7 @@
                 this.recordSuccess();
                 break;
             case "broken":
-                this.recordFailure();
+                this.recordFailure(outcome.isEndless);
                 break;
             case "not-run":
                 this.recordNotExecuted(outcome.reason);
@@ -184,14 +184,14 @@
     }
 
     /** The target was unreachable or disconnected. */
-    private recordFailure(): void {
-        this.recordCircuitFailure();
+    private recordFailure(isEndless = false): void {
+        this.recordCircuitFailure(isEndless);
         this.removeParts();
     }
 
-    private recordCircuitFailure(): void {
+    private recordCircuitFailure(isEndless = false): void {
         const { target } = this.selection;
-        if (target.circuit.observeFailure(this.sendId, this.context.clock.nowMs())) {
+        if (target.circuit.observeFailure(this.sendId, this.context.clock.nowMs(), isEndless)) {
             this.context.logger.write("warn", "target paused after failures", { target: target.id });
         }
     }
--- a/test/decisions/health/circuitBreaker.test.ts
+++ b/test/decisions/health/circuitBreaker.test.ts
@@ -35,4 +35,34 @@
           ]
         `);
     });
+
+    // Output of a target that answers endlessly is no sign of recovery: each further response would take time from all other requests.
+    it("opens after one endless response, and then closes only after a complete one", () => {
+        const circuit = new CircuitBreaker(new SeededRandom(1));
+        const log: string[] = [];
+        log.push(circuit.observeFailure("r1", 1_000, true) ? "open" : "closed");
+        const probeAtMs = circuit.probeAtMs ?? 0;
+        circuit.observeStart("probe-1");
+        circuit.observeFirstOutput();
+        log.push(`after output ${circuit.canStart(probeAtMs)}`);
+        circuit.observeFailure("probe-1", probeAtMs, true);
+        log.push(`pauses ${Math.round(probeAtMs - 1_000)} ${Math.round((circuit.probeAtMs ?? 0) - probeAtMs)}`);
+        circuit.observeStart("probe-2");
+        circuit.observeNeutralEnd("probe-2");
+        log.push(`after a cancelled probe ${circuit.canStart(circuit.probeAtMs ?? 0)}`);
+        circuit.observeStart("probe-3");
+        circuit.observeSuccess();
+        log.push(`after a complete response ${circuit.canStart(probeAtMs)}`);
+        log.push(circuit.observeFailure("r2", 1_000) ? "open" : "closed");
+        expect(log).toMatchInlineSnapshot(`
+          [
+            "open",
+            "after output false",
+            "pauses 407 501",
+            "after a cancelled probe true",
+            "after a complete response true",
+            "closed",
+          ]
+        `);
+    });
 });
--- a/test/gateway/endlessResponses.test.ts
+++ b/test/gateway/endlessResponses.test.ts
@@ -1,4 +1,5 @@
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { CircuitBreaker } from "../../src/decisions/health/circuitBreaker.js";
 import { EndlessServer, type EndlessShape } from "../fakes/usersPlatform/endlessServer.js";
 import { createConfiguration, createPromptHeaders, GatewayFixture, waitUntil } from "./gatewayFixture.js";
 
@@ -62,6 +63,29 @@
         expect(Math.max(...server.takenBytes)).toBeLessThan(mostAnswerBytes + maxKernelBufferBytes);
     });
 
+    // A target that answers endlessly once does so again: each response takes as much time as thousands of requests.
+    it.each([
+        ["status-line", "/book/", "app"],
+        ["header", "/book/", "app"],
+        ["interim", "/book/", "app"],
+        ["chunk-extension", "/book/", "app"],
+        ["trailer", "/book/", "app"],
+        ["event", "/once/", "engines"],
+        ["events", "/once/", "engines"],
+        ["chunked-events", "/once/", "engines"],
+        ["tiny-pieces", "/once/", "engines"],
+    ] as const)("in a %s (%s) gets no further request until a probe", async (shape, path, service) => {
+        const observeFailure = vi.spyOn(CircuitBreaker.prototype, "observeFailure");
+        await fixture.current.start();
+        const server = await addEndless(shape, service);
+        await fixture.current.addRouter({ mostAnswerBytes });
+        await describeCall(path, "a1");
+        await waitUntil(() => server.openConnections === 0);
+        const opened = observeFailure.mock.results.map(({ value }) => value as boolean);
+        observeFailure.mockRestore();
+        expect(opened).toEqual([true]);
+    });
+
     // The response itself is complete. The bytes after it belong to no request and must not be relayed with the next one.
     it("after a complete response does not affect that response and is disconnected", async () => {
         await fixture.current.start();
--- a/test/gateway/resetResponses.test.ts
+++ b/test/gateway/resetResponses.test.ts
@@ -28,7 +28,10 @@
             canStart: () => true,
             handleSent: () => undefined,
             handleHead: status => (received = `${status} `),
-            handleData: chunk => (received += chunk.toString()),
+            handleData: chunk => {
+                received += chunk.toString();
+                return 0;
+            },
             handleDrain: () => undefined,
             handleEnd: () => resolve(received),
             handleFailure: () => resolve("failed"),
--- a/test/gateway/withheldRequest.test.ts
+++ b/test/gateway/withheldRequest.test.ts
@@ -23,7 +23,7 @@
                 handleDrain: () => undefined,
                 handleSent: () => resolve("sent"),
                 handleHead: () => undefined,
-                handleData: () => undefined,
+                handleData: () => 0,
                 handleEnd: () => undefined,
                 handleFailure: resolve,
             },
