Answer or refuse requests that last longer than a planned stop

Callers got a reset at the end of the grace period for requests that had been sent to a target, also for such that came after SIGTERM and may not be repeated.

Cause: a stop had no deadline for requests. It sent each one that came before the balancer's withdrawal, whatever it was going to take, and closed the connections of those that were still open at the end. Responses to requests that were open at SIGTERM said that their connection stays open.

Change: ShutdownDeadline lets a request, and each further attempt, be sent only if it is expected to end in time, by its own deadline or the 95th percentile of its route's durations; others get 503 at once. 0.6 s before the end open requests get 503 if they have not run, else 502, and streams end behind their last event.

--- a/bench/gateway/modelRouter.ts
+++ b/bench/gateway/modelRouter.ts
@@ -25,6 +25,7 @@
 import { Rollouts } from "../../src/gateway/rollouts/rollouts.js";
 import { LazyMap } from "../../src/gateway/lazyMap.js";
 import { gatewaySettingsSchema, type GatewaySettings } from "../../src/gateway/settings.js";
+import { ShutdownDeadline } from "../../src/gateway/shutdownDeadline.js";
 import { NoExpiryGrace } from "../../src/decisions/health/recordExpiryPolicy.js";
 import { StreamVersions } from "../../src/gateway/streams/streamVersions.js";
 import { TargetDirectory } from "../../src/gateway/targetDirectory.js";
@@ -132,6 +133,7 @@
             streams: createStreams(options, this.peers, this.directory),
             load: options.load ?? { shedShare: 0, loop: { delayMs: 0, utilization: 0, recentUtilization: 0 } },
             shares: this.shares,
+            shutdown: new ShutdownDeadline(clock),
             retryBudgets: new LazyMap(() => new RetryBudget()),
             firstTokenModels,
             prefillShares: readingShares,
--- a/src/base/httpConnections.ts
+++ b/src/base/httpConnections.ts
@@ -3,7 +3,7 @@
 
 /** Requests on one connection. */
 interface ConnectionState {
-    unsentResponses: number;
+    readonly unsentResponses: Set<ServerResponse>;
     /** Bytes read when the connection became idle; further bytes belong to a request. */
     idleBytesRead: number;
 }
@@ -34,15 +34,24 @@
         if (this.states.has(socket)) {
             return;
         }
-        this.states.set(socket, { unsentResponses: 0, idleBytesRead: 0 });
+        this.states.set(socket, { unsentResponses: new Set(), idleBytesRead: 0 });
         socket.once("close", () => this.remove(socket));
     }
 
+    /** Tells the clients of open requests, with the heads of their responses, that their connections will be closed. */
+    public closeWithResponses(): void {
+        for (const { unsentResponses } of this.states.values()) {
+            for (const response of unsentResponses) {
+                response.shouldKeepAlive = false;
+            }
+        }
+    }
+
     /** Accepts no new connections, and closes those without a request; the others stay until their responses have been sent. */
     public stopAccepting(): void {
         NetServer.prototype.close.call(this.server);
         for (const [socket, { unsentResponses, idleBytesRead }] of this.states) {
-            if (unsentResponses === 0 && socket.bytesRead === idleBytesRead) {
+            if (unsentResponses.size === 0 && socket.bytesRead === idleBytesRead) {
                 socket.destroy();
             }
         }
@@ -60,12 +69,12 @@
         if (state === undefined) {
             return;
         }
-        state.unsentResponses += 1;
+        state.unsentResponses.add(response);
         this.unsent += 1;
         // Follows "finish", or the end of the connection.
         response.once("close", () => {
             if (this.states.has(socket)) {
-                state.unsentResponses -= 1;
+                state.unsentResponses.delete(response);
                 state.idleBytesRead = socket.bytesRead;
                 this.unsent -= 1;
             }
@@ -73,7 +82,7 @@
     }
 
     private remove(socket: Socket): void {
-        this.unsent -= this.states.get(socket)?.unsentResponses ?? 0;
+        this.unsent -= this.states.get(socket)?.unsentResponses.size ?? 0;
         this.states.delete(socket);
     }
 }
--- a/src/events/explainFromLogs.ts
+++ b/src/events/explainFromLogs.ts
@@ -28,6 +28,7 @@
     "no-configuration": "the router had no configuration yet; it did not run",
     busy: "the router was too slow for what reached it; it did not run",
     stopping: "the router was stopping; it did not run",
+    "router-stopped": "the router stopped before its response was complete; it may have run",
     "no-route": "no route of the configuration in force takes it",
     "unknown-key": "the configuration in force has no client account with its key",
     "body-too-large": "its body is larger than the configuration allows",
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -181,6 +181,18 @@
         }
     }
 
+    /** Like {@link cancel}, once the data that has been written is sent. */
+    public cancelAfterSend(): void {
+        if (this.request.httpVersion === "1.0") {
+            this.cancel();
+        } else if (!this.ended) {
+            this.ended = true;
+            this.writer.sendCollected();
+            this.request.socket.destroySoon();
+            this.cancellation.cancel();
+        }
+    }
+
     /** Closes the connection of a response that is not read, also if its end has been written but not been sent. */
     private endSlowReader(): void {
         if (this.ended) {
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -108,6 +108,7 @@
     /** From now on closes each connection with its next response, so that callers reconnect to other routers before this one stops. */
     public closeWithResponses(): void {
         this.closesWithResponses = true;
+        this.connections.closeWithResponses();
     }
 
     /** Number of responses that callers' sockets have not taken completely. */
--- a/src/gateway/flowOutcomes.ts
+++ b/src/gateway/flowOutcomes.ts
@@ -91,6 +91,9 @@
 /** Retry delay after a failure of the router; other routers may not have it. Milliseconds. */
 const failedRetryMs = 200;
 
+/** Another router serves the request; the balancer may still choose this one. Milliseconds. */
+const stoppingRetryMs = 100;
+
 /** Creates the outcome of a request, and sends the final response if no target has completed one. */
 export class FlowOutcomes {
     public constructor(
@@ -162,6 +165,17 @@
         return this.answer("timeout", undefined, "timeout", "no response before the deadline");
     }
 
+    /** Ends a request that can't be completed before the router stops. `mayHaveRun`: whether a target may have executed it. */
+    public endStopping(mayHaveRun: boolean): FlowOutcome {
+        if (this.relay.isCommitted) {
+            this.caller.cancelAfterSend();
+            return this.createOutcome("broken", "the router is stopping", undefined);
+        }
+        return mayHaveRun
+            ? this.answer("router-stopped", undefined, "failed", "the router is stopping")
+            : this.refuse("stopping", stoppingRetryMs);
+    }
+
     private answer(
         reason: RouterResponseReason,
         retryAfterMs: number | undefined,
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -17,6 +17,7 @@
 import type { StreamVersions } from "./streams/streamVersions.js";
 import type { LazyMap } from "./lazyMap.js";
 import type { GatewaySettings } from "./settings.js";
+import type { ShutdownDeadline } from "./shutdownDeadline.js";
 import type { TargetDirectory } from "./targetDirectory.js";
 import type { HeaderCodec } from "./wire.js";
 
@@ -38,6 +39,7 @@
     /** Load of this router's event loop. */
     readonly load: Pick<LoadSource, "shedShare" | "loop">;
     readonly shares: AccountShares;
+    readonly shutdown: ShutdownDeadline;
     /** By service name. */
     readonly retryBudgets: LazyMap<RetryBudget>;
     /** By service name. */
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -41,6 +41,7 @@
 import { SnapshotTransfer } from "./peers/snapshotTransfer.js";
 import { listenOn, type HttpListener } from "../control/server.js";
 import type { GatewaySettings } from "./settings.js";
+import { ShutdownDeadline } from "./shutdownDeadline.js";
 import { createStreams } from "./streams/createStreams.js";
 import type { StreamVersions } from "./streams/streamVersions.js";
 import type { HeaderCodec } from "./wire.js";
@@ -125,6 +126,7 @@
             sleep: sleepOnTimer,
         };
         const learned = createLearnedState(settings);
+        const shutdown = this.store.add(new ShutdownDeadline(clock));
         const grants = createGrants({
             ...common,
             ...learned,
@@ -187,6 +189,7 @@
             streams: this.streams,
             load: this.load,
             shares,
+            shutdown,
             retryBudgets: new LazyMap(
                 () =>
                     new RetryBudget(
@@ -213,6 +216,7 @@
         );
         this.gracefulStop = new GracefulStop({
             logger,
+            shutdown,
             service: this.service,
             callers: this.callers,
             sharing: this.sharing,
--- a/src/gateway/gatewayService.ts
+++ b/src/gateway/gatewayService.ts
@@ -243,6 +243,9 @@
             this.sendRouterResponse(caller, head, routed, "suspect-runs", retryAfterMs);
         } else {
             const end = await new RequestFlow(this.context, caller, request, guard).run();
+            if (end.outcome !== "refused" && end.outcome !== "left") {
+                this.context.shutdown.observeDuration(request.route.name, this.context.clock.nowMs() - arrivedAtMs);
+            }
             this.fireEnd(head, arrivedAtMs, end, routed);
         }
     }
--- a/src/gateway/gracefulStop.ts
+++ b/src/gateway/gracefulStop.ts
@@ -1,15 +1,17 @@
-import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
+import { CancellationTokenSource } from "../base/cancellation.js";
 import type { Logger } from "../base/log.js";
 import { sleepOnTimer } from "../base/sleep.js";
 import type { HttpListener } from "../control/server.js";
 import type { CallerServer } from "./callerServer.js";
 import type { ConnectionSharing } from "./connectionSharing.js";
 import type { GatewayService } from "./gatewayService.js";
+import type { ShutdownDeadline } from "./shutdownDeadline.js";
 import type { StreamVersions } from "./streams/streamVersions.js";
 
 /** What a stopping router closes and waits for. */
 export interface StoppingParts {
     readonly logger: Logger;
+    readonly shutdown: Pick<ShutdownDeadline, "start" | "end">;
     readonly service: Pick<GatewayService, "openRequests" | "refuseNewRequests">;
     readonly callers: Pick<CallerServer, "unsentResponses" | "closeWithResponses" | "stopAccepting">;
     readonly sharing: Pick<ConnectionSharing, "open" | "stopOffering" | "stopAccepting">;
@@ -21,42 +23,52 @@
 /** The balancer checks readiness once a second and sends no new connections after two failed checks; milliseconds. */
 const balancerWithdrawalMs = 2_500;
 const openPollMs = 50;
-/** Part of the stop grace period reserved for closing sockets and ending the process; milliseconds. */
-const exitMarginMs = 800;
+/** Part of the grace period reserved for sending the responses of requests that had to be ended; milliseconds. */
+const responseMarginMs = 600;
+/** Part of the grace period reserved for closing sockets and ending the process; milliseconds. */
+const exitMarginMs = 250;
 
-/** Stops a router within a grace period: waits until the balancer has withdrawn it, then until all responses have been sent. */
+/**
+ * Stops a router within a grace period: waits until the balancer has withdrawn it, then until all requests have ended and their responses
+ * have been sent. Requests that last longer are ended with a response in time.
+ */
 export class GracefulStop {
     public constructor(private readonly parts: StoppingParts) {}
 
     public async run(graceMs: number): Promise<void> {
-        const { logger, service, callers, sharing, streams } = this.parts;
+        const { logger, shutdown, service, callers, sharing, listeners, streams } = this.parts;
         logger.write("info", "stopping", { openRequests: service.openRequests });
-        const cancellation = new CancellationTokenSource();
-        const timer = setTimeout(() => cancellation.cancel(), graceMs - exitMarginMs);
+        const requests = new CancellationTokenSource();
+        const process = new CancellationTokenSource();
+        const timers = [
+            setTimeout(() => requests.cancel(), graceMs - responseMarginMs),
+            setTimeout(() => process.cancel(), graceMs - exitMarginMs),
+        ];
+        shutdown.start(graceMs - responseMarginMs);
         callers.closeWithResponses();
         sharing.stopOffering();
-        await sleepOnTimer(balancerWithdrawalMs, cancellation.token);
+        await sleepOnTimer(balancerWithdrawalMs, requests.token);
         service.refuseNewRequests();
         callers.stopAccepting();
         sharing.stopAccepting();
-        await this.waitForOpen(cancellation.token);
-        clearTimeout(timer);
+        await waitForZero(() => service.openRequests, requests);
+        const endedRequests = service.openRequests;
+        shutdown.end();
         streams.sendAll();
+        // A response that has been ended still waits for its reader.
+        const countUnsent = (): number =>
+            [callers, ...listeners].reduce((sum, { unsentResponses }) => sum + unsentResponses, 0) + sharing.open;
+        await waitForZero(() => service.openRequests + countUnsent(), process);
+        timers.forEach(timer => clearTimeout(timer));
         // Node hands a datagram over to the system one turn later, and drops those of a socket that has been closed.
         await new Promise(resolve => setImmediate(resolve));
-        const { unsentResponses } = callers;
-        logger.write("info", "stopped", { openRequests: service.openRequests, unsentResponses });
+        logger.write("info", "stopped", { endedRequests, unsentResponses: callers.unsentResponses });
     }
+}
 
-    /** A response that has been ended still waits for its reader. */
-    private async waitForOpen(token: CancellationToken): Promise<void> {
-        const { service, callers, sharing, listeners } = this.parts;
-        const countOpen = (): number =>
-            [callers, ...listeners].reduce((sum, { unsentResponses }) => sum + unsentResponses, 0) +
-            service.openRequests +
-            sharing.open;
-        while (countOpen() > 0 && !token.isCancelled) {
-            await sleepOnTimer(openPollMs, token);
-        }
+/** Waits until a count is zero, or until the source is cancelled. */
+async function waitForZero(count: () => number, { token }: CancellationTokenSource): Promise<void> {
+    while (count() > 0 && !token.isCancelled) {
+        await sleepOnTimer(openPollMs, token);
     }
 }
--- a/src/gateway/requestFlow.ts
+++ b/src/gateway/requestFlow.ts
@@ -115,7 +115,11 @@
         const remainingMs = this.deadlineAtMs - this.context.clock.nowMs();
         this.store.add(setTimerAfterReads(Math.max(0, remainingMs), () => this.stop("deadline")));
         this.store.add(this.caller.token.onDidCancel(() => this.stop("left")));
+        this.store.add(this.context.shutdown.token.onDidCancel(() => this.stop("stopping")));
         try {
+            if (!this.canComplete()) {
+                return this.outcomes.endStopping(false);
+            }
             const flowOutcome = await this.runAttempts();
             if (!this.history.mayHaveBeenExecuted && flowOutcome.outcome === "refused") {
                 this.charge.removeServed();
@@ -168,9 +172,10 @@
 
     /** Runs an attempt, and those that replace it. The final outcome of the request; undefined to start another attempt. */
     private async runAttempt(selection: Selection): Promise<FlowOutcome | undefined> {
-        if (this.stopReason !== undefined) {
+        const stopReason = this.stopReason ?? (this.canComplete() ? undefined : "stopping");
+        if (stopReason !== undefined) {
             selection.grant?.report("not-run");
-            return this.handleStopped(this.stopReason);
+            return this.handleStopped(stopReason, false);
         }
         this.selection = selection;
         this.tried.add(selection.target);
@@ -290,7 +295,8 @@
         }
     }
 
-    private handleStopped(reason: StopReason): FlowOutcome | undefined {
+    /** `isWritten`: whether the attempt that was stopped had been written to its target. */
+    private handleStopped(reason: StopReason, isWritten = this.attempts.isWritten): FlowOutcome | undefined {
         if (reason === "left") {
             return this.outcomes.createOutcome("left", this.caller.endReason, undefined);
         }
@@ -298,15 +304,15 @@
             this.history.recordExecuted(undefined);
             return undefined;
         }
-        return this.outcomes.endTimedOut();
+        const mayHaveRun = this.history.mayHaveBeenExecuted || isWritten;
+        return reason === "stopping" ? this.outcomes.endStopping(mayHaveRun) : this.outcomes.endTimedOut();
     }
 
     /** Whether a request that was not executed may go to another target; one that a target refused is charged to the retry budget. */
     private canRetryNotExecuted(reason: NotExecutedReason): boolean {
-        if (this.history.hasTooManyNotExecuted || this.isOutOfTime()) {
-            return false;
-        }
-        return reason !== "refused" || (this.history.sent < this.routed.route.maxAttempts && this.takeRetry());
+        const { maxAttempts } = this.routed.route;
+        const mayRetry = !this.history.hasTooManyNotExecuted && !this.isOutOfTime();
+        return mayRetry && (reason !== "refused" || (this.history.sent < maxAttempts && this.takeRetry()));
     }
 
     private canRepeat(): boolean {
@@ -316,9 +322,14 @@
         );
     }
 
-    /** Whether no further attempt may start: the flow was stopped, or its deadline has been reached. */
+    /** Whether no further attempt may start: the flow was stopped, its deadline has been reached, or the router stops too soon. */
     private isOutOfTime(): boolean {
-        return this.stopReason !== undefined || this.context.clock.nowMs() >= this.deadlineAtMs;
+        return this.stopReason !== undefined || this.context.clock.nowMs() >= this.deadlineAtMs || !this.canComplete();
+    }
+
+    /** Whether an attempt that starts now is expected to end before the router stops. */
+    private canComplete(): boolean {
+        return this.context.shutdown.canComplete(this.routed.route.name, this.deadlineAtMs, this.isRepeatable);
     }
 
     private takeRetry(): boolean {
--- a/src/gateway/responseWriter.ts
+++ b/src/gateway/responseWriter.ts
@@ -58,6 +58,14 @@
         }
     }
 
+    /** Writes what has been collected without waiting for the socket. */
+    public sendCollected(): void {
+        const data = this.takeCollected();
+        if (data !== undefined) {
+            this.response.write(data);
+        }
+    }
+
     /** Writes what has been collected, and ends the response. */
     public end(): void {
         this.response.end(this.takeCollected());
--- a/src/gateway/routerResponse.ts
+++ b/src/gateway/routerResponse.ts
@@ -14,6 +14,7 @@
     | "busy"
     | "returned"
     | "stopping"
+    | "router-stopped"
     | "target-broke"
     | "crashes-targets"
     | "part-crashes-targets"
@@ -40,6 +41,7 @@
     "unknown-key": [401, "The key names no client account"],
     "bad-request": [400, "The request does not name itself"],
     "body-too-large": [413, "The body is larger than allowed"],
+    "router-stopped": [502, "The router stopped before the response was complete; the request may have run"],
     "target-broke": [502, "The target broke off; the request may have run"],
     "crashes-targets": [502, "The request crashed the targets that ran it, and is not sent to further ones"],
     "part-crashes-targets": [
