Keep the records of a running target after a drill

Cause: AvailabilityRegistry took each start time that it had not seen for a newer one, also that of the store's older copy, and the running start for a past one.

Change: changes that are read while the store settles after a restore say so; an unknown, earlier start then counts as past.

--- a/src/gateway/fleetSource.ts
+++ b/src/gateway/fleetSource.ts
@@ -30,8 +30,14 @@
 /** One change of the platform's records. */
 export type FleetChange =
     | { readonly kind: "configuration"; readonly configuration: GatewayConfiguration }
-    /** `entry` undefined: the registration was removed. */
-    | { readonly kind: "target"; readonly id: string; readonly entry: TargetEntry | undefined }
+    | {
+          readonly kind: "target";
+          readonly id: string;
+          /** Undefined: the registration was removed. */
+          readonly entry: TargetEntry | undefined;
+          /** The store was restored from an older copy a moment ago, from which the entry may be. */
+          readonly mayBeOutdated?: boolean;
+      }
     /** A data centre was taken out of service, or put back into service. */
     | { readonly kind: "data-centre"; readonly dataCentre: string; readonly isOut: boolean }
     /** `order` undefined: the operators withdrew it. */
--- a/src/gateway/targetDirectory.ts
+++ b/src/gateway/targetDirectory.ts
@@ -67,7 +67,7 @@
     /** Applies a change of a target's registration or of a data centre. */
     public applyChange(change: FleetChange): void {
         if (change.kind === "target") {
-            this.applyEntry(change.id, change.entry);
+            this.applyEntry(change.id, change.entry, change.mayBeOutdated === true);
         } else if (change.kind === "data-centre") {
             this.applyDataCentre(change.dataCentre, change.isOut);
         }
@@ -196,12 +196,9 @@
         this.byService.clear();
     }
 
-    private applyEntry(id: string, entry: TargetEntry | undefined): void {
+    private applyEntry(id: string, entry: TargetEntry | undefined, mayBeOutdated: boolean): void {
         // An outdated record would revert a restarted target to its earlier incarnation and discard its current state.
-        if (
-            entry !== undefined &&
-            !this.availabilities.recordStart({ idHash: hashFast(id), startedAtMs: entry.startedAtMs })
-        ) {
+        if (entry !== undefined && !this.recordStart(entry, mayBeOutdated)) {
             this.options.logger.write("info", "target record of an earlier start ignored", { target: id });
             return;
         }
@@ -237,6 +234,11 @@
         this.observeRecord(existing);
     }
 
+    private recordStart({ id, startedAtMs }: TargetEntry, mayBeOutdated: boolean): boolean {
+        const readAtMs = this.options.clock.nowMs();
+        return this.availabilities.recordStart({ idHash: hashFast(id), startedAtMs, readAtMs, mayBeOutdated });
+    }
+
     private observeRecord(target: Target): void {
         if (target.entry.state === "draining") {
             this.signals.recordLeaving(target.availability, target.id, "record");
