Require the request's id in refusals of targets

Cause: Attempt accepted refusals without an id as the response to the request that waits on the connection. Targets echo the id in all responses, and it is what tells an extra response apart.

Change: a response without the request's id breaks the attempt. The targets of our tests left the id out of refusals, contrary to the protocol; they send it now, and a target that leaves it out has a test of its own.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -110,10 +110,9 @@
     private handleHead(status: number, headers: IncomingHttpHeaders): void {
         const decoded = this.codec.decodeResponse(status, headers, this.clock.nowDate());
         const head = { status, headers, decoded };
-        // A response that a target sends late or twice arrives where the response to the next request is expected. Without
-        // the comparison of ids one caller would receive the response to another caller's request.
-        const isAnonymousRefusal = decoded.requestId === undefined && (decoded.isNotExecuted || decoded.isOtherTarget);
-        if (decoded.requestId !== this.requestId && !isAnonymousRefusal) {
+        // A response that a target sends late or twice arrives where the response to the next request is expected. Without the comparison of
+        // ids one caller would receive the response to another caller's request, or be told that a request was refused which runs.
+        if (decoded.requestId !== this.requestId) {
             this.fail("the response belongs to another request");
             return;
         }
--- a/test/fakes/usersPlatform/targetServer.ts
+++ b/test/fakes/usersPlatform/targetServer.ts
@@ -91,6 +91,8 @@
     public onDidEnd: (() => void) | undefined;
     /** All its answers say that it is leaving; it goes on serving. */
     public isLeaving = false;
+    /** Its refusals don't name the request. */
+    public omitsRefusalIds = false;
     /** `Retry-After` of refusals; undefined: none. */
     public retryAfter: string | undefined;
     public refusesLists = false;
@@ -232,6 +234,9 @@
         response.on("close", () => {
             received.isAborted = !response.writableFinished;
         });
+        if (received.id !== undefined && !this.omitsRefusalIds) {
+            response.setHeader("X-Lynxarch-Attempt-Id", received.id);
+        }
         const expected = request.headers["x-lynxarch-expect-instance"];
         if (expected !== undefined && expected !== this.instanceId) {
             response.writeHead(421, { "X-Lynxarch-Instance-Id": this.instanceId }).end();
--- a/test/gateway/responses.test.ts
+++ b/test/gateway/responses.test.ts
@@ -73,6 +73,28 @@
         expect([rest["x-lynxarch-expect-instance"], rest.authorization]).toEqual(["app-1", undefined]);
     });
 
+    // Bytes behind an earlier response that look like a refusal were taken for the response to the next request, which ran: its caller was
+    // told that it had not, or it was sent to a second target.
+    it("is not a refusal of the request if it does not name it", async () => {
+        const target = await startPlain();
+        target.omitsRefusalIds = true;
+        target.scripts.push("shed");
+        const response = await fixture.current.send({
+            path: "/book/x",
+            headers: { "x-lynxarch-attempt-id": "a1" },
+        });
+        expect(describeResponse(response)).toMatchInlineSnapshot(`
+          {
+            "body": "target-broke",
+            "isIncomplete": false,
+            "retryAfter": false,
+            "signature": undefined,
+            "status": 502,
+          }
+        `);
+        expect(target.received.length).toBe(1);
+    });
+
     // The target resets the connection in the middle of a response without a length. HTTP clients treat any end of the
     // connection as the end of such a response, so the caller would accept the partial body. If the reset directly follows the
     // bytes, libuv reports a regular end: it reads the bytes, detects the hang-up and does not query the error.
