Names and comments of the stop and the start times

Read as a newcomer: a local variable hid Node's process object, and three doc lines said less than, or the opposite of, what the code does. No change of behaviour; types, lint and format pass.

--- a/src/base/httpConnections.ts
+++ b/src/base/httpConnections.ts
@@ -24,7 +24,7 @@
         );
     }
 
-    /** Number of responses that have not been sent completely; their connections may have closed since. */
+    /** Number of responses that their connections have not taken completely. */
     public get unsentResponses(): number {
         return this.unsent;
     }
--- a/src/decisions/health/availabilityRegistry.ts
+++ b/src/decisions/health/availabilityRegistry.ts
@@ -61,8 +61,8 @@
 
     /**
      * Records the start time from a target's record. Returns false if the record is of an earlier start: another start time has been read
-     * since, or is the later one of the two while the store may have been restored from an older copy. Otherwise start times are only
-     * tested for equality, because a target's clock may jump.
+     * since, or the record may be from an older copy of the store and the start time known so far is later. At other times start times are
+     * only tested for equality, because a target's clock may jump.
      */
     public recordStart({ idHash, startedAtMs, readAtMs, mayBeOutdated }: RecordedStart): boolean {
         if (startedAtMs === undefined) {
--- a/src/gateway/connectionRelay.ts
+++ b/src/gateway/connectionRelay.ts
@@ -110,6 +110,7 @@
         socket.once("close", () => (this.isDisconnected = true));
     }
 
+    /** Whether the caller has sent data. */
     public get hasData(): boolean {
         return this.isWaiting;
     }
--- a/src/gateway/gracefulStop.ts
+++ b/src/gateway/gracefulStop.ts
@@ -38,27 +38,27 @@
     public async run(graceMs: number): Promise<void> {
         const { logger, shutdown, service, callers, sharing, listeners, streams } = this.parts;
         logger.write("info", "stopping", { openRequests: service.openRequests });
-        const requests = new CancellationTokenSource();
-        const process = new CancellationTokenSource();
+        const requestsEnd = new CancellationTokenSource();
+        const processEnd = new CancellationTokenSource();
         const timers = [
-            setTimeout(() => requests.cancel(), graceMs - responseMarginMs),
-            setTimeout(() => process.cancel(), graceMs - exitMarginMs),
+            setTimeout(() => requestsEnd.cancel(), graceMs - responseMarginMs),
+            setTimeout(() => processEnd.cancel(), graceMs - exitMarginMs),
         ];
         shutdown.start(graceMs - responseMarginMs);
         callers.closeWithResponses();
         sharing.stopOffering();
-        await sleepOnTimer(balancerWithdrawalMs, requests.token);
+        await sleepOnTimer(balancerWithdrawalMs, requestsEnd.token);
         service.refuseNewRequests();
         callers.stopAccepting();
         sharing.stopAccepting();
-        await waitForZero(() => service.openRequests, requests);
+        await waitForZero(() => service.openRequests, requestsEnd);
         const endedRequests = service.openRequests;
         shutdown.end();
         streams.sendAll();
         // A response that has been ended still waits for its reader.
         const countUnsent = (): number =>
             [callers, ...listeners].reduce((sum, { unsentResponses }) => sum + unsentResponses, 0) + sharing.open;
-        await waitForZero(() => service.openRequests + countUnsent(), process);
+        await waitForZero(() => service.openRequests + countUnsent(), processEnd);
         timers.forEach(timer => clearTimeout(timer));
         // Node hands a datagram over to the system one turn later, and drops those of a socket that has been closed.
         await new Promise(resolve => setImmediate(resolve));
