Hold bodies in blocks, however small their pieces are

Cause: a body was kept as the list of the pieces in which it arrived, each an object of some 250 bytes with a memory block of its own, and the budget for bodies counts bytes. One body of 4,194,304 bytes in chunks of one byte, inside max_body_bytes, ended a router with a heap of 64 MB. Change: BodyBuffer copies small pieces into blocks of up to 64 KB; the router on the users' platform and the agents use it. The budget counts the same bytes as before.

--- a/src/agent/workServer.ts
+++ b/src/agent/workServer.ts
@@ -3,6 +3,7 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import type { Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
+import { BodyBuffer } from "../base/bodyBuffer.js";
 import { envelopeHeader, workEnvelopeSchema, workPath, type WorkEnvelope } from "../control/frames.js";
 import { isSameSecret, toAuthorization } from "../control/secret.js";
 import type { AnswerFollower } from "./answerFollower.js";
@@ -48,19 +49,17 @@
 }
 
 async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    const parts: Buffer[] = [];
-    let size = 0;
+    const body = new BodyBuffer();
     try {
         for await (const part of incoming) {
-            size += (part as Buffer).length;
-            if (size > maxBytes) {
+            body.add(part as Buffer);
+            if (body.length > maxBytes) {
                 return undefined;
             }
-            parts.push(part as Buffer);
         }
     } catch {
         // The router left while it was sending: nothing was offered, so nothing can have run.
         return undefined;
     }
-    return Buffer.concat(parts);
+    return body.take();
 }
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
+import { BodyBuffer } from "../base/bodyBuffer.js";
 import type { Disposable } from "../base/lifecycle.js";
 import { ResponseWriter } from "./responseWriter.js";
 import type { UnsentBytes } from "./unsentBytes.js";
@@ -80,21 +81,23 @@
     public readBody(bounds: BodyLimits): Promise<Result<Buffer | undefined, BodyReadError>> {
         const { request } = this;
         return new Promise(resolve => {
-            const chunks: Buffer[] = [];
-            let size = 0;
+            const body = new BodyBuffer();
             request.on("data", (chunk: Buffer) => {
-                size += chunk.length;
                 const fault =
-                    size > bounds.maxBytes ? "too-large" : bounds.hasCapacity(chunk.length) ? undefined : "no-room";
+                    body.length + chunk.length > bounds.maxBytes
+                        ? "too-large"
+                        : bounds.hasCapacity(chunk.length)
+                          ? undefined
+                          : "no-room";
                 if (fault !== undefined) {
                     request.pause();
                     request.removeAllListeners("data");
                     resolve(err(fault));
                     return;
                 }
-                chunks.push(chunk);
+                body.add(chunk);
             });
-            request.once("end", () => resolve(ok(size === 0 ? undefined : Buffer.concat(chunks, size))));
+            request.once("end", () => resolve(ok(body.length === 0 ? undefined : body.take())));
             request.once("close", () => resolve(err("left")));
         });
     }
