Wait for the store's records after the clock was advanced in a test

Cause of the failure in formerVersions.test.ts that was listed as not traced: the test advances the routers' clock by 48 s and waited for peers only, which are known at once. Change: the test waits until each router's metrics show a view that is younger than the advance.

--- a/test/gateway/streams/formerVersions.test.ts
+++ b/test/gateway/streams/formerVersions.test.ts
@@ -15,10 +15,11 @@
 
 afterEach(() => fixture.current.dispose());
 
-/** Advances the routers' clock, and waits until they have heard from each other since. */
+/** Advances the routers' clock, and waits until they know each other and have read the targets' records since. */
 async function advanceTime(ms: number): Promise<void> {
     fixture.clock.advance(ms);
     await fixture.current.waitForPeers();
+    await fixture.current.waitForRecords();
 }
 
 function createRefusals(code: string): object {
--- a/test/gateway/streams/streamFixture.ts
+++ b/test/gateway/streams/streamFixture.ts
@@ -27,6 +27,8 @@
 /** Time between two events of a target, long enough to interrupt a stream between them; milliseconds. */
 const eventPauseMs = 40;
 const eventsBeforeDisconnect = 2;
+/** Less than clocks are advanced by in a test. */
+const maxViewAgeSeconds = 0.1;
 /** Topic in which the routers record the versions of services. */
 export const versionTopic = "keyed.versions";
 
@@ -62,6 +64,17 @@
         await waitUntil(() => this.routers.every(({ daemon }) => daemon.knownRouterCount === this.routers.length));
     }
 
+    /** Waits until each router has read the targets' records since its clock was advanced. */
+    public async waitForRecords(): Promise<void> {
+        for (const { settings } of this.routers) {
+            await waitUntil(async () => {
+                const response = await fetch(`http://${settings.ip}:${settings.metricsPort}/metrics`);
+                const age = /^lynxarch_targets_view_age_seconds (.+)$/m.exec(await response.text())?.[1];
+                return Number(age) < maxViewAgeSeconds;
+            });
+        }
+    }
+
     public async addVersion(version: string, count: number, service = "engines"): Promise<void> {
         for (let index = 0; index < count; index++) {
             const target = await this.addTarget("engines", `${version}-${this.targets.length}`, { version, service });
