Read the requests of a connection one after the other

Callers saw: routers that ended, out of memory, or that served nobody for seconds, while clients sent requests ahead: without the usual headers, at the readiness path, at paths without a route, and others, read or unread. Change: RequestReader passes on at most one head at a time and the next one once the response before it has been sent; the rest stays in the paused socket. InputBudget bounds the sum over connections of all servers; ReadTurns bounds the share of the event loop. New connections replace those that send ahead or are idle where there is no place, responses that are not read end their connection after a minute, and one with unread input is ended before it is closed. All servers of both ways to run. The daemons bound the bodies of open requests together.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,6 +5,7 @@
     ["base"],
     ["events"],
     ["decisions"],
+    ["http"],
     ["document"],
     ["infrastructure"],
     ["fleet"],
--- a/scripts/routerProcess.ts
+++ b/scripts/routerProcess.ts
@@ -8,6 +8,8 @@
 const program = "target/router.mjs";
 const ip = "127.0.0.1";
 const tickMs = 10;
+/** Heap size of deploy/system.toml; megabytes. */
+const defaultHeapMb = 160;
 
 /** Options of {@link startRouter}. */
 export interface RouterProcessOptions {
@@ -16,11 +18,17 @@
     readonly callers: number;
     readonly limits: { readonly memoryMb: number; readonly maxDescriptors: number };
     readonly metricsPort?: number;
+    /** Port for the balancer; a free one if it is absent. */
+    readonly readiness?: number;
+    /** Port for operators; not served if it is absent. */
+    readonly control?: number;
+    /** Maximum size of the heap; megabytes. */
+    readonly heapMb?: number;
 }
 
 /** Starts the bundled router as a process of its own on a loopback address. */
 export async function startRouter(options: RouterProcessOptions): Promise<ChildProcess> {
-    const { storeAddress, callers, limits, metricsPort } = options;
+    const { storeAddress, callers, limits, metricsPort, readiness, control, heapMb = defaultHeapMb } = options;
     const file = join(mkdtempSync(join(tmpdir(), "lynxarch-")), "settings.json");
     const peers = await findFreePort();
     writeFileSync(
@@ -30,7 +38,8 @@
             ip,
             dataCentre: "dc-a",
             callers: `${ip}:${callers}`,
-            readiness: `${ip}:${await findFreePort()}`,
+            readiness: `${ip}:${readiness ?? (await findFreePort())}`,
+            control: control === undefined ? undefined : `${ip}:${control}`,
             peerPorts: [peers, peers],
             seeds: [],
             store: { address: storeAddress },
@@ -40,7 +49,7 @@
             metricsPort,
         }),
     );
-    const flags = ["--max-old-space-size=160", "--max-semi-space-size=8"];
+    const flags = [`--max-old-space-size=${heapMb}`, "--max-semi-space-size=8"];
     return spawn(process.execPath, [...flags, program, "--settings", file], { stdio: ["ignore", "ignore", "inherit"] });
 }
 
--- a/src/control/server.ts
+++ b/src/control/server.ts
@@ -4,8 +4,8 @@
 import { ResultAsync } from "neverthrow";
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
-import { HttpConnections } from "../base/httpConnections.js";
 import type { Disposable } from "../base/lifecycle.js";
+import { HttpConnections, type HttpConnectionOptions } from "../http/httpConnections.js";
 import { controlRouter } from "./controlApi.js";
 import { ControlError } from "./errors.js";
 import type { ControlHost } from "./host.js";
@@ -18,6 +18,8 @@
  */
 const idleConnectionMs = 75_000;
 const maxControlBodyBytes = 4 * 1024 * 1024;
+/** Connections that a server accepts beyond the number from which on new ones replace others, as a fraction of that number. */
+const extraConnectionShare = 0.25;
 
 /** Whether the daemon lives, and whether the balancer may send it callers. */
 export interface HealthSource {
@@ -53,14 +55,19 @@
     return app;
 }
 
-/** Listens with an app. Errors: the address is taken or not ours. */
-export function listenOn(app: Hono, host: string, port: number): ResultAsync<HttpListener, ControlError> {
+/** Listens with an app. `options`: limits for clients' connections. Errors: the address is taken or not ours. */
+export function listenOn(
+    app: Hono,
+    host: string,
+    port: number,
+    options: HttpConnectionOptions,
+): ResultAsync<HttpListener, ControlError> {
     const listening = new Promise<HttpListener>((resolve, reject) => {
         const serverOptions = { keepAliveTimeout: idleConnectionMs };
         const server = serve({ fetch: app.fetch, hostname: host, port, serverOptions }, () =>
             resolve(listener),
         ) as Server;
-        const listener = new HttpListener(server);
+        const listener = new HttpListener(server, options);
         server.once("error", reject);
     });
     return ResultAsync.fromPromise(
@@ -73,8 +80,9 @@
 export class HttpListener implements Disposable {
     private readonly connections: HttpConnections;
 
-    public constructor(server: Server) {
-        this.connections = new HttpConnections(server);
+    public constructor(server: Server, options: HttpConnectionOptions) {
+        this.connections = new HttpConnections(server, options);
+        server.maxConnections = Math.ceil(options.maxConnections * (1 + extraConnectionShare));
         server.on("connection", (socket: Socket) => this.connections.add(socket));
     }
 
--- a/src/daemon/agentDaemon.ts
+++ b/src/daemon/agentDaemon.ts
@@ -120,7 +120,7 @@
         };
         addWorkRoute(app, taker, this.parts.secret, getMaxBodyBytes);
         const { host, port } = this.settings.listen;
-        return (await listenOn(app, host, port)).map(listener => {
+        return (await listenOn(app, host, port, this.parts.connections)).map(listener => {
             this.listener = this.store.add(listener);
         });
     }
--- a/src/daemon/commonParts.ts
+++ b/src/daemon/commonParts.ts
@@ -10,6 +10,8 @@
 import { EventRing } from "../events/eventRing.js";
 import { HybridClock } from "../events/hybridClock.js";
 import { TimerScheduler, type Scheduler } from "../fleet/coreRunner.js";
+import { ClientConnectionGuard } from "../http/clientConnectionGuard.js";
+import type { HttpConnectionOptions } from "../http/httpConnections.js";
 import { DocumentWatcher } from "../fleet/documentWatcher.js";
 import { RosterWatcher } from "../fleet/rosterWatcher.js";
 import { VmWatcher } from "../fleet/vmWatcher.js";
@@ -19,6 +21,7 @@
 import type { Settings } from "./settings.js";
 
 const peerRetryMs = 1_000;
+const bytesPerMb = 1_048_576;
 
 /** What daemons of both roles are built from; disposing it ends everything it made. */
 export class CommonParts implements Disposable {
@@ -29,6 +32,8 @@
     public readonly scheduler: Scheduler = new TimerScheduler();
     public readonly logger: Logger;
     public readonly metrics: Metrics;
+    /** Limits for the connections of all servers of this daemon. */
+    public readonly connections: HttpConnectionOptions;
     public readonly events: EventRing;
     /** Later starts of one daemon have larger numbers. */
     public readonly incarnation: number;
@@ -59,6 +64,11 @@
         this.metrics = this.store.add(
             settings.statsd === undefined ? new NoopMetrics() : new StatsdMetrics(settings.statsd, tags),
         );
+        const { heldInputMb, unreadTimeoutMs, maxConnections } = settings.clientLimits;
+        const connectionLimits = { maxHeldBytes: heldInputMb * bytesPerMb, unreadTimeoutMs };
+        const guard = new ClientConnectionGuard(clock, this.logger, () => connectionLimits);
+        this.store.add(guard.onDidClose(reason => this.metrics.increment("connections.closed", { reason })));
+        this.connections = { guard, maxConnections };
         const origin = { daemon: daemonId, incarnation: this.incarnation };
         this.events = new EventRing(new HybridClock(clock), origin, settings.eventRingSize);
         this.log = this.store.add(new HttpLogService({ url: settings.platform.url }));
--- a/src/daemon/routerDaemon.ts
+++ b/src/daemon/routerDaemon.ts
@@ -5,6 +5,7 @@
 import type { ControlHost } from "../control/host.js";
 import type { DaemonStatus } from "../control/schemas.js";
 import { createControlApp, listenOn, type HttpListener } from "../control/server.js";
+import { BodyBudget } from "../decisions/limits/bodyBudget.js";
 import type { AcceptedDocument, EnvironmentDocument } from "../document/schema.js";
 import type { AgentReport } from "../fleet/entities.js";
 import { Evictor } from "../fleet/evictor.js";
@@ -33,6 +34,7 @@
  * the listener closed at once, callers that it still sends here would be refused.
  */
 const balancerGraceMs = 3_000;
+const bytesPerMb = 1_048_576;
 
 /** Starts a daemon of role router. Errors: an address is taken. */
 export async function startRouter(parts: CommonParts, settings: RouterSettings): Promise<Result<Daemon, ControlError>> {
@@ -116,6 +118,7 @@
             logger,
             getDocument: () => parts.documents.current,
             isStopping: () => this.stopping,
+            bodyBudget: new BodyBudget(settings.clientLimits.bodiesMb * bytesPerMb),
         });
         this.evictor = new Evictor(clock);
     }
@@ -123,12 +126,14 @@
     public async listen(): Promise<Result<void, ControlError>> {
         const { listen, callers } = this.settings;
         const control = createControlApp(this, this.requests, this.parts.secret);
-        const controlListener = await listenOn(control, listen.host, listen.port);
+        const { connections } = this.parts;
+        const controlListener = await listenOn(control, listen.host, listen.port, connections);
         if (controlListener.isErr()) {
             return err(controlListener.error);
         }
         this.store.add(controlListener.value);
-        return (await listenOn(createCallerApp(this.requests), callers.host, callers.port)).map(listener => {
+        const app = createCallerApp(this.requests);
+        return (await listenOn(app, callers.host, callers.port, connections)).map(listener => {
             this.callers = this.store.add(listener);
         });
     }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -39,6 +39,18 @@
     eventRingSize: z.number().int().min(100).max(1_000_000).default(20_000),
     /** Longest wait for running requests at a planned stop; milliseconds. */
     stopTimeoutMs: z.number().int().positive().default(600_000),
+    clientLimits: z
+        .strictObject({
+            /** Memory for input that clients have sent ahead of responses, and for incomplete heads of requests; megabytes. */
+            heldInputMb: z.number().positive().default(32),
+            /** Memory for the bodies of requests that are being read; megabytes. */
+            bodiesMb: z.number().positive().default(512),
+            /** Connections to each address above which a new one replaces one without a request. */
+            maxConnections: z.number().int().positive().default(8_000),
+            /** Time after which a connection is closed whose client reads nothing of a response; milliseconds. */
+            unreadTimeoutMs: z.number().positive().default(60_000),
+        })
+        .prefault({}),
 };
 
 /** Schema of a daemon's settings file. Unknown keys are errors. */
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,7 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { describeError } from "../base/errors.js";
-import { HttpConnections } from "../base/httpConnections.js";
+import type { ClientConnectionGuard } from "../http/clientConnectionGuard.js";
+import { HttpConnections } from "../http/httpConnections.js";
 import type { Disposable } from "../base/lifecycle.js";
 import type { Logger } from "../base/log.js";
 import { computeAcceptBacklog } from "../decisions/admission/acceptQueue.js";
@@ -27,6 +28,8 @@
  * connections between this share and the limit absorb those that arrive in the meantime.
  */
 const closingConnectionShare = 0.6;
+/** Share of the maximum number of connections above which each new one replaces one without a request, while there is such a one. */
+const replacingConnectionShare = 0.98;
 const headerTooLargeStatus = "HTTP/1.1 431 Request Header Fields Too Large";
 const badRequestStatus = "HTTP/1.1 400 Bad Request";
 const timeoutStatus = "HTTP/1.1 408 Request Timeout";
@@ -48,6 +51,7 @@
         private readonly logger: Logger,
         private readonly shouldLeaveBalancer: () => boolean,
         private readonly settings: Pick<GatewaySettings, "limits" | "closesIdleConnections">,
+        guard: ClientConnectionGuard,
         private readonly sharing?: Pick<ConnectionSharing, "offer" | "findSender">,
     ) {
         this.idle = new IdleConnections(service.clock);
@@ -58,16 +62,17 @@
             requestTimeout: requestTimeoutMs,
             noDelay: true,
         });
-        this.connections = new HttpConnections(this.server);
         this.server.maxConnections = Math.floor(maxDescriptors * callerDescriptorShare);
+        const maxConnections = Math.floor(this.server.maxConnections * replacingConnectionShare);
+        this.connections = new HttpConnections(this.server, { guard, maxConnections });
         this.closingThreshold = Math.floor(this.server.maxConnections * closingConnectionShare);
         const [handleHttpConnection] = this.server.listeners("connection");
         this.server.removeAllListeners("connection");
         this.server.on("connection", (socket: Socket) => {
             if (this.sharing?.offer(socket) !== true) {
-                this.countConnection(socket);
                 this.closeIdle();
                 handleHttpConnection.call(this.server, socket);
+                this.countConnection(socket);
             }
         });
         this.server.on("request", (request, response) => this.handleRequest(request, response));
@@ -143,10 +148,10 @@
 
     private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
         if (error.code !== "ERR_HTTP_REQUEST_TIMEOUT") {
-            sendClientError(error, socket);
+            sendClientError(error, socket, this.connections);
             return;
         }
-        const close = (): void => sendClientError(error, socket);
+        const close = (): void => sendClientError(error, socket, this.connections);
         const requests = this.requestCounts.get(socket);
         // Node checks a connection's time limits once, so that a request that is still incomplete after its next bytes would have none.
         const checkAgain = (): void => {
@@ -201,7 +206,7 @@
 }
 
 /** Closes a connection that sent no valid HTTP request, with an error response if the caller can still read it. */
-function sendClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+function sendClientError(error: NodeJS.ErrnoException, socket: Socket, connections: HttpConnections): void {
     if (!socket.writable || error.code === "ECONNRESET") {
         socket.destroy();
         return;
@@ -219,4 +224,6 @@
         return;
     }
     socket.end(`${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    // Not every client closes its end.
+    connections.end(socket);
 }
--- a/src/gateway/callers/callerMetrics.ts
+++ b/src/gateway/callers/callerMetrics.ts
@@ -1,4 +1,5 @@
 import { Gauge, type Registry } from "prom-client";
+import type { ClientConnectionStatistics } from "../../http/clientConnectionGuard.js";
 import type { UnsentStatistics } from "../unsentBytes.js";
 import type { WithdrawalStatistics } from "./balancerPresence.js";
 import type { EarlyRefusalCounts } from "./earlyRefusal.js";
@@ -10,6 +11,7 @@
     readonly unsent: UnsentStatistics;
     /** Idle connections closed since the start to make room for others. */
     readonly closedIdleConnections: number;
+    readonly clientConnections: ClientConnectionStatistics;
 }
 
 /** Adds the metrics on refused requests and slow readers to the registry. */
@@ -35,6 +37,7 @@
             this.set(getStatistics().closedIdleConnections);
         },
     });
+    addConnectionMetrics(registers, getStatistics);
     new Gauge({
         name: "lynxarch_unsent_bytes",
         help: "Bytes held for callers and targets that read slowly.",
@@ -97,3 +100,33 @@
         },
     });
 }
+
+function addConnectionMetrics(registers: Registry[], getStatistics: () => CallerStatistics): void {
+    new Gauge({
+        name: "lynxarch_held_input_bytes",
+        help: "Estimated memory of input that clients have sent ahead of responses, and of incomplete heads of requests.",
+        registers,
+        collect(): void {
+            this.set(getStatistics().clientConnections.heldBytes);
+        },
+    });
+    new Gauge({
+        name: "lynxarch_held_input_connections",
+        help: "Client connections with such input.",
+        registers,
+        collect(): void {
+            this.set(getStatistics().clientConnections.heldConnections);
+        },
+    });
+    new Gauge({
+        name: "lynxarch_client_connections_closed",
+        help: "Client connections closed since the start because of a limit, by reason.",
+        labelNames: ["reason"],
+        registers,
+        collect(): void {
+            for (const [reason, count] of Object.entries(getStatistics().clientConnections.closed)) {
+                this.set({ reason }, count);
+            }
+        },
+    });
+}
--- a/src/gateway/createDirectory.ts
+++ b/src/gateway/createDirectory.ts
@@ -1,7 +1,7 @@
 import { BoundedExpiryGrace } from "../decisions/health/recordExpiryPolicy.js";
 import { computeRemovalBounds } from "./drainBudget.js";
 import type { FleetSource } from "./fleetSource.js";
-import { ReadTurns } from "./readTurns.js";
+import { ReadTurns } from "../http/readTurns.js";
 import type { GatewaySettings } from "./settings.js";
 import { TargetDirectory, type TargetDirectoryOptions } from "./targetDirectory.js";
 
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -12,6 +12,7 @@
 import { listSeedIps, parseAddress } from "./addresses.js";
 import { AccountSummary } from "./accountSummary.js";
 import { CallerServer } from "./callerServer.js";
+import { createConnectionGuard, createManagementOptions } from "./callers/createConnectionGuard.js";
 import { NeighbourLoads } from "./callers/neighbourLoads.js";
 import { ConnectionSharing, createSharingOptions, type SharedConnectionCounts } from "./connectionSharing.js";
 import { ConfigurationHolder } from "./configurationHolder.js";
@@ -40,6 +41,7 @@
 import { buildStatistics, describeRouter, describeState, listAccounts } from "./gatewayState.js";
 import { SnapshotTransfer } from "./peers/snapshotTransfer.js";
 import { listenOn, type HttpListener } from "../control/server.js";
+import type { ClientConnectionGuard } from "../http/clientConnectionGuard.js";
 import type { GatewaySettings } from "./settings.js";
 import { ShutdownDeadline } from "./shutdownDeadline.js";
 import { createStreams } from "./streams/createStreams.js";
@@ -71,6 +73,7 @@
     private readonly exchange: PeerExchange;
     private readonly service: GatewayService;
     private readonly callers: CallerServer;
+    private readonly guard: ClientConnectionGuard;
     private readonly sharing: ConnectionSharing;
     private readonly load: LoadSource;
     private readonly neighbours: NeighbourLoads;
@@ -211,8 +214,16 @@
                 socket => this.callers.handleConnection(socket),
             ),
         );
+        this.guard = createConnectionGuard(clock, logger, getSettings);
         this.callers = this.store.add(
-            new CallerServer(this.service, logger, () => this.neighbours.shouldLeaveBalancer, settings, this.sharing),
+            new CallerServer(
+                this.service,
+                logger,
+                () => this.neighbours.shouldLeaveBalancer,
+                settings,
+                this.guard,
+                this.sharing,
+            ),
         );
         this.gracefulStop = new GracefulStop({
             logger,
@@ -224,7 +235,7 @@
             listeners: this.listeners,
         });
         this.metrics = new GatewayMetrics(() =>
-            buildStatistics(this.context, source, this.service, this.rollouts, this.sharing, this.callers),
+            buildStatistics(this.context, source, this.service, this.rollouts, this.sharing, this.callers, this.guard),
         );
         this.snapshotTransfer = this.store.add(
             new SnapshotTransfer({ source, logger, sleep: sleepOnTimer, listAddresses: () => this.listControlPeers() }),
@@ -323,7 +334,7 @@
 
     private async listenAt(app: Hono, address: string): Promise<void> {
         const [host, port] = parseAddress(address);
-        const listener = await listenOn(app, host, port);
+        const listener = await listenOn(app, host, port, createManagementOptions(this.guard, this.settings));
         if (listener.isErr()) {
             throw listener.error;
         }
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -1,3 +1,4 @@
+import type { ClientConnectionGuard } from "../http/clientConnectionGuard.js";
 import { otherAccountsLabel, type AccountStatistics } from "./accountStatistics.js";
 import type { AccountSnapshot } from "./accountMetrics.js";
 import type { CallerServer } from "./callerServer.js";
@@ -47,6 +48,7 @@
     rollouts: Pick<Rollouts, "listAll">,
     { shared }: Pick<ConnectionSharing, "shared">,
     { closedIdleConnections }: Pick<CallerServer, "closedIdleConnections">,
+    { statistics: clientConnections }: Pick<ClientConnectionGuard, "statistics">,
 ): GatewayStatistics {
     const { shedShare, loop } = context.load;
     const nowMs = context.clock.nowMs();
@@ -64,6 +66,7 @@
         refusedEarly,
         withdrawal,
         closedIdleConnections,
+        clientConnections,
         configurationVersion: context.configuration.current?.version ?? 0,
         isPlatformConnected: health.isConnected,
         targetsViewAgeMs: computeTargetsViewAgeMs(context, source),
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -30,6 +30,17 @@
         /** Fraction of a processor core that the process may use. */
         processorShare: z.number().positive().default(1),
     }),
+    /** Limits for connections to all addresses of this router. */
+    clientLimits: z
+        .object({
+            /** Share of the memory for input that clients have sent ahead of responses, and for incomplete heads of requests. */
+            heldInputShare: z.number().positive().max(0.5).default(0.125),
+            /** Time after which a connection is closed whose client reads nothing of a response; milliseconds. */
+            unreadTimeoutMs: z.number().positive().default(60_000),
+            /** Share of the descriptors for connections to each of the addresses for readiness, control and metrics. */
+            managementConnectionShare: z.number().positive().max(0.1).default(0.05),
+        })
+        .prefault({}),
     /** Time that the platform allows a process to stop; seconds. */
     stopGraceSeconds: z.number().positive().default(8),
     /** Time after which a target that reported draining must receive no requests; the period of reads of records is derived from it. */
--- a/src/gateway/targetConnection.ts
+++ b/src/gateway/targetConnection.ts
@@ -3,7 +3,7 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Disposable } from "../base/lifecycle.js";
 import { isEndedByClose } from "../base/responseFraming.js";
-import type { ReadTurns } from "./readTurns.js";
+import type { ReadTurns } from "../http/readTurns.js";
 
 /** Keep-alive time for a target that announces none: such a target may close an idle connection within a second. */
 const defaultKeepAliveMs = 400;
--- a/src/router/callerProblems.ts
+++ b/src/router/callerProblems.ts
@@ -12,6 +12,10 @@
         ...createProblem(503, "not-ready", "This router has no document yet", "it has just started"),
         retryAfterMs: 2_000,
     },
+    busy: {
+        ...createProblem(503, "busy", "This router has no memory for the body", "it has too many open requests"),
+        retryAfterMs: 1_000,
+    },
     bodyCut: createProblem(400, "body-cut", "The body broke off", "the connection closed before the body's end"),
     createBodyTooLarge: (maxBytes: number): Problem =>
         createProblem(413, "body-too-large", "The body is too large", `the limit is ${maxBytes} bytes`),
--- a/src/router/callerRequests.ts
+++ b/src/router/callerRequests.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../base/clock.js";
 import type { Logger } from "../base/log.js";
+import type { BodyBudget } from "../decisions/limits/bodyBudget.js";
 import type { AcceptedDocument, EnvironmentDocument, Service } from "../document/schema.js";
 import type { Refusal, WorkRequest } from "../fleet/entities.js";
 import { CallerAccounts, type Admitted } from "./callerAccounts.js";
@@ -43,6 +44,7 @@
     /** The document in force. */
     getDocument(): AcceptedDocument | undefined;
     isStopping(): boolean;
+    readonly bodyBudget: BodyBudget;
 }
 
 /** Checks callers' requests, and hands those that are well-formed and allowed to the router's service. */
@@ -157,7 +159,10 @@
         const opened = this.accounts.open(admitted.value, request.outgoing);
         const body = opened.isErr()
             ? err(opened.error)
-            : await readCallerBody(request.incoming, document.limits.maxBodyBytes);
+            : await readCallerBody(request.incoming, request.outgoing, {
+                  maxBytes: document.limits.maxBodyBytes,
+                  budget: this.parts.bodyBudget,
+              });
         const result = body.andThen(bytes => run(admitted.value, bytes, connection));
         if (result.isErr()) {
             request.incoming.resume();
--- a/test/cli/rollouts.test.ts
+++ b/test/cli/rollouts.test.ts
@@ -1,3 +1,4 @@
+import { createConnectionOptions } from "../fakes/connectionOptions.js";
 import { expect, it } from "vitest";
 import { listenOn } from "../../src/control/server.js";
 import { zeroCounts } from "../../src/decisions/rollouts/versionEvidence.js";
@@ -31,7 +32,7 @@
         },
     ]);
     const port = await findFreePort();
-    const listener = (await listenOn(app, "127.0.0.1", port))._unsafeUnwrap();
+    const listener = (await listenOn(app, "127.0.0.1", port, createConnectionOptions()))._unsafeUnwrap();
     const { output, exitCode } = await new CliFixture().run(`rollouts --router 127.0.0.1:${port}`);
     listener.dispose();
     expect(exitCode).toBe(0);
--- a/test/fakes/fleet.ts
+++ b/test/fakes/fleet.ts
@@ -24,6 +24,10 @@
     readonly serviceArgs?: readonly string[];
     readonly platformArgs?: readonly string[];
     readonly logLevel?: "debug" | "info";
+    /** Settings of all daemons in addition to those that the fleet needs. */
+    readonly daemonSettings?: object;
+    /** Maximum heap of each daemon; megabytes. */
+    readonly heapMb?: number;
 }
 
 /** A daemon of the fleet; its process changes with each restart. */
@@ -356,14 +360,19 @@
             secretFile: this.secretFile,
             logLevel: this.options.logLevel ?? "info",
         };
-        writeFileSync(settingsFile, JSON.stringify({ ...common, ...settings }, undefined, 4));
+        writeFileSync(
+            settingsFile,
+            JSON.stringify({ ...common, ...this.options.daemonSettings, ...settings }, undefined, 4),
+        );
         const process = this.startDaemon(daemon.name, settingsFile);
         const list = daemon.role === "agent" ? this.agents : this.routers;
         list.push({ callersUrl: undefined, target: undefined, ...daemon, vmId, settingsFile, process });
     }
 
     private startDaemon(name: string, settingsFile: string): ManagedProcess {
-        return this.group.start(name, this.options.daemonFile, ["--settings", settingsFile]);
+        const { daemonFile, heapMb } = this.options;
+        const env = heapMb === undefined ? {} : { NODE_OPTIONS: `--max-old-space-size=${heapMb}` };
+        return this.group.start(name, daemonFile, ["--settings", settingsFile], env);
     }
 
     /** The address one party reaches another at: through the forwarder when ways can be cut. */
--- a/test/gateway/gatewayMetrics.test.ts
+++ b/test/gateway/gatewayMetrics.test.ts
@@ -18,6 +18,11 @@
         refusedEarly: { returned: 0, shed: 0 },
         withdrawal: { reason: "reserve", evenShare: 0.4, counts: { reserve: 2, "beyond-reserve": 0, overload: 0 } },
         closedIdleConnections: 0,
+        clientConnections: {
+            heldBytes: 131_072,
+            heldConnections: 2,
+            closed: { "input-budget": 3, "no-request": 1, "unread-response": 4, "no-place": 5 },
+        },
         sharedConnections: { handedOver: 0, received: 0, unreached: 0 },
         unsent: { bytes: 4_096, peakBytes: 65_536, ended: { stream: 1, account: 2, router: 3 } },
         heldRequests: 0,
--- a/test/gateway/readTurns.test.ts
+++ b/test/gateway/readTurns.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, it } from "vitest";
 import { SystemClock } from "../../src/base/clock.js";
-import { ReadTurns } from "../../src/gateway/readTurns.js";
+import { ReadTurns } from "../../src/http/readTurns.js";
 import { TargetConnection } from "../../src/gateway/targetConnection.js";
 import { EndlessServer } from "../fakes/usersPlatform/endlessServer.js";
 import { waitUntil } from "./gatewayFixture.js";
--- a/test/base/httpConnections.test.ts
+++ b/test/http/httpConnections.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { connect, type AddressInfo, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { HttpConnections } from "../../src/base/httpConnections.js";
+import { HttpConnections } from "../../src/http/httpConnections.js";
 import { waitUntil } from "../gateway/gatewayFixture.js";
 
 /** More than the kernel buffers of a loopback connection hold. */
--- a/test/router/callerFuzz.test.ts
+++ b/test/router/callerFuzz.test.ts
@@ -1,3 +1,5 @@
+import { BodyBudget } from "../../src/decisions/limits/bodyBudget.js";
+import { createConnectionOptions } from "../fakes/connectionOptions.js";
 import { request, type IncomingHttpHeaders } from "node:http";
 import fc from "fast-check";
 import { err, ok } from "neverthrow";
@@ -32,6 +34,7 @@
 const store = new DisposableStore();
 const document = buildFleetDocument(listFleetTargets(1, 2));
 const key = getKey("club");
+const bodyBudgetBytes = 67_108_864;
 const noRefusal = { reason: "no-target", execution: "unknown", retryAfterMs: 1, detail: "none" } as const;
 let port = 0;
 
@@ -61,9 +64,11 @@
         logger: parts.logger,
         getDocument: () => ({ offset: 0, document }),
         isStopping: () => false,
+        bodyBudget: new BodyBudget(bodyBudgetBytes),
     });
     port = await findFreePort();
-    (await listenOn(createCallerApp(requests), "127.0.0.1", port)).map(listener => store.add(listener));
+    const listener = await listenOn(createCallerApp(requests), "127.0.0.1", port, createConnectionOptions());
+    store.add(listener._unsafeUnwrap());
 });
 
 afterAll(() => store.dispose());
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -2,13 +2,14 @@
 import type { Route, RouteMode } from "../fakes/forwarder/route.js";
 import type { StoreCondition, StoreServer } from "../fakes/usersPlatform/storeServer.js";
 import type { TargetScript } from "../fakes/usersPlatform/targetServer.js";
+import { ClientCrowd, type ClientBehaviour } from "../misbehavingClients/clientCrowd.js";
 import { silence } from "./calmness.js";
 import type { Disturbance } from "./records.js";
 import type { SoakCallers } from "./soakCallers.js";
 import { coldStartMs, type SoakOperator } from "./soakOperator.js";
 import type { FaultKind, PlannedFault } from "./soakPlan.js";
 import type { SoakRollouts } from "./soakRollouts.js";
-import type { SoakRouter, SoakRouters } from "./soakRouters.js";
+import { clientPorts, type SoakRouter, type SoakRouters } from "./soakRouters.js";
 import type { SoakTarget, SoakTargets } from "./soakTargets.js";
 
 const graceMs = 8_000;
@@ -37,6 +38,21 @@
 ];
 /** Makes the group differ between picks of the same target. */
 const silentGroupSpread = 100;
+const crowdSize = 60;
+/** Makes ports and behaviours differ between picks of the same router. */
+const crowdSpread = 100;
+const crowdHost = "Host: stranger.example\r\n";
+const crowdBytes = 4_194_304;
+const crowdRequests: readonly Pick<ClientBehaviour, "opening" | "repeated">[] = [
+    { repeated: `GET /nowhere HTTP/1.1\r\n${crowdHost}\r\n` },
+    { repeated: `GET /api/readyz HTTP/1.1\r\n${crowdHost}\r\n` },
+    { repeated: "GET /nowhere HTTP/1.1\r\n\r\n" },
+    { opening: `POST /nowhere HTTP/1.1\r\n${crowdHost}Transfer-Encoding: chunked\r\n\r\n`, repeated: "1\r\nx\r\n" },
+    { repeated: "" },
+];
+const crowdBehaviours: readonly ClientBehaviour[] = crowdRequests.flatMap(request =>
+    [false, true].map(readsAnswers => ({ ...request, bytesPerClient: crowdBytes, readsAnswers })),
+);
 const spoils: readonly TargetScript[] = ["break-off", "tear-event", "reset-unframed", "late-extra"];
 
 /** What faults act on. */
@@ -92,6 +108,8 @@
             }
         } else if (fault.kind.startsWith("store-")) {
             await this.runStoreFault(fault, router);
+        } else if (fault.kind === "clients-crowd") {
+            await this.runCrowd(fault, router);
         } else if (fault.kind.startsWith("callers-")) {
             await this.runLinkFault(fault, router.callersLink);
         } else if (fault.kind.startsWith("router-")) {
@@ -102,6 +120,17 @@
         disturbance.toMs = performance.now();
     }
 
+    /** Clients at one of a router's ports; they connect to it directly, and excuse nothing that others lose. */
+    private async runCrowd({ forMs, pick }: PlannedFault, { ip }: SoakRouter): Promise<void> {
+        const port = pickFrom(clientPorts, (pick * crowdSpread) % 1);
+        const behaviour = pickFrom(crowdBehaviours, (pick * crowdSpread * crowdSpread) % 1);
+        const crowd = new ClientCrowd(port, ip);
+        const running = crowd.run(crowdSize, behaviour);
+        await sleepFor(forMs);
+        crowd.dispose();
+        await running;
+    }
+
     private async runRouterFault({ kind, forMs, pick }: PlannedFault, router: SoakRouter): Promise<void> {
         const { routers } = this.scene;
         switch (kind) {
@@ -350,6 +379,9 @@
     if (kind === "target-silent" || kind === "targets-silent") {
         return "planned";
     }
+    if (kind === "clients-crowd") {
+        return "planned";
+    }
     if (kind === "router-hup" || kind.startsWith("route-") || kind === "key-revoked" || kind === "data-centre-out") {
         return "planned";
     }
--- a/test/soak/soakPlan.ts
+++ b/test/soak/soakPlan.ts
@@ -55,6 +55,9 @@
 /** Drawn besides in the same way: a store that stands still and goes on. */
 export const storeKinds = ["store-silent"] as const;
 
+/** Drawn besides in the same way: clients that send far more than they may have served, and read all of it or nothing. */
+export const clientKinds = ["clients-crowd"] as const;
+
 export type FaultKind =
     | (typeof faultKinds)[number]
     | (typeof signalKinds)[number]
@@ -62,7 +65,8 @@
     | (typeof recordKinds)[number]
     | (typeof besideKinds)[number]
     | (typeof silentKinds)[number]
-    | (typeof storeKinds)[number];
+    | (typeof storeKinds)[number]
+    | (typeof clientKinds)[number];
 
 /** Whether a fault leaves all targets sound, so that it excuses no answer of theirs that is lost. */
 export function isSoundForTargets(kind: FaultKind): boolean {
@@ -107,6 +111,7 @@
 ];
 const companionShare = 0.7;
 const mostStoreSilences = 2;
+const mostCrowds = 2;
 const mostPauseSeries = 2;
 const shortestPauseMs = 1_000;
 const longestPauseMs = 3_000;
@@ -179,6 +184,11 @@
     return createFaults(random, lengthMs, storeKinds, mostStoreSilences);
 }
 
+/** Clients that misbehave; the same for the same seed. */
+export function createClientPlan(random: SeededRandom, lengthMs: number): readonly PlannedFault[] {
+    return createFaults(random, lengthMs, clientKinds, mostCrowds);
+}
+
 /** Routers that stand still while targets of another version join, some of them away from the store; the same for the same seed. */
 export function createPausePlan(random: SeededRandom, lengthMs: number): readonly PlannedFault[] {
     const count = Math.floor(random.next() * (mostPauseSeries + 1));
--- a/test/soak/soakRouters.ts
+++ b/test/soak/soakRouters.ts
@@ -10,6 +10,10 @@
 const readyPort = 7_401;
 const controlPort = 7_402;
 const callersPort = 7_403;
+/** Ports that clients can reach. */
+export const clientPorts: readonly number[] = [callersPort, readyPort, controlPort];
+/** Heap size of deploy/system.toml. */
+const runtimeOptions = "--max-old-space-size=160";
 /** Data centres of the routers, in the order of their start; the first has enough of them that messages to it are relayed. */
 const dataCentreOrder = "abcaab";
 const readyPollMs = 300;
@@ -190,7 +194,9 @@
         router.starts += 1;
         router.isEnding = false;
         const name = `${router.name}#${router.starts}`;
-        const started = this.processes.start(name, routerFile, ["--settings", router.settingsFile]);
+        const started = this.processes.start(name, routerFile, ["--settings", router.settingsFile], {
+            NODE_OPTIONS: runtimeOptions,
+        });
         router.process = started;
         const startedAtMs = performance.now();
         void started.exited.then(exit => {
--- a/test/soak/soakRun.ts
+++ b/test/soak/soakRun.ts
@@ -7,6 +7,7 @@
 import { SoakOperator } from "./soakOperator.js";
 import {
     createBesidePlan,
+    createClientPlan,
     createPausePlan,
     createPlan,
     createRecordPlan,
@@ -61,6 +62,7 @@
 const silentSeedOffset = 5_000_000;
 const pauseSeedOffset = 6_000_000;
 const storeSeedOffset = 7_000_000;
+const clientSeedOffset = 8_000_000;
 /** The platform's deployments allow 12 s; on a busy machine longer waits say nothing. */
 const recoverBoundMs = 12_000;
 const longestRecoveryMs = 60_000;
@@ -134,6 +136,7 @@
         ...createSilentPlan(new SeededRandom(seed + silentSeedOffset), lengthMs, fewestSilent),
         ...createPausePlan(new SeededRandom(seed + pauseSeedOffset), lengthMs),
         ...createStorePlan(new SeededRandom(seed + storeSeedOffset), lengthMs),
+        ...createClientPlan(new SeededRandom(seed + clientSeedOffset), lengthMs),
     ];
     return keepsTargetsSound ? plan.filter(({ kind }) => isSoundForTargets(kind)) : plan;
 }
