--- a/src/http/httpConnections.ts
+++ b/src/http/httpConnections.ts
@@ -13,8 +13,8 @@
     activeAtMs: number;
     /** Monotonic time since which the client has taken nothing of what is being sent; undefined if all has been sent. */
     unreadSinceMs: number | undefined;
-    /** Bytes that had been sent at that time. */
-    sentBytes: number;
+    /** Bytes of the current write that the kernel had not taken at that time. */
+    queuedBytes: number;
 }
 
 /** Limits for the connections of a server that clients can reach. */
@@ -26,6 +26,8 @@
 
 /** Time for which a connection without a request is kept, also while there is no place for others; milliseconds. */
 const minIdleMs = 1_000;
+/** Time without progress after which a connection may be replaced whose client does not read its response; milliseconds. */
+const minUnreadMs = 5_000;
 /** Interval of checks for responses that are not read; milliseconds. */
 const checkIntervalMs = 1_000;
 const expectationFailedStatus = 417;
@@ -81,7 +83,7 @@
             idleBytesRead: 0,
             activeAtMs: this.nowMs(),
             unreadSinceMs: undefined,
-            sentBytes: 0,
+            queuedBytes: 0,
         });
         socket.once("close", () => this.remove(socket));
     }
@@ -150,13 +152,15 @@
 
     private findReplaceable(): readonly [Socket, ConnectionState] | undefined {
         let oldest: readonly [Socket, ConnectionState] | undefined;
-        let oldestAtMs = this.nowMs() - minIdleMs;
+        const nowMs = this.nowMs();
+        let oldestAtMs = nowMs - minIdleMs;
         for (const entry of this.states) {
-            const [, { reader, activeAtMs }] = entry;
+            const [, state] = entry;
+            const { reader, activeAtMs } = state;
             if (reader?.waitsForTurn === true) {
                 return entry;
             }
-            if (activeAtMs < oldestAtMs && !isServing(...entry)) {
+            if (activeAtMs < oldestAtMs && !isServing(state, nowMs)) {
                 oldest = entry;
                 oldestAtMs = activeAtMs;
             }
@@ -168,12 +172,12 @@
     private closeUnread({ guard }: HttpConnectionOptions): void {
         const nowMs = this.nowMs();
         for (const [socket, state] of this.states) {
-            const sentBytes = socket.bytesWritten - socket.writableLength;
-            if (socket.writableLength === 0) {
+            const queuedBytes = countQueuedBytes(socket);
+            if (queuedBytes === 0) {
                 state.unreadSinceMs = undefined;
-            } else if (state.unreadSinceMs === undefined || sentBytes !== state.sentBytes) {
+            } else if (state.unreadSinceMs === undefined || queuedBytes !== state.queuedBytes) {
                 state.unreadSinceMs = nowMs;
-                state.sentBytes = sentBytes;
+                state.queuedBytes = queuedBytes;
             } else if (nowMs - state.unreadSinceMs > guard.unreadTimeoutMs) {
                 guard.recordClosure("unread-response");
                 socket.destroy();
@@ -209,7 +213,14 @@
     }
 }
 
-/** Whether a connection has a request that is being served; a response that its client does not read does not count. */
-function isServing(socket: Socket, { unsentResponses }: ConnectionState): boolean {
-    return [...unsentResponses].some(({ writableEnded }) => !writableEnded || socket.writableLength === 0);
+/** Bytes of a socket's current write that the kernel has not taken; fewer with each read of a peer that reads slowly. */
+function countQueuedBytes(socket: Socket): number {
+    const { _handle: handle } = socket as Socket & { readonly _handle?: { readonly writeQueueSize?: number } };
+    return handle?.writeQueueSize ?? 0;
+}
+
+/** Whether a connection has a request; one whose complete response is not read does not count. */
+function isServing({ unsentResponses, unreadSinceMs }: ConnectionState, nowMs: number): boolean {
+    const isUnread = unreadSinceMs !== undefined && nowMs - unreadSinceMs > minUnreadMs;
+    return [...unsentResponses].some(({ writableEnded }) => !writableEnded || !isUnread);
 }
--- a/src/http/requestReader.ts
+++ b/src/http/requestReader.ts
@@ -102,12 +102,15 @@
         }
     }
 
-    /** Drops the input that has not been parsed, and closes the connection after the response to the open request, if there is one. */
+    /**
+     * Drops the input that has not been parsed, and closes the connection: after the response if a request is open, at once if its body
+     * is incomplete, as it has not been passed on.
+     */
     public refuseInput(): void {
         if (this.discardedBytes !== undefined) {
             return;
         }
-        if (this.hasOpenRequest) {
+        if (this.hasOpenRequest && !this.isReadingBody) {
             this.discardedBytes = 0;
             this.release();
             for (const response of this.openResponses) {
@@ -182,7 +185,7 @@
     /** The next bytes to be parsed at once; at most one head ends in them. */
     private takePiece(rest: Buffer): Buffer {
         const { boundary, remainingBodyBytes } = this;
-        if (this.isReadingBody && remainingBodyBytes !== undefined) {
+        if (this.isReadingBody && remainingBodyBytes !== undefined && remainingBodyBytes > 0) {
             const piece = rest.subarray(0, remainingBodyBytes);
             this.remainingBodyBytes = remainingBodyBytes - piece.length;
             return piece;
