--- a/src/daemon/commonParts.ts
+++ b/src/daemon/commonParts.ts
@@ -64,8 +64,8 @@
         this.metrics = this.store.add(
             settings.statsd === undefined ? new NoopMetrics() : new StatsdMetrics(settings.statsd, tags),
         );
-        const { heldInputMb, unreadTimeoutMs, maxConnections } = settings.clientLimits;
-        const connectionLimits = { maxHeldBytes: heldInputMb * bytesPerMb, unreadTimeoutMs };
+        const { heldInputMb, maxConnections, ...limits } = settings.clientLimits;
+        const connectionLimits = { ...limits, maxHeldBytes: heldInputMb * bytesPerMb };
         const guard = new ClientConnectionGuard(clock, this.logger, () => connectionLimits);
         this.store.add(guard.onDidClose(reason => this.metrics.increment("connections.closed", { reason })));
         this.connections = { guard, maxConnections };
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -39,6 +39,7 @@
     eventRingSize: z.number().int().min(100).max(1_000_000).default(20_000),
     /** Longest wait for running requests at a planned stop; milliseconds. */
     stopTimeoutMs: z.number().int().positive().default(600_000),
+    /** Limits for connections to all addresses of this daemon. */
     clientLimits: z
         .strictObject({
             /** Memory for input that clients have sent ahead of responses, and for incomplete heads of requests; megabytes. */
@@ -49,6 +50,8 @@
             maxConnections: z.number().int().positive().default(8_000),
             /** Time after which a connection is closed whose client reads nothing of a response; milliseconds. */
             unreadTimeoutMs: z.number().positive().default(60_000),
+            /** Bytes without a complete head of a request after which a connection is closed. */
+            maxBytesWithoutRequest: z.number().int().min(65_536).default(131_072),
         })
         .prefault({}),
 };
--- a/src/gateway/callers/createConnectionGuard.ts
+++ b/src/gateway/callers/createConnectionGuard.ts
@@ -14,8 +14,12 @@
 ): ClientConnectionGuard {
     return new ClientConnectionGuard(clock, logger, () => {
         const { limits, clientLimits } = getSettings();
-        const { heldInputShare, unreadTimeoutMs } = clientLimits;
-        return { maxHeldBytes: limits.memoryMb * bytesPerMb * heldInputShare, unreadTimeoutMs };
+        const { heldInputShare, unreadTimeoutMs, maxBytesWithoutRequest } = clientLimits;
+        return {
+            maxHeldBytes: limits.memoryMb * bytesPerMb * heldInputShare,
+            unreadTimeoutMs,
+            maxBytesWithoutRequest,
+        };
     });
 }
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -37,6 +37,8 @@
             heldInputShare: z.number().positive().max(0.5).default(0.125),
             /** Time after which a connection is closed whose client reads nothing of a response; milliseconds. */
             unreadTimeoutMs: z.number().positive().default(60_000),
+            /** Bytes without a complete head of a request after which a connection is closed. */
+            maxBytesWithoutRequest: z.number().int().min(65_536).default(131_072),
             /** Share of the descriptors for connections to each of the addresses for readiness, control and metrics. */
             managementConnectionShare: z.number().positive().max(0.1).default(0.05),
         })
--- a/src/http/clientConnectionGuard.ts
+++ b/src/http/clientConnectionGuard.ts
@@ -18,6 +18,8 @@
     readonly maxHeldBytes: number;
     /** Time without progress after which a connection is closed whose client does not read its response; milliseconds. */
     readonly unreadTimeoutMs: number;
+    /** Bytes without a complete head of a request after which a connection is closed; Node's own limit does not count empty lines. */
+    readonly maxBytesWithoutRequest: number;
 }
 
 /** Figures for the metrics. */
@@ -72,9 +74,9 @@
         return { heldBytes: this.budget.bytes, heldConnections: this.budget.size, closed: { ...this.closed } };
     }
 
-    /** Milliseconds. */
-    public get unreadTimeoutMs(): number {
-        return this.getLimits().unreadTimeoutMs;
+    /** The limits in force. */
+    public get limits(): ClientConnectionLimits {
+        return this.getLimits();
     }
 
     /** Sets the estimated memory of a connection's unread input, and closes connections while the budget is exceeded. */
--- a/src/http/httpConnections.ts
+++ b/src/http/httpConnections.ts
@@ -178,7 +178,7 @@
             } else if (state.unreadSinceMs === undefined || queuedBytes !== state.queuedBytes) {
                 state.unreadSinceMs = nowMs;
                 state.queuedBytes = queuedBytes;
-            } else if (nowMs - state.unreadSinceMs > guard.unreadTimeoutMs) {
+            } else if (nowMs - state.unreadSinceMs > guard.limits.unreadTimeoutMs) {
                 guard.recordClosure("unread-response");
                 socket.destroy();
             }
--- a/src/http/requestReader.ts
+++ b/src/http/requestReader.ts
@@ -13,8 +13,6 @@
 const headMemoryFactor = 4;
 /** Memory of the kernel for a connection whose input is not read. */
 const kernelBufferBytes = 65_536;
-/** Bytes without a complete head after which a connection is closed; Node's own limit does not count empty lines. */
-const maxBytesWithoutRequest = 131_072;
 /** Longest wait for a client to close its end of a connection that has been closed here; milliseconds. */
 const maxEndingMs = 1_000;
 /** Input that is discarded in that time. */
@@ -205,7 +203,7 @@
 
     private checkIncompleteHead(): void {
         const { bytesWithoutRequest, guard } = this;
-        if (bytesWithoutRequest > maxBytesWithoutRequest) {
+        if (bytesWithoutRequest > guard.limits.maxBytesWithoutRequest) {
             guard.recordClosure("no-request");
             this.socket.destroy();
             return;
--- a/test/fakes/connectionOptions.ts
+++ b/test/fakes/connectionOptions.ts
@@ -4,7 +4,11 @@
 import type { HttpConnectionOptions } from "../../src/http/httpConnections.js";
 
 /** Limits that the clients of most tests don't meet. */
-export const ampleLimits: ClientConnectionLimits = { maxHeldBytes: 33_554_432, unreadTimeoutMs: 60_000 };
+export const ampleLimits: ClientConnectionLimits = {
+    maxHeldBytes: 33_554_432,
+    unreadTimeoutMs: 60_000,
+    maxBytesWithoutRequest: 131_072,
+};
 
 /** Options of a server for tests. */
 export function createConnectionOptions(limits = ampleLimits, maxConnections = 1_000): HttpConnectionOptions {
--- a/test/gateway/settings.test.ts
+++ b/test/gateway/settings.test.ts
@@ -13,6 +13,7 @@
       {
         "heldInputShare": 0.125,
         "managementConnectionShare": 0.05,
+        "maxBytesWithoutRequest": 131072,
         "unreadTimeoutMs": 60000,
       }
     `);
--- a/test/http/requestReader.test.ts
+++ b/test/http/requestReader.test.ts
@@ -9,6 +9,7 @@
 
 const maxHeldBytes = 600_000;
 const unreadTimeoutMs = 1_200;
+const maxBytesWithoutRequest = 131_072;
 const maxConnections = 20;
 
 interface OpenRequest {
@@ -54,7 +55,11 @@
         request.on("data", (data: Buffer) => (open.body += data.toString()));
         requests.push(open);
     });
-    guard = new ClientConnectionGuard(new SystemClock(), new NoopLogger(), () => ({ maxHeldBytes, unreadTimeoutMs }));
+    guard = new ClientConnectionGuard(new SystemClock(), new NoopLogger(), () => ({
+        maxHeldBytes,
+        unreadTimeoutMs,
+        maxBytesWithoutRequest,
+    }));
     connections = new HttpConnections(server, { guard, maxConnections });
     server.on("connection", (socket: Socket) => connections.add(socket));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
