Count a connection before idle ones are closed for it

The order was changed with the reading of requests, so that one idle connection fewer than before was closed above the threshold; found by reading.

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -70,9 +70,10 @@
         this.server.removeAllListeners("connection");
         this.server.on("connection", (socket: Socket) => {
             if (this.sharing?.offer(socket) !== true) {
+                this.countConnection(socket);
                 this.closeIdle();
                 handleHttpConnection.call(this.server, socket);
-                this.countConnection(socket);
+                this.connections.add(socket);
             }
         });
         this.server.on("request", (request, response) => this.handleRequest(request, response));
@@ -132,7 +133,6 @@
 
     private countConnection(socket: Socket): void {
         this.connectionCount += 1;
-        this.connections.add(socket);
         socket.once("close", () => {
             this.idle.remove(socket);
             this.connectionCount -= 1;
