Hold what waits for a neighbour in blocks

Cause: the same as of bodies in small pieces: before a neighbour accepts a connection, up to 64 KB of its data were kept as a list of pieces, some 250 bytes each. Change: the buffer for bodies is used here too, and named BlockBuffer. Result: connectionRelay.test.ts and sharedConnections.test.ts pass as before.

--- a/src/agent/workServer.ts
+++ b/src/agent/workServer.ts
@@ -3,7 +3,7 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import type { Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
-import { BodyBuffer } from "../base/bodyBuffer.js";
+import { BlockBuffer } from "../base/blockBuffer.js";
 import { envelopeHeader, workEnvelopeSchema, workPath, type WorkEnvelope } from "../control/frames.js";
 import { isSameSecret, toAuthorization } from "../control/secret.js";
 import type { AnswerFollower } from "./answerFollower.js";
@@ -49,7 +49,7 @@
 }
 
 async function readBody(incoming: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    const body = new BodyBuffer();
+    const body = new BlockBuffer();
     try {
         for await (const part of incoming) {
             body.add(part as Buffer);
--- a/src/base/bodyBuffer.ts
+++ b/src/base/blockBuffer.ts
@@ -3,10 +3,10 @@
 const maxBlockBytes = 65_536;
 
 /**
- * Collects a body that arrives in pieces of any size, in about the memory that its bytes take. A piece is an object of some hundred bytes
+ * Collects bytes that arrive in pieces of any size, in about the memory that they take. A piece is an object of some hundred bytes
  * even if it holds a single byte, so that small ones are copied into blocks.
  */
-export class BodyBuffer {
+export class BlockBuffer {
     private readonly blocks: Buffer[] = [];
     /** Block that is being filled. */
     private block: Buffer | undefined;
@@ -28,20 +28,20 @@
         }
         if (this.block === undefined || this.blockLength + piece.length > this.block.length) {
             this.endBlock();
-            // Larger blocks for larger bodies, so that neither a small body nor a large number of blocks takes much memory.
+            // Larger blocks for more bytes, so that neither few bytes nor a large number of blocks takes much memory.
             this.block = Buffer.allocUnsafeSlow(Math.min(maxBlockBytes, Math.max(minBlockBytes, this.size)));
         }
         piece.copy(this.block, this.blockLength);
         this.blockLength += piece.length;
     }
 
-    /** The whole body; begins anew. */
+    /** All bytes so far; begins anew. */
     public take(): Buffer {
         this.endBlock();
-        const body = this.blocks.length === 1 ? this.blocks[0] : Buffer.concat(this.blocks, this.size);
+        const bytes = this.blocks.length === 1 ? this.blocks[0] : Buffer.concat(this.blocks, this.size);
         this.blocks.length = 0;
         this.size = 0;
-        return body;
+        return bytes;
     }
 
     private endBlock(): void {
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { CancellationTokenSource, type CancellationToken } from "../base/cancellation.js";
-import { BodyBuffer } from "../base/bodyBuffer.js";
+import { BlockBuffer } from "../base/blockBuffer.js";
 import type { Disposable } from "../base/lifecycle.js";
 import { ResponseWriter } from "./responseWriter.js";
 import type { UnsentBytes } from "./unsentBytes.js";
@@ -81,7 +81,7 @@
     public readBody(bounds: BodyLimits): Promise<Result<Buffer | undefined, BodyReadError>> {
         const { request } = this;
         return new Promise(resolve => {
-            const body = new BodyBuffer();
+            const body = new BlockBuffer();
             request.on("data", (chunk: Buffer) => {
                 const fault =
                     body.length + chunk.length > bounds.maxBytes
--- a/src/gateway/connectionRelay.ts
+++ b/src/gateway/connectionRelay.ts
@@ -1,4 +1,5 @@
 import { connect, type Socket } from "node:net";
+import { BlockBuffer } from "../base/blockBuffer.js";
 import type { Disposable } from "../base/lifecycle.js";
 
 /** Receives the result of a connection handover. */
@@ -88,8 +89,7 @@
 
 /** One forwarded connection, from the caller's first bytes until both sides have ended. */
 class RelayedConnection {
-    private readonly held: Buffer[] = [];
-    private bufferedBytes = 0;
+    private readonly held = new BlockBuffer();
     private isDisconnected = false;
     private isWaiting = false;
     private readonly handleData = (chunk: Buffer): void => this.addBuffered(chunk);
@@ -134,9 +134,8 @@
     }
 
     private addBuffered(chunk: Buffer): void {
-        this.held.push(chunk);
-        this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes > maxBufferedBytes) {
+        this.held.add(chunk);
+        if (this.held.length > maxBufferedBytes) {
             this.socket.pause();
         }
         if (!this.isWaiting) {
@@ -184,7 +183,7 @@
     /** Forwards data and end of stream in both directions; an error on either side closes both. */
     private connectSides(upstream: Socket): void {
         const { socket } = this;
-        upstream.write(Buffer.concat(this.held.splice(0)));
+        upstream.write(this.held.take());
         socket.pipe(upstream);
         upstream.pipe(socket, { end: false });
         // A reset directly behind the last bytes is reported as a regular end; a connection that was reset has no remote address any more.
@@ -197,7 +196,7 @@
         if (this.isDisconnected) {
             return;
         }
-        this.socket.unshift(Buffer.concat(this.held.splice(0)));
+        this.socket.unshift(this.held.take());
         observer.handleUnreachable(this.socket);
         this.socket.resume();
     }
--- a/src/router/callerBody.ts
+++ b/src/router/callerBody.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import { BodyBuffer } from "../base/bodyBuffer.js";
+import { BlockBuffer } from "../base/blockBuffer.js";
 import type { BodyBudget } from "../decisions/limits/bodyBudget.js";
 import { callerProblems } from "./callerProblems.js";
 import type { Problem } from "./problem.js";
@@ -21,7 +21,7 @@
     if (Number(incoming.headers["content-length"] ?? "0") > maxBytes) {
         return err(callerProblems.createBodyTooLarge(maxBytes));
     }
-    const body = new BodyBuffer();
+    const body = new BlockBuffer();
     let takenBytes = 0;
     const release = (): void => {
         budget.release(takenBytes);
