Let only chunked bodies wait for a turn

Callers would have seen: slow answers and refusals at routers with a small part of a core. Cause: a connection waited for its turn once a millisecond had passed since its data arrived. At a tenth of a core that includes the handling of an ordinary head, so that bodies of ordinary requests waited in turns. Change: only the time for parsing pieces of bodies with chunked transfer encoding counts, as their cost depends on the size of the chunks; a body with a length is parsed at once.

--- a/src/http/requestReader.ts
+++ b/src/http/requestReader.ts
@@ -3,9 +3,9 @@
 import { RequestBoundary } from "./requestBoundary.js";
 import type { ClientConnectionGuard } from "./clientConnectionGuard.js";
 
-/** Bytes that are parsed at once where their cost is not known in advance, as in bodies with chunked transfer encoding. */
+/** Bytes of a body with chunked transfer encoding that are parsed at once; their cost depends on the size of the chunks. */
 const pieceBytes = 4_096;
-/** Time for which what has arrived on a connection is parsed before the connection waits for its turn; milliseconds. */
+/** Time for which the chunks that have arrived on a connection are parsed before it waits for its turn; milliseconds. */
 const maxDirectMs = 1;
 /** The same during a turn. */
 const maxTurnMs = 5;
@@ -142,7 +142,7 @@
 
     private parsePieces(data: Buffer): void {
         const { socket, guard } = this;
-        const untilMs = guard.clock.nowMs() + (this.hasTurn ? maxTurnMs : maxDirectMs);
+        let remainingMs = this.hasTurn ? maxTurnMs : maxDirectMs;
         this.hasTurn = false;
         let rest = data;
         while (rest.length > 0) {
@@ -150,6 +150,8 @@
                 this.stopReading(rest);
                 return;
             }
+            const isChunked = this.isReadingBody && !this.hasKnownLength;
+            const startedAtMs = isChunked ? guard.clock.nowMs() : 0;
             const piece = this.takePiece(rest);
             rest = rest.subarray(piece.length);
             this.parse.call(socket, piece);
@@ -162,7 +164,8 @@
                 socket.unshift(rest);
                 return;
             }
-            if (rest.length > 0 && guard.clock.nowMs() >= untilMs) {
+            remainingMs -= isChunked ? guard.clock.nowMs() - startedAtMs : 0;
+            if (rest.length > 0 && remainingMs <= 0) {
                 this.stopReading(rest);
                 guard.turns.add(this.takeTurn);
                 return;
@@ -180,10 +183,14 @@
         return this.request?.complete === false;
     }
 
+    private get hasKnownLength(): boolean {
+        return this.remainingBodyBytes !== undefined && this.remainingBodyBytes > 0;
+    }
+
     /** The next bytes to be parsed at once; at most one head ends in them. */
     private takePiece(rest: Buffer): Buffer {
-        const { boundary, remainingBodyBytes } = this;
-        if (this.isReadingBody && remainingBodyBytes !== undefined && remainingBodyBytes > 0) {
+        const { boundary, remainingBodyBytes = 0 } = this;
+        if (this.isReadingBody && this.hasKnownLength) {
             const piece = rest.subarray(0, remainingBodyBytes);
             this.remainingBodyBytes = remainingBodyBytes - piece.length;
             return piece;
