--- a/review/parts-2/caseRun.mjs
+++ b/review/parts-2/caseRun.mjs
@@ -36,6 +36,15 @@
         writeFileSync(join(folder, "record.txt"), `${record.lines.join("\n")}\n`);
         process.exit(code);
     };
+    // Without these, an error outside of the play would exit with 1, and a signal would leave processes behind.
+    const abandon = reason => {
+        record.say(`the case was ended: ${reason instanceof Error ? reason.stack : reason}`);
+        void finish(2);
+    };
+    process.on("uncaughtException", abandon);
+    process.on("unhandledRejection", abandon);
+    process.on("SIGTERM", abandon);
+    process.on("SIGINT", abandon);
     setTimeout(() => {
         record.say("the case took too long");
         void finish(2);
--- a/review/parts-2/routers.mjs
+++ b/review/parts-2/routers.mjs
@@ -101,7 +101,12 @@
     }
 
     async start() {
-        this.ports = { front: await findPort(), ready: await findPort(), control: await findPort() };
+        this.ports = {
+            front: await findPort(),
+            ready: await findPort(),
+            control: await findPort(),
+            metrics: await findPort(),
+        };
         const first = await findPort();
         this.range = [first, first + 15];
         this.ips.forEach((ip, index) => this.startOne(index, ip));
@@ -109,7 +114,7 @@
     }
 
     startOne(index, ip) {
-        const { front, ready, control } = this.ports;
+        const { front, ready, control, metrics } = this.ports;
         const file = join(this.folder, `settings-${index}.json`);
         const fields = {
             node_name: `edge-${index + 1}`,
@@ -124,7 +129,8 @@
             platform: { address: this.storeAddress },
             ...this.changes,
         };
-        const settings = JSON.parse(fillIn(template, fields));
+        // The template has a fixed port for metrics.
+        const settings = { ...JSON.parse(fillIn(template, fields)), metricsPort: metrics };
         writeFileSync(file, JSON.stringify(settings));
         const router = { index, ip, file, log: [], isEnded: false };
         router.child = spawn(command[0], command.slice(1), {
